--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/Admission.java
@@ -0,0 +1,34 @@
+package org.gooseberryring.coordination.limit;
+
+/**
+ * Decision of the limiter on one request.
+ *
+ * @param kind what was decided
+ * @param retryAfterMillis milliseconds after which tokens are expected, 0 unless refused
+ */
+public record Admission(Kind kind, long retryAfterMillis) {
+    /** Kind of decision. */
+    public enum Kind {
+        /** The tokens are reserved. */
+        ADMITTED,
+        /** Tokens were asked for from a keeper; the decision follows. */
+        PENDING,
+        /** The organisation is over its rate and burst. */
+        REFUSED
+    }
+
+    private static final Admission ADMITTED = new Admission(Kind.ADMITTED, 0);
+    private static final Admission PENDING = new Admission(Kind.PENDING, 0);
+
+    public static Admission admitted() {
+        return ADMITTED;
+    }
+
+    public static Admission pending() {
+        return PENDING;
+    }
+
+    public static Admission refused(long retryAfterMillis) {
+        return new Admission(Kind.REFUSED, retryAfterMillis);
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/store/StoreOutcome.java
@@ -0,0 +1,15 @@
+package org.gooseberryring.coordination.store;
+
+/** Outcome of a call to the object store. */
+public enum StoreOutcome {
+    /** The call took effect. */
+    OK,
+    /** The object does not exist. */
+    ABSENT,
+    /** The object has another version than the expected one; nothing was written. */
+    CONFLICT,
+    /** The call certainly took no effect. */
+    UNAVAILABLE,
+    /** The call may have taken effect; the caller must read back before it acts on it. */
+    UNKNOWN
+}
--- /dev/null
+++ b/gooseberryring-protocol/src/main/java/org/gooseberryring/protocol/ChangeRequest.java
@@ -0,0 +1,18 @@
+package org.gooseberryring.protocol;
+
+import java.util.List;
+
+import org.gooseberryring.state.Change;
+
+/**
+ * Body of {@code POST /admin/v1/changes}.
+ *
+ * @param actor person who asks for the changes
+ * @param cause reason for the changes
+ * @param changes changes, applied in order, all or none
+ */
+public record ChangeRequest(String actor, String cause, List<Change> changes) {
+    public ChangeRequest {
+        changes = changes == null ? List.of() : List.copyOf(changes);
+    }
+}
--- /dev/null
+++ b/gooseberryring-protocol/src/main/java/org/gooseberryring/protocol/OrderDocument.java
@@ -0,0 +1,27 @@
+package org.gooseberryring.protocol;
+
+import org.gooseberryring.state.Artifact;
+
+/**
+ * Order to a model engine, as {@code POST /v1/orders} takes it.
+ *
+ * @param orderId identifier, {@code term-sequence}
+ * @param term fencing number of the controller
+ * @param sequence number of the order within its term
+ * @param action what to do
+ * @param artifact artifact to load or unload, or null
+ * @param bytes accelerator memory that the artifact takes, in bytes
+ * @param role role to change to, or null
+ */
+public record OrderDocument(
+        String orderId, long term, long sequence, Action action, Artifact artifact, long bytes, String role) {
+    /** Kind of order. */
+    public enum Action {
+        /** Loads an artifact from the weight store. */
+        LOAD,
+        /** Unloads an artifact. */
+        UNLOAD,
+        /** Changes the role of the engine. */
+        SET_ROLE
+    }
+}
--- /dev/null
+++ b/gooseberryring-state/src/main/java/org/gooseberryring/state/package-info.java
@@ -0,0 +1,2 @@
+/** Immutable model of the fleet, verdicts and error codes. */
+package org.gooseberryring.state;
