--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/AttemptOutcome.java
@@ -0,0 +1,21 @@
+package org.gooseberryring.coordination.request;
+
+import org.gooseberryring.state.Verdict;
+
+/**
+ * How one attempt at an endpoint ended.
+ *
+ * @param verdict whether the attempt may have run
+ * @param status HTTP status of the answer, 0 if there was none
+ * @param usedTokens tokens that the endpoint reported, 0 if unknown
+ * @param bytesReachedCaller whether any byte of the answer went to the caller
+ * @param endpointLost whether the connection broke, as when the endpoint dies
+ * @param firstTokenMillis milliseconds from dispatch to the first byte of the answer, -1 if there was none
+ */
+public record AttemptOutcome(
+        Verdict verdict,
+        int status,
+        long usedTokens,
+        boolean bytesReachedCaller,
+        boolean endpointLost,
+        long firstTokenMillis) {}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEffect.java
@@ -0,0 +1,80 @@
+package org.gooseberryring.coordination.request;
+
+import org.gooseberryring.state.ErrorCode;
+import org.gooseberryring.state.Verdict;
+
+/** Action that the request engine asks its host to take. */
+public sealed interface RequestEffect {
+    /**
+     * Sends the request to an endpoint of this failure domain.
+     *
+     * @param requestId request to send
+     * @param attempt number of the attempt, from 1
+     * @param endpoint identifier of the endpoint
+     */
+    record Dispatch(String requestId, int attempt, String endpoint) implements RequestEffect {}
+
+    /**
+     * Sends the request to a host of another failure domain, which dispatches it there.
+     *
+     * @param requestId request to send
+     * @param attempt number of the attempt, from 1
+     * @param failureDomain failure domain that can serve it
+     */
+    record Relay(String requestId, int attempt, String failureDomain) implements RequestEffect {}
+
+    /**
+     * Answers the caller at once with a refusal.
+     *
+     * @param requestId request that is refused
+     * @param code reason
+     * @param verdict whether the request may have run
+     * @param retryAfterMillis milliseconds after which coming back helps, 0 if it does not
+     * @param detail explanation for the caller
+     */
+    record Refuse(String requestId, ErrorCode code, Verdict verdict, long retryAfterMillis, String detail)
+            implements RequestEffect {}
+
+    /**
+     * Asks the owner of the idempotency key's shard for a claim.
+     *
+     * @param requestId request that needs the claim
+     * @param organisation organisation that the key belongs to
+     * @param idempotencyKey key that the caller gave
+     * @param requestDigest digest of the request
+     */
+    record Claim(String requestId, String organisation, String idempotencyKey, String requestDigest)
+            implements RequestEffect {}
+
+    /**
+     * Reports the outcome of a claimed request to the owner of the claim.
+     *
+     * @param requestId request that was claimed
+     * @param verdict NOT_RUN releases the claim, COMPLETED records the answer that the host kept
+     */
+    record SettleClaim(String requestId, Verdict verdict) implements RequestEffect {}
+
+    /**
+     * Answers the caller with the answer recorded for its idempotency key.
+     *
+     * @param requestId request that repeats an earlier one
+     */
+    record Replay(String requestId) implements RequestEffect {}
+
+    /**
+     * Cancels an attempt at its endpoint because nobody needs the answer any more.
+     *
+     * @param requestId request to cancel
+     * @param attempt number of the attempt
+     * @param endpoint identifier of the endpoint
+     */
+    record Cancel(String requestId, int attempt, String endpoint) implements RequestEffect {}
+
+    /**
+     * Tells all hosts about a request that crashed endpoints.
+     *
+     * @param digest digest of the request
+     * @param endpointLosses endpoints lost while they ran it
+     */
+    record SpreadQuarantine(String digest, int endpointLosses) implements RequestEffect {}
+}
