--- /dev/null
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/AttemptListener.java
@@ -0,0 +1,17 @@
+package org.gooseberryring.transport.endpoint;
+
+import org.gooseberryring.coordination.request.AttemptOutcome;
+
+/** Hears of the progress of an attempt, on its I/O thread. */
+public interface AttemptListener {
+    /** The first bytes of an acceptable answer have arrived. */
+    void responseStarted();
+
+    /**
+     * The attempt has ended; called exactly once.
+     *
+     * @param outcome how it ended
+     * @param recorded whole answer if it was complete and small enough to keep, otherwise null
+     */
+    void ended(AttemptOutcome outcome, byte[] recorded);
+}
--- /dev/null
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -0,0 +1,248 @@
+package org.gooseberryring.transport.endpoint;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import org.gooseberryring.coordination.request.AttemptOutcome;
+import org.gooseberryring.state.Verdict;
+import org.gooseberryring.transport.http.BodyWriter;
+import org.jboss.logging.Logger;
+import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/** One attempt at an endpoint; all its steps run on one I/O thread. */
+public final class EndpointAttempt {
+    /** Header that carries the request id in both directions. */
+    public static final HttpString REQUEST_ID = new HttpString("X-Request-Id");
+
+    /** Header in which a relay states its verdict on a request that it refuses. */
+    public static final HttpString VERDICT = new HttpString("X-Request-Verdict");
+
+    private static final Logger LOG = Logger.getLogger(EndpointAttempt.class);
+    private static final int FIRST_ERROR = 400;
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    private final EndpointClient client;
+    private final String address;
+    private final EndpointCall call;
+    private final XnioIoThread thread;
+    private final AnswerSink sink;
+    private final AttemptListener listener;
+    private final long startedNanos = System.nanoTime();
+
+    private boolean entered;
+    private boolean sent;
+    private boolean ended;
+    private int status;
+    private long firstTokenMillis = -1;
+    private long lastActivityNanos = startedNanos;
+    private ClientConnection connection;
+    private BodyWriter writer;
+    private AnswerCopier copier;
+    private XnioExecutor.Key timer;
+
+    EndpointAttempt(
+            EndpointClient client,
+            String address,
+            EndpointCall call,
+            XnioIoThread thread,
+            AnswerSink sink,
+            AttemptListener listener) {
+        this.client = client;
+        this.address = address;
+        this.call = call;
+        this.thread = thread;
+        this.sink = sink;
+        this.listener = listener;
+    }
+
+    /** Gives the attempt up and closes its connection; may be called on any thread. */
+    public void cancel() {
+        thread.execute(() -> end(unfinished(), false, null));
+    }
+
+    void begin() {
+        if (ended) {
+            return;
+        }
+        entered = client.enter(address);
+        if (!entered) {
+            end(Verdict.NOT_RUN, false, null);
+            return;
+        }
+        timer = after(client.limits().connectMillis(), () -> end(unfinished(), true, null));
+        client.connector().acquire(thread, address, !call.idempotent(), this::connected);
+    }
+
+    private void connected(ClientConnection opened, IOException failure) {
+        if (failure != null) {
+            end(Verdict.NOT_RUN, true, null);
+            return;
+        }
+        if (ended) {
+            client.connector().release(address, opened);
+            return;
+        }
+        connection = opened;
+        restartTimer(client.limits().firstByteMillis());
+        sent = true;
+        opened.sendRequest(request(), callback(this::accepted));
+    }
+
+    private ClientRequest request() {
+        ClientRequest request =
+                new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.path());
+        HeaderMap headers = request.getRequestHeaders();
+        call.headers().forEach(h -> headers.putAll(h.getHeaderName(), h));
+        headers.put(Headers.HOST, address);
+        headers.put(Headers.CONTENT_LENGTH, call.body().length);
+        headers.put(REQUEST_ID, call.requestId());
+        return request;
+    }
+
+    private void accepted(ClientExchange exchange) {
+        exchange.setResponseListener(callback(this::answered));
+        if (call.body().length > 0) {
+            writer = new BodyWriter(call.body(), e -> broken());
+            writer.write(exchange.getRequestChannel());
+        }
+    }
+
+    private void answered(ClientExchange exchange) {
+        if (ended) {
+            return;
+        }
+        ClientResponse response = exchange.getResponse();
+        HeaderMap headers = response.getResponseHeaders();
+        if (call.kind() != EndpointCall.Kind.PLAIN_SERVICE && !call.requestId().equals(headers.getFirst(REQUEST_ID))) {
+            LOG.warnf(
+                    "event=answer-dropped reason=wrong-request-id requestId=%s address=%s", call.requestId(), address);
+            end(Verdict.MAY_HAVE_RUN, false, null);
+            return;
+        }
+        status = response.getResponseCode();
+        Verdict refusal = refusal(headers);
+        if (refusal != null) {
+            end(refusal, false, null);
+            return;
+        }
+        copier = new AnswerCopier(this, call, client, exchange, sink);
+        copier.start();
+    }
+
+    /** Returns the verdict if the answer is a failure that must not go to the caller as it is, otherwise null. */
+    private Verdict refusal(HeaderMap headers) {
+        String verdict = headers.getFirst(VERDICT);
+        if (call.kind() == EndpointCall.Kind.RELAY && verdict != null && status >= FIRST_ERROR) {
+            return Verdict.NOT_RUN.wireName().equals(verdict) ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
+        }
+        boolean engine = call.kind() != EndpointCall.Kind.PLAIN_SERVICE;
+        return engine && status >= FIRST_SERVER_ERROR ? Verdict.MAY_HAVE_RUN : null;
+    }
+
+    /** Notes that bytes moved, which restarts the idle timeout. */
+    void active() {
+        lastActivityNanos = System.nanoTime();
+        if (firstTokenMillis < 0) {
+            firstTokenMillis = TimeUnit.NANOSECONDS.toMillis(lastActivityNanos - startedNanos);
+            restartTimer(client.limits().idleMillis());
+        }
+    }
+
+    /** Notes that the answer was opened towards its receiver. */
+    void opened() {
+        listener.responseStarted();
+    }
+
+    /** Ends an attempt whose whole answer arrived. */
+    void complete(boolean reusable, byte[] recorded) {
+        ClientConnection used = connection;
+        connection = null;
+        if (reusable && (writer == null || writer.done())) {
+            client.connector().release(address, used);
+        } else {
+            IoUtils.safeClose(used);
+        }
+        end(Verdict.COMPLETED, false, recorded);
+    }
+
+    /** Ends an attempt whose connection broke or whose answer is not complete. */
+    void broken() {
+        end(unfinished(), true, null);
+    }
+
+    /** Ends an attempt whose receiver has gone. */
+    void receiverGone() {
+        end(unfinished(), false, null);
+    }
+
+    private Verdict unfinished() {
+        return sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+    }
+
+    private void end(Verdict verdict, boolean endpointLost, byte[] recorded) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        if (timer != null) {
+            timer.remove();
+        }
+        if (entered) {
+            client.leave(address);
+        }
+        IoUtils.safeClose(connection);
+        boolean reached = copier != null && copier.started();
+        if (copier != null) {
+            copier.close();
+        }
+        if (verdict != Verdict.COMPLETED && reached) {
+            sink.abort();
+        }
+        long used = copier == null ? 0 : copier.usedTokens();
+        listener.ended(new AttemptOutcome(verdict, status, used, reached, endpointLost, firstTokenMillis), recorded);
+    }
+
+    private void restartTimer(long millis) {
+        timer.remove();
+        timer = after(millis, () -> checkIdle(millis));
+    }
+
+    private void checkIdle(long millis) {
+        long idle = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastActivityNanos);
+        boolean waiting = firstTokenMillis < 0;
+        if (waiting || idle >= millis) {
+            end(unfinished(), waiting, null);
+            return;
+        }
+        timer = after(millis - idle, () -> checkIdle(millis));
+    }
+
+    private XnioExecutor.Key after(long millis, Runnable task) {
+        return thread.executeAfter(task, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> next) {
+        return new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange exchange) {
+                next.accept(exchange);
+            }
+
+            @Override
+            public void failed(IOException e) {
+                broken();
+            }
+        };
+    }
+}
--- /dev/null
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointCall.java
@@ -0,0 +1,27 @@
+package org.gooseberryring.transport.endpoint;
+
+import io.undertow.util.HeaderMap;
+
+/**
+ * Request to send to an endpoint or to a relay.
+ *
+ * @param requestId identifier sent as X-Request-Id
+ * @param method HTTP method
+ * @param path path with query
+ * @param headers headers to send besides Host, Content-Length and X-Request-Id
+ * @param body whole body, empty if there is none
+ * @param kind what answers, which determines how its answer is verified
+ * @param idempotent whether the request may be sent twice; if not, it never goes over a reused connection
+ */
+public record EndpointCall(
+        String requestId, String method, String path, HeaderMap headers, byte[] body, Kind kind, boolean idempotent) {
+    /** Kind of the answering process. */
+    public enum Kind {
+        /** Model engine: echoes the request id; streams end with a final event. */
+        MODEL_ENGINE,
+        /** Plain service: its answers are passed on as they are. */
+        PLAIN_SERVICE,
+        /** Host of another failure domain: echoes the request id and states its verdict in a header. */
+        RELAY
+    }
+}
--- /dev/null
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointClient.java
@@ -0,0 +1,67 @@
+package org.gooseberryring.transport.endpoint;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.gooseberryring.transport.http.ClientConnector;
+import org.gooseberryring.transport.http.HttpWorker;
+import org.xnio.XnioIoThread;
+
+/** Sends requests to endpoints and copies their answers to sinks on the I/O thread. */
+public final class EndpointClient {
+    private static final int MAX_IDLE_PER_THREAD = 32;
+
+    private final HttpWorker worker;
+    private final ClientConnector connector;
+    private final EndpointLimits limits;
+    private final Map<String, AtomicInteger> inFlight = new ConcurrentHashMap<>();
+
+    /** Creates a client that uses the I/O threads and buffers of the worker. */
+    public EndpointClient(HttpWorker worker, EndpointLimits limits) {
+        this.worker = worker;
+        this.limits = limits;
+        this.connector = new ClientConnector(worker, MAX_IDLE_PER_THREAD);
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param address address as {@code ip:port}
+     * @param call request to send
+     * @param thread I/O thread of the sink, on which the whole attempt runs
+     * @param sink takes the answer
+     * @param listener hears of the progress
+     */
+    public EndpointAttempt send(
+            String address, EndpointCall call, XnioIoThread thread, AnswerSink sink, AttemptListener listener) {
+        EndpointAttempt attempt = new EndpointAttempt(this, address, call, thread, sink, listener);
+        thread.execute(attempt::begin);
+        return attempt;
+    }
+
+    HttpWorker worker() {
+        return worker;
+    }
+
+    ClientConnector connector() {
+        return connector;
+    }
+
+    EndpointLimits limits() {
+        return limits;
+    }
+
+    boolean enter(String address) {
+        AtomicInteger count = inFlight.computeIfAbsent(address, a -> new AtomicInteger());
+        if (count.incrementAndGet() <= limits.maxConnections()) {
+            return true;
+        }
+        count.decrementAndGet();
+        return false;
+    }
+
+    void leave(String address) {
+        inFlight.get(address).decrementAndGet();
+    }
+}
--- /dev/null
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/package-info.java
@@ -0,0 +1,2 @@
+/** Streaming client of endpoints and relays. */
+package org.gooseberryring.transport.endpoint;
--- /dev/null
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/HttpCall.java
@@ -0,0 +1,145 @@
+package org.gooseberryring.transport.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.concurrent.CompletableFuture;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.util.Headers;
+import org.xnio.IoUtils;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSourceChannel;
+
+/** One call in progress; all its steps run on one I/O thread. */
+final class HttpCall {
+    // Store values are at most 1 MB; engine reports are smaller still.
+    private static final int MAX_ANSWER_BYTES = 16_000_000;
+
+    private final HttpWorker worker;
+    private final ClientConnector connector;
+    private final String authority;
+    private final ClientRequest request;
+    private final byte[] body;
+    private final CompletableFuture<HttpResult> result = new CompletableFuture<>();
+    private final ByteArrayOutputStream answer = new ByteArrayOutputStream();
+    private volatile boolean sent;
+    private volatile boolean ended;
+    private ClientConnection connection;
+    private BodyWriter writer;
+
+    HttpCall(HttpWorker worker, ClientConnector connector, String authority, ClientRequest request, byte[] body) {
+        this.worker = worker;
+        this.connector = connector;
+        this.authority = authority;
+        this.request = request;
+        this.body = body;
+    }
+
+    CompletableFuture<HttpResult> start(XnioIoThread thread) {
+        thread.execute(() -> connector.acquire(thread, authority, false, this::connected));
+        return result;
+    }
+
+    /** Ends the call with a failure and closes its connection, because a late answer must reach nobody else. */
+    void fail(XnioIoThread thread, String message, Throwable cause) {
+        thread.execute(() -> end(message, cause));
+    }
+
+    private void connected(ClientConnection opened, IOException failure) {
+        if (failure != null) {
+            end("Cannot connect to " + authority, failure);
+            return;
+        }
+        if (ended) {
+            connector.release(authority, opened);
+            return;
+        }
+        connection = opened;
+        sent = true;
+        opened.sendRequest(request, callback(this::accepted));
+    }
+
+    private void accepted(ClientExchange exchange) {
+        exchange.setResponseListener(callback(this::answered));
+        if (body.length > 0) {
+            writer = new BodyWriter(body, e -> end("Connection to " + authority + " broke", e));
+            writer.write(exchange.getRequestChannel());
+        }
+    }
+
+    private void answered(ClientExchange exchange) {
+        StreamSourceChannel channel = exchange.getResponseChannel();
+        channel.getReadSetter().set(c -> read(exchange, c));
+        read(exchange, channel);
+    }
+
+    private void read(ClientExchange exchange, StreamSourceChannel channel) {
+        try (PooledByteBuffer pooled = worker.buffers().allocate()) {
+            ByteBuffer buffer = pooled.getBuffer();
+            int count = channel.read(buffer);
+            while (count > 0) {
+                buffer.flip();
+                byte[] bytes = new byte[buffer.remaining()];
+                buffer.get(bytes);
+                answer.writeBytes(bytes);
+                buffer.clear();
+                if (answer.size() > MAX_ANSWER_BYTES) {
+                    end("Answer of " + authority + " is larger than " + MAX_ANSWER_BYTES + " bytes", null);
+                    return;
+                }
+                count = channel.read(buffer);
+            }
+            if (count == 0) {
+                channel.resumeReads();
+            } else {
+                complete(exchange);
+            }
+        } catch (IOException e) {
+            end("Connection to " + authority + " broke", e);
+        }
+    }
+
+    private void complete(ClientExchange exchange) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        var response = exchange.getResponse();
+        boolean close = "close".equalsIgnoreCase(response.getResponseHeaders().getFirst(Headers.CONNECTION));
+        if (close || (writer != null && !writer.done())) {
+            IoUtils.safeClose(connection);
+        } else {
+            connector.release(authority, connection);
+        }
+        result.complete(
+                new HttpResult(response.getResponseCode(), response.getResponseHeaders(), answer.toByteArray()));
+    }
+
+    private void end(String message, Throwable cause) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        IoUtils.safeClose(connection);
+        result.completeExceptionally(new HttpCallException(message, sent, cause));
+    }
+
+    private ClientCallback<ClientExchange> callback(java.util.function.Consumer<ClientExchange> next) {
+        return new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange exchange) {
+                next.accept(exchange);
+            }
+
+            @Override
+            public void failed(IOException e) {
+                end("Connection to " + authority + " broke", e);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/HttpCaller.java
@@ -0,0 +1,104 @@
+package org.gooseberryring.transport.http;
+
+import java.net.URI;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import io.undertow.client.ClientRequest;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import org.xnio.XnioIoThread;
+
+/** Makes short HTTP calls over reused connections. */
+public final class HttpCaller {
+    private static final int MAX_IDLE_PER_ADDRESS = 16;
+
+    private final HttpWorker worker;
+    private final ClientConnector connector;
+
+    /** Creates a caller that uses the I/O threads of the worker. */
+    public HttpCaller(HttpWorker worker) {
+        this.worker = worker;
+        this.connector = new ClientConnector(worker, MAX_IDLE_PER_ADDRESS);
+    }
+
+    /**
+     * Makes a call and waits for its answer. Must not be called on an I/O thread.
+     *
+     * @param method HTTP method
+     * @param uri absolute URI with scheme {@code http}
+     * @param headers headers besides Host and Content-Length
+     * @param body body, or null
+     * @param timeoutMillis milliseconds for the whole call
+     * @throws HttpCallException if there was no complete answer in time
+     */
+    public HttpResult call(String method, URI uri, Map<String, String> headers, byte[] body, long timeoutMillis) {
+        XnioIoThread thread = thread(uri);
+        HttpCall call = prepare(method, uri, headers, body);
+        CompletableFuture<HttpResult> future = call.start(thread);
+        try {
+            return future.get(timeoutMillis, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            call.fail(thread, "No answer from " + uri.getAuthority() + " in " + timeoutMillis + " ms", e);
+            return join(future);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            call.fail(thread, "Interrupted while calling " + uri.getAuthority(), e);
+            throw new HttpCallException("Interrupted while calling " + uri.getAuthority(), true, e);
+        } catch (ExecutionException e) {
+            return join(future);
+        }
+    }
+
+    /**
+     * Makes a call without waiting; the future completes on an I/O thread.
+     *
+     * @param timeoutMillis milliseconds for the whole call
+     * @return future that fails with {@link HttpCallException}
+     */
+    public CompletableFuture<HttpResult> callAsync(
+            String method, URI uri, Map<String, String> headers, byte[] body, long timeoutMillis) {
+        XnioIoThread thread = thread(uri);
+        HttpCall call = prepare(method, uri, headers, body);
+        CompletableFuture<HttpResult> future = call.start(thread);
+        var timer = thread.executeAfter(
+                () -> call.fail(thread, "No answer from " + uri.getAuthority() + " in " + timeoutMillis + " ms", null),
+                timeoutMillis,
+                TimeUnit.MILLISECONDS);
+        return future.whenComplete((r, e) -> timer.remove());
+    }
+
+    private XnioIoThread thread(URI uri) {
+        return worker.xnio().getIoThread(uri.getAuthority().hashCode());
+    }
+
+    private HttpCall prepare(String method, URI uri, Map<String, String> headers, byte[] body) {
+        byte[] content = body == null ? new byte[0] : body;
+        String query = uri.getRawQuery() == null ? "" : "?" + uri.getRawQuery();
+        ClientRequest request =
+                new ClientRequest().setMethod(new HttpString(method)).setPath(uri.getRawPath() + query);
+        HeaderMap map = request.getRequestHeaders();
+        headers.forEach((name, value) -> map.put(new HttpString(name), value));
+        map.put(Headers.HOST, uri.getAuthority());
+        map.put(Headers.CONTENT_LENGTH, content.length);
+        return new HttpCall(worker, connector, uri.getAuthority(), request, content);
+    }
+
+    private static HttpResult join(CompletableFuture<HttpResult> future) {
+        try {
+            return future.get();
+        } catch (ExecutionException e) {
+            if (e.getCause() instanceof HttpCallException failure) {
+                throw failure;
+            }
+            throw new HttpCallException("HTTP call failed", true, e.getCause());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new HttpCallException("Interrupted during an HTTP call", true, e);
+        }
+    }
+}
--- /dev/null
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/HttpWorker.java
@@ -0,0 +1,69 @@
+package org.gooseberryring.transport.http;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.concurrent.TimeUnit;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** I/O threads and buffers that the HTTP servers and clients of one process share. */
+public final class HttpWorker implements AutoCloseable {
+    // Undertow advises 16 KiB less its header space, so that one socket write empties a buffer.
+    private static final int BUFFER_BYTES = 16 * 1024 - 20;
+    private static final int STOP_SECONDS = 5;
+
+    private final XnioWorker worker;
+    private final ByteBufferPool buffers;
+
+    private HttpWorker(XnioWorker worker) {
+        this.worker = worker;
+        this.buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+    }
+
+    /**
+     * Starts a worker.
+     *
+     * @param name prefix of the thread names
+     * @param ioThreads threads that read and write sockets
+     * @param taskThreads threads that run blocking handlers
+     */
+    public static HttpWorker start(String name, int ioThreads, int taskThreads) {
+        OptionMap options = OptionMap.builder()
+                .set(Options.WORKER_NAME, name)
+                .set(Options.WORKER_IO_THREADS, ioThreads)
+                .set(Options.WORKER_TASK_CORE_THREADS, taskThreads)
+                .set(Options.WORKER_TASK_MAX_THREADS, taskThreads)
+                .set(Options.THREAD_DAEMON, true)
+                .set(Options.TCP_NODELAY, true)
+                .getMap();
+        try {
+            return new HttpWorker(Xnio.getInstance().createWorker(options));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    public XnioWorker xnio() {
+        return worker;
+    }
+
+    public ByteBufferPool buffers() {
+        return buffers;
+    }
+
+    @Override
+    public void close() {
+        worker.shutdownNow();
+        try {
+            worker.awaitTermination(STOP_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        buffers.close();
+    }
+}
--- /dev/null
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/package-info.java
@@ -0,0 +1,2 @@
+/** Blocking HTTP calls and the I/O worker that servers and clients share. */
+package org.gooseberryring.transport.http;
--- /dev/null
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Authenticated links between hosts. */
+package org.gooseberryring.transport.peer;
--- /dev/null
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/store/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the platform's object store. */
+package org.gooseberryring.transport.store;
