--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/HostMain.java
@@ -0,0 +1,93 @@
+package org.gooseberryring.host;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import org.gooseberryring.host.settings.HostSettings;
+import org.gooseberryring.host.settings.InvalidSettingsException;
+import org.gooseberryring.host.settings.SettingsReader;
+
+/** Entry point of the program {@code gooseberryring}. */
+public final class HostMain {
+    private static final String PROGRAM = "gooseberryring";
+    private static final int OK = 0;
+    private static final int FAILED = 1;
+    private static final int USAGE = 2;
+
+    @Parameter(names = "--settings", description = "Settings file (JSON)")
+    private String settingsFile;
+
+    @Parameter(names = "--check-settings", description = "Validate the settings file and exit")
+    private boolean checkOnly;
+
+    @Parameter(names = "--help", help = true, description = "Show this help")
+    private boolean help;
+
+    private HostMain() {}
+
+    /** Runs the program. */
+    public static void main(String[] args) throws InterruptedException {
+        int code = new HostMain().run(args, System.out, System.err);
+        if (code != OK) {
+            System.exit(code);
+        }
+    }
+
+    /** Runs the program up to its exit code; returns 0 at once if only a check or help was asked for. */
+    static int runOnce(String[] args, PrintStream out, PrintStream err) throws InterruptedException {
+        return new HostMain().run(args, out, err);
+    }
+
+    private int run(String[] args, PrintStream out, PrintStream err) throws InterruptedException {
+        JCommander commander =
+                JCommander.newBuilder().addObject(this).programName(PROGRAM).build();
+        try {
+            commander.parse(args);
+        } catch (ParameterException e) {
+            err.println(PROGRAM + ": " + e.getMessage());
+            return USAGE;
+        }
+        if (help) {
+            StringBuilder text = new StringBuilder();
+            commander.getUsageFormatter().usage(text);
+            out.print(text);
+            return OK;
+        }
+        if (settingsFile == null) {
+            err.println(PROGRAM + ": --settings is required");
+            return USAGE;
+        }
+        HostSettings settings;
+        try {
+            settings = SettingsReader.read(Path.of(settingsFile));
+        } catch (InvalidSettingsException e) {
+            e.faults().forEach(fault -> err.println(PROGRAM + ": " + fault));
+            return USAGE;
+        }
+        return checkOnly ? OK : serve(settings, err);
+    }
+
+    private static int serve(HostSettings settings, PrintStream err) throws InterruptedException {
+        Host host;
+        try {
+            host = Host.start(settings);
+        } catch (RuntimeException e) {
+            err.println(PROGRAM + ": cannot start: " + e.getMessage());
+            return FAILED;
+        }
+        CountDownLatch ended = new CountDownLatch(1);
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            host.drain();
+                            ended.countDown();
+                        },
+                        "shutdown"));
+        ended.await();
+        return OK;
+    }
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/HttpListener.java
@@ -0,0 +1,54 @@
+package org.gooseberryring.host;
+
+import java.net.InetSocketAddress;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
+import org.gooseberryring.transport.http.HttpWorker;
+import org.xnio.Options;
+
+/** HTTP server on one address. */
+final class HttpListener implements AutoCloseable {
+    // Idle connections are kept longer than load balancers keep theirs, so that the balancer closes first.
+    private static final int KEEP_ALIVE_MILLIS = 75_000;
+    private static final int HEAD_MILLIS = 10_000;
+    private static final int MAX_HEADERS = 64;
+    private static final int MAX_HEADER_BYTES = 32 * 1024;
+
+    private final Undertow server;
+    private final InetSocketAddress address;
+
+    private HttpListener(Undertow server) {
+        this.server = server;
+        server.start();
+        this.address = (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+    }
+
+    static HttpListener start(HttpWorker worker, InetSocketAddress address, int maxConnections, HttpHandler handler) {
+        return new HttpListener(Undertow.builder()
+                .setWorker(worker.xnio())
+                .setByteBufferPool(worker.buffers())
+                .addHttpListener(address.getPort(), address.getAddress().getHostAddress())
+                .setSocketOption(Options.CONNECTION_HIGH_WATER, maxConnections)
+                .setSocketOption(Options.CONNECTION_LOW_WATER, maxConnections)
+                .setSocketOption(Options.REUSE_ADDRESSES, true)
+                .setSocketOption(Options.TCP_NODELAY, true)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, KEEP_ALIVE_MILLIS)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MILLIS)
+                .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+                .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                .setHandler(handler)
+                .build());
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    @Override
+    public void close() {
+        server.stop();
+    }
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/admin/StatusDocument.java
@@ -0,0 +1,29 @@
+package org.gooseberryring.host.admin;
+
+import java.util.Map;
+
+/**
+ * State of a host, as {@code GET /admin/v1/status} answers it.
+ *
+ * @param hostId identifier of the host
+ * @param failureDomain failure domain of the host
+ * @param incarnation number that differs after each restart, in hexadecimal
+ * @param ready whether the host takes new requests
+ * @param draining whether the host is shutting down
+ * @param revision revision of the configuration that it follows
+ * @param configurationFresh whether the configuration was confirmed within the grace period
+ * @param confirmedAgeMillis milliseconds since the configuration was confirmed, -1 if it never was
+ * @param openRequests requests that are open
+ * @param details further figures by name
+ */
+public record StatusDocument(
+        String hostId,
+        String failureDomain,
+        String incarnation,
+        boolean ready,
+        boolean draining,
+        long revision,
+        boolean configurationFresh,
+        long confirmedAgeMillis,
+        int openRequests,
+        Map<String, Object> details) {}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/admin/package-info.java
@@ -0,0 +1,2 @@
+/** Interface to operators. */
+package org.gooseberryring.host.admin;
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -0,0 +1,155 @@
+package org.gooseberryring.host.caller;
+
+import java.util.function.Consumer;
+
+import org.gooseberryring.coordination.request.AttemptOutcome;
+import org.gooseberryring.coordination.request.RequestEffect;
+import org.gooseberryring.host.HostMetrics;
+import org.gooseberryring.host.config.ConfigurationHolder;
+import org.gooseberryring.host.engine.RequestLoop;
+import org.gooseberryring.host.log.LogLine;
+import org.gooseberryring.state.Endpoint;
+import org.gooseberryring.state.Verdict;
+import org.gooseberryring.transport.endpoint.AttemptListener;
+import org.gooseberryring.transport.endpoint.EndpointAttempt;
+import org.gooseberryring.transport.endpoint.EndpointCall;
+import org.gooseberryring.transport.endpoint.EndpointClient;
+import org.jboss.logging.Logger;
+
+/** Carries out the effects of the request engine that concern callers and endpoints. */
+public final class CallerEffects implements Consumer<RequestEffect> {
+    private static final Logger LOG = Logger.getLogger(CallerEffects.class);
+
+    private final OpenRequests open;
+    private final ConfigurationHolder holder;
+    private final EndpointClient client;
+    private final HostMetrics metrics;
+    private final EffectLinks links;
+    private RequestLoop loop;
+
+    /** Creates the effects; {@link #connect} must follow before the first effect. */
+    public CallerEffects(
+            OpenRequests open,
+            ConfigurationHolder holder,
+            EndpointClient client,
+            HostMetrics metrics,
+            EffectLinks links) {
+        this.open = open;
+        this.holder = holder;
+        this.client = client;
+        this.metrics = metrics;
+        this.links = links;
+    }
+
+    /** Names the loop that hears of the outcomes. */
+    public void connect(RequestLoop requestLoop) {
+        loop = requestLoop;
+    }
+
+    @Override
+    public void accept(RequestEffect effect) {
+        if (effect instanceof RequestEffect.Dispatch dispatch) {
+            dispatch(dispatch);
+        } else if (effect instanceof RequestEffect.Refuse refuse) {
+            refuse(refuse);
+        } else if (effect instanceof RequestEffect.Cancel cancel) {
+            cancel(cancel);
+        } else if (effect instanceof RequestEffect.Relay relay) {
+            links.relay(open.get(relay.requestId()), relay, loop);
+        } else if (effect instanceof RequestEffect.Claim claim) {
+            links.claim(open.get(claim.requestId()), claim, loop);
+        } else if (effect instanceof RequestEffect.SettleClaim settle) {
+            links.settle(open.get(settle.requestId()), settle);
+        } else if (effect instanceof RequestEffect.Replay replay) {
+            links.replay(open.get(replay.requestId()));
+        } else if (effect instanceof RequestEffect.SpreadQuarantine quarantine) {
+            links.spread(quarantine);
+        }
+    }
+
+    private void dispatch(RequestEffect.Dispatch dispatch) {
+        OpenRequest request = open.get(dispatch.requestId());
+        Endpoint endpoint = holder.current().endpoints().get(dispatch.endpoint());
+        if (request == null || endpoint == null) {
+            loop.attemptEnded(dispatch.requestId(), dispatch.attempt(), notRun());
+            return;
+        }
+        Destination to = request.destination();
+        EndpointCall call = new EndpointCall(
+                dispatch.requestId(),
+                request.method(),
+                to.path(),
+                request.headers(),
+                to.body(),
+                to.kind(),
+                to.idempotent());
+        request.thread().execute(() -> send(request, dispatch.attempt(), endpoint.address(), call));
+    }
+
+    /** Sends a request to an endpoint or a relay; must run on the I/O thread of the request. */
+    void send(OpenRequest request, int number, String address, EndpointCall call) {
+        if (request.ended()) {
+            loop.attemptEnded(request.spec().id(), number, notRun());
+            return;
+        }
+        EndpointAttempt attempt =
+                client.send(address, call, request.thread(), request.sink(), new Progress(request, number));
+        request.attempt(number, attempt);
+    }
+
+    private void refuse(RequestEffect.Refuse refuse) {
+        OpenRequest request = open.get(refuse.requestId());
+        metrics.refused(refuse.code().wireName());
+        if (request == null) {
+            return;
+        }
+        LogLine.event("request-refused")
+                .with("requestId", refuse.requestId())
+                .with("organisation", request.spec().organisation())
+                .with("code", refuse.code().wireName())
+                .with("verdict", refuse.verdict().wireName())
+                .debug(LOG);
+        Refusal refusal = new Refusal(refuse.code(), refuse.verdict(), refuse.retryAfterMillis(), refuse.detail());
+        request.thread().execute(() -> request.refuse(refusal));
+    }
+
+    private void cancel(RequestEffect.Cancel cancel) {
+        OpenRequest request = open.get(cancel.requestId());
+        Endpoint endpoint = holder.current().endpoints().get(cancel.endpoint());
+        if (request != null) {
+            request.thread().execute(() -> request.cancelAttempt(cancel.attempt()));
+            if (endpoint != null && request.destination().kind() == EndpointCall.Kind.MODEL_ENGINE) {
+                links.cancelAtEngine(endpoint.address(), cancel.requestId());
+            }
+        }
+    }
+
+    private static AttemptOutcome notRun() {
+        return new AttemptOutcome(Verdict.NOT_RUN, 0, 0, false, false, -1);
+    }
+
+    private final class Progress implements AttemptListener {
+        private final OpenRequest request;
+        private final int number;
+        private final long startedNanos = System.nanoTime();
+
+        private Progress(OpenRequest request, int number) {
+            this.request = request;
+            this.number = number;
+        }
+
+        @Override
+        public void responseStarted() {
+            loop.responseStarted(request.spec().id(), number);
+        }
+
+        @Override
+        public void ended(AttemptOutcome outcome, byte[] recorded) {
+            if (outcome.verdict() == Verdict.COMPLETED) {
+                request.record(outcome.status(), recorded);
+            }
+            metrics.attemptEnded(outcome.verdict(), System.nanoTime() - startedNanos);
+            loop.attemptEnded(request.spec().id(), number, outcome);
+        }
+    }
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerHandler.java
@@ -0,0 +1,301 @@
+package org.gooseberryring.host.caller;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import io.undertow.io.Receiver;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
+import org.gooseberryring.coordination.request.RequestSpec;
+import org.gooseberryring.coordination.request.Target;
+import org.gooseberryring.host.HostMetrics;
+import org.gooseberryring.host.config.ConfigurationHolder;
+import org.gooseberryring.host.engine.RequestLoop;
+import org.gooseberryring.host.settings.HostSettings;
+import org.gooseberryring.state.ErrorCode;
+import org.gooseberryring.state.FleetConfiguration;
+import org.gooseberryring.state.Organisation;
+import org.gooseberryring.state.PriorityClass;
+import org.gooseberryring.transport.endpoint.EndpointAttempt;
+import org.gooseberryring.transport.endpoint.EndpointCall;
+import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
+
+/** Takes callers' requests, examines them and hands them to the request thread. */
+public final class CallerHandler implements HttpHandler {
+    private static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
+    private static final HttpString DEADLINE = new HttpString("X-Request-Deadline-Ms");
+    private static final HttpString PRIORITY = new HttpString("X-Priority-Class");
+    private static final String OPEN_ROUTE = "";
+    private static final int MAX_IDEMPOTENCY_KEY_CHARS = 255;
+    private static final long MAX_DEADLINE_MILLIS = 86_400_000;
+    // Long enough for a burst to drain, short enough not to keep capacity idle.
+    private static final long BUSY_RETRY_MILLIS = 1000;
+
+    private final HostSettings settings;
+    private final ConfigurationHolder holder;
+    private final Authenticator authenticator;
+    private final RequestIds ids;
+    private final OpenRequests open;
+    private final RequestLoop loop;
+    private final HostMetrics metrics;
+    private final LongSupplier clock;
+
+    /** Creates a handler; {@code clock} gives monotonic milliseconds. */
+    public CallerHandler(
+            HostSettings settings,
+            ConfigurationHolder holder,
+            Authenticator authenticator,
+            RequestIds ids,
+            OpenRequests open,
+            RequestLoop loop,
+            HostMetrics metrics,
+            LongSupplier clock) {
+        this.settings = settings;
+        this.holder = holder;
+        this.authenticator = authenticator;
+        this.ids = ids;
+        this.open = open;
+        this.loop = loop;
+        this.metrics = metrics;
+        this.clock = clock;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        String id = ids.next();
+        exchange.getResponseHeaders().put(EndpointAttempt.REQUEST_ID, id);
+        try {
+            accept(exchange, id);
+        } catch (RefusedException e) {
+            refuse(exchange, id, e.refusal());
+        }
+    }
+
+    private void accept(HttpServerExchange exchange, String id) {
+        if (open.draining()) {
+            exchange.setPersistent(false);
+            throw new RefusedException(
+                    Refusal.retry(ErrorCode.SHUTTING_DOWN, BUSY_RETRY_MILLIS, "This host is shutting down"));
+        }
+        HeaderRules.check(exchange.getRequestHeaders(), exchange.getQueryParameters());
+        if (!open.enter()) {
+            throw new RefusedException(
+                    Refusal.retry(ErrorCode.OVERLOADED, BUSY_RETRY_MILLIS, "Too many requests are open on this host"));
+        }
+        exchange.addExchangeCompleteListener((e, next) -> {
+            open.leave();
+            next.proceed();
+        });
+        // Refuses before the body is read; the answer is decided again once the body has arrived.
+        Caller caller = identify(exchange);
+        if (caller.models()) {
+            ModelList.write(exchange, holder.current());
+            return;
+        }
+        readBody(exchange, id);
+    }
+
+    private Caller identify(HttpServerExchange exchange) {
+        FleetConfiguration configuration = holder.current();
+        String path = rawPath(exchange);
+        HeaderMap headers = exchange.getRequestHeaders();
+        if (path.startsWith(ServicePath.PREFIX)) {
+            ServicePath service = ServicePath.parse(path, configuration);
+            Organisation organisation = service.open() ? null : authenticator.authenticate(headers, configuration);
+            return new Caller(configuration, organisation, service, false);
+        }
+        Organisation organisation = authenticator.authenticate(headers, configuration);
+        String method = exchange.getRequestMethod().toString();
+        boolean models = method.equals("GET") && path.equals("/v1/models");
+        boolean completion =
+                method.equals("POST") && (path.equals("/v1/chat/completions") || path.equals("/v1/completions"));
+        if (!models && !completion) {
+            throw new RefusedException(Refusal.of(ErrorCode.NOT_FOUND, "There is no such route"));
+        }
+        return new Caller(configuration, organisation, null, models);
+    }
+
+    private void readBody(HttpServerExchange exchange, String id) {
+        Receiver receiver = exchange.getRequestReceiver();
+        receiver.setMaxBufferSize(settings.limits().maxBodyBytes());
+        XnioExecutor.Key timer = exchange.getIoThread()
+                .executeAfter(
+                        () -> IoUtils.safeClose(exchange.getConnection()),
+                        settings.timeouts().bodyMillis(),
+                        TimeUnit.MILLISECONDS);
+        receiver.receiveFullBytes(
+                (e, bytes) -> {
+                    timer.remove();
+                    received(e, id, bytes);
+                },
+                (e, failure) -> {
+                    timer.remove();
+                    failed(e, id, failure);
+                });
+    }
+
+    private void failed(HttpServerExchange exchange, String id, IOException failure) {
+        if (failure instanceof Receiver.RequestToLargeException) {
+            String detail = "The body is larger than " + settings.limits().maxBodyBytes() + " bytes";
+            refuse(exchange, id, Refusal.of(ErrorCode.BODY_TOO_LARGE, detail));
+            return;
+        }
+        metrics.refused("truncated-body");
+        IoUtils.safeClose(exchange.getConnection());
+        exchange.endExchange();
+    }
+
+    private void received(HttpServerExchange exchange, String id, byte[] body) {
+        try {
+            OpenRequest request = examine(exchange, id, body);
+            open.put(request);
+            // Keeps the exchange open after this call, until the request thread has decided.
+            exchange.dispatch();
+            exchange.addExchangeCompleteListener((e, next) -> {
+                ended(request);
+                next.proceed();
+            });
+            CallerWatch.start(exchange, () -> gone(request));
+            if (!loop.arrived(request.spec())) {
+                exchange.getIoThread()
+                        .execute(() -> request.refuse(Refusal.retry(
+                                ErrorCode.OVERLOADED, BUSY_RETRY_MILLIS, "The request queue of this host is full")));
+            }
+        } catch (RefusedException e) {
+            refuse(exchange, id, e.refusal());
+        }
+    }
+
+    private OpenRequest examine(HttpServerExchange exchange, String id, byte[] body) {
+        Caller caller = identify(exchange);
+        String method = exchange.getRequestMethod().toString();
+        Destination destination = caller.service() == null
+                ? ModelRequests.read(rawPath(exchange), body, caller.configuration())
+                : service(exchange, caller.service(), method, body);
+        HeaderMap headers = exchange.getRequestHeaders();
+        String organisation =
+                caller.organisation() == null ? null : caller.organisation().id();
+        String owner = organisation == null ? OPEN_ROUTE : organisation;
+        String digest = HexFormat.of()
+                .formatHex(Digests.sha256(
+                        owner.getBytes(StandardCharsets.UTF_8),
+                        (method + " " + destination.target() + destination.path()).getBytes(StandardCharsets.UTF_8),
+                        body));
+        RequestSpec spec = new RequestSpec(
+                id,
+                organisation,
+                destination.target(),
+                priority(headers, caller.organisation()),
+                destination.costTokens(),
+                prefixHash(owner, destination.prefix()),
+                digest,
+                destination.idempotent(),
+                idempotencyKey(headers),
+                clock.getAsLong() + deadlineMillis(headers));
+        HeaderMap toEndpoint = HeaderRules.forEndpoint(headers);
+        if (destination.kind() == EndpointCall.Kind.MODEL_ENGINE) {
+            toEndpoint.put(
+                    new HttpString("X-Request-Priority"),
+                    spec.priorityClass().name().toLowerCase(Locale.ROOT));
+            // The salt keeps one organisation from probing the prompts of another through the prefix cache.
+            toEndpoint.put(new HttpString("X-Cache-Salt"), Digests.hex("cache-salt", owner));
+        }
+        return new OpenRequest(spec, destination, exchange, toEndpoint);
+    }
+
+    private static Destination service(HttpServerExchange exchange, ServicePath path, String method, byte[] body) {
+        String query = exchange.getQueryString();
+        return new Destination(
+                new Target.ServiceTarget(path.route().id()),
+                EndpointCall.Kind.PLAIN_SERVICE,
+                query.isEmpty() ? path.rest() : path.rest() + "?" + query,
+                body,
+                path.idempotent(method),
+                0,
+                "");
+    }
+
+    private void gone(OpenRequest request) {
+        // Reported before the close, which ends the exchange and with it the request.
+        loop.callerGone(request.spec().id());
+        IoUtils.safeClose(request.connection());
+    }
+
+    /** Forgets a request after the request thread has handled everything that concerns it. */
+    private void ended(OpenRequest request) {
+        request.markEnded();
+        loop.after(() -> open.remove(request.spec().id()));
+    }
+
+    private void refuse(HttpServerExchange exchange, String id, Refusal refusal) {
+        metrics.refused(refusal.code().wireName());
+        ProblemWriter.write(exchange, id, refusal);
+    }
+
+    private long deadlineMillis(HeaderMap headers) {
+        String text = headers.getFirst(DEADLINE);
+        if (text == null) {
+            return settings.timeouts().deadlineMillis();
+        }
+        if (!text.matches("[0-9]{1,9}") || Long.parseLong(text) < 1 || Long.parseLong(text) > MAX_DEADLINE_MILLIS) {
+            throw invalid("X-Request-Deadline-Ms must be from 1 to " + MAX_DEADLINE_MILLIS);
+        }
+        return Long.parseLong(text);
+    }
+
+    private static PriorityClass priority(HeaderMap headers, Organisation organisation) {
+        List<PriorityClass> allowed =
+                organisation == null ? List.of(PriorityClass.NORMAL) : organisation.priorityClasses();
+        String text = headers.getFirst(PRIORITY);
+        if (text == null) {
+            return allowed.get(0);
+        }
+        for (PriorityClass c : PriorityClass.values()) {
+            if (c.name().toLowerCase(Locale.ROOT).equals(text)) {
+                if (!allowed.contains(c)) {
+                    throw new RefusedException(
+                            Refusal.of(ErrorCode.FORBIDDEN, "The organisation may not use this priority class"));
+                }
+                return c;
+            }
+        }
+        throw invalid("X-Priority-Class must be high, normal or batch");
+    }
+
+    private static String idempotencyKey(HeaderMap headers) {
+        String key = headers.getFirst(IDEMPOTENCY_KEY);
+        if (key != null && (key.isBlank() || key.length() > MAX_IDEMPOTENCY_KEY_CHARS)) {
+            throw invalid("Idempotency-Key must have from 1 to " + MAX_IDEMPOTENCY_KEY_CHARS + " characters");
+        }
+        return key;
+    }
+
+    private static long prefixHash(String owner, String prefix) {
+        if (prefix.isEmpty()) {
+            return 0;
+        }
+        byte[] digest = Digests.sha256(owner.getBytes(StandardCharsets.UTF_8), prefix.getBytes(StandardCharsets.UTF_8));
+        return java.nio.ByteBuffer.wrap(digest).getLong() | 1;
+    }
+
+    private static String rawPath(HttpServerExchange exchange) {
+        String uri = exchange.getRequestURI();
+        // An absolute-form request target carries scheme and host before the path.
+        return exchange.isHostIncludedInRequestURI() ? exchange.getRequestPath() : uri;
+    }
+
+    private static RefusedException invalid(String detail) {
+        return new RefusedException(Refusal.of(ErrorCode.INVALID_REQUEST, detail));
+    }
+
+    private record Caller(
+            FleetConfiguration configuration, Organisation organisation, ServicePath service, boolean models) {}
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/Destination.java
@@ -0,0 +1,24 @@
+package org.gooseberryring.host.caller;
+
+import org.gooseberryring.coordination.request.Target;
+import org.gooseberryring.transport.endpoint.EndpointCall;
+
+/**
+ * Destination of a request, as read from its path and body.
+ *
+ * @param target model or service
+ * @param kind kind of the endpoint
+ * @param path path and query at the endpoint
+ * @param body body to send
+ * @param idempotent whether it may be sent again after it may have run
+ * @param costTokens prompt tokens plus the largest number of output tokens, 0 for a plain service
+ * @param prefix beginning of the prompt, empty if there is none
+ */
+record Destination(
+        Target target,
+        EndpointCall.Kind kind,
+        String path,
+        byte[] body,
+        boolean idempotent,
+        long costTokens,
+        String prefix) {}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/Digests.java
@@ -0,0 +1,42 @@
+package org.gooseberryring.host.caller;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** SHA-256 digests. */
+public final class Digests {
+    private Digests() {}
+
+    /** Returns the digest of the parts, each preceded by its length so that parts cannot run together. */
+    public static byte[] sha256(byte[]... parts) {
+        MessageDigest digest = newDigest();
+        if (parts.length == 1) {
+            return digest.digest(parts[0]);
+        }
+        for (byte[] part : parts) {
+            digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(part.length).array());
+            digest.update(part);
+        }
+        return digest.digest();
+    }
+
+    /** Returns the lower-case hexadecimal digest of the texts. */
+    public static String hex(String... parts) {
+        byte[][] bytes = new byte[parts.length][];
+        for (int i = 0; i < parts.length; i++) {
+            bytes[i] = parts[i].getBytes(StandardCharsets.UTF_8);
+        }
+        return HexFormat.of().formatHex(sha256(bytes));
+    }
+
+    private static MessageDigest newDigest() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("Every Java platform has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/HeaderRules.java
@@ -0,0 +1,77 @@
+package org.gooseberryring.host.caller;
+
+import java.util.Deque;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import org.gooseberryring.state.ErrorCode;
+
+/** Rules on the headers and the query of callers' requests. */
+final class HeaderRules {
+    private static final List<HttpString> SINGLE =
+            List.of(Headers.AUTHORIZATION, Headers.CONTENT_LENGTH, Headers.TRANSFER_ENCODING, Headers.HOST);
+    private static final Set<String> KEY_PARAMETERS =
+            Set.of("key", "apikey", "accesstoken", "authorization", "token", "bearer");
+    private static final List<HttpString> TO_ENDPOINTS = List.of(
+            Headers.ACCEPT,
+            Headers.ACCEPT_LANGUAGE,
+            Headers.CONTENT_TYPE,
+            Headers.IF_MATCH,
+            Headers.IF_NONE_MATCH,
+            Headers.IF_MODIFIED_SINCE,
+            new HttpString("Idempotency-Key"));
+
+    private HeaderRules() {}
+
+    /** Refuses header combinations that two servers could read differently, and keys in the query. */
+    static void check(HeaderMap headers, Map<String, Deque<String>> query) {
+        for (HttpString name : SINGLE) {
+            HeaderValues values = headers.get(name);
+            if (values != null && values.size() > 1) {
+                throw refused("Header " + name + " is given more than once");
+            }
+        }
+        String length = headers.getFirst(Headers.CONTENT_LENGTH);
+        String encoding = headers.getFirst(Headers.TRANSFER_ENCODING);
+        if (length != null && encoding != null) {
+            throw refused("Content-Length and Transfer-Encoding exclude each other");
+        }
+        if (length != null && !isLength(length)) {
+            throw refused("Content-Length is malformed");
+        }
+        if (encoding != null && !"chunked".equalsIgnoreCase(encoding)) {
+            throw refused("Transfer-Encoding other than chunked is not supported");
+        }
+        for (String name : query.keySet()) {
+            if (KEY_PARAMETERS.contains(name.toLowerCase(Locale.ROOT).replaceAll("[_-]", ""))) {
+                throw refused("A key must be sent in the Authorization header, not in the query");
+            }
+        }
+    }
+
+    /** Copies the headers that an endpoint may see. */
+    static HeaderMap forEndpoint(HeaderMap headers) {
+        HeaderMap allowed = new HeaderMap();
+        for (HttpString name : TO_ENDPOINTS) {
+            HeaderValues values = headers.get(name);
+            if (values != null) {
+                allowed.putAll(name, values);
+            }
+        }
+        return allowed;
+    }
+
+    private static boolean isLength(String text) {
+        return !text.isEmpty() && text.length() <= 18 && text.chars().allMatch(c -> c >= '0' && c <= '9');
+    }
+
+    private static RefusedException refused(String detail) {
+        return new RefusedException(Refusal.of(ErrorCode.INVALID_REQUEST, detail));
+    }
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequest.java
@@ -0,0 +1,126 @@
+package org.gooseberryring.host.caller;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import org.gooseberryring.coordination.request.RequestSpec;
+import org.gooseberryring.state.Verdict;
+import org.gooseberryring.transport.endpoint.EndpointAttempt;
+import org.xnio.IoUtils;
+import org.xnio.XnioIoThread;
+
+/** Request whose caller waits for an answer; its exchange is touched on its I/O thread only. */
+public final class OpenRequest {
+    private final RequestSpec spec;
+    private final Destination destination;
+    private final HttpServerExchange exchange;
+    private final HeaderMap headers;
+    private final CallerSink sink;
+    private EndpointAttempt attempt;
+    private int attemptNumber;
+    private boolean ended;
+    private volatile Recorded recorded;
+
+    OpenRequest(RequestSpec spec, Destination destination, HttpServerExchange exchange, HeaderMap headers) {
+        this.spec = spec;
+        this.destination = destination;
+        this.exchange = exchange;
+        this.headers = headers;
+        this.sink = new CallerSink(exchange);
+    }
+
+    public RequestSpec spec() {
+        return spec;
+    }
+
+    io.undertow.server.ServerConnection connection() {
+        return exchange.getConnection();
+    }
+
+    XnioIoThread thread() {
+        return exchange.getIoThread();
+    }
+
+    Destination destination() {
+        return destination;
+    }
+
+    String method() {
+        return exchange.getRequestMethod().toString();
+    }
+
+    HeaderMap headers() {
+        return headers;
+    }
+
+    CallerSink sink() {
+        return sink;
+    }
+
+    /** Returns the answer kept for an idempotency key, or null. */
+    Recorded recorded() {
+        return recorded;
+    }
+
+    void record(int status, byte[] body) {
+        recorded = new Recorded(status, body);
+    }
+
+    void attempt(int number, EndpointAttempt started) {
+        attemptNumber = number;
+        attempt = started;
+    }
+
+    /** Gives up the attempt with the given number, if it is the present one. */
+    void cancelAttempt(int number) {
+        if (attempt != null && attemptNumber == number) {
+            attempt.cancel();
+        }
+    }
+
+    boolean ended() {
+        return ended;
+    }
+
+    void markEnded() {
+        ended = true;
+    }
+
+    /** Answers with a refusal, or breaks the connection if the answer has started already. */
+    void refuse(Refusal refusal) {
+        if (ended) {
+            return;
+        }
+        if (exchange.isResponseStarted() || !exchange.isResponseChannelAvailable()) {
+            IoUtils.safeClose(exchange.getConnection());
+            exchange.endExchange();
+            return;
+        }
+        ProblemWriter.write(exchange, spec.id(), refusal);
+    }
+
+    /** Answers with a recorded answer. */
+    void replay(int status, byte[] body) {
+        if (ended || !exchange.isResponseChannelAvailable()) {
+            return;
+        }
+        if (body == null) {
+            refuse(new Refusal(
+                    org.gooseberryring.state.ErrorCode.ALREADY_CLAIMED,
+                    Verdict.MAY_HAVE_RUN,
+                    0,
+                    "The idempotency key was used before and its answer is not kept"));
+            return;
+        }
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(new io.undertow.util.HttpString("Idempotent-Replayed"), "true");
+        exchange.getResponseSender().send(java.nio.ByteBuffer.wrap(body));
+    }
+
+    /**
+     * Answer kept for an idempotency key.
+     *
+     * @param status HTTP status
+     * @param body whole body, or null if it was too large to keep
+     */
+    record Recorded(int status, byte[] body) {}
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/Refusal.java
@@ -0,0 +1,24 @@
+package org.gooseberryring.host.caller;
+
+import org.gooseberryring.state.ErrorCode;
+import org.gooseberryring.state.Verdict;
+
+/**
+ * Refusal of a request.
+ *
+ * @param code reason
+ * @param verdict whether the request may have run
+ * @param retryAfterMillis milliseconds after which coming back helps, 0 if it does not
+ * @param detail explanation for the caller
+ */
+public record Refusal(ErrorCode code, Verdict verdict, long retryAfterMillis, String detail) {
+    /** Returns a refusal of a request that did not run and that coming back does not help. */
+    public static Refusal of(ErrorCode code, String detail) {
+        return new Refusal(code, Verdict.NOT_RUN, 0, detail);
+    }
+
+    /** Returns a refusal of a request that did not run and may come back. */
+    public static Refusal retry(ErrorCode code, long retryAfterMillis, String detail) {
+        return new Refusal(code, Verdict.NOT_RUN, retryAfterMillis, detail);
+    }
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/package-info.java
@@ -0,0 +1,2 @@
+/** Interface to callers. */
+package org.gooseberryring.host.caller;
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/config/package-info.java
@@ -0,0 +1,2 @@
+/** Configuration that a host follows. */
+package org.gooseberryring.host.config;
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Thread of the request engine and the effects that it asks for. */
+package org.gooseberryring.host.engine;
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/log/LogLine.java
@@ -0,0 +1,56 @@
+package org.gooseberryring.host.log;
+
+import org.jboss.logging.Logger;
+
+/** Builds one log line of key=value pairs for one event. */
+public final class LogLine {
+    private static final int MAX_VALUE_CHARS = 200;
+
+    private final StringBuilder text = new StringBuilder("event=");
+
+    private LogLine(String event) {
+        text.append(event);
+    }
+
+    /** Starts a line for an event. */
+    public static LogLine event(String name) {
+        return new LogLine(name);
+    }
+
+    /** Adds a pair; a null value is left out, and characters that could forge another pair or line are replaced. */
+    public LogLine with(String key, Object value) {
+        if (value == null) {
+            return this;
+        }
+        String s = String.valueOf(value);
+        text.append(' ').append(key).append('=');
+        int length = Math.min(s.length(), MAX_VALUE_CHARS);
+        for (int i = 0; i < length; i++) {
+            char c = s.charAt(i);
+            text.append(c <= ' ' || c == '=' || c == '"' || c > '~' ? '_' : c);
+        }
+        return this;
+    }
+
+    public void info(Logger log) {
+        log.info(text);
+    }
+
+    public void debug(Logger log) {
+        log.debug(text);
+    }
+
+    public void warn(Logger log) {
+        log.warn(text);
+    }
+
+    /** Logs the line as an error with the stack trace of an unexpected failure. */
+    public void error(Logger log, Exception failure) {
+        log.error(text, failure);
+    }
+
+    @Override
+    public String toString() {
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/log/package-info.java
@@ -0,0 +1,2 @@
+/** Log lines of key=value pairs. */
+package org.gooseberryring.host.log;
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/package-info.java
@@ -0,0 +1,2 @@
+/** Assembly of an entry host. */
+package org.gooseberryring.host;
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/settings/JsonSection.java
@@ -0,0 +1,151 @@
+package org.gooseberryring.host.settings;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+
+/** Reads the fields of one JSON object and collects every fault with its path. */
+final class JsonSection {
+    private static final Pattern ADDRESS = Pattern.compile("(\\d{1,3}(?:\\.\\d{1,3}){3}|\\[[0-9a-fA-F:]+]):(\\d{1,5})");
+    private static final int MAX_PORT = 65_535;
+
+    private final JsonNode node;
+    private final String path;
+    private final List<String> faults;
+    private final Set<String> known = new HashSet<>();
+
+    JsonSection(JsonNode node, String path, List<String> faults) {
+        this.node = node;
+        this.path = path;
+        this.faults = faults;
+        if (!node.isObject()) {
+            fault("must be an object");
+        }
+    }
+
+    String text(String name, Pattern pattern) {
+        JsonNode value = required(name);
+        if (value == null) {
+            return "";
+        }
+        if (!value.isTextual() || !pattern.matcher(value.textValue()).matches()) {
+            fault(name, "must be a text that matches " + pattern.pattern());
+            return "";
+        }
+        return value.textValue();
+    }
+
+    long number(String name, long defaultValue, long min, long max) {
+        known.add(name);
+        JsonNode value = node.get(name);
+        if (value == null) {
+            return defaultValue;
+        }
+        if (!value.isIntegralNumber() || !value.canConvertToLong()) {
+            fault(name, "must be a whole number");
+            return defaultValue;
+        }
+        long number = value.longValue();
+        if (number < min || number > max) {
+            fault(name, "must be from " + min + " to " + max + ", not " + number);
+        }
+        return number;
+    }
+
+    int ringSize(String name, int defaultValue, int max) {
+        int size = (int) number(name, defaultValue, 2, max);
+        if (Integer.bitCount(size) != 1) {
+            fault(name, "must be a power of two, not " + size);
+        }
+        return size;
+    }
+
+    InetSocketAddress address(String name) {
+        String text = text(name, ADDRESS);
+        Matcher matcher = ADDRESS.matcher(text);
+        if (!matcher.matches()) {
+            return null;
+        }
+        int port = Integer.parseInt(matcher.group(2));
+        if (port > MAX_PORT) {
+            fault(name, "port must be from 0 to " + MAX_PORT + ", not " + port);
+            return null;
+        }
+        InetSocketAddress address = new InetSocketAddress(matcher.group(1), port);
+        if (address.isUnresolved()) {
+            fault(name, "must be an IP address and a port");
+        }
+        return address;
+    }
+
+    URI uri(String name, Pattern pattern) {
+        String text = text(name, pattern);
+        try {
+            return text.isEmpty() ? null : URI.create(text);
+        } catch (IllegalArgumentException e) {
+            fault(name, "must be a URI");
+            return null;
+        }
+    }
+
+    /** Returns the object with the given name, empty if it is absent. */
+    JsonSection section(String name) {
+        known.add(name);
+        JsonNode value = node.get(name);
+        return new JsonSection(value == null ? JsonNodeFactory.instance.objectNode() : value, child(name), faults);
+    }
+
+    List<JsonSection> sections(String name) {
+        known.add(name);
+        JsonNode value = node.get(name);
+        List<JsonSection> sections = new ArrayList<>();
+        if (value == null) {
+            return sections;
+        }
+        if (!value.isArray()) {
+            fault(name, "must be an array");
+        }
+        for (int i = 0; i < value.size(); i++) {
+            sections.add(new JsonSection(value.get(i), child(name) + "[" + i + "]", faults));
+        }
+        return sections;
+    }
+
+    /** Reports every field that was not asked for, since a misspelt one would be ignored silently. */
+    void refuseUnknown() {
+        node.fieldNames().forEachRemaining(name -> {
+            if (!known.contains(name)) {
+                fault(name, "is unknown");
+            }
+        });
+    }
+
+    void fault(String name, String reason) {
+        faults.add(child(name) + ": " + reason);
+    }
+
+    private void fault(String reason) {
+        faults.add((path.isEmpty() ? "$" : path) + ": " + reason);
+    }
+
+    private JsonNode required(String name) {
+        known.add(name);
+        JsonNode value = node.get(name);
+        if (value == null) {
+            fault(name, "is missing");
+        }
+        return value;
+    }
+
+    private String child(String name) {
+        return path.isEmpty() ? name : path + "." + name;
+    }
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of a host and their validation. */
+package org.gooseberryring.host.settings;
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/AnswerCopier.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/AnswerCopier.java
@@ -147,10 +147,11 @@
             return;
         }
         open();
-        sink.finish();
         boolean reusable = !"close".equalsIgnoreCase(headers().getFirst(Headers.CONNECTION));
         byte[] answer = copied <= maxRecordedBytes ? recorded.toByteArray() : null;
+        // The outcome is reported before the answer ends, so that it is known when the exchange is over.
         attempt.complete(reusable, answer);
+        sink.finish();
     }
 
     private boolean complete() {
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -206,11 +206,11 @@
         if (copier != null) {
             copier.close();
         }
+        long used = copier == null ? 0 : copier.usedTokens();
+        listener.ended(new AttemptOutcome(verdict, status, used, reached, endpointLost, firstTokenMillis), recorded);
         if (verdict != Verdict.COMPLETED && reached) {
             sink.abort();
         }
-        long used = copier == null ? 0 : copier.usedTokens();
-        listener.ended(new AttemptOutcome(verdict, status, used, reached, endpointLost, firstTokenMillis), recorded);
     }
 
     private void restartTimer(long millis) {
