--- /dev/null
+++ b/gooseberryring-standins/src/main/java/org/gooseberryring/standins/StandInMain.java
@@ -0,0 +1,117 @@
+package org.gooseberryring.standins;
+
+import java.util.concurrent.CountDownLatch;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+
+/** Runs one stand-in as a process of its own until the process is ended. */
+public final class StandInMain {
+    private static final int BAD_USAGE = 2;
+
+    private StandInMain() {}
+
+    /** Starts the stand-in that the arguments name and prints its address. */
+    public static void main(String[] args) throws InterruptedException {
+        PlatformCommand platform = new PlatformCommand();
+        EngineCommand engine = new EngineCommand();
+        ServiceCommand service = new ServiceCommand();
+        JCommander commander = JCommander.newBuilder()
+                .programName("gooseberryring-standin")
+                .addCommand("platform", platform)
+                .addCommand("engine", engine)
+                .addCommand("service", service)
+                .build();
+        try {
+            commander.parse(args);
+        } catch (ParameterException e) {
+            System.err.println(e.getMessage());
+            System.exit(BAD_USAGE);
+        }
+        String command = commander.getParsedCommand();
+        if (command == null) {
+            commander.usage();
+            System.exit(BAD_USAGE);
+            return;
+        }
+        String started =
+                switch (command) {
+                    case "platform" -> platform.start();
+                    case "engine" -> engine.start();
+                    default -> service.start();
+                };
+        System.out.println("event=started kind=" + command + " " + started);
+        System.out.flush();
+        new CountDownLatch(1).await();
+    }
+
+    /** Options of the platform stand-in. */
+    @Parameters(commandDescription = "Runs the stand-in of the platform: object store and host list")
+    private static final class PlatformCommand {
+        @Parameter(names = "--port", description = "Port on 127.0.0.1, 0 for a free one")
+        private int port;
+
+        String start() {
+            return "address=" + new PlatformStandIn(port).start().address();
+        }
+    }
+
+    /** Options of the engine stand-in. */
+    @Parameters(commandDescription = "Runs the stand-in of a model engine")
+    private static final class EngineCommand {
+        @Parameter(names = "--id", required = true, description = "Identifier of the endpoint")
+        private String id;
+
+        @Parameter(names = "--port", description = "Port on 127.0.0.1, 0 for a free one")
+        private int port;
+
+        @Parameter(names = "--memory-bytes", description = "Accelerator memory in bytes")
+        private long memoryBytes = 80_000_000_000L;
+
+        @Parameter(names = "--concurrency", description = "Requests that run at once")
+        private int concurrency = 16;
+
+        @Parameter(names = "--first-token-millis", description = "Time to the first token")
+        private long firstTokenMillis = 20;
+
+        @Parameter(names = "--token-millis", description = "Time between tokens")
+        private long tokenMillis = 5;
+
+        @Parameter(names = "--report-millis", description = "Interval of the load report")
+        private long reportMillis = 200;
+
+        @Parameter(names = "--ignore-fencing", description = "Accepts orders with an old fencing number")
+        private boolean ignoreFencing;
+
+        @Parameter(names = "--loads-per-second", description = "Model loads a second of its weight store")
+        private double loadsPerSecond = 1.4;
+
+        @Parameter(names = "--load-concurrency", description = "Model loads at once at full speed")
+        private int loadConcurrency = 6;
+
+        String start() {
+            EngineSettings settings = new EngineSettings(
+                    id, port, memoryBytes, concurrency, !ignoreFencing, firstTokenMillis, tokenMillis, reportMillis);
+            WeightStoreStandIn weights = new WeightStoreStandIn(loadsPerSecond, loadConcurrency, 7, 50);
+            EngineStandIn engine = new EngineStandIn(settings, weights, System.currentTimeMillis()).start();
+            return "id=" + id + " address=" + engine.address();
+        }
+    }
+
+    /** Options of the service stand-in. */
+    @Parameters(commandDescription = "Runs the stand-in of a plain service")
+    private static final class ServiceCommand {
+        @Parameter(names = "--id", required = true, description = "Identifier of the endpoint")
+        private String id;
+
+        @Parameter(names = "--port", description = "Port on 127.0.0.1, 0 for a free one")
+        private int port;
+
+        String start() {
+            return "id=" + id + " address="
+                    + new ServiceStandIn(id, port).start().address();
+        }
+    }
+}
