Add the operator commands for sheets, keys, domains, endpoints and status

Operators need to drive the administration interface without making a change twice or losing one. Every attempt of a change carries one change id; after a lost answer it is sent again, to the next address if there is one. A conflict that follows a lost answer may be the change's own doing, so the audit trail is searched for the id before the conflict is reported.

A conflict is retried on the new revision only where the change means the same there: keys, failure domains and endpoints always, a sheet only while the sheet and the models in force are unchanged, a list of changes never.

--- /dev/null
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/admin/Problems.java
@@ -0,0 +1,56 @@
+package org.gooseberryring.ctl.admin;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.gooseberryring.protocol.Json;
+import org.gooseberryring.state.GooseberryringException;
+import org.gooseberryring.state.Verdict;
+
+/** Reads refusals of the administration interface. */
+public final class Problems {
+    private Problems() {}
+
+    /** Returns whether the refusal states that the request has not run. */
+    static boolean notRun(HttpAnswer answer) {
+        return Verdict.NOT_RUN.wireName().equals(read(answer).path("verdict").asText());
+    }
+
+    /** Describes a refusal, with one line for each error that it names. */
+    public static String describe(HttpAnswer answer) {
+        JsonNode problem = read(answer);
+        List<String> lines = new ArrayList<>();
+        String code = problem.path("code").asText("");
+        String detail = problem.path("detail").asText("");
+        lines.add("status " + answer.status()
+                + (code.isEmpty() ? "" : " " + code)
+                + (detail.isEmpty() ? "" : ": " + detail));
+        lines.addAll(errors(problem));
+        return String.join("\n", lines);
+    }
+
+    /** Returns a line for each entry of the field {@code errors}. */
+    public static List<String> errors(JsonNode problem) {
+        List<String> lines = new ArrayList<>();
+        for (JsonNode error : problem.path("errors")) {
+            if (error.isTextual()) {
+                lines.add("  " + error.asText());
+            } else {
+                String path = error.path("path").asText("");
+                String reason =
+                        error.path("message").asText(error.path("reason").asText(""));
+                lines.add("  " + path + ": " + reason);
+            }
+        }
+        return lines;
+    }
+
+    private static JsonNode read(HttpAnswer answer) {
+        try {
+            return Json.readTree(answer.body());
+        } catch (GooseberryringException e) {
+            return Json.mapper().createObjectNode();
+        }
+    }
+}
--- /dev/null
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/admin/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the administration interface. */
+package org.gooseberryring.ctl.admin;
--- /dev/null
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/CommandLine.java
@@ -0,0 +1,112 @@
+package org.gooseberryring.ctl.command;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import org.gooseberryring.ctl.CtlException;
+import org.gooseberryring.ctl.ExitCode;
+
+/** Finds the command that the arguments name and runs it. */
+public final class CommandLine {
+    private static final String PROGRAM = "gooseberryctl";
+    private static final String EXIT_CODES = """
+
+              Exit codes:
+                0  done
+                1  refused by the system; nothing was changed
+                2  wrong arguments or input; nothing was sent
+                3  conflict with another change; nothing was changed
+                4  no host answered; a change that was sent may have taken effect (repeat it with --change-id)""";
+
+    private final Context context;
+
+    public CommandLine(Context context) {
+        this.context = context;
+    }
+
+    /** Runs the command and returns its exit code. */
+    public ExitCode run(String... args) {
+        Root root = new Root();
+        JCommander commander = build(root);
+        try {
+            commander.parse(args);
+            return run(root, commander);
+        } catch (ParameterException e) {
+            context.console().error(e.getMessage() + "\nRun " + PROGRAM + " --help for the usage.");
+            return ExitCode.BAD_INPUT;
+        } catch (CtlException e) {
+            context.console().error(e.getMessage());
+            return e.exitCode();
+        }
+    }
+
+    private ExitCode run(Root root, JCommander commander) {
+        JCommander leaf = commander;
+        while (leaf.getParsedCommand() != null) {
+            leaf = leaf.getCommands().get(leaf.getParsedCommand());
+        }
+        Object object = leaf.getObjects().get(0);
+        if (!(object instanceof Command command)) {
+            boolean help = root.help || object instanceof Group group && group.help;
+            usage(leaf);
+            return help ? ExitCode.DONE : ExitCode.BAD_INPUT;
+        }
+        if (command.help()) {
+            usage(leaf);
+            return ExitCode.DONE;
+        }
+        return command.run(context);
+    }
+
+    private void usage(JCommander commander) {
+        StringBuilder text = new StringBuilder();
+        commander.getUsageFormatter().usage(text);
+        context.console().print(text.toString().stripTrailing() + EXIT_CODES);
+    }
+
+    private static JCommander build(Root root) {
+        JCommander commander = new JCommander(root);
+        commander.setProgramName(PROGRAM);
+        group(commander, "sheet", commands("plan", new SheetCommand.Plan(), "apply", new SheetCommand.Apply()));
+        group(commander, "key", commands("issue", new KeyCommand.Issue(), "withdraw", new KeyCommand.Withdraw()));
+        group(commander, "domain", commands("out", StateCommand.domainOut(), "in", StateCommand.domainIn()));
+        group(
+                commander,
+                "endpoint",
+                commands("drain", StateCommand.endpointDrain(), "activate", StateCommand.endpointActivate()));
+        commander.addCommand("apply", new ApplyCommand());
+        commander.addCommand("status", new StatusCommand());
+        commander.addCommand("audit", new AuditCommand());
+        return commander;
+    }
+
+    private static Map<String, Command> commands(String name, Command command, String other, Command otherCommand) {
+        Map<String, Command> commands = new LinkedHashMap<>();
+        commands.put(name, command);
+        commands.put(other, otherCommand);
+        return commands;
+    }
+
+    private static void group(JCommander parent, String name, Map<String, Command> commands) {
+        parent.addCommand(name, new Group());
+        JCommander group = parent.getCommands().get(name);
+        commands.forEach(group::addCommand);
+    }
+
+    /** Options of the program without a command. */
+    private static final class Root {
+        @Parameter(names = "--help", help = true, description = "Prints the usage")
+        private boolean help;
+    }
+
+    /** Command that only groups others. */
+    @Parameters(commandDescription = "Group of commands; --help after it lists them")
+    private static final class Group {
+        @Parameter(names = "--help", help = true, description = "Prints the usage")
+        private boolean help;
+    }
+}
--- /dev/null
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/Console.java
@@ -0,0 +1,30 @@
+package org.gooseberryring.ctl.command;
+
+import java.io.PrintStream;
+
+import org.gooseberryring.protocol.Json;
+
+/** Output of a command: results on one stream, everything else on another. */
+public final class Console {
+    private final PrintStream out;
+    private final PrintStream err;
+
+    public Console(PrintStream out, PrintStream err) {
+        this.out = out;
+        this.err = err;
+    }
+
+    public void print(String line) {
+        out.println(line);
+        out.flush();
+    }
+
+    public void json(Object value) {
+        print(Json.writeString(value));
+    }
+
+    public void error(String line) {
+        err.println(line);
+        err.flush();
+    }
+}
--- /dev/null
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/package-info.java
@@ -0,0 +1,2 @@
+/** Commands and their options. */
+package org.gooseberryring.ctl.command;
--- /dev/null
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** Operator command line. */
+package org.gooseberryring.ctl;
--- /dev/null
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/sheet/SheetFile.java
@@ -0,0 +1,22 @@
+package org.gooseberryring.ctl.sheet;
+
+import java.util.List;
+
+import org.gooseberryring.state.SheetRow;
+
+/**
+ * Sheet as it was read; the rows must not be used if there are errors.
+ *
+ * @param rows rows without faults
+ * @param errors every fault that was found
+ */
+public record SheetFile(List<SheetRow> rows, List<SheetError> errors) {
+    public SheetFile {
+        rows = List.copyOf(rows);
+        errors = List.copyOf(errors);
+    }
+
+    public boolean valid() {
+        return errors.isEmpty();
+    }
+}
--- /dev/null
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/sheet/package-info.java
@@ -0,0 +1,2 @@
+/** Reading of the planners' sheet. */
+package org.gooseberryring.ctl.sheet;
--- /dev/null
+++ b/gooseberryring-ctl/src/test/java/org/gooseberryring/ctl/command/CommandLineTest.java
@@ -0,0 +1,232 @@
+package org.gooseberryring.ctl.command;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+
+import org.gooseberryring.ctl.ExitCode;
+import org.gooseberryring.ctl.admin.HttpAnswer;
+import org.gooseberryring.ctl.admin.HttpCalls;
+import org.gooseberryring.ctl.admin.NoAnswerException;
+import org.gooseberryring.protocol.ConfigurationDocument;
+import org.gooseberryring.protocol.Json;
+import org.gooseberryring.state.Artifact;
+import org.gooseberryring.state.ChangeRecord;
+import org.gooseberryring.state.FleetConfiguration;
+import org.gooseberryring.state.SheetRow;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class CommandLineTest {
+    private static final String ADMIN = "--admin=http://127.0.0.1:1";
+    private static final String KEY = "gbr_secret";
+
+    private final FakeHost host = new FakeHost();
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+    @TempDir
+    private Path directory;
+
+    /** Guards against a change that is made twice, or reported as a conflict, after its answer was lost. */
+    @Test
+    void lostAnswerIsResentWithTheSameIdAndFoundInTheAuditTrail() {
+        host.losses = 1;
+
+        assertThat(run("domain", "out", "a", ADMIN)).isEqualTo(ExitCode.DONE);
+
+        assertThat(host.changeIds).containsExactly("change-1", "change-1");
+        assertThat(host.revision).isEqualTo(1);
+        assertThat(text(out)).contains("revision 1");
+    }
+
+    /** Guards against an operator's sheet that silently replaces one applied a moment before. */
+    @Test
+    void conflictingSheetIsNotApplied() throws IOException {
+        host.conflicts = 1;
+        host.sheetChangesOnConflict = true;
+
+        assertThat(run("sheet", "apply", sheet("m,,1,1,\n"), ADMIN)).isEqualTo(ExitCode.CONFLICT);
+
+        assertThat(host.changeIds).hasSize(1);
+    }
+
+    /** Guards against key changes that fail because the system moved a placement meanwhile. */
+    @Test
+    void independentChangeIsRebased() {
+        host.conflicts = 2;
+
+        assertThat(run("endpoint", "drain", "e1", ADMIN)).isEqualTo(ExitCode.DONE);
+    }
+
+    /** Guards against a bad sheet of which the good rows are sent. */
+    @Test
+    void nothingOfABadSheetIsSent() throws IOException {
+        assertThat(run("sheet", "apply", sheet("m,,1,1,\nn,,1,x,\n"), ADMIN)).isEqualTo(ExitCode.BAD_INPUT);
+
+        assertThat(text(err)).contains("line 3, column replicas: 'x'");
+        assertThat(host.requests).isEmpty();
+    }
+
+    /** Guards against a key that leaves the operator's machine or is never shown. */
+    @Test
+    void onlyTheDigestOfAKeyIsSent() {
+        assertThat(run("key", "issue", "acme", "--label", "till", ADMIN)).isEqualTo(ExitCode.DONE);
+
+        assertThat(String.join("", host.requests)).doesNotContain(KEY);
+        assertThat(String.join("", host.requests)).contains(KeyCommand.digest(KEY));
+        assertThat(text(out)).contains(KEY);
+        assertThat(text(err)).doesNotContain(KEY);
+    }
+
+    /** Guards against a key that is shown although it was refused. */
+    @Test
+    void refusedKeyIsNotPrinted() {
+        host.refuse = true;
+
+        assertThat(run("key", "issue", "acme", "--label", "till", ADMIN)).isEqualTo(ExitCode.REFUSED);
+
+        assertThat(text(out)).isEmpty();
+        assertThat(text(err)).contains("changes[0].organisation: does not exist");
+    }
+
+    /** Guards against scripts that cannot tell an unreachable system from a refusal. */
+    @Test
+    void unreachableHostsHaveTheirOwnCode() {
+        host.silent = true;
+
+        assertThat(run("domain", "in", "a", ADMIN)).isEqualTo(ExitCode.UNREACHABLE);
+
+        assertThat(text(err)).contains("may have taken effect");
+    }
+
+    /** Guards against wrong arguments that reach a host or end with another code. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "sheet",
+                "sheet plan",
+                "nonsense",
+                "key issue acme --admin=http://127.0.0.1:1",
+                "status --admin=ftp://x",
+                "status",
+                "apply /does/not/exist --admin=http://127.0.0.1:1"
+            })
+    void wrongArgumentsAreRefused(String line) {
+        assertThat(run(line.isEmpty() ? new String[0] : line.split(" "))).isEqualTo(ExitCode.BAD_INPUT);
+        assertThat(host.requests).isEmpty();
+    }
+
+    /** Guards against a command whose usage cannot be asked for without its arguments. */
+    @ParameterizedTest
+    @ValueSource(strings = {"--help", "sheet --help", "sheet plan --help", "key issue --help", "status --help"})
+    void helpIsPrinted(String line) {
+        assertThat(run(line.split(" "))).isEqualTo(ExitCode.DONE);
+        assertThat(text(out)).contains("Exit codes");
+    }
+
+    private ExitCode run(String... args) {
+        Context context = new Context(
+                new Console(new PrintStream(out), new PrintStream(err)),
+                host,
+                millis -> {},
+                () -> "change-1",
+                () -> KEY);
+        return new CommandLine(context).run(args);
+    }
+
+    private String sheet(String rows) throws IOException {
+        Path file = directory.resolve("sheet.csv");
+        Files.writeString(file, "model,adapter,version,replicas,endpoints\n" + rows);
+        return file.toString();
+    }
+
+    private static String text(ByteArrayOutputStream stream) {
+        return stream.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Administration interface of one host that loses answers, conflicts or refuses. */
+    private static final class FakeHost implements HttpCalls {
+        private final List<String> requests = new ArrayList<>();
+        private final List<String> changeIds = new ArrayList<>();
+        private int losses;
+        private int conflicts;
+        private boolean sheetChangesOnConflict;
+        private boolean refuse;
+        private boolean silent;
+        private long revision;
+        private String lastChangeId = "none";
+        private int sheetRows;
+
+        @Override
+        public HttpAnswer call(String method, URI uri, Map<String, String> headers, byte[] body, long timeoutMillis) {
+            requests.add(method + " " + uri.getPath() + " " + (body == null ? "" : new String(body)));
+            return method.equals("GET") ? get(uri) : change(headers);
+        }
+
+        private HttpAnswer get(URI uri) {
+            if (uri.getPath().endsWith("/audit")) {
+                return new HttpAnswer(200, null, Json.write(List.of(lastChange())));
+            }
+            FleetConfiguration empty = FleetConfiguration.empty();
+            FleetConfiguration configuration = new FleetConfiguration(
+                    revision,
+                    null,
+                    null,
+                    null,
+                    null,
+                    null,
+                    null,
+                    Collections.nCopies(sheetRows, new SheetRow(new Artifact("x", null, "1"), 1, List.of())),
+                    empty.placements());
+            return new HttpAnswer(200, null, Json.write(new ConfigurationDocument(configuration, lastChange())));
+        }
+
+        private HttpAnswer change(Map<String, String> headers) {
+            changeIds.add(headers.get("X-Change-Id"));
+            if (silent) {
+                throw new NoAnswerException("No answer", true, null);
+            }
+            if (refuse) {
+                return new HttpAnswer(
+                        422,
+                        null,
+                        "{\"errors\":[{\"path\":\"changes[0].organisation\",\"message\":\"does not exist\"}]}"
+                                .getBytes());
+            }
+            if (conflicts > 0) {
+                conflicts--;
+                revision++;
+                sheetRows += sheetChangesOnConflict ? 1 : 0;
+                return new HttpAnswer(409, null, new byte[0]);
+            }
+            if (!headers.get("If-Match").equals("\"" + revision + "\"")) {
+                return new HttpAnswer(409, null, new byte[0]);
+            }
+            revision++;
+            lastChangeId = headers.get("X-Change-Id");
+            if (losses > 0) {
+                losses--;
+                throw new NoAnswerException("No answer", true, null);
+            }
+            return new HttpAnswer(200, Long.toString(revision), new byte[0]);
+        }
+
+        private ChangeRecord lastChange() {
+            return new ChangeRecord(lastChangeId, revision, 0, "ann", "", "", null, null, true);
+        }
+    }
+}
