Add organisation limits with keepers, wallets and the allotment document

Tokens are escrowed: the store object limits/allotments splits an organisation's rate and burst over keepers, keepers grant batches that are spent once, wallets admit from batches.

Unused tokens of a settled request cannot simply be added to the bucket again: a bucket that was refilled in the meantime would allow two bursts in one window. They are added only as far as the bucket had room ever since the batch was closed (HeadroomHistory).

Only compiled, not yet tested.

--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/AllotmentLedger.java
@@ -0,0 +1,300 @@
+package org.gooseberryring.coordination.limit;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import org.gooseberryring.coordination.store.StoreOutcome;
+import org.gooseberryring.coordination.store.StoreReply;
+import org.gooseberryring.coordination.store.StoreRequest;
+import org.gooseberryring.state.Organisation;
+
+/**
+ * Keeps this host's part of the store object {@code limits/allotments} up to date: registers the host as keeper where
+ * rendezvous hashing chooses it, confirms reductions, renews its confirmation, and moves allotments towards equal
+ * shares.
+ *
+ * <p>At most one store call is in flight. The host passes every reply to {@link #onStore}. An unknown outcome is
+ * resolved by reading the document, which carries the number of this keeper's confirmation.
+ */
+public final class AllotmentLedger {
+    /** Key of the store object. */
+    public static final String KEY = "limits/allotments";
+
+    // Keepers see reductions and raises within this time.
+    private static final long KEEPER_READ_MILLIS = 2_000;
+    // Other hosts only need to know the keepers.
+    private static final long OTHER_READ_MILLIS = 30_000;
+    // After an outage all hosts would come back at once; the wait grows to this and differs by host.
+    private static final long MAX_BACKOFF_MILLIS = 10_000;
+    // A confirmation is renewed this many times within the reclaim time, so that a few lost writes do no harm.
+    private static final int RENEWALS_PER_RECLAIM = 8;
+    // Keepers rebalance in order of rank, so that usually one of them writes.
+    private static final long RANK_DELAY_MILLIS = 1_000;
+
+    /** Last seen confirmation of a keeper, and when this host first saw it. */
+    private record Sighting(long incarnation, long confirmation, long seenAt) {}
+
+    private final KeeperIdentity self;
+    private final LimitSettings settings;
+    private final AllotmentCodec codec;
+    private final TokenKeeper keeper;
+    private final Map<String, Sighting> sightings = new HashMap<>();
+    private final Map<Long, Long> sentAtByConfirmation = new HashMap<>();
+    private Map<String, Organisation> organisations = Map.of();
+    private Set<String> members = Set.of();
+    private AllotmentDocument document;
+    private long version;
+    private AllotmentDocument proposed;
+    private boolean inFlight;
+    private boolean leaving;
+    private long confirmation;
+    private long renewedAt;
+    private long nextReadAt = Long.MIN_VALUE;
+    private long backoff;
+    private long imbalanceSince = Long.MAX_VALUE;
+
+    /**
+     * Creates a ledger that has not read the document yet.
+     *
+     * @param self this host
+     * @param settings settings of the limits
+     * @param codec converts the document
+     * @param keeper keeper of this host, which adopts each document
+     */
+    public AllotmentLedger(KeeperIdentity self, LimitSettings settings, AllotmentCodec codec, TokenKeeper keeper) {
+        this.self = self;
+        this.settings = settings;
+        this.codec = codec;
+        this.keeper = keeper;
+    }
+
+    /** Adopts the configured organisations by identifier. */
+    public void configure(Map<String, Organisation> organisations) {
+        this.organisations = Map.copyOf(organisations);
+    }
+
+    /** Adopts the live hosts of this host's failure domain, this host included. */
+    public void members(Collection<String> liveHosts) {
+        members = Set.copyOf(liveHosts);
+    }
+
+    /** Begins the hand-over of this host's allotments; {@link #handedOver} tells when it is complete. */
+    public void leave() {
+        leaving = true;
+    }
+
+    /** Returns whether the document holds nothing of this host any more. */
+    public boolean handedOver() {
+        return document != null && document.of(self.host()).isEmpty();
+    }
+
+    /** Returns the keepers of an organisation, nearest first, as far as this host has read them. */
+    public List<String> keepers(String organisation) {
+        Map<String, String> domains = new TreeMap<>();
+        if (document != null) {
+            document.organisations().getOrDefault(organisation, new TreeMap<>()).forEach((host, allotment) -> {
+                KeeperEntry entry = document.keepers().get(host);
+                if (entry != null && !allotment.empty() && !AllotmentPlan.retired(host)) {
+                    domains.put(host, entry.failureDomain());
+                }
+            });
+        }
+        return KeeperChoice.nearestFirst(self.host(), self.failureDomain(), organisation, domains);
+    }
+
+    /** Returns the document read last, or null. */
+    public AllotmentDocument document() {
+        return document;
+    }
+
+    /** Returns the store call that is due, if any. */
+    public List<LimitEffect> tick(long now) {
+        if (inFlight) {
+            return List.of();
+        }
+        if (now >= nextReadAt) {
+            return call(new StoreRequest.Read(KEY));
+        }
+        if (document == null || backoff > 0) {
+            return List.of();
+        }
+        AllotmentDocument next = next(now);
+        if (next.equals(document)) {
+            return List.of();
+        }
+        return write(next, now);
+    }
+
+    /** Takes the reply to this ledger's store call. */
+    public void onStore(StoreReply reply, long now) {
+        if (!inFlight || !reply.key().equals(KEY)) {
+            return;
+        }
+        inFlight = false;
+        AllotmentDocument written = proposed;
+        proposed = null;
+        switch (reply.outcome()) {
+            case OK -> {
+                backoff = 0;
+                adopt(written != null ? written : codec.decode(reply.value()), reply.version(), now);
+            }
+            case ABSENT -> {
+                backoff = 0;
+                adopt(AllotmentDocument.empty(), StoreRequest.Put.ABSENT, now);
+            }
+            case CONFLICT -> nextReadAt = now;
+            default -> {
+                backoff = Math.min(MAX_BACKOFF_MILLIS, Math.max(250, 2 * backoff));
+                nextReadAt = now + backoff / 2 + jitter(backoff / 2, now);
+            }
+        }
+        if (reply.outcome() == StoreOutcome.OK || reply.outcome() == StoreOutcome.ABSENT) {
+            nextReadAt = now + jitter(readInterval() / 4, now) + readInterval() * 3 / 4;
+        }
+    }
+
+    private List<LimitEffect> write(AllotmentDocument next, long now) {
+        KeeperEntry entry = next.keepers().get(self.host());
+        AllotmentDocument stamped = next;
+        if (isMine(entry)) {
+            confirmation = Math.max(confirmation, entry.confirmation()) + 1;
+            sentAtByConfirmation.put(confirmation, now);
+            stamped = AllotmentPlan.renew(next, self.host(), confirmation);
+        }
+        proposed = stamped;
+        return call(new StoreRequest.Put(KEY, version, codec.encode(stamped)));
+    }
+
+    private List<LimitEffect> call(StoreRequest request) {
+        inFlight = true;
+        return List.of(new LimitEffect.Store(request));
+    }
+
+    private void adopt(AllotmentDocument read, long readVersion, long now) {
+        document = read;
+        version = readVersion;
+        read.keepers().forEach((host, entry) -> {
+            Sighting last = sightings.get(host);
+            if (last == null
+                    || last.incarnation() != entry.incarnation()
+                    || last.confirmation() != entry.confirmation()) {
+                sightings.put(host, new Sighting(entry.incarnation(), entry.confirmation(), now));
+            }
+        });
+        sightings.keySet().retainAll(read.keepers().keySet());
+        KeeperEntry entry = read.keepers().get(self.host());
+        Long sentAt = isMine(entry) ? sentAtByConfirmation.get(entry.confirmation()) : null;
+        if (sentAt != null) {
+            keeper.confirmed(sentAt);
+            renewedAt = sentAt;
+            sentAtByConfirmation.keySet().removeIf(number -> number < entry.confirmation());
+        }
+        keeper.adopt(isMine(entry) ? read.of(self.host()) : Map.of(), now);
+        for (String organisation : read.organisations().keySet()) {
+            List<String> others = keepers(organisation).stream()
+                    .filter(host -> !host.equals(self.host()))
+                    .toList();
+            keeper.lenders(organisation, others);
+        }
+    }
+
+    private AllotmentDocument next(long now) {
+        KeeperEntry entry = document.keepers().get(self.host());
+        if (entry != null && entry.incarnation() > self.incarnation()) {
+            return document;
+        }
+        AllotmentDocument next = memberships(document, isMine(entry));
+        next = confirmations(next, now);
+        if (!isMine(entry)) {
+            return next;
+        }
+        next = plan(next, now);
+        long renewAfter = settings.reclaimAfterMillis() / RENEWALS_PER_RECLAIM;
+        if (next.equals(document) && now - renewedAt >= renewAfter) {
+            next = AllotmentPlan.renew(document, self.host(), entry.confirmation() + 1);
+        }
+        return next;
+    }
+
+    private AllotmentDocument memberships(AllotmentDocument read, boolean mine) {
+        AllotmentDocument next = read;
+        Set<String> names = new TreeSet<>(organisations.keySet());
+        names.addAll(read.of(self.host()).keySet());
+        for (String organisation : names) {
+            next = membership(next, organisation, mine);
+        }
+        boolean inherits = !mine
+                && read.keepers().values().stream()
+                        .anyMatch(other -> other.address().equals(self.address()));
+        if (next != read || inherits) {
+            next = AllotmentPlan.register(next, self.host(), self.entry(confirmation));
+        }
+        return next;
+    }
+
+    private AllotmentDocument membership(AllotmentDocument read, String organisation, boolean mine) {
+        Organisation configured = leaving ? null : organisations.get(organisation);
+        int rank = KeeperChoice.rank(organisation, members).indexOf(self.host());
+        boolean chosen = configured != null && rank >= 0 && rank < settings.keepersPerDomain();
+        // A keeper that is only just not chosen stays, because members come and go more often than hosts die.
+        boolean stays = configured != null && rank < 2 * settings.keepersPerDomain();
+        Allotment present = read.of(self.host()).get(organisation);
+        boolean active = present != null && !present.withdrawn();
+        if (chosen && !active) {
+            return AllotmentPlan.found(read, configured, self.host());
+        }
+        if (active && !stays && mine) {
+            return AllotmentPlan.withdraw(read, organisation, self.host());
+        }
+        return read;
+    }
+
+    private AllotmentDocument confirmations(AllotmentDocument read, long now) {
+        AllotmentDocument next = read;
+        for (Map.Entry<String, Allotment> mine : read.of(self.host()).entrySet()) {
+            boolean adopted = Objects.equals(document.of(self.host()).get(mine.getKey()), mine.getValue());
+            if (adopted && !mine.getValue().confirmed() && keeper.mayConfirm(mine.getKey(), now)) {
+                next = AllotmentPlan.confirm(next, mine.getKey(), self.host());
+            }
+        }
+        return next;
+    }
+
+    private AllotmentDocument plan(AllotmentDocument read, long now) {
+        AllotmentDocument next = read;
+        for (Map.Entry<String, Sighting> sighting : sightings.entrySet()) {
+            if (now - sighting.getValue().seenAt() >= settings.reclaimAfterMillis()
+                    && !sighting.getKey().equals(self.host())) {
+                next = AllotmentPlan.reclaim(next, sighting.getKey());
+            }
+        }
+        next = AllotmentPlan.rebalance(next, organisations);
+        if (next.equals(read)) {
+            imbalanceSince = Long.MAX_VALUE;
+            return read;
+        }
+        imbalanceSince = Math.min(imbalanceSince, now);
+        int rank = KeeperChoice.rank(KEY, document.keepers().keySet()).indexOf(self.host());
+        return now - imbalanceSince >= rank * RANK_DELAY_MILLIS ? next : read;
+    }
+
+    private boolean isMine(KeeperEntry entry) {
+        return entry != null
+                && entry.incarnation() == self.incarnation()
+                && entry.address().equals(self.address());
+    }
+
+    private long readInterval() {
+        return document != null && !document.of(self.host()).isEmpty() ? KEEPER_READ_MILLIS : OTHER_READ_MILLIS;
+    }
+
+    private long jitter(long bound, long now) {
+        return bound <= 0 ? 0 : Math.floorMod(Objects.hash(self.host(), now), bound);
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/TokenFetcher.java
@@ -0,0 +1,229 @@
+package org.gooseberryring.coordination.limit;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+
+/**
+ * Fetches tokens of one organisation from its keepers and decides the reservations that wait for them.
+ *
+ * <p>A round asks one keeper after the other, nearest first, until enough tokens are there. A reservation is refused only
+ * after a round that began after its arrival has asked every keeper.
+ */
+final class TokenFetcher {
+    // A keeper that did not answer is asked last for this long, so that it does not delay every round.
+    private static final long SUSPECT_MILLIS = 1_000;
+    // Used where no keeper can tell when tokens will be there.
+    private static final long UNKNOWN_RETRY_MILLIS = 1_000;
+    // A request above the organisation's burst never fits; the caller should not come back soon.
+    private static final long NEVER_RETRY_MILLIS = 3_600_000;
+
+    /** Request for tokens that was sent to a keeper. */
+    private record Ask(String requestId, String keeper, long tokens, long sentAt) {}
+
+    private final WalletAccount account;
+    private final LimitSettings settings;
+    private final Supplier<String> requestIds;
+    private final Consumer<LimitEffect> effects;
+    private final Predicate<PendingReservation> admit;
+    private final ArrayDeque<PendingReservation> pending = new ArrayDeque<>();
+    private final Map<String, Ask> asks = new HashMap<>();
+    private final Map<String, Long> suspects = new HashMap<>();
+    private List<String> keepers = List.of();
+    private List<String> order = List.of();
+    private Ask current;
+    private int position;
+    private boolean active;
+    private long nextRoundAt = Long.MIN_VALUE;
+    private long roundStart;
+    private double fillPerMilli;
+    private double lastFillPerMilli;
+    private long pendingTokens;
+    private long sequence;
+
+    /**
+     * Creates a fetcher that knows no keeper yet.
+     *
+     * @param admit takes the tokens of a reservation that waited; false if the account cannot cover it
+     */
+    TokenFetcher(
+            WalletAccount account,
+            LimitSettings settings,
+            Supplier<String> requestIds,
+            Consumer<LimitEffect> effects,
+            Predicate<PendingReservation> admit) {
+        this.account = account;
+        this.settings = settings;
+        this.requestIds = requestIds;
+        this.effects = effects;
+        this.admit = admit;
+    }
+
+    void keepers(List<String> nearestFirst) {
+        keepers = List.copyOf(nearestFirst);
+        suspects.keySet().retainAll(keepers);
+    }
+
+    boolean idle() {
+        return pending.isEmpty();
+    }
+
+    /** Queues a reservation, or refuses it if it can never fit or too many wait. */
+    Admission enqueue(String requestId, long tokens, long now) {
+        if (tokens > account.organisation().burstTokens()
+                || account.organisation().rateTokensPerSecond() <= 0) {
+            return Admission.refused(NEVER_RETRY_MILLIS);
+        }
+        if (keepers.isEmpty()) {
+            return Admission.refused(UNKNOWN_RETRY_MILLIS);
+        }
+        if (pending.size() >= settings.maxPendingRequests()) {
+            return Admission.refused(retryAfter(pendingTokens + tokens - account.available()));
+        }
+        pending.add(new PendingReservation(requestId, tokens, ++sequence));
+        pendingTokens += tokens;
+        startRound(now);
+        return Admission.pending();
+    }
+
+    /** Forgets a waiting reservation; returns whether it was there. */
+    boolean cancel(String requestId) {
+        for (Iterator<PendingReservation> i = pending.iterator(); i.hasNext(); ) {
+            PendingReservation waiting = i.next();
+            if (waiting.requestId().equals(requestId)) {
+                pendingTokens -= waiting.tokens();
+                i.remove();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Takes a keeper's answer; each request for tokens accepts one answer. */
+    void onGrant(String sender, TokenMessage.Grant grant, long now) {
+        Ask ask = asks.get(grant.requestId());
+        if (ask == null || !ask.keeper().equals(sender)) {
+            return;
+        }
+        asks.remove(grant.requestId());
+        suspects.remove(sender);
+        accept(ask, grant, now);
+        serve();
+        if (ask == current) {
+            long missing = ask.tokens() - grant.tokens();
+            if (missing > 0 && grant.retryAfterMillis() > 0) {
+                fillPerMilli += (double) missing / grant.retryAfterMillis();
+            }
+            askNext(now);
+        }
+    }
+
+    /** Passes over a keeper that did not answer in time, and starts a round if tokens run short. */
+    void tick(long now) {
+        asks.values().removeIf(ask -> ask != current && now - ask.sentAt() >= settings.batchLifetimeMillis());
+        serve();
+        if (current != null && now - current.sentAt() >= settings.askTimeoutMillis()) {
+            suspects.put(current.keeper(), now + SUSPECT_MILLIS);
+            askNext(now);
+        }
+        startRound(now);
+    }
+
+    /** Starts a round if tokens are short and none is under way. */
+    void startRound(long now) {
+        boolean needed = !pending.isEmpty() || account.available() < account.stock() / 2;
+        if (active || !needed || now < nextRoundAt || keepers.isEmpty()) {
+            return;
+        }
+        active = true;
+        roundStart = sequence;
+        position = 0;
+        fillPerMilli = 0;
+        suspects.values().removeIf(until -> until <= now);
+        order = new ArrayList<>(keepers);
+        order.removeAll(suspects.keySet());
+        if (!pending.isEmpty()) {
+            keepers.stream().filter(suspects::containsKey).forEach(order::add);
+        }
+        askNext(now);
+    }
+
+    /** Refuses all waiting reservations, as when the organisation is removed. */
+    void refuseAll() {
+        while (!pending.isEmpty()) {
+            refuse(pending.poll(), UNKNOWN_RETRY_MILLIS);
+        }
+    }
+
+    private void accept(Ask ask, TokenMessage.Grant grant, long now) {
+        if (grant.tokens() <= 0) {
+            return;
+        }
+        long expiresAt = ask.sentAt() + settings.spendMillis(grant.lifetimeMillis());
+        WalletBatch batch = new WalletBatch(grant.batchId(), ask.keeper(), grant.tokens(), now, expiresAt);
+        account.add(batch);
+        account.expire(now);
+    }
+
+    private void askNext(long now) {
+        current = null;
+        long wanted = pendingTokens + account.stock() - account.available();
+        if (wanted <= 0) {
+            active = false;
+            return;
+        }
+        if (position >= order.size()) {
+            finishShort(now);
+            return;
+        }
+        String keeper = order.get(position++);
+        current = new Ask(requestIds.get(), keeper, wanted, now);
+        asks.put(current.requestId(), current);
+        effects.accept(new LimitEffect.Send(
+                keeper,
+                new TokenMessage.Request(
+                        current.requestId(), account.organisation().id(), wanted, false)));
+    }
+
+    private void finishShort(long now) {
+        active = false;
+        nextRoundAt = now + settings.roundIntervalMillis();
+        lastFillPerMilli = fillPerMilli;
+        long shortage = -account.available();
+        ArrayDeque<PendingReservation> later = new ArrayDeque<>();
+        while (!pending.isEmpty()) {
+            PendingReservation waiting = pending.poll();
+            pendingTokens -= waiting.tokens();
+            if (waiting.sequence() > roundStart) {
+                later.add(waiting);
+            } else if (!admit.test(waiting)) {
+                shortage += waiting.tokens();
+                refuse(waiting, retryAfter(shortage));
+            }
+        }
+        later.forEach(waiting -> pendingTokens += waiting.tokens());
+        pending.addAll(later);
+    }
+
+    private void serve() {
+        while (!pending.isEmpty() && admit.test(pending.peek())) {
+            pendingTokens -= pending.poll().tokens();
+        }
+    }
+
+    private void refuse(PendingReservation waiting, long retryAfterMillis) {
+        effects.accept(new LimitEffect.Decided(waiting.requestId(), Admission.refused(retryAfterMillis)));
+    }
+
+    private long retryAfter(long missingTokens) {
+        double perMilli =
+                lastFillPerMilli > 0 ? lastFillPerMilli : account.organisation().rateTokensPerSecond() / 1_000.0;
+        return Math.min(NEVER_RETRY_MILLIS, Math.max(1, (long) Math.ceil(missingTokens / perMilli)));
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/TokenKeeper.java
@@ -0,0 +1,240 @@
+package org.gooseberryring.coordination.limit;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Keeps this host's part of the token buckets of organisations.
+ *
+ * <p>It deducts a batch before the receiver adds it, and counts the batch against the burst until it is returned or has
+ * expired. A lost message therefore loses tokens for at most the batch's lifetime and never creates them. The keeper
+ * stops filling and granting when its own confirmation in the store becomes too old, because its allotments may then be
+ * given to others.
+ */
+public final class TokenKeeper {
+    // Remembered answers per organisation. A request repeated after its answer is forgotten gets a batch that its
+    // sender does not accept, because the sender accepts one grant for each request.
+    private static final int REMEMBERED_ANSWERS = 4_096;
+
+    private final String host;
+    private final long incarnation;
+    private final LimitSettings settings;
+    private final Map<String, Account> accounts = new HashMap<>();
+    private boolean confirmedOnce;
+    private long confirmedAt;
+    private long sequence;
+
+    /** What the keeper knows of one organisation. */
+    private static final class Account {
+        private final KeeperBucket bucket;
+        private final Map<String, TokenMessage.Grant> answers = new LinkedHashMap<>(64, 0.75f, false) {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, TokenMessage.Grant> eldest) {
+                return size() > REMEMBERED_ANSWERS;
+            }
+        };
+        private List<String> lenders = List.of();
+        private int nextLender;
+        private long shortage;
+        private String loanRequest;
+        private long loanSentAt;
+
+        private Account(KeeperBucket bucket) {
+            this.bucket = bucket;
+        }
+    }
+
+    /**
+     * Creates a keeper without allotments.
+     *
+     * @param host identifier of this host
+     * @param incarnation incarnation of this process
+     * @param settings settings of the limits
+     */
+    public TokenKeeper(String host, long incarnation, LimitSettings settings) {
+        this.host = host;
+        this.incarnation = incarnation;
+        this.settings = settings;
+    }
+
+    /**
+     * Adopts this host's allotments from the store. A bucket that is new here fills only after one batch lifetime,
+     * because batches of an earlier incarnation may still be spent.
+     *
+     * @param allotments allotments of this host by organisation
+     * @param now monotonic time in milliseconds
+     */
+    public void adopt(Map<String, Allotment> allotments, long now) {
+        accounts.keySet().retainAll(allotments.keySet());
+        allotments.forEach((organisation, allotment) -> {
+            Account account = accounts.get(organisation);
+            boolean isNew = account == null;
+            if (isNew) {
+                account = new Account(new KeeperBucket(allotment.full() ? now : now + settings.batchLifetimeMillis()));
+                accounts.put(organisation, account);
+            }
+            account.bucket.allot(allotment.targetRate(), allotment.targetBurst(), now, fillUntil());
+            if (isNew && allotment.full()) {
+                account.bucket.fillUp();
+            }
+        });
+    }
+
+    /** Sets the other keepers of an organisation, nearest first, that this keeper may borrow from. */
+    public void lenders(String organisation, List<String> keepers) {
+        Account account = accounts.get(organisation);
+        if (account != null) {
+            account.lenders = List.copyOf(keepers);
+        }
+    }
+
+    /**
+     * Notes that a write of this keeper's confirmation took effect.
+     *
+     * @param sentAt monotonic time in milliseconds at which the write was sent
+     */
+    public void confirmed(long sentAt) {
+        confirmedAt = confirmedOnce ? Math.max(confirmedAt, sentAt) : sentAt;
+        confirmedOnce = true;
+    }
+
+    /** Returns whether the tokens of an organisation fit into its lowered burst, so that it may be confirmed. */
+    public boolean mayConfirm(String organisation, long now) {
+        Account account = accounts.get(organisation);
+        if (account == null) {
+            return false;
+        }
+        account.bucket.advance(now, fillUntil());
+        return account.bucket.withinBurst(now);
+    }
+
+    /**
+     * Answers a request for tokens.
+     *
+     * @param sender host that asks
+     * @param request the request
+     * @param now monotonic time in milliseconds
+     */
+    public List<LimitEffect> onRequest(String sender, TokenMessage.Request request, long now) {
+        Account account = accounts.get(request.organisation());
+        if (account == null || !entitled(now)) {
+            return List.of(new LimitEffect.Send(sender, nothing(request, 0)));
+        }
+        account.bucket.advance(now, fillUntil());
+        String key = sender + '/' + request.requestId();
+        TokenMessage.Grant answer = account.answers.get(key);
+        if (answer == null) {
+            answer = grant(sender, request, account, now);
+            account.answers.put(key, answer);
+        }
+        return List.of(new LimitEffect.Send(sender, answer));
+    }
+
+    /** Applies the return of a batch; a batch that is unknown or of another holder is ignored. */
+    public void onReturn(String sender, TokenMessage.Return message, long now) {
+        Account account = accounts.get(message.organisation());
+        if (account != null) {
+            account.bucket.advance(now, fillUntil());
+            account.bucket.giveBack(sender, message.batchId(), message.tokens(), now);
+        }
+    }
+
+    /**
+     * Adds a loan from another keeper and closes its batch, giving back what does not fit.
+     *
+     * @param sender keeper that lends
+     * @param grant the loan
+     * @param now monotonic time in milliseconds
+     */
+    public List<LimitEffect> onGrant(String sender, TokenMessage.Grant grant, long now) {
+        Account account = accounts.get(grant.organisation());
+        if (account == null || !grant.requestId().equals(account.loanRequest)) {
+            return List.of();
+        }
+        account.loanRequest = null;
+        boolean inTime = now < account.loanSentAt + settings.spendMillis(grant.lifetimeMillis());
+        if (grant.tokens() <= 0 || !inTime || !entitled(now)) {
+            return List.of();
+        }
+        account.bucket.advance(now, fillUntil());
+        long added = account.bucket.deposit(grant.tokens());
+        return List.of(new LimitEffect.Send(
+                sender, new TokenMessage.Return(grant.organisation(), grant.batchId(), grant.tokens() - added)));
+    }
+
+    /** Ends expired batches and borrows from the next lender what was missing since the last call. */
+    public List<LimitEffect> tick(long now) {
+        List<LimitEffect> effects = new ArrayList<>();
+        accounts.forEach((organisation, account) -> {
+            account.bucket.advance(now, fillUntil());
+            boolean waiting = account.loanRequest != null && now < account.loanSentAt + settings.askTimeoutMillis();
+            long wanted = Math.min(account.shortage, account.bucket.headroomTokens());
+            if (!waiting && wanted > 0 && !account.lenders.isEmpty() && entitled(now)) {
+                effects.add(borrow(organisation, account, wanted, now));
+            }
+        });
+        return effects;
+    }
+
+    /** Returns the whole tokens that can be granted now, for metrics. */
+    public long level(String organisation) {
+        Account account = accounts.get(organisation);
+        return account == null ? 0 : account.bucket.levelTokens();
+    }
+
+    /** Returns whether all batches of all organisations are returned or have expired. */
+    public boolean settled(long now) {
+        accounts.values().forEach(account -> account.bucket.advance(now, fillUntil()));
+        return accounts.values().stream().allMatch(account -> account.bucket.settled());
+    }
+
+    private LimitEffect borrow(String organisation, Account account, long wanted, long now) {
+        String lender = account.lenders.get(account.nextLender++ % account.lenders.size());
+        account.loanRequest = nextId();
+        account.loanSentAt = now;
+        account.shortage = 0;
+        return new LimitEffect.Send(lender, new TokenMessage.Request(account.loanRequest, organisation, wanted, true));
+    }
+
+    private TokenMessage.Grant grant(String sender, TokenMessage.Request request, Account account, long now) {
+        KeeperBucket bucket = account.bucket;
+        // A lender keeps half, so that two keepers do not pass the same tokens back and forth.
+        long offered = request.lend() ? bucket.levelTokens() / 2 : bucket.levelTokens();
+        long wanted = Math.min(Math.max(0, request.tokens()), offered);
+        String batchId = nextId();
+        long tokens = bucket.grant(batchId, sender, wanted, now + settings.batchLifetimeMillis());
+        long missing = Math.max(0, request.tokens() - tokens);
+        long retryAfter = missing == 0 ? 0 : bucket.fillMillis(missing);
+        if (missing > 0 && !request.lend()) {
+            account.shortage = Math.max(account.shortage, missing);
+        }
+        return tokens == 0
+                ? nothing(request, retryAfter)
+                : new TokenMessage.Grant(
+                        request.requestId(),
+                        request.organisation(),
+                        tokens,
+                        settings.batchLifetimeMillis(),
+                        retryAfter,
+                        batchId);
+    }
+
+    private static TokenMessage.Grant nothing(TokenMessage.Request request, long retryAfter) {
+        return new TokenMessage.Grant(request.requestId(), request.organisation(), 0, 0, retryAfter, "");
+    }
+
+    private boolean entitled(long now) {
+        return confirmedOnce && now < fillUntil();
+    }
+
+    private long fillUntil() {
+        return confirmedOnce ? confirmedAt + settings.stopAfterMillis() : Long.MIN_VALUE;
+    }
+
+    private String nextId() {
+        return host + '/' + Long.toHexString(incarnation) + '/' + ++sequence;
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/TokenWallet.java
@@ -0,0 +1,194 @@
+package org.gooseberryring.coordination.limit;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.gooseberryring.state.Organisation;
+
+/**
+ * Holds this host's token batches and admits requests from them.
+ *
+ * <p>A request is admitted at the moment its tokens are reserved, and counts with the tokens that it turns out to use.
+ * Its reservation is spent once: unused tokens go back to their batch while that is open, and otherwise to the keeper,
+ * which adds them only as far as its bucket had room ever since.
+ *
+ * <p>Messages and late decisions are collected and taken by {@link #drain()}.
+ */
+public final class TokenWallet implements TokenAdmission {
+    private final String host;
+    private final long incarnation;
+    private final LimitSettings settings;
+    private final Map<String, Entry> entries = new HashMap<>();
+    private final Map<String, Reservation> reservations = new HashMap<>();
+    private final Map<String, String> pending = new HashMap<>();
+    private List<LimitEffect> effects = new ArrayList<>();
+    private long sequence;
+    private long now;
+
+    /** Account of an organisation with its fetcher. */
+    private record Entry(WalletAccount account, TokenFetcher fetcher) {}
+
+    /**
+     * Creates a wallet without organisations.
+     *
+     * @param host identifier of this host
+     * @param incarnation incarnation of this process
+     * @param settings settings of the limits
+     */
+    public TokenWallet(String host, long incarnation, LimitSettings settings) {
+        this.host = host;
+        this.incarnation = incarnation;
+        this.settings = settings;
+    }
+
+    /** Adopts the configured organisations; tokens of a removed one are returned. */
+    public void configure(Map<String, Organisation> organisations, long now) {
+        this.now = now;
+        entries.entrySet().removeIf(entry -> {
+            boolean removed = !organisations.containsKey(entry.getKey());
+            if (removed) {
+                entry.getValue().fetcher().refuseAll();
+                entry.getValue().account().release();
+                pending.values().removeIf(entry.getKey()::equals);
+            }
+            return removed;
+        });
+        organisations.forEach((id, organisation) -> {
+            Entry entry = entries.computeIfAbsent(id, name -> open(organisation, now));
+            entry.account().configure(organisation);
+        });
+    }
+
+    /** Sets the keepers of an organisation, nearest first. */
+    public void keepers(String organisation, List<String> nearestFirst) {
+        Entry entry = entries.get(organisation);
+        if (entry != null) {
+            entry.fetcher().keepers(nearestFirst);
+        }
+    }
+
+    @Override
+    public Admission reserve(String requestId, String organisation, long tokens, long now) {
+        this.now = now;
+        if (tokens <= 0) {
+            return Admission.admitted();
+        }
+        Entry entry = entries.get(organisation);
+        if (entry == null) {
+            return Admission.refused(settings.roundIntervalMillis());
+        }
+        entry.account().noteDemand(tokens);
+        if (entry.fetcher().idle()) {
+            Reservation reservation = entry.account().take(tokens, now);
+            if (reservation != null) {
+                reservations.put(requestId, reservation);
+                entry.fetcher().startRound(now);
+                return Admission.admitted();
+            }
+        }
+        Admission admission = entry.fetcher().enqueue(requestId, tokens, now);
+        if (admission.kind() == Admission.Kind.PENDING) {
+            pending.put(requestId, organisation);
+        }
+        return admission;
+    }
+
+    @Override
+    public void settle(String requestId, long usedTokens, long now) {
+        this.now = now;
+        Reservation reservation = reservations.remove(requestId);
+        if (reservation == null) {
+            cancel(requestId);
+            return;
+        }
+        long reserved = 0;
+        for (Reservation part = reservation; part != null; part = part.next()) {
+            reserved += part.tokens();
+        }
+        WalletAccount account = reservation.account();
+        account.expire(now);
+        account.putBack(reservation, Math.max(0, reserved - Math.max(0, usedTokens)));
+    }
+
+    /** Takes a keeper's answer to a request for tokens. */
+    public void onGrant(String sender, TokenMessage.Grant grant, long now) {
+        this.now = now;
+        Entry entry = entries.get(grant.organisation());
+        if (entry != null) {
+            entry.fetcher().onGrant(sender, grant, now);
+        }
+    }
+
+    /** Expires and returns batches, fetches tokens in advance and passes over silent keepers. */
+    public void tick(long now) {
+        this.now = now;
+        for (Entry entry : entries.values()) {
+            entry.account().tick(now);
+            entry.fetcher().tick(now);
+        }
+    }
+
+    /** Returns all batches to their keepers, as for a graceful shutdown. */
+    public void release(long now) {
+        this.now = now;
+        for (Entry entry : entries.values()) {
+            entry.account().expire(now);
+            entry.account().release();
+        }
+    }
+
+    /** Returns and forgets the effects since the last call. */
+    public List<LimitEffect> drain() {
+        if (effects.isEmpty()) {
+            return List.of();
+        }
+        List<LimitEffect> drained = effects;
+        effects = new ArrayList<>();
+        return drained;
+    }
+
+    /** Returns the tokens that can be reserved at once, for metrics. */
+    public long available(String organisation) {
+        Entry entry = entries.get(organisation);
+        return entry == null ? 0 : entry.account().available();
+    }
+
+    private Entry open(Organisation organisation, long now) {
+        WalletAccount account = new WalletAccount(organisation, settings, this::emit, now);
+        TokenFetcher fetcher = new TokenFetcher(
+                account, settings, this::nextRequestId, this::emit, waiting -> admit(account, waiting));
+        return new Entry(account, fetcher);
+    }
+
+    private boolean admit(WalletAccount account, PendingReservation waiting) {
+        Reservation reservation = account.take(waiting.tokens(), now);
+        if (reservation == null) {
+            return false;
+        }
+        pending.remove(waiting.requestId());
+        reservations.put(waiting.requestId(), reservation);
+        effects.add(new LimitEffect.Decided(waiting.requestId(), Admission.admitted()));
+        return true;
+    }
+
+    private void cancel(String requestId) {
+        String organisation = pending.remove(requestId);
+        Entry entry = organisation == null ? null : entries.get(organisation);
+        if (entry != null) {
+            entry.fetcher().cancel(requestId);
+        }
+    }
+
+    private void emit(LimitEffect effect) {
+        if (effect instanceof LimitEffect.Decided decided) {
+            pending.remove(decided.requestId());
+        }
+        effects.add(effect);
+    }
+
+    private String nextRequestId() {
+        return host + '/' + Long.toHexString(incarnation) + '/' + ++sequence;
+    }
+}
