--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/placement/Plan.java
@@ -0,0 +1,34 @@
+package org.gooseberryring.coordination.placement;
+
+import java.util.Collections;
+import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+import org.gooseberryring.state.Artifact;
+
+/**
+ * Result of planning.
+ *
+ * @param placements artifacts by endpoint identifier, each list sorted
+ * @param faults rows that do not fit, empty if the whole sheet fits
+ * @param loads artifacts to load that the present placements do not have
+ * @param unloads artifacts to unload that the plan does not have
+ * @param reserveKept whether every failure domain can load its largest unit before it unloads another
+ */
+public record Plan(
+        SortedMap<String, List<Artifact>> placements,
+        List<RowFault> faults,
+        int loads,
+        int unloads,
+        boolean reserveKept) {
+    public Plan {
+        placements = Collections.unmodifiableSortedMap(new TreeMap<>(placements));
+        faults = List.copyOf(faults);
+    }
+
+    /** Returns whether every row of the sheet is placed. */
+    public boolean fits() {
+        return faults.isEmpty();
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/placement/PlanNode.java
@@ -0,0 +1,75 @@
+package org.gooseberryring.coordination.placement;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.gooseberryring.state.Artifact;
+import org.gooseberryring.state.Endpoint;
+
+/** Endpoint while a plan is made: what it holds now, what it shall hold, and the memory left. */
+final class PlanNode {
+    private final Endpoint endpoint;
+    private final Set<Artifact> present;
+    private final TreeSet<Artifact> planned = new TreeSet<>();
+    private final Map<String, Integer> versionsOfModel = new HashMap<>();
+    private long free;
+
+    PlanNode(Endpoint endpoint, List<Artifact> present) {
+        this.endpoint = endpoint;
+        this.present = new HashSet<>(present);
+        this.free = endpoint.memoryBytes();
+    }
+
+    String id() {
+        return endpoint.id();
+    }
+
+    String domain() {
+        return endpoint.failureDomain();
+    }
+
+    long free() {
+        return free;
+    }
+
+    /** Keeps memory out of the plan, so that a move can load before it unloads. */
+    void reserve(long bytes) {
+        free -= bytes;
+    }
+
+    boolean wasPresent(Artifact artifact) {
+        return present.contains(artifact);
+    }
+
+    Set<Artifact> present() {
+        return present;
+    }
+
+    Set<Artifact> planned() {
+        return planned;
+    }
+
+    boolean holds(Artifact artifact) {
+        return planned.contains(artifact);
+    }
+
+    boolean holdsModel(String model) {
+        return versionsOfModel.containsKey(model);
+    }
+
+    boolean fits(long bytes) {
+        return bytes <= free;
+    }
+
+    void add(Artifact artifact, long bytes) {
+        planned.add(artifact);
+        free -= bytes;
+        if (artifact.adapter() == null) {
+            versionsOfModel.merge(artifact.model(), 1, Integer::sum);
+        }
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/placement/Planner.java
@@ -0,0 +1,132 @@
+package org.gooseberryring.coordination.placement;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import org.gooseberryring.state.Artifact;
+import org.gooseberryring.state.Endpoint;
+import org.gooseberryring.state.EndpointKind;
+import org.gooseberryring.state.FleetConfiguration;
+import org.gooseberryring.state.SheetRow;
+
+/**
+ * Computes which endpoint holds which artifact.
+ *
+ * <p>The result depends on the configuration alone, so that every host computes the same plan. Attempts with fewer
+ * moves and with room for make-before-break come first; the first attempt that places every row is the plan. If none
+ * does, the plan is the attempt with the fewest rows that do not fit.
+ */
+public final class Planner {
+    private static final List<PlanAttempt.Options> ATTEMPTS = List.of(
+            new PlanAttempt.Options(true, true, false),
+            new PlanAttempt.Options(true, true, true),
+            new PlanAttempt.Options(false, true, false),
+            new PlanAttempt.Options(false, true, true),
+            new PlanAttempt.Options(true, false, true),
+            new PlanAttempt.Options(false, false, true));
+
+    /**
+     * Plans the sheet of a configuration, starting from its present placements.
+     *
+     * @param configuration configuration whose rows name known artifacts and whose adapter rows have a row for their
+     *     model
+     */
+    public Plan plan(FleetConfiguration configuration) {
+        ArtifactCatalog catalog = new ArtifactCatalog(configuration.models());
+        PlanAttempt best = null;
+        boolean reserveKept = false;
+        for (PlanAttempt.Options options : ATTEMPTS) {
+            PlanAttempt attempt =
+                    new PlanAttempt(options, nodes(configuration, catalog), units(configuration, catalog));
+            attempt.run();
+            if (best == null || attempt.faults().size() < best.faults().size()) {
+                best = attempt;
+                reserveKept = options.reserve();
+            }
+            if (best.faults().isEmpty()) {
+                break;
+            }
+        }
+        return result(configuration, catalog, best, reserveKept);
+    }
+
+    private static List<PlanNode> nodes(FleetConfiguration configuration, ArtifactCatalog catalog) {
+        List<PlanNode> nodes = new ArrayList<>();
+        for (Endpoint e : configuration.endpoints().values()) {
+            if (ReplicaCount.usable(configuration, e)) {
+                List<Artifact> present = configuration.placements().getOrDefault(e.id(), List.of());
+                nodes.add(
+                        new PlanNode(e, present.stream().filter(catalog::knows).toList()));
+            }
+        }
+        return nodes;
+    }
+
+    private static List<PlanUnit> units(FleetConfiguration configuration, ArtifactCatalog catalog) {
+        SortedMap<String, PlanUnit> units = new TreeMap<>();
+        List<SheetRow> sheet = configuration.sheet();
+        for (int i = 0; i < sheet.size(); i++) {
+            Artifact a = sheet.get(i).artifact();
+            units.computeIfAbsent(a.model(), PlanUnit::new).add(new PlanRow(i, sheet.get(i), catalog.bytes(a)));
+        }
+        units.values().forEach(PlanUnit::followAdapters);
+        return new ArrayList<>(units.values());
+    }
+
+    private static Plan result(
+            FleetConfiguration configuration, ArtifactCatalog catalog, PlanAttempt attempt, boolean reserveKept) {
+        SortedMap<String, List<Artifact>> placements = keptOutOfService(configuration, catalog);
+        for (PlanNode node : attempt.nodes()) {
+            if (!node.planned().isEmpty()) {
+                placements.put(node.id(), List.copyOf(node.planned()));
+            }
+        }
+        int loads = 0;
+        int unloads = 0;
+        Set<String> ids = new TreeSet<>(placements.keySet());
+        ids.addAll(configuration.placements().keySet());
+        for (String id : ids) {
+            Set<Artifact> after = new HashSet<>(placements.getOrDefault(id, List.of()));
+            Set<Artifact> before = new HashSet<>(configuration.placements().getOrDefault(id, List.of()));
+            int both = (int) after.stream().filter(before::contains).count();
+            loads += after.size() - both;
+            unloads += before.size() - both;
+        }
+        return new Plan(placements, attempt.faults(), loads, unloads, reserveKept);
+    }
+
+    /**
+     * Returns the placements in failure domains out of service, which stay as they are: unloading them would only cost
+     * loads when the failure domain returns.
+     */
+    private static SortedMap<String, List<Artifact>> keptOutOfService(
+            FleetConfiguration configuration, ArtifactCatalog catalog) {
+        Set<Artifact> inSheet = new HashSet<>();
+        configuration.sheet().forEach(row -> inSheet.add(row.artifact()));
+        SortedMap<String, List<Artifact>> kept = new TreeMap<>();
+        for (Map.Entry<String, List<Artifact>> held : configuration.placements().entrySet()) {
+            Endpoint e = configuration.endpoints().get(held.getKey());
+            if (e == null || e.leaving() || e.kind() != EndpointKind.MODEL || ReplicaCount.usable(configuration, e)) {
+                continue;
+            }
+            PlanNode node = new PlanNode(e, List.of());
+            for (Artifact a : new TreeSet<>(held.getValue())) {
+                if (inSheet.contains(a)
+                        && node.fits(catalog.bytes(a))
+                        && (a.adapter() == null || node.holdsModel(a.model()))) {
+                    node.add(a, catalog.bytes(a));
+                }
+            }
+            if (!node.planned().isEmpty()) {
+                kept.put(e.id(), List.copyOf(node.planned()));
+            }
+        }
+        return kept;
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/placement/ReplicaCount.java
@@ -0,0 +1,34 @@
+package org.gooseberryring.coordination.placement;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.gooseberryring.state.Artifact;
+import org.gooseberryring.state.Endpoint;
+import org.gooseberryring.state.EndpointKind;
+import org.gooseberryring.state.FailureDomain;
+import org.gooseberryring.state.FleetConfiguration;
+
+/** Counts the replicas of artifacts on endpoints that take work. */
+public final class ReplicaCount {
+    private ReplicaCount() {}
+
+    /** Returns the number of usable endpoints that are to hold each placed artifact. */
+    public static Map<Artifact, Integer> of(FleetConfiguration configuration) {
+        Map<Artifact, Integer> counts = new HashMap<>();
+        for (Map.Entry<String, List<Artifact>> held : configuration.placements().entrySet()) {
+            Endpoint e = configuration.endpoints().get(held.getKey());
+            if (e != null && usable(configuration, e)) {
+                held.getValue().forEach(a -> counts.merge(a, 1, Integer::sum));
+            }
+        }
+        return counts;
+    }
+
+    /** Returns whether the endpoint is a model engine that takes new work. */
+    public static boolean usable(FleetConfiguration configuration, Endpoint endpoint) {
+        FailureDomain domain = configuration.failureDomains().get(endpoint.failureDomain());
+        return endpoint.kind() == EndpointKind.MODEL && !endpoint.leaving() && domain != null && domain.in();
+    }
+}
