Add the request engine, the router and the retry rules

First usable version for the host to wire. The engine takes a request from arrival over admission, claim and queue to one final answer. The router samples two confirmed replicas and compares own requests in flight plus the lagging load report, which is corrected by the number this host had in flight when the report was taken.

Decision: a non-idempotent request is dispatched at most once, even after a NOT_RUN verdict, so that one wrong verdict of an endpoint cannot repeat it.

Only compiled and checked for style so far; the tests follow.

--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -0,0 +1,479 @@
+package org.gooseberryring.coordination.request;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.gooseberryring.coordination.claim.ClaimAnswer;
+import org.gooseberryring.coordination.limit.Admission;
+import org.gooseberryring.coordination.limit.TokenAdmission;
+import org.gooseberryring.coordination.retry.CrashSuspects;
+import org.gooseberryring.coordination.retry.RetryPolicy;
+import org.gooseberryring.coordination.route.ArtifactLoad;
+import org.gooseberryring.coordination.route.RouteChoice;
+import org.gooseberryring.coordination.route.RouteQuery;
+import org.gooseberryring.coordination.route.Router;
+import org.gooseberryring.state.Artifact;
+import org.gooseberryring.state.ErrorCode;
+import org.gooseberryring.state.FleetConfiguration;
+import org.gooseberryring.state.Verdict;
+
+/**
+ * Takes each request from its arrival to its single final answer.
+ *
+ * <p>A request is admitted by the limiter, claimed if it must not run twice, queued, sent to an endpoint and perhaps
+ * sent again. It ends once: by a refusal, by a replay, by a complete answer, or because its caller is gone. Late,
+ * repeated and unknown events are ignored. If a refusal comes after bytes of an answer reached the caller, the host
+ * breaks the caller's connection instead of writing it. All methods are called from one thread and return the actions
+ * to take, in order.
+ */
+public final class RequestEngine {
+    /** Time after which another endpoint or more room can be expected; load reports come within a second. */
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
+    /** Abandoned claims remembered so that a late grant is released; an owner answers within seconds. */
+    private static final int MAX_ABANDONED_CLAIMS = 10_000;
+
+    private static final String NO_ENDPOINT_DETAIL = "no endpoint can serve the request now";
+    private static final String DEADLINE_DETAIL = "the request cannot be answered before its deadline";
+    private static final String QUEUE_FULL_DETAIL = "the queue of this host is full";
+    private static final String SHUTDOWN_DETAIL = "this host is shutting down";
+    private static final String RATE_DETAIL = "the organisation is over its token rate and burst";
+    private static final String CLAIM_DETAIL = "the idempotency key could not be claimed";
+    private static final String ALREADY_CLAIMED_DETAIL = "the idempotency key was used before and may have run";
+    private static final String KEY_REUSED_DETAIL = "the idempotency key was used with a different request";
+    private static final String QUARANTINE_DETAIL = "the request was in flight when several endpoints were lost";
+    private static final String TIMEOUT_DETAIL = "the endpoint did not answer before the deadline";
+    private static final String INCOMPLETE_DETAIL = "the endpoint's answer ended before it was complete";
+
+    private final TokenAdmission admission;
+    private final RequestQueue queue;
+    private final Router router;
+    private final RetryPolicy retryPolicy;
+    private final CrashSuspects suspects;
+    private final long maxRunMillis;
+    private final Map<String, Work> works = new LinkedHashMap<>();
+    private final Set<String> runningSuspects = new HashSet<>();
+    private final Set<String> abandonedClaims = new LinkedHashSet<>();
+    private boolean shuttingDown;
+    private List<RequestEffect> effects = new ArrayList<>();
+
+    /**
+     * Creates an engine without any request.
+     *
+     * @param admission token limiter
+     * @param queue queue of requests that wait for an endpoint
+     * @param router chooses endpoints
+     * @param retryPolicy decides on retries
+     * @param suspects requests that may crash endpoints
+     * @param maxRunMillis longest time that an attempt may run before it is cancelled
+     */
+    public RequestEngine(
+            TokenAdmission admission,
+            RequestQueue queue,
+            Router router,
+            RetryPolicy retryPolicy,
+            CrashSuspects suspects,
+            long maxRunMillis) {
+        this.admission = admission;
+        this.queue = queue;
+        this.router = router;
+        this.retryPolicy = retryPolicy;
+        this.suspects = suspects;
+        this.maxRunMillis = maxRunMillis;
+    }
+
+    /** A caller's request arrived and its key is valid. */
+    public List<RequestEffect> arrived(RequestSpec spec, long now) {
+        return begin(new Work(spec, false), now);
+    }
+
+    /** A request arrived from a host of another failure domain, which has admitted and claimed it. */
+    public List<RequestEffect> relayed(RequestSpec spec, long now) {
+        return begin(new Work(spec, true), now);
+    }
+
+    /** The limiter decided on a request that was pending. */
+    public List<RequestEffect> admitted(String requestId, Admission decision, long now) {
+        Work work = works.get(requestId);
+        if (work != null && work.step() == Work.Step.ADMISSION) {
+            afterAdmission(work, decision, now);
+        }
+        return done(now);
+    }
+
+    /** The owner of an idempotency key answered a claim. */
+    public List<RequestEffect> claimAnswered(String requestId, ClaimAnswer answer, long now) {
+        Work work = works.get(requestId);
+        if (work != null && work.step() == Work.Step.CLAIM) {
+            afterClaim(work, answer, now);
+        } else if (abandonedClaims.remove(requestId) && answer.decision() == ClaimAnswer.Decision.GRANTED) {
+            effects.add(new RequestEffect.SettleClaim(requestId, Verdict.NOT_RUN));
+        }
+        return done(now);
+    }
+
+    /** The first byte of an attempt's answer arrived. */
+    public List<RequestEffect> responseStarted(String requestId, int attempt, long now) {
+        Work work = works.get(requestId);
+        if (work != null && work.isRunning(attempt)) {
+            work.responseStarted();
+        }
+        return done(now);
+    }
+
+    /** An attempt ended; the host reports this exactly once for each attempt, also for a cancelled one. */
+    public List<RequestEffect> attemptEnded(String requestId, int attempt, AttemptOutcome outcome, long now) {
+        Work work = works.get(requestId);
+        if (work == null || !work.isRunning(attempt)) {
+            return done(now);
+        }
+        work.attemptEnded(outcome);
+        if (work.query().alone()) {
+            runningSuspects.remove(work.spec().digest());
+        }
+        if (work.endpoint() != null) {
+            countAtEndpoint(work, outcome, now);
+        }
+        if (work.isAnswered() || outcome.verdict() == Verdict.COMPLETED) {
+            end(work, outcome.verdict(), now);
+        } else {
+            retryOrRefuse(work, outcome, now);
+        }
+        return done(now);
+    }
+
+    /** The caller closed its connection. */
+    public List<RequestEffect> callerGone(String requestId, long now) {
+        Work work = works.get(requestId);
+        if (work == null || work.isAnswered()) {
+            return done(now);
+        }
+        work.answered();
+        if (work.step() == Work.Step.RUNNING) {
+            cancelIfUseless(work);
+        } else {
+            end(work, work.verdict(), now);
+        }
+        return done(now);
+    }
+
+    /** Time passed; called at least every 100 ms. */
+    public List<RequestEffect> tick(long now) {
+        suspects.expire(now);
+        router.tick(now);
+        for (RequestSpec spec : queue.expire(now)) {
+            refuse(works.get(spec.id()), ErrorCode.DEADLINE_UNREACHABLE, RETRY_AFTER_MILLIS, DEADLINE_DETAIL, now);
+        }
+        for (Work work : List.copyOf(works.values())) {
+            checkTime(work, now);
+        }
+        return done(now);
+    }
+
+    /** A configuration took effect. */
+    public List<RequestEffect> configured(FleetConfiguration configuration, long now) {
+        router.configured(configuration, now);
+        queue.configured(configuration);
+        return done(now);
+    }
+
+    /** An endpoint reported its load; see {@link Router#loadReported}. */
+    public List<RequestEffect> loadReported(
+            String endpoint,
+            long incarnation,
+            int running,
+            int waiting,
+            int capacity,
+            Set<Artifact> loadedArtifacts,
+            long ageMillis,
+            long now) {
+        router.loadReported(endpoint, incarnation, running, waiting, capacity, loadedArtifacts, ageMillis, now);
+        return done(now);
+    }
+
+    /** Another failure domain sent its summary. */
+    public List<RequestEffect> domainSummary(
+            String failureDomain, long sequence, List<ArtifactLoad> artifacts, long now) {
+        router.domainSummary(failureDomain, sequence, artifacts, now);
+        return done(now);
+    }
+
+    /** Credits of an endpoint arrived. */
+    public List<RequestEffect> creditsArrived(String endpoint, long now) {
+        router.creditsArrived(endpoint);
+        return done(now);
+    }
+
+    /** Another host saw endpoints lost that ran a request; see {@link CrashSuspects#reported}. */
+    public List<RequestEffect> quarantined(String reporter, String digest, int losses, long now) {
+        suspects.reported(reporter, digest, losses, now);
+        return done(now);
+    }
+
+    /** The host shuts down: new requests are refused, the others run to their end. */
+    public List<RequestEffect> shuttingDown(long now) {
+        shuttingDown = true;
+        return done(now);
+    }
+
+    /** Returns the number of requests that have not ended. */
+    public int size() {
+        return works.size();
+    }
+
+    private List<RequestEffect> begin(Work work, long now) {
+        if (works.containsKey(work.id())) {
+            return done(now);
+        }
+        works.put(work.id(), work);
+        if (shuttingDown) {
+            refuse(work, ErrorCode.SHUTTING_DOWN, RETRY_AFTER_MILLIS, SHUTDOWN_DETAIL, now);
+        } else if (suspects.isQuarantined(work.spec().digest())) {
+            refuse(work, ErrorCode.QUARANTINED, 0, QUARANTINE_DETAIL, now);
+        } else if (work.spec().deadline() <= now) {
+            refuse(work, ErrorCode.DEADLINE_UNREACHABLE, RETRY_AFTER_MILLIS, DEADLINE_DETAIL, now);
+        } else if (choose(work, now).kind() == RouteChoice.Kind.UNREACHABLE) {
+            refuse(work, ErrorCode.NO_ENDPOINT, RETRY_AFTER_MILLIS, NO_ENDPOINT_DETAIL, now);
+        } else {
+            Admission decision = Admission.admitted();
+            if (work.needsTokens()) {
+                RequestSpec spec = work.spec();
+                decision = admission.reserve(spec.id(), spec.organisation(), spec.costTokens(), now);
+            }
+            afterAdmission(work, decision, now);
+        }
+        return done(now);
+    }
+
+    private void afterAdmission(Work work, Admission decision, long now) {
+        switch (decision.kind()) {
+            case REFUSED -> {
+                work.tokensReserved(false);
+                refuse(work, ErrorCode.RATE_LIMITED, decision.retryAfterMillis(), RATE_DETAIL, now);
+            }
+            case PENDING -> work.tokensReserved(true);
+            default -> {
+                work.tokensReserved(work.needsTokens());
+                claimOrQueue(work, now);
+            }
+        }
+    }
+
+    private void claimOrQueue(Work work, long now) {
+        if (work.needsClaim()) {
+            RequestSpec spec = work.spec();
+            work.step(Work.Step.CLAIM);
+            effects.add(new RequestEffect.Claim(spec.id(), spec.organisation(), spec.idempotencyKey(), spec.digest()));
+        } else {
+            enqueue(work, now);
+        }
+    }
+
+    private void afterClaim(Work work, ClaimAnswer answer, long now) {
+        switch (answer.decision()) {
+            case GRANTED -> {
+                work.claimed(true);
+                enqueue(work, now);
+            }
+            case RECORDED -> {
+                effects.add(new RequestEffect.Replay(work.id()));
+                leaveClaim(work, now);
+            }
+            case MAY_HAVE_RUN -> {
+                effects.add(refusal(work, ErrorCode.ALREADY_CLAIMED, Verdict.MAY_HAVE_RUN, 0, ALREADY_CLAIMED_DETAIL));
+                leaveClaim(work, now);
+            }
+            case KEY_REUSED -> {
+                effects.add(refusal(work, ErrorCode.IDEMPOTENCY_KEY_REUSED, Verdict.NOT_RUN, 0, KEY_REUSED_DETAIL));
+                leaveClaim(work, now);
+            }
+            default -> {
+                long after = Math.max(RETRY_AFTER_MILLIS, answer.retryAfterMillis());
+                effects.add(refusal(work, ErrorCode.CLAIM_UNAVAILABLE, Verdict.NOT_RUN, after, CLAIM_DETAIL));
+                leaveClaim(work, now);
+            }
+        }
+    }
+
+    private void leaveClaim(Work work, long now) {
+        work.step(Work.Step.ADMISSION);
+        end(work, Verdict.NOT_RUN, now);
+    }
+
+    private void enqueue(Work work, long now) {
+        work.step(Work.Step.QUEUE);
+        if (!queue.offer(work.spec(), now)) {
+            refuse(work, ErrorCode.OVERLOADED, RETRY_AFTER_MILLIS, QUEUE_FULL_DETAIL, now);
+        }
+    }
+
+    /** Sends what can be sent; an unreachable or quarantined request is taken out to be refused. */
+    private void dispatchWaiting(long now) {
+        RequestSpec spec = queue.poll(now, candidate -> canLeaveQueue(works.get(candidate.id()), now));
+        while (spec != null) {
+            Work work = works.get(spec.id());
+            if (suspects.isQuarantined(spec.digest())) {
+                refuse(work, ErrorCode.QUARANTINED, 0, QUARANTINE_DETAIL, now);
+            } else if (work.choice().kind() == RouteChoice.Kind.UNREACHABLE) {
+                refuse(work, ErrorCode.NO_ENDPOINT, RETRY_AFTER_MILLIS, NO_ENDPOINT_DETAIL, now);
+            } else {
+                dispatch(work, now);
+            }
+            spec = queue.poll(now, candidate -> canLeaveQueue(works.get(candidate.id()), now));
+        }
+    }
+
+    private boolean canLeaveQueue(Work work, long now) {
+        String digest = work.spec().digest();
+        if (suspects.isQuarantined(digest)) {
+            return true;
+        }
+        if (suspects.isSuspect(digest) && runningSuspects.contains(digest)) {
+            return false;
+        }
+        return choose(work, now).kind() != RouteChoice.Kind.WAIT;
+    }
+
+    private RouteChoice choose(Work work, long now) {
+        RequestSpec spec = work.spec();
+        boolean alone = suspects.isSuspect(spec.digest());
+        RouteQuery query = new RouteQuery(spec.target(), spec.prefixHash(), alone, work.isRelayed());
+        RouteChoice choice = router.choose(query, now);
+        work.chosen(choice, query);
+        return choice;
+    }
+
+    private void dispatch(Work work, long now) {
+        if (work.attempt() == 0) {
+            retryPolicy.firstAttempt();
+        }
+        if (work.query().alone()) {
+            runningSuspects.add(work.spec().digest());
+        }
+        String endpoint = work.endpoint();
+        if (endpoint == null) {
+            work.dispatched(0, now);
+            effects.add(new RequestEffect.Relay(
+                    work.id(), work.attempt(), work.choice().id()));
+        } else {
+            work.dispatched(router.lossEpoch(endpoint), now);
+            router.started(endpoint, work.query(), now);
+            effects.add(new RequestEffect.Dispatch(work.id(), work.attempt(), endpoint));
+        }
+    }
+
+    private void countAtEndpoint(Work work, AttemptOutcome outcome, long now) {
+        String endpoint = work.endpoint();
+        String digest = work.spec().digest();
+        if (outcome.endpointLost()) {
+            router.lost(endpoint, work.lossEpoch(), now);
+            int losses = suspects.endpointLost(digest, endpoint + '#' + work.lossEpoch(), now);
+            effects.add(new RequestEffect.SpreadQuarantine(digest, losses));
+        } else if (outcome.verdict() == Verdict.COMPLETED) {
+            router.succeeded(endpoint, outcome.firstTokenMillis());
+            if (work.query().alone()) {
+                suspects.completedAlone(digest);
+            }
+        } else if (!work.isCancelled()) {
+            router.failed(endpoint);
+        }
+        router.ended(endpoint, work.query(), now);
+    }
+
+    private void retryOrRefuse(Work work, AttemptOutcome outcome, long now) {
+        RequestSpec spec = work.spec();
+        boolean bytes = outcome.bytesReachedCaller() || work.hasResponseStarted();
+        work.step(Work.Step.QUEUE);
+        if (suspects.isQuarantined(spec.digest())) {
+            refuse(work, ErrorCode.QUARANTINED, 0, QUARANTINE_DETAIL, now);
+        } else if (retryPolicy.retry(
+                outcome.verdict(), spec.idempotent(), bytes, work.attempt(), spec.deadline(), now)) {
+            enqueue(work, now);
+        } else if (work.verdict() == Verdict.NOT_RUN) {
+            refuse(work, ErrorCode.NO_ENDPOINT, RETRY_AFTER_MILLIS, NO_ENDPOINT_DETAIL, now);
+        } else {
+            refuse(work, ErrorCode.INCOMPLETE_ANSWER, RETRY_AFTER_MILLIS, INCOMPLETE_DETAIL, now);
+        }
+    }
+
+    private void checkTime(Work work, long now) {
+        boolean late = now >= work.spec().deadline();
+        if (work.step() == Work.Step.RUNNING) {
+            if (late && !work.isAnswered() && !work.hasResponseStarted()) {
+                refuse(work, ErrorCode.ENDPOINT_TIMEOUT, RETRY_AFTER_MILLIS, TIMEOUT_DETAIL, now);
+                cancelIfUseless(work);
+            }
+            if (now - work.dispatchedAt() >= maxRunMillis) {
+                cancel(work);
+            }
+        } else if (late && work.step() != Work.Step.QUEUE) {
+            refuse(work, ErrorCode.DEADLINE_UNREACHABLE, RETRY_AFTER_MILLIS, DEADLINE_DETAIL, now);
+        }
+    }
+
+    /** A running request that must not run twice is left to finish, so that its outcome can be recorded. */
+    private void cancelIfUseless(Work work) {
+        if (work.spec().idempotent()) {
+            cancel(work);
+        }
+    }
+
+    private void cancel(Work work) {
+        if (!work.isCancelled()) {
+            work.cancelled();
+            if (work.endpoint() != null) {
+                effects.add(new RequestEffect.Cancel(work.id(), work.attempt(), work.endpoint()));
+            }
+        }
+    }
+
+    /** Gives the final answer at once; a running attempt is followed to its end. */
+    private void refuse(Work work, ErrorCode code, long retryAfterMillis, String detail, long now) {
+        effects.add(refusal(work, code, work.verdict(), retryAfterMillis, detail));
+        work.answered();
+        if (work.step() != Work.Step.RUNNING) {
+            end(work, work.verdict(), now);
+        }
+    }
+
+    private static RequestEffect.Refuse refusal(
+            Work work, ErrorCode code, Verdict verdict, long retryAfterMillis, String detail) {
+        return new RequestEffect.Refuse(work.id(), code, verdict, retryAfterMillis, detail);
+    }
+
+    /** Forgets a request and gives back what it holds. */
+    private void end(Work work, Verdict verdict, long now) {
+        works.remove(work.id());
+        if (work.step() == Work.Step.QUEUE) {
+            queue.remove(work.spec());
+        }
+        if (work.step() == Work.Step.CLAIM) {
+            abandonClaim(work.id());
+        }
+        if (work.isClaimed() && verdict != Verdict.MAY_HAVE_RUN) {
+            effects.add(new RequestEffect.SettleClaim(work.id(), verdict));
+        }
+        if (work.hasTokensReserved()) {
+            admission.settle(work.id(), work.tokensToCharge(), now);
+        }
+    }
+
+    private void abandonClaim(String requestId) {
+        abandonedClaims.add(requestId);
+        if (abandonedClaims.size() > MAX_ABANDONED_CLAIMS) {
+            abandonedClaims.remove(abandonedClaims.iterator().next());
+        }
+    }
+
+    private List<RequestEffect> done(long now) {
+        dispatchWaiting(now);
+        List<RequestEffect> result = effects;
+        effects = new ArrayList<>();
+        return result;
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Work.java
@@ -0,0 +1,173 @@
+package org.gooseberryring.coordination.request;
+
+import org.gooseberryring.coordination.route.RouteChoice;
+import org.gooseberryring.coordination.route.RouteQuery;
+import org.gooseberryring.state.Verdict;
+
+/** Progress of one request between its arrival and the end of its last attempt. */
+final class Work {
+    /** Step that a request is at. */
+    enum Step {
+        /** Waits for the decision of the limiter. */
+        ADMISSION,
+        /** Waits for the answer to its claim. */
+        CLAIM,
+        /** Waits for an endpoint. */
+        QUEUE,
+        /** Runs at an endpoint or at a host of another failure domain. */
+        RUNNING
+    }
+
+    private final RequestSpec spec;
+    private final boolean relayed;
+    private Step step = Step.ADMISSION;
+    private boolean tokensReserved;
+    private boolean claimed;
+    private RouteChoice choice;
+    private RouteQuery query;
+    private int attempt;
+    private long dispatchedAt;
+    private long lossEpoch;
+    private boolean responseStarted;
+    private boolean cancelled;
+    private boolean answered;
+    private boolean mayHaveRun;
+    private long usedTokens;
+
+    Work(RequestSpec spec, boolean relayed) {
+        this.spec = spec;
+        this.relayed = relayed;
+    }
+
+    RequestSpec spec() {
+        return spec;
+    }
+
+    String id() {
+        return spec.id();
+    }
+
+    Step step() {
+        return step;
+    }
+
+    void step(Step next) {
+        step = next;
+    }
+
+    /** Returns whether another host has admitted and claimed it already. */
+    boolean isRelayed() {
+        return relayed;
+    }
+
+    boolean needsTokens() {
+        return !relayed && spec.organisation() != null && spec.costTokens() > 0;
+    }
+
+    boolean needsClaim() {
+        return !relayed && !spec.idempotent() && spec.idempotencyKey() != null && spec.organisation() != null;
+    }
+
+    void tokensReserved(boolean reserved) {
+        tokensReserved = reserved;
+    }
+
+    boolean hasTokensReserved() {
+        return tokensReserved;
+    }
+
+    void claimed(boolean granted) {
+        claimed = granted;
+    }
+
+    boolean isClaimed() {
+        return claimed;
+    }
+
+    /** Notes the choice of the router, which holds until the next event. */
+    void chosen(RouteChoice newChoice, RouteQuery newQuery) {
+        choice = newChoice;
+        query = newQuery;
+    }
+
+    RouteChoice choice() {
+        return choice;
+    }
+
+    RouteQuery query() {
+        return query;
+    }
+
+    void dispatched(long epoch, long now) {
+        step = Step.RUNNING;
+        attempt++;
+        dispatchedAt = now;
+        lossEpoch = epoch;
+        responseStarted = false;
+        cancelled = false;
+    }
+
+    int attempt() {
+        return attempt;
+    }
+
+    boolean isRunning(int ofAttempt) {
+        return step == Step.RUNNING && attempt == ofAttempt;
+    }
+
+    /** Returns the endpoint of the running attempt, or null if it was relayed. */
+    String endpoint() {
+        return choice.kind() == RouteChoice.Kind.ENDPOINT ? choice.id() : null;
+    }
+
+    long dispatchedAt() {
+        return dispatchedAt;
+    }
+
+    long lossEpoch() {
+        return lossEpoch;
+    }
+
+    void responseStarted() {
+        responseStarted = true;
+    }
+
+    boolean hasResponseStarted() {
+        return responseStarted;
+    }
+
+    void cancelled() {
+        cancelled = true;
+    }
+
+    boolean isCancelled() {
+        return cancelled;
+    }
+
+    /** Notes that the caller has its final answer or is gone; only the running attempt is left to end. */
+    void answered() {
+        answered = true;
+    }
+
+    boolean isAnswered() {
+        return answered;
+    }
+
+    void attemptEnded(AttemptOutcome outcome) {
+        mayHaveRun |= outcome.verdict() != Verdict.NOT_RUN;
+        usedTokens = Math.max(usedTokens, outcome.usedTokens());
+    }
+
+    /** Returns the verdict over all attempts; a running attempt may have run. */
+    Verdict verdict() {
+        return mayHaveRun || step == Step.RUNNING ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+    }
+
+    /** Returns the tokens to charge; all that was reserved if it may have run and the use is unknown. */
+    long tokensToCharge() {
+        if (!mayHaveRun) {
+            return 0;
+        }
+        return usedTokens == 0 ? spec.costTokens() : Math.min(usedTokens, spec.costTokens());
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/package-info.java
@@ -0,0 +1,2 @@
+/** Life of a caller's request from arrival to its single final answer. */
+package org.gooseberryring.coordination.request;
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/EndpointState.java
@@ -0,0 +1,209 @@
+package org.gooseberryring.coordination.route;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import org.gooseberryring.state.Artifact;
+import org.gooseberryring.state.Endpoint;
+import org.gooseberryring.state.EndpointKind;
+
+/** What this host knows of one endpoint of its failure domain. */
+final class EndpointState {
+    /** A plain service sends no load reports, so after a loss it is tried again after this time. */
+    private static final long SERVICE_RETRY_MILLIS = 1_000;
+
+    private static final long SERVICE_RETRY_MAX_MILLIS = 16_000;
+
+    private final String id;
+    private final RouteChoice choice;
+    private final InFlightHistory history = new InFlightHistory();
+    private final SlowStart slowStart;
+    private Endpoint configuration;
+    private EndpointCredits credits;
+    private Set<Artifact> placed = Set.of();
+    private Set<Artifact> loaded = Set.of();
+    private boolean domainIn;
+    private boolean lost;
+    private long lostAt = Long.MIN_VALUE;
+    private long lossEpoch;
+    private long retryAt;
+    private long retryMillis = SERVICE_RETRY_MILLIS;
+    private boolean reported;
+    private long incarnation;
+    private int reportedCapacity = Integer.MAX_VALUE;
+    private int othersRunning;
+    private int ownInFlight;
+    private boolean occupiedAlone;
+    private boolean removed;
+
+    EndpointState(Endpoint configuration, EndpointCredits credits) {
+        this.id = configuration.id();
+        this.choice = new RouteChoice(RouteChoice.Kind.ENDPOINT, id);
+        this.slowStart = new SlowStart(configuration.maxConcurrency());
+        this.configuration = configuration;
+        this.credits = credits;
+    }
+
+    void configured(Endpoint endpoint, EndpointCredits newCredits, Set<Artifact> newPlaced, boolean in) {
+        if (!endpoint.address().equals(configuration.address())) {
+            slowStart.restart();
+        }
+        removed = false;
+        configuration = endpoint;
+        credits = newCredits;
+        placed = newPlaced;
+        if (in && !domainIn) {
+            slowStart.restart();
+        }
+        domainIn = in;
+        slowStart.capacity(endpoint.maxConcurrency());
+    }
+
+    /** Takes it out for good; it is kept until its last request ended, so that credits are given back. */
+    void removed() {
+        removed = true;
+        domainIn = false;
+    }
+
+    /** Takes over a load report; returns whether the set of loaded artifacts changed. */
+    boolean reported(long newIncarnation, int running, int capacity, Set<Artifact> newLoaded, long sampledAt) {
+        if (lost && sampledAt <= lostAt) {
+            return false;
+        }
+        if (lost || reported && newIncarnation != incarnation) {
+            slowStart.restart();
+        }
+        lost = false;
+        reported = true;
+        incarnation = newIncarnation;
+        reportedCapacity = capacity > 0 ? capacity : Integer.MAX_VALUE;
+        othersRunning = Math.max(0, running - history.at(sampledAt));
+        boolean changed = !loaded.equals(newLoaded);
+        if (changed) {
+            loaded = new HashSet<>(newLoaded);
+        }
+        return changed;
+    }
+
+    void started(boolean alone, long now) {
+        credits.acquire(now);
+        ownInFlight++;
+        occupiedAlone |= alone;
+        history.record(ownInFlight, now);
+    }
+
+    void ended(boolean alone, long now) {
+        credits.release(now);
+        ownInFlight = Math.max(0, ownInFlight - 1);
+        if (alone) {
+            occupiedAlone = false;
+        }
+        history.record(ownInFlight, now);
+    }
+
+    void succeeded(long firstTokenMillis) {
+        retryMillis = SERVICE_RETRY_MILLIS;
+        slowStart.succeeded(firstTokenMillis);
+    }
+
+    void failed() {
+        slowStart.failed();
+    }
+
+    /** Takes the endpoint out because of a loss that is not known yet; other reports of the same loss are ignored. */
+    void lost(long epochAtDispatch, long now) {
+        if (epochAtDispatch != lossEpoch) {
+            return;
+        }
+        lossEpoch++;
+        retryAt = now + retryMillis;
+        retryMillis = Math.min(SERVICE_RETRY_MAX_MILLIS, retryMillis * 2);
+        lost = true;
+        lostAt = now;
+        othersRunning = 0;
+        slowStart.restart();
+    }
+
+    long lossEpoch() {
+        return lossEpoch;
+    }
+
+    /** Lets a lost plain service be tried again; returns whether it may be tried now. */
+    boolean retryDue(long now) {
+        if (lost && configuration.kind() == EndpointKind.SERVICE && now >= retryAt) {
+            lost = false;
+            return true;
+        }
+        return false;
+    }
+
+    /** Returns whether it may serve requests at all, whatever its load. */
+    boolean inService() {
+        return domainIn && !configuration.leaving() && !lost;
+    }
+
+    boolean hasRoom(boolean alone, long now) {
+        return inService() && hasRoomButCredits(alone) && credits.available(now);
+    }
+
+    /** Returns whether only a credit is missing. */
+    boolean lacksOnlyCredit(boolean alone, long now) {
+        return inService() && hasRoomButCredits(alone) && !credits.available(now);
+    }
+
+    void wantCredit(long now) {
+        credits.want(now);
+    }
+
+    boolean holds(Artifact artifact) {
+        return loaded.contains(artifact);
+    }
+
+    boolean isPlaced(Artifact artifact) {
+        return placed.contains(artifact);
+    }
+
+    Set<Artifact> loaded() {
+        return loaded;
+    }
+
+    int load() {
+        return ownInFlight + othersRunning;
+    }
+
+    /** Returns the share of the concurrency that is taken, as far as this host knows. */
+    double utilisation() {
+        return (double) load() / concurrency();
+    }
+
+    int concurrency() {
+        return Math.max(1, Math.min(configuration.maxConcurrency(), reportedCapacity));
+    }
+
+    String id() {
+        return id;
+    }
+
+    RouteChoice choice() {
+        return choice;
+    }
+
+    boolean isRemoved() {
+        return removed;
+    }
+
+    int ownInFlight() {
+        return ownInFlight;
+    }
+
+    int slowStartLimit() {
+        return slowStart.limit();
+    }
+
+    private boolean hasRoomButCredits(boolean alone) {
+        if (occupiedAlone || alone && load() > 0) {
+            return false;
+        }
+        return ownInFlight < slowStart.limit() && load() < concurrency();
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/Router.java
@@ -0,0 +1,319 @@
+package org.gooseberryring.coordination.route;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+import org.gooseberryring.coordination.request.Target;
+import org.gooseberryring.state.Artifact;
+import org.gooseberryring.state.Endpoint;
+import org.gooseberryring.state.FailureDomain;
+import org.gooseberryring.state.FleetConfiguration;
+import org.gooseberryring.state.ServiceRoute;
+
+/**
+ * Chooses the endpoint that a request is sent to.
+ *
+ * <p>It knows every endpoint of its own failure domain and a summary of the others. All methods are called from one
+ * thread.
+ */
+public final class Router {
+    /** About 1 MB; at 50 requests/s a host meets its prefixes again within minutes or not at all. */
+    private static final int AFFINITY_ENTRIES = 1 << 16;
+
+    private final String failureDomain;
+    private final Random random;
+    private final CreditSource creditSource;
+    private final Map<String, EndpointState> endpoints = new LinkedHashMap<>();
+    private final Map<Artifact, Replicas> byArtifact = new HashMap<>();
+    private final Map<String, Replicas> byService = new HashMap<>();
+    private final Map<String, List<ReplicaSet>> serviceSetsOf = new HashMap<>();
+    private final RemoteDomains remote = new RemoteDomains();
+    private final PrefixAffinity affinity = new PrefixAffinity(AFFINITY_ENTRIES);
+
+    /**
+     * Creates a router without any endpoint.
+     *
+     * @param failureDomain failure domain of this host
+     * @param random source of random choices, seeded by the caller
+     * @param creditSource concurrency credits of endpoints
+     */
+    public Router(String failureDomain, Random random, CreditSource creditSource) {
+        this.failureDomain = failureDomain;
+        this.random = random;
+        this.creditSource = creditSource;
+    }
+
+    /** Takes over a configuration. */
+    public void configured(FleetConfiguration configuration, long now) {
+        Set<String> domainsIn = new HashSet<>();
+        for (FailureDomain domain : configuration.failureDomains().values()) {
+            if (domain.in()) {
+                domainsIn.add(domain.id());
+            }
+        }
+        configureEndpoints(configuration, domainsIn.contains(failureDomain));
+        configureServices(configuration);
+        rebuildAll();
+        domainsIn.remove(failureDomain);
+        remote.configured(domainsIn);
+    }
+
+    /**
+     * Takes over a load report.
+     *
+     * @param endpoint endpoint that it is about; unknown ones are ignored
+     * @param incarnation number that differs after each restart
+     * @param running requests that run
+     * @param waiting requests that wait in the endpoint
+     * @param capacity requests that it can run at once now, 0 if unknown
+     * @param loaded artifacts that are loaded
+     * @param ageMillis age of the figures
+     * @param now monotonic time in milliseconds
+     */
+    public void loadReported(
+            String endpoint,
+            long incarnation,
+            int running,
+            int waiting,
+            int capacity,
+            Set<Artifact> loaded,
+            long ageMillis,
+            long now) {
+        EndpointState state = endpoints.get(endpoint);
+        if (state == null) {
+            return;
+        }
+        Set<Artifact> before = state.loaded();
+        if (state.reported(incarnation, running + waiting, capacity, loaded, now - ageMillis)) {
+            before.stream().filter(artifact -> !loaded.contains(artifact)).forEach(this::rebuild);
+            loaded.stream().filter(artifact -> !before.contains(artifact)).forEach(this::rebuild);
+        }
+        freed(state);
+    }
+
+    /** Takes over the summary of another failure domain; an older sequence number is ignored. */
+    public void domainSummary(String domain, long sequence, List<ArtifactLoad> loads, long now) {
+        if (!domain.equals(failureDomain)) {
+            remote.summary(domain, sequence, loads, now);
+        }
+    }
+
+    /** Drops the affinity for an endpoint whose cache events have a gap. */
+    public void cacheEventsLost(String endpoint) {
+        affinity.forget(endpoint);
+    }
+
+    /** Notes that an endpoint holds a prompt prefix, as its cache events say. */
+    public void prefixCached(long prefixHash, String endpoint) {
+        affinity.remember(prefixHash, endpoint);
+    }
+
+    /** Notes that credits of an endpoint arrived. */
+    public void creditsArrived(String endpoint) {
+        EndpointState state = endpoints.get(endpoint);
+        if (state != null) {
+            freed(state);
+        }
+    }
+
+    /** Chooses where to send a request; it changes nothing but the demand for credits. */
+    public RouteChoice choose(RouteQuery query, long now) {
+        Replicas replicas = replicasOf(query.target());
+        ReplicaSet set = replicas == null ? null : replicas.inService();
+        if (set != null) {
+            EndpointState chosen = set.choose(hint(query), query.prefixHash(), query.alone(), random, now);
+            if (chosen != null) {
+                return chosen.choice();
+            }
+            set.wantCredit(query.alone(), random, now);
+            return RouteChoice.WAIT;
+        }
+        if (!query.relayed() && query.target() instanceof Target.ModelTarget model) {
+            RouteChoice relay = remote.choose(model.artifact(), random, now);
+            return relay == null ? RouteChoice.UNREACHABLE : relay;
+        }
+        return RouteChoice.UNREACHABLE;
+    }
+
+    /** Counts a request that is sent to an endpoint. */
+    public void started(String endpoint, RouteQuery query, long now) {
+        EndpointState state = endpoints.get(endpoint);
+        if (state != null) {
+            state.started(query.alone(), now);
+            affinity.remember(query.prefixHash(), endpoint);
+        }
+    }
+
+    /** Counts a request that ended at an endpoint, however it ended. */
+    public void ended(String endpoint, RouteQuery query, long now) {
+        EndpointState state = endpoints.get(endpoint);
+        if (state != null) {
+            state.ended(query.alone(), now);
+            if (state.isRemoved() && state.ownInFlight() == 0) {
+                endpoints.remove(endpoint);
+            }
+            freed(state);
+        }
+    }
+
+    /** Counts a complete answer towards the slow start of an endpoint. */
+    public void succeeded(String endpoint, long firstTokenMillis) {
+        EndpointState state = endpoints.get(endpoint);
+        if (state != null) {
+            state.succeeded(firstTokenMillis);
+            freed(state);
+        }
+    }
+
+    /** Counts an attempt that failed though the endpoint lives. */
+    public void failed(String endpoint) {
+        EndpointState state = endpoints.get(endpoint);
+        if (state != null) {
+            state.failed();
+        }
+    }
+
+    /** Returns the number of losses of an endpoint so far, to be kept with each request sent to it. */
+    public long lossEpoch(String endpoint) {
+        EndpointState state = endpoints.get(endpoint);
+        return state == null ? 0 : state.lossEpoch();
+    }
+
+    /**
+     * Takes an endpoint out until it reports again, because its connection broke.
+     *
+     * @param endpoint endpoint that was lost
+     * @param epochAtDispatch loss epoch when the request that saw the loss was sent; the loss is ignored if it is known
+     * @param now monotonic time in milliseconds
+     */
+    public void lost(String endpoint, long epochAtDispatch, long now) {
+        EndpointState state = endpoints.get(endpoint);
+        if (state != null) {
+            state.lost(epochAtDispatch, now);
+            affinity.forget(endpoint);
+        }
+    }
+
+    /** Lets lost plain services be tried again; returns whether any may be. */
+    public boolean tick(long now) {
+        boolean any = false;
+        for (EndpointState state : endpoints.values()) {
+            if (state.retryDue(now)) {
+                freed(state);
+                any = true;
+            }
+        }
+        return any;
+    }
+
+    /** Returns the requests of this host in flight at an endpoint. */
+    public int inFlight(String endpoint) {
+        EndpointState state = endpoints.get(endpoint);
+        return state == null ? 0 : state.ownInFlight();
+    }
+
+    /** Returns the concurrent requests that slow start allows at an endpoint, 0 if it is unknown. */
+    public int slowStartLimit(String endpoint) {
+        EndpointState state = endpoints.get(endpoint);
+        return state == null ? 0 : state.slowStartLimit();
+    }
+
+    private void configureEndpoints(FleetConfiguration configuration, boolean domainIn) {
+        Set<String> gone = new HashSet<>(endpoints.keySet());
+        for (Endpoint endpoint : configuration.endpoints().values()) {
+            if (!endpoint.failureDomain().equals(failureDomain)) {
+                continue;
+            }
+            gone.remove(endpoint.id());
+            EndpointCredits credits = creditSource.of(endpoint);
+            EndpointState state = endpoints.computeIfAbsent(endpoint.id(), id -> new EndpointState(endpoint, credits));
+            List<Artifact> placed = configuration.placements().getOrDefault(endpoint.id(), List.of());
+            state.configured(endpoint, credits, new HashSet<>(placed), domainIn);
+        }
+        for (String id : gone) {
+            affinity.remove(id);
+            EndpointState state = endpoints.get(id);
+            state.removed();
+            if (state.ownInFlight() == 0) {
+                endpoints.remove(id);
+            }
+        }
+    }
+
+    private void configureServices(FleetConfiguration configuration) {
+        byService.clear();
+        serviceSetsOf.clear();
+        for (ServiceRoute service : configuration.services().values()) {
+            ReplicaSet set = new ReplicaSet();
+            List<EndpointState> states = new ArrayList<>();
+            for (String id : service.endpoints()) {
+                EndpointState state = endpoints.get(id);
+                if (state != null) {
+                    states.add(state);
+                    serviceSetsOf.computeIfAbsent(id, key -> new ArrayList<>()).add(set);
+                }
+            }
+            set.replace(states);
+            byService.put(service.id(), new Replicas(set, new ReplicaSet()));
+        }
+    }
+
+    private void rebuildAll() {
+        Map<Artifact, List<EndpointState>> holders = new HashMap<>();
+        for (EndpointState state : endpoints.values()) {
+            for (Artifact artifact : state.loaded()) {
+                holders.computeIfAbsent(artifact, key -> new ArrayList<>()).add(state);
+            }
+        }
+        byArtifact.clear();
+        holders.forEach((artifact, states) -> byArtifact.put(artifact, Replicas.of(artifact, states)));
+    }
+
+    private void rebuild(Artifact artifact) {
+        List<EndpointState> states = new ArrayList<>();
+        for (EndpointState state : endpoints.values()) {
+            if (state.holds(artifact)) {
+                states.add(state);
+            }
+        }
+        if (states.isEmpty()) {
+            byArtifact.remove(artifact);
+        } else {
+            byArtifact.put(artifact, Replicas.of(artifact, states));
+        }
+    }
+
+    private Replicas replicasOf(Target target) {
+        if (target instanceof Target.ModelTarget model) {
+            return byArtifact.get(model.artifact());
+        }
+        return byService.get(((Target.ServiceTarget) target).service());
+    }
+
+    private EndpointState hint(RouteQuery query) {
+        if (query.prefixHash() == 0 || !(query.target() instanceof Target.ModelTarget model)) {
+            return null;
+        }
+        String id = affinity.find(query.prefixHash());
+        EndpointState state = id == null ? null : endpoints.get(id);
+        return state != null && state.holds(model.artifact()) ? state : null;
+    }
+
+    private void freed(EndpointState state) {
+        for (Artifact artifact : state.loaded()) {
+            Replicas replicas = byArtifact.get(artifact);
+            if (replicas != null) {
+                replicas.freed(state, state.isPlaced(artifact));
+            }
+        }
+        for (ReplicaSet set : serviceSetsOf.getOrDefault(state.id(), List.of())) {
+            set.freed(state);
+        }
+    }
+}
