--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -87,7 +87,7 @@
         this.maxRunMillis = maxRunMillis;
     }
 
-    /** A caller's request arrived and its key is valid. */
+    /** A caller's request arrived and its key is valid; it is ignored if a request with its identifier is open. */
     public List<RequestEffect> arrived(RequestSpec spec, long now) {
         return begin(new Work(spec, false), now);
     }
