--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/HttpCall.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/HttpCall.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
@@ -41,13 +42,21 @@
     }
 
     CompletableFuture<HttpResult> start(XnioIoThread thread) {
-        thread.execute(() -> connector.acquire(thread, authority, false, this::connected));
+        try {
+            thread.execute(() -> connector.acquire(thread, authority, false, this::connected));
+        } catch (RejectedExecutionException e) {
+            end("The I/O threads have stopped", e);
+        }
         return result;
     }
 
     /** Ends the call with a failure and closes its connection, because a late answer must reach nobody else. */
     void fail(XnioIoThread thread, String message, Throwable cause) {
-        thread.execute(() -> end(message, cause));
+        try {
+            thread.execute(() -> end(message, cause));
+        } catch (RejectedExecutionException e) {
+            result.completeExceptionally(new HttpCallException("The I/O threads have stopped", sent, e));
+        }
     }
 
     private void connected(ClientConnection opened, IOException failure) {
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/HttpCaller.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/HttpCaller.java
@@ -11,6 +11,7 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
 /** Makes short HTTP calls over reused connections. */
@@ -65,7 +66,7 @@
         XnioIoThread thread = thread(uri);
         HttpCall call = prepare(method, uri, headers, body);
         CompletableFuture<HttpResult> future = call.start(thread);
-        var timer = thread.executeAfter(
+        XnioExecutor.Key timer = thread.executeAfter(
                 () -> call.fail(thread, "No answer from " + uri.getAuthority() + " in " + timeoutMillis + " ms", null),
                 timeoutMillis,
                 TimeUnit.MILLISECONDS);
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/store/HttpObjectStore.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/store/HttpObjectStore.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.gooseberryring.coordination.store.StoreOutcome;
 import org.gooseberryring.coordination.store.StoreReply;
@@ -24,7 +25,8 @@
     private static final int NOT_FOUND = 404;
     private static final int PRECONDITION_FAILED = 412;
     private static final int OK_END = 300;
-    private static final int SERVICE_UNAVAILABLE = 503;
+    // Bad request, value too large, condition missing, rate exceeded, service unavailable: refused before any effect.
+    private static final Set<Integer> CERTAIN = Set.of(400, 413, 428, 429, 503);
 
     private final HttpCaller caller;
     private final URI base;
@@ -61,7 +63,7 @@
                 return new StoreReply(key, StoreOutcome.CONFLICT, version(result), null);
             }
             // Any other answer, such as a gateway's 500 or 504, does not say whether the write took effect.
-            boolean certain = result.status() == SERVICE_UNAVAILABLE;
+            boolean certain = CERTAIN.contains(result.status());
             return failed(key, certain ? StoreOutcome.UNAVAILABLE : StoreOutcome.UNKNOWN);
         } catch (HttpCallException e) {
             return failed(key, e.mayHaveBeenSent() ? StoreOutcome.UNKNOWN : StoreOutcome.UNAVAILABLE);
