Read plans, refusals and the configuration as the administration interface writes them

GET /admin/v1/configuration answers the configuration itself, refusals list their faults with path and reason, and POST /admin/v1/plan takes a change request. A refused row of a sheet is named by its line in the file, since planners see lines and not indexes.

--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/admin/AdminClient.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/admin/AdminClient.java
@@ -8,8 +8,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.gooseberryring.ctl.CtlException;
 import org.gooseberryring.ctl.ExitCode;
-import org.gooseberryring.protocol.ConfigurationDocument;
 import org.gooseberryring.protocol.Json;
+import org.gooseberryring.state.FleetConfiguration;
 import org.gooseberryring.state.GooseberryringException;
 
 /** Calls the administration interface, trying the addresses in turn. */
@@ -37,12 +37,12 @@
         this.pause = pause;
     }
 
-    /** Reads the configuration with its revision. */
-    public ConfigurationDocument configuration() {
+    /** Reads the configuration that a host follows. */
+    public FleetConfiguration configuration() {
         HttpAnswer answer =
                 accepted(send("GET", "/admin/v1/configuration", Map.of(), null).answer());
         try {
-            return Json.read(answer.body(), ConfigurationDocument.class);
+            return Json.read(answer.body(), FleetConfiguration.class);
         } catch (GooseberryringException e) {
             throw new CtlException(
                     ExitCode.UNREACHABLE, "The host answered with an unreadable configuration: " + e.getMessage());
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/admin/ChangeSubmitter.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/admin/ChangeSubmitter.java
@@ -9,9 +9,7 @@
 import org.gooseberryring.ctl.CtlException;
 import org.gooseberryring.ctl.ExitCode;
 import org.gooseberryring.protocol.ChangeRequest;
-import org.gooseberryring.protocol.ConfigurationDocument;
 import org.gooseberryring.protocol.Json;
-import org.gooseberryring.state.ChangeRecord;
 import org.gooseberryring.state.FleetConfiguration;
 
 /**
@@ -41,36 +39,32 @@
      */
     public long submit(
             ChangeRequest request, String changeId, BiPredicate<FleetConfiguration, FleetConfiguration> sameBasis) {
-        ConfigurationDocument basis = client.configuration();
+        FleetConfiguration basis = client.configuration();
         byte[] body = Json.write(request);
         for (int rebases = 0; ; rebases++) {
-            FleetConfiguration configuration = basis.configuration();
-            long revision = configuration.revision();
+            long revision = basis.revision();
             AdminClient.Sent sent = client.send("POST", CHANGES, headers(changeId, revision), body);
             if (sent.answer().status() != CONFLICT) {
                 return revision(AdminClient.accepted(sent.answer()));
             }
-            basis = client.configuration();
             if (sent.earlierMayHaveRun()) {
-                Long applied = appliedRevision(changeId, revision, basis);
+                Long applied = appliedRevision(changeId, revision);
                 if (applied != null) {
                     return applied;
                 }
             }
-            if (rebases == MAX_REBASES || !sameBasis.test(configuration, basis.configuration())) {
+            FleetConfiguration now = client.configuration();
+            if (rebases == MAX_REBASES || now.revision() <= revision || !sameBasis.test(basis, now)) {
                 throw new CtlException(
                         ExitCode.CONFLICT,
-                        "The configuration changed since revision " + revision + "; it is at revision "
-                                + basis.configuration().revision() + " now. Nothing was changed.");
+                        "The configuration changed since revision " + revision + "; it is at revision " + now.revision()
+                                + " now. Nothing was changed.");
             }
+            basis = now;
         }
     }
 
-    private Long appliedRevision(String changeId, long after, ConfigurationDocument now) {
-        ChangeRecord last = now.lastChange();
-        if (last != null && last.changeId().equals(changeId) && last.accepted()) {
-            return last.revision();
-        }
+    private Long appliedRevision(String changeId, long after) {
         for (JsonNode entry : records(client.get(AUDIT + after))) {
             boolean own = entry.path("changeId").asText().equals(changeId);
             if (own && entry.path("accepted").asBoolean()) {
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/admin/Problems.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/admin/Problems.java
@@ -26,23 +26,15 @@
         lines.add("status " + answer.status()
                 + (code.isEmpty() ? "" : " " + code)
                 + (detail.isEmpty() ? "" : ": " + detail));
-        lines.addAll(errors(problem));
+        lines.addAll(faults(problem));
         return String.join("\n", lines);
     }
 
-    /** Returns a line for each entry of the field {@code errors}. */
-    public static List<String> errors(JsonNode problem) {
+    private static List<String> faults(JsonNode problem) {
         List<String> lines = new ArrayList<>();
-        for (JsonNode error : problem.path("errors")) {
-            if (error.isTextual()) {
-                lines.add("  " + error.asText());
-            } else {
-                String path = error.path("path").asText("");
-                String reason =
-                        error.path("message").asText(error.path("reason").asText(""));
-                lines.add("  " + path + ": " + reason);
-            }
-        }
+        problem.path("faults")
+                .forEach(fault -> lines.add("  " + fault.path("path").asText() + ": "
+                        + fault.path("reason").asText()));
         return lines;
     }
 
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/SheetCommand.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/SheetCommand.java
@@ -1,6 +1,7 @@
 package org.gooseberryring.ctl.command;
 
 import java.util.List;
+import java.util.regex.Pattern;
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
@@ -15,21 +16,37 @@
 import org.gooseberryring.protocol.ChangeRequest;
 import org.gooseberryring.protocol.Json;
 import org.gooseberryring.state.Change;
+import org.gooseberryring.state.FleetConfiguration;
 
 /** Commands on the planners' sheet. */
 final class SheetCommand {
     private static final String PLAN = "/admin/v1/plan";
+    private static final Pattern ROW = Pattern.compile("(?:changes\\[0]\\.)?rows\\[([0-9]{1,6})]");
 
     private SheetCommand() {}
 
-    private static Change.ReplaceSheet change(String file) {
+    private static SheetFile read(String file) {
         SheetFile sheet = SheetReader.read(InputFile.read(file));
         if (!sheet.valid()) {
             StringBuilder message = new StringBuilder("The sheet " + file + " has faults; nothing was sent:");
             sheet.errors().forEach(error -> message.append("\n  ").append(error));
             throw new CtlException(ExitCode.BAD_INPUT, message.toString());
         }
-        return new Change.ReplaceSheet(sheet.rows());
+        return sheet;
+    }
+
+    /** Names the lines of the file where the host names rows of the change. */
+    private static CtlException withLines(CtlException refusal, SheetFile sheet) {
+        String message = ROW.matcher(refusal.getMessage()).replaceAll(match -> {
+            int row = Integer.parseInt(match.group(1));
+            return row < sheet.lines().size() ? "line " + sheet.lines().get(row) : match.group();
+        });
+        return new CtlException(refusal.exitCode(), message);
+    }
+
+    /** The system changes placements by itself; only another operator's sheet or models make a conflict. */
+    private static boolean sameSheet(FleetConfiguration before, FleetConfiguration now) {
+        return before.sheet().equals(now.sheet()) && before.models().equals(now.models());
     }
 
     /** Shows what a sheet would change. */
@@ -43,11 +60,11 @@
 
         @Override
         public ExitCode run(Context context) {
-            Change.ReplaceSheet change = change(file);
-            ChangeRequest request = new ChangeRequest(null, null, List.of(change));
+            SheetFile sheet = read(file);
+            ChangeRequest request = new ChangeRequest(null, null, List.of(new Change.ReplaceSheet(sheet.rows())));
             HttpAnswer answer = options.client(context).post(PLAN, request);
             if (!answer.ok()) {
-                throw new CtlException(ExitCode.REFUSED, Problems.describe(answer));
+                throw withLines(new CtlException(ExitCode.REFUSED, Problems.describe(answer)), sheet);
             }
             JsonNode plan = Json.readTree(answer.body());
             if (options.json()) {
@@ -55,7 +72,7 @@
             } else {
                 context.console().print(JsonTable.render(plan));
             }
-            return plan.path("fits").asBoolean(true) ? ExitCode.DONE : ExitCode.REFUSED;
+            return ExitCode.DONE;
         }
 
         @Override
@@ -75,15 +92,14 @@
 
         @Override
         public ExitCode run(Context context) {
-            Change.ReplaceSheet change = change(file);
-            String done = "The sheet with " + change.rows().size() + " rows is accepted";
-            // The system changes placements by itself; only another operator's sheet or models make a conflict.
-            return options.submit(
-                    context,
-                    done,
-                    List.of(change),
-                    (before, now) -> before.sheet().equals(now.sheet())
-                            && before.models().equals(now.models()));
+            SheetFile sheet = read(file);
+            String done = "The sheet with " + sheet.rows().size() + " rows is accepted";
+            List<Change> changes = List.of(new Change.ReplaceSheet(sheet.rows()));
+            try {
+                return options.submit(context, done, changes, SheetCommand::sameSheet);
+            } catch (CtlException e) {
+                throw withLines(e, sheet);
+            }
         }
 
         @Override
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/sheet/SheetReader.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/sheet/SheetReader.java
@@ -7,9 +7,9 @@
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -38,7 +38,7 @@
 
     private final List<SheetRow> rows = new ArrayList<>();
     private final List<SheetError> errors = new ArrayList<>();
-    private final Map<Artifact, Long> lines = new HashMap<>();
+    private final Map<Artifact, Long> lines = new LinkedHashMap<>();
 
     private SheetReader() {}
 
@@ -54,7 +54,7 @@
         } catch (CharacterCodingException e) {
             reader.error(1, "", "the file is not UTF-8 text");
         }
-        return new SheetFile(reader.rows, reader.errors);
+        return new SheetFile(reader.rows, List.copyOf(reader.lines.values()), reader.errors);
     }
 
     private void readText(String text) {
