Add the launchers and the demonstration fleet

bin/gooseberryctl and bin/gooseberryring build the programs on first use and run them. bin/gooseberryctl demo starts the stand-ins and one host in each of three failure domains from the shell, since a process of the system starts no other process; it ends only the processes that it started.

The stand-ins take free ports themselves and report them. The hosts' ports are picked beforehand, because their settings name each other.

The files and the commands are covered by the build of the module only.

--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/CommandLine.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/CommandLine.java
@@ -9,6 +9,10 @@
 import com.beust.jcommander.Parameters;
 import org.gooseberryring.ctl.CtlException;
 import org.gooseberryring.ctl.ExitCode;
+import org.gooseberryring.ctl.demo.DemoCommand;
+import org.gooseberryring.ctl.demo.DemoPrepareCommand;
+import org.gooseberryring.ctl.demo.DemoTryCommand;
+import org.gooseberryring.ctl.demo.DemoWaitCommand;
 
 /** Finds the command that the arguments name and runs it. */
 public final class CommandLine {
@@ -81,6 +85,10 @@
         commander.addCommand("apply", new ApplyCommand());
         commander.addCommand("status", new StatusCommand());
         commander.addCommand("audit", new AuditCommand());
+        commander.addCommand("demo", new DemoCommand());
+        commander.addCommand("demo-prepare", new DemoPrepareCommand());
+        commander.addCommand("demo-wait", new DemoWaitCommand());
+        commander.addCommand("demo-try", new DemoTryCommand());
         return commander;
     }
 
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/KeyCommand.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/KeyCommand.java
@@ -1,9 +1,6 @@
 package org.gooseberryring.ctl.command;
 
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.regex.Pattern;
 
@@ -20,15 +17,6 @@
 
     private KeyCommand() {}
 
-    static String digest(String key) {
-        try {
-            byte[] digest = MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
-            return HexFormat.of().formatHex(digest);
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("SHA-256 is missing", e);
-        }
-    }
-
     /** Issues a key. */
     @Parameters(commandDescription = "Issues a key and prints it once; only its digest is sent and stored")
     static final class Issue implements Command {
@@ -44,7 +32,7 @@
         @Override
         public ExitCode run(Context context) {
             String key = context.keys().get();
-            String digest = digest(key);
+            String digest = KeyDigest.of(key);
             // If the answer is lost the key may exist; the digest is what it takes to withdraw it.
             context.console().error("event=key-created digest=" + digest);
             options.submit(
@@ -83,7 +71,7 @@
             if (value.isEmpty()) {
                 throw new CtlException(ExitCode.BAD_INPUT, "No key was given");
             }
-            String digest = DIGEST.matcher(value).matches() ? value : digest(value);
+            String digest = DIGEST.matcher(value).matches() ? value : KeyDigest.of(value);
             return options.submit(
                     context,
                     "The key with digest " + digest + " is withdrawn",
--- /dev/null
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/demo/package-info.java
@@ -0,0 +1,2 @@
+/** Files and requests of the demonstration fleet. */
+package org.gooseberryring.ctl.demo;
--- a/gooseberryring-ctl/src/test/java/org/gooseberryring/ctl/command/CommandLineTest.java
+++ b/gooseberryring-ctl/src/test/java/org/gooseberryring/ctl/command/CommandLineTest.java
@@ -85,7 +85,7 @@
         assertThat(run("key", "issue", "acme", "--label", "till", ADMIN)).isEqualTo(ExitCode.DONE);
 
         assertThat(String.join("", host.requests)).doesNotContain(KEY);
-        assertThat(String.join("", host.requests)).contains(KeyCommand.digest(KEY));
+        assertThat(String.join("", host.requests)).contains(KeyDigest.of(KEY));
         assertThat(text(out)).contains(KEY);
         assertThat(text(err)).doesNotContain(KEY);
     }
