Run the request engine, the token limits and load reports on the host

The request engine and the token wallet share the request thread; the keeper and the allotment ledger run on the control thread and talk to other hosts over the peer links.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/Host.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/Host.java
@@ -1,7 +1,12 @@
 package org.gooseberryring.host;
 
 import java.net.InetSocketAddress;
-import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
@@ -9,28 +14,53 @@
 import java.util.concurrent.TimeUnit;
 
 import io.undertow.server.handlers.BlockingHandler;
+import org.gooseberryring.coordination.config.ConfigurationEditor;
+import org.gooseberryring.coordination.limit.KeeperIdentity;
+import org.gooseberryring.coordination.limit.LimitSettings;
+import org.gooseberryring.coordination.limit.TokenWallet;
+import org.gooseberryring.coordination.placement.Planner;
+import org.gooseberryring.coordination.request.FifoRequestQueue;
+import org.gooseberryring.coordination.request.RequestEngine;
+import org.gooseberryring.coordination.retry.CrashSuspects;
+import org.gooseberryring.coordination.retry.RetryBudget;
+import org.gooseberryring.coordination.retry.RetryPolicy;
+import org.gooseberryring.coordination.route.Router;
+import org.gooseberryring.coordination.route.UnsharedCredits;
 import org.gooseberryring.host.admin.AdminHandler;
 import org.gooseberryring.host.admin.OperatorAuthenticator;
 import org.gooseberryring.host.admin.StatusDocument;
 import org.gooseberryring.host.caller.Authenticator;
 import org.gooseberryring.host.caller.CallerEffects;
 import org.gooseberryring.host.caller.CallerHandler;
-import org.gooseberryring.host.caller.LocalLinks;
 import org.gooseberryring.host.caller.OpenRequests;
 import org.gooseberryring.host.caller.RequestIds;
 import org.gooseberryring.host.config.AuditTrail;
 import org.gooseberryring.host.config.ConfigurationChanger;
 import org.gooseberryring.host.config.ConfigurationFollower;
 import org.gooseberryring.host.config.ConfigurationHolder;
-import org.gooseberryring.host.config.SimpleEditor;
-import org.gooseberryring.host.engine.MinimalEngine;
+import org.gooseberryring.host.control.ControlLoop;
+import org.gooseberryring.host.control.JsonAllotmentCodec;
+import org.gooseberryring.host.control.LimitControl;
+import org.gooseberryring.host.control.StoreLanes;
 import org.gooseberryring.host.engine.RequestLoop;
+import org.gooseberryring.host.fleet.HostDirectory;
+import org.gooseberryring.host.fleet.LoadPoller;
 import org.gooseberryring.host.log.LogLine;
+import org.gooseberryring.host.peer.PeerEffectLinks;
+import org.gooseberryring.host.peer.PeerInbox;
+import org.gooseberryring.host.peer.TokenRoutes;
 import org.gooseberryring.host.settings.HostSettings;
+import org.gooseberryring.protocol.HostEntry;
+import org.gooseberryring.protocol.LoadReport;
+import org.gooseberryring.protocol.peer.PeerMessage;
+import org.gooseberryring.state.Artifact;
+import org.gooseberryring.state.FleetConfiguration;
 import org.gooseberryring.transport.endpoint.EndpointClient;
 import org.gooseberryring.transport.endpoint.EndpointLimits;
 import org.gooseberryring.transport.http.HttpCaller;
 import org.gooseberryring.transport.http.HttpWorker;
+import org.gooseberryring.transport.peer.PeerLimits;
+import org.gooseberryring.transport.peer.PeerLinks;
 import org.gooseberryring.transport.store.HttpObjectStore;
 import org.gooseberryring.transport.store.ObjectStore;
 import org.jboss.logging.Logger;
@@ -43,59 +73,84 @@
     private static final int ADMIN_CONNECTIONS = 256;
     private static final int MAX_RECORDED_BYTES = 64 * 1024;
     private static final long TICK_MILLIS = 10;
+    private static final long MILLIS_PER_SECOND = 1000;
+    private static final long MAX_RUN_MILLIS = 600_000;
+    private static final long HAND_OVER_MILLIS = 5000;
 
     private final HostSettings settings;
     private final HostClock clock = new HostClock();
-    private final long incarnation = new SecureRandom().nextLong();
-    private final HttpWorker worker;
+    // A later process of the host has a higher number as long as the wall clock does not go back.
+    private final long incarnation = clock.wallMillis();
+    private final HostMetrics metrics = new HostMetrics();
     private final ConfigurationHolder holder = new ConfigurationHolder();
-    private final ConfigurationFollower follower;
-    private final Authenticator authenticator;
+    private final CountDownLatch closed = new CountDownLatch(1);
+    private final HttpWorker worker;
+    private final HttpCaller caller;
+    private final ObjectStore store;
+    private final StoreLanes lanes;
+    private final ControlLoop control;
     private final OpenRequests open;
+    private final Authenticator authenticator;
+    private final PeerLinks peers;
+    private final InetSocketAddress peerAddress;
+    private final HostDirectory directory;
+    private final LoadPoller loads;
+    private final LimitControl limits;
     private final RequestLoop loop;
-    private final HostMetrics metrics = new HostMetrics();
+    private final ConfigurationFollower follower;
     private final ScheduledExecutorService timer;
     private final HttpListener callers;
     private final HttpListener admin;
-    private final CountDownLatch closed = new CountDownLatch(1);
 
     private Host(HostSettings settings) {
         this.settings = settings;
+        HostSettings.Limits bounds = settings.limits();
         int ioThreads = Math.min(MAX_IO_THREADS, Runtime.getRuntime().availableProcessors());
         worker = HttpWorker.start(settings.hostId(), ioThreads, TASK_THREADS);
-        HttpCaller caller = new HttpCaller(worker);
-        HostSettings.Timeouts timeouts = settings.timeouts();
-        ObjectStore store = new HttpObjectStore(caller, settings.platformUri(), timeouts.storeMillis());
-        open = new OpenRequests(settings.limits().maxOpenRequests());
+        caller = new HttpCaller(worker);
+        store = new HttpObjectStore(
+                caller, settings.platformUri(), settings.timeouts().storeMillis());
+        lanes = new StoreLanes(store, bounds.storeRingSize());
+        control = new ControlLoop(bounds.controlRingSize(), clock::now);
+        open = new OpenRequests(bounds.maxOpenRequests());
         authenticator = new Authenticator(holder, settings.keyGraceSeconds(), clock::now);
-        CallerEffects effects = new CallerEffects(
-                open, holder, new EndpointClient(worker, endpointLimits()), metrics, new LocalLinks(caller));
-        loop = new RequestLoop(settings.limits().requestRingSize(), new MinimalEngine(), effects, clock::now);
-        effects.connect(loop);
-        holder.onAdopted(next -> loop.put((engine, now) -> engine.configured(next, now)));
-        follower = new ConfigurationFollower(store, holder, timeouts, clock::now, incarnation);
-        timer = Executors.newSingleThreadScheduledExecutor(r -> {
-            Thread thread = new Thread(r, "timer");
-            thread.setDaemon(true);
-            return thread;
-        });
-        RequestIds ids = new RequestIds(settings.hostId(), incarnation);
+
+        PeerInbox inbox = new PeerInbox(holder, this::sendToPeer);
+        peers = new PeerLinks(
+                settings.hostId(),
+                incarnation,
+                settings.peerSecret(),
+                PeerLimits.defaults(bounds.peerQueueFrames()),
+                inbox,
+                metrics.registry());
+        directory = new HostDirectory(settings.platformUri(), settings.hostId(), caller, this::hostsChanged);
+        loads = new LoadPoller(settings.failureDomain(), caller, this::loadReported, clock::now);
+        TokenRoutes tokens = new TokenRoutes(settings.hostId(), this::sendToPeer, control);
+        loop = requestLoop(tokens);
+        // The peer address is final only now, because the settings may leave the port to the system.
+        inbox.connect(tokens, loop);
+        peerAddress = peers.listen(settings.peerAddress());
+        limits = limitControl(tokens);
+        tokens.connect(loop, limits);
+        holder.onAdopted(this::configured);
+        follower = new ConfigurationFollower(store, holder, settings.timeouts(), clock::now, incarnation);
+        timer = Executors.newSingleThreadScheduledExecutor(Host::timerThread);
         registerGauges();
-        loop.start();
-        follower.start();
-        timer.scheduleAtFixedRate(
-                () -> loop.offer((engine, now) -> engine.tick(now)), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        control.onTick(limits::tick);
+        RequestIds ids = new RequestIds(settings.hostId(), incarnation);
+        startThreads();
         callers = HttpListener.start(
                 worker,
                 settings.callerAddress(),
-                settings.limits().maxConnections(),
+                bounds.maxConnections(),
                 new CallerHandler(settings, holder, authenticator, ids, open, loop, metrics, clock::now));
         admin = HttpListener.start(
-                worker, settings.adminAddress(), ADMIN_CONNECTIONS, new BlockingHandler(adminHandler(store, ids)));
+                worker, settings.adminAddress(), ADMIN_CONNECTIONS, new BlockingHandler(adminHandler(ids)));
         LogLine.event("host-started")
                 .with("host", settings.hostId())
                 .with("callers", callers.address())
                 .with("admin", admin.address())
+                .with("peers", peerAddress)
                 .info(LOG);
     }
 
@@ -114,13 +169,18 @@
         return admin.address();
     }
 
+    /** Returns the address of the peer links, with the port in use. */
+    public InetSocketAddress peerAddress() {
+        return peerAddress;
+    }
+
     public ConfigurationHolder configuration() {
         return holder;
     }
 
     /** Returns whether the host takes new requests. */
     public boolean ready() {
-        return !open.draining() && holder.current().revision() > 0 && authenticator.fresh();
+        return !open.draining() && holder.current().revision() > 0 && authenticator.fresh() && limits.ready();
     }
 
     /** Finishes the requests in flight and stops; blocks for as long as the settings allow. */
@@ -130,8 +190,12 @@
         try {
             closed.await(settings.timeouts().drainNoticeMillis(), TimeUnit.MILLISECONDS);
             boolean done = open.awaitNone(settings.timeouts().drainLimitMillis());
+            loop.releaseTokens();
+            control.put(now -> limits.leave());
+            boolean handedOver = limits.awaitHandOver(HAND_OVER_MILLIS);
             LogLine.event("drain-ended")
                     .with("complete", done)
+                    .with("handedOver", handedOver)
                     .with("open", open.count())
                     .info(LOG);
         } catch (InterruptedException e) {
@@ -148,14 +212,113 @@
         timer.shutdownNow();
         callers.close();
         admin.close();
+        peers.close();
         loop.close();
+        control.close();
+        lanes.close();
         worker.close();
     }
 
-    private AdminHandler adminHandler(ObjectStore store, RequestIds ids) {
+    private RequestLoop requestLoop(TokenRoutes tokens) {
+        TokenWallet wallet = new TokenWallet(settings.hostId(), incarnation, limitSettings());
+        RequestEngine engine = new RequestEngine(
+                wallet,
+                new FifoRequestQueue(settings.limits().maxOpenRequests()),
+                new Router(settings.failureDomain(), new Random(incarnation), new UnsharedCredits()),
+                new RetryPolicy(new RetryBudget()),
+                new CrashSuspects(),
+                MAX_RUN_MILLIS);
+        CallerEffects effects = new CallerEffects(
+                open,
+                holder,
+                new EndpointClient(worker, endpointLimits()),
+                metrics,
+                new PeerEffectLinks(caller, directory, this::sendToPeer));
+        RequestLoop created =
+                new RequestLoop(settings.limits().requestRingSize(), engine, wallet, effects, tokens::send, clock::now);
+        effects.connect(created);
+        return created;
+    }
+
+    private LimitControl limitControl(TokenRoutes tokens) {
+        String address = peerAddress.getAddress().getHostAddress() + ":" + peerAddress.getPort();
+        KeeperIdentity self = new KeeperIdentity(settings.hostId(), incarnation, settings.failureDomain(), address);
+        LimitControl created =
+                new LimitControl(self, limitSettings(), new JsonAllotmentCodec(), lanes, control, loop, tokens::send);
+        created.members(List.of(settings.hostId()));
+        return created;
+    }
+
+    private LimitSettings limitSettings() {
+        LimitSettings defaults = LimitSettings.defaults();
+        return new LimitSettings(
+                defaults.batchLifetimeMillis(),
+                settings.reclaimAfterSeconds() * MILLIS_PER_SECOND,
+                defaults.keepersPerDomain(),
+                defaults.maxPendingRequests(),
+                defaults.askTimeoutMillis(),
+                defaults.roundIntervalMillis(),
+                defaults.stockMillis());
+    }
+
+    private void startThreads() {
+        control.start();
+        loop.start();
+        follower.start();
+        timer.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void tick() {
+        try {
+            long now = clock.now();
+            loop.tick();
+            control.tick();
+            directory.tick(now);
+            loads.tick(holder.current(), now);
+        } catch (RuntimeException e) {
+            LogLine.event("timer-failure").error(LOG, e);
+        }
+    }
+
+    private boolean sendToPeer(String receiver, PeerMessage.Builder body, long lifetimeMillis) {
+        return peers.send(receiver, body, lifetimeMillis);
+    }
+
+    private void configured(FleetConfiguration configuration) {
+        loop.configured(configuration);
+        control.put(now -> limits.configured(configuration));
+    }
+
+    private void hostsChanged(Map<String, HostEntry> others) {
+        others.forEach((id, entry) -> {
+            InetSocketAddress address = HostDirectory.address(entry.peerAddress());
+            if (address != null) {
+                peers.peer(id, address);
+            }
+        });
+        List<String> members = new ArrayList<>();
+        members.add(settings.hostId());
+        directory.live(settings.failureDomain()).forEach(entry -> members.add(entry.id()));
+        control.put(now -> limits.members(members));
+    }
+
+    private void loadReported(LoadReport report, long ageMillis) {
+        Set<Artifact> loaded = new HashSet<>(report.loaded());
+        loop.put((engine, now) -> engine.loadReported(
+                report.endpoint(),
+                report.incarnation(),
+                report.running(),
+                report.waiting(),
+                report.capacity(),
+                loaded,
+                ageMillis,
+                now));
+    }
+
+    private AdminHandler adminHandler(RequestIds ids) {
         AuditTrail audit = new AuditTrail(store);
-        ConfigurationChanger changer =
-                new ConfigurationChanger(store, holder, audit, SimpleEditor::apply, clock::wallMillis);
+        ConfigurationEditor editor = new ConfigurationEditor(new Planner());
+        ConfigurationChanger changer = new ConfigurationChanger(store, holder, audit, editor::apply, clock::wallMillis);
         OperatorAuthenticator operators = new OperatorAuthenticator(settings.operatorTokens());
         return new AdminHandler(operators, ids, holder, changer, audit, metrics, this::ready, this::status);
     }
@@ -175,6 +338,8 @@
         metrics.gauge("configuration.fresh", () -> authenticator.fresh() ? 1 : 0);
         metrics.gauge("requests.open", open::count);
         metrics.gauge("ring.requests.depth", loop::depth);
+        metrics.gauge("ring.control.depth", control::depth);
+        metrics.gauge("ring.store.depth", lanes::depth);
     }
 
     private StatusDocument status() {
@@ -189,6 +354,14 @@
                 authenticator.fresh(),
                 confirmedAt == 0 ? -1 : clock.now() - confirmedAt,
                 open.count(),
-                new TreeMap<>());
+                new TreeMap<>(Map.of(
+                        "hosts", directory.others().size(),
+                        "loadReports", loads.reports())));
+    }
+
+    private static Thread timerThread(Runnable task) {
+        Thread thread = new Thread(task, "timer");
+        thread.setDaemon(true);
+        return thread;
     }
 }
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/control/LimitControl.java
@@ -0,0 +1,145 @@
+package org.gooseberryring.host.control;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+import org.gooseberryring.coordination.limit.AllotmentCodec;
+import org.gooseberryring.coordination.limit.AllotmentLedger;
+import org.gooseberryring.coordination.limit.KeeperIdentity;
+import org.gooseberryring.coordination.limit.LimitEffect;
+import org.gooseberryring.coordination.limit.LimitSettings;
+import org.gooseberryring.coordination.limit.TokenKeeper;
+import org.gooseberryring.coordination.limit.TokenMessage;
+import org.gooseberryring.host.engine.RequestLoop;
+import org.gooseberryring.state.FleetConfiguration;
+
+/** Runs the token keeper and the allotment ledger on the control thread. */
+public final class LimitControl {
+    // The wallet numbers its requests in the same way; the suffix keeps the two apart in answers.
+    private static final String KEEPER_SUFFIX = "#keeper";
+
+    private final String keeperPrefix;
+    private final TokenKeeper keeper;
+    private final AllotmentLedger ledger;
+    private final StoreLanes store;
+    private final ControlLoop control;
+    private final RequestLoop requests;
+    private final BiConsumer<String, TokenMessage> messages;
+    private final Map<String, List<String>> knownKeepers = new HashMap<>();
+    private final CountDownLatch handedOver = new CountDownLatch(1);
+    private Set<String> organisations = Set.of();
+    private boolean leaving;
+    private volatile boolean ready;
+
+    /**
+     * Creates the keeper and the ledger of this host.
+     *
+     * @param messages sends a message of the keeper to the named host, which may be this one
+     */
+    public LimitControl(
+            KeeperIdentity self,
+            LimitSettings settings,
+            AllotmentCodec codec,
+            StoreLanes store,
+            ControlLoop control,
+            RequestLoop requests,
+            BiConsumer<String, TokenMessage> messages) {
+        this.keeperPrefix = self.host() + KEEPER_SUFFIX + "/";
+        this.keeper = new TokenKeeper(self.host() + KEEPER_SUFFIX, self.incarnation(), settings);
+        this.ledger = new AllotmentLedger(self, settings, codec, keeper);
+        this.store = store;
+        this.control = control;
+        this.requests = requests;
+        this.messages = messages;
+    }
+
+    /** Takes over the organisations of a configuration. */
+    public void configured(FleetConfiguration configuration) {
+        organisations = new HashSet<>(configuration.organisations().keySet());
+        knownKeepers.keySet().retainAll(organisations);
+        ledger.configure(configuration.organisations());
+        announceKeepers();
+    }
+
+    /** Takes over the live hosts of this failure domain, this host included. */
+    public void members(Collection<String> liveHosts) {
+        ledger.members(liveHosts);
+    }
+
+    /** Returns whether a grant answers a loan of the keeper rather than a request of the wallet. */
+    public boolean isLoan(TokenMessage.Grant grant) {
+        return grant.requestId().startsWith(keeperPrefix);
+    }
+
+    /** Takes a message for the keeper. */
+    public void received(String sender, TokenMessage message, long now) {
+        if (message instanceof TokenMessage.Request request) {
+            carryOut(keeper.onRequest(sender, request, now));
+        } else if (message instanceof TokenMessage.Return giveBack) {
+            keeper.onReturn(sender, giveBack, now);
+        } else if (message instanceof TokenMessage.Grant grant) {
+            carryOut(keeper.onGrant(sender, grant, now));
+        }
+    }
+
+    /** Lets time pass. */
+    public void tick(long now) {
+        carryOut(keeper.tick(now));
+        carryOut(ledger.tick(now));
+        if (leaving && ledger.handedOver()) {
+            handedOver.countDown();
+        }
+    }
+
+    /** Begins the hand-over of this host's allotments. */
+    public void leave() {
+        leaving = true;
+        ledger.leave();
+    }
+
+    /**
+     * Waits until the hand-over is complete.
+     *
+     * @return whether it was so within the time
+     */
+    public boolean awaitHandOver(long millis) throws InterruptedException {
+        return handedOver.await(millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns whether the keepers of every organisation are known, without which each request is refused. */
+    public boolean ready() {
+        return ready;
+    }
+
+    private void carryOut(List<LimitEffect> effects) {
+        for (LimitEffect effect : effects) {
+            if (effect instanceof LimitEffect.Send send) {
+                messages.accept(send.host(), send.message());
+            } else if (effect instanceof LimitEffect.Store call) {
+                store.submit(
+                        call.request(),
+                        reply -> control.put(now -> {
+                            ledger.onStore(reply, now);
+                            announceKeepers();
+                        }));
+            }
+        }
+    }
+
+    private void announceKeepers() {
+        for (String organisation : organisations) {
+            List<String> keepers = ledger.keepers(organisation);
+            if (!keepers.equals(knownKeepers.put(organisation, keepers))) {
+                requests.keepers(organisation, keepers);
+            }
+        }
+        ready = organisations.stream().noneMatch(o -> knownKeepers.get(o).isEmpty());
+    }
+}
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/RequestInput.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/RequestInput.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.gooseberryring.coordination.request.RequestEffect;
+import org.gooseberryring.coordination.request.RequestEngine;
 
 /** Input of the request engine: one event, applied on the request thread. */
 @FunctionalInterface
@@ -14,5 +15,5 @@
      * @param now monotonic time in milliseconds
      * @return effects that the engine asks for
      */
-    List<RequestEffect> apply(RequestDecisions engine, long now);
+    List<RequestEffect> apply(RequestEngine engine, long now);
 }
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** What a host observes of the other hosts and of its endpoints. */
+package org.gooseberryring.host.fleet;
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/LocalLinks.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/PeerEffectLinks.java
@@ -1,4 +1,4 @@
-package org.gooseberryring.host.caller;
+package org.gooseberryring.host.peer;
 
 import java.net.URI;
 import java.util.Map;
@@ -6,19 +6,31 @@
 import org.gooseberryring.coordination.claim.ClaimAnswer;
 import org.gooseberryring.coordination.request.AttemptOutcome;
 import org.gooseberryring.coordination.request.RequestEffect;
+import org.gooseberryring.host.caller.EffectLinks;
+import org.gooseberryring.host.caller.OpenRequest;
 import org.gooseberryring.host.engine.RequestLoop;
+import org.gooseberryring.host.fleet.HostDirectory;
+import org.gooseberryring.protocol.peer.PeerMessage;
+import org.gooseberryring.protocol.peer.QuarantineNotice;
+import org.gooseberryring.protocol.peer.QuarantinedDigest;
 import org.gooseberryring.state.Verdict;
 import org.gooseberryring.transport.http.HttpCaller;
 
-/** Effects of a host without links to others: claims and relays are refused as not run. */
-public final class LocalLinks implements EffectLinks {
+/** Carries out the effects of the request engine that concern other hosts. */
+public final class PeerEffectLinks implements EffectLinks {
     private static final long RETRY_AFTER_MILLIS = 1000;
     private static final long CANCEL_MILLIS = 1000;
+    private static final long NOTICE_LIFETIME_MILLIS = 30_000;
+    private static final long QUARANTINE_MILLIS = 600_000;
 
     private final HttpCaller caller;
+    private final HostDirectory directory;
+    private final PeerSend peers;
 
-    public LocalLinks(HttpCaller caller) {
+    public PeerEffectLinks(HttpCaller caller, HostDirectory directory, PeerSend peers) {
         this.caller = caller;
+        this.directory = directory;
+        this.peers = peers;
     }
 
     @Override
@@ -45,12 +57,20 @@
 
     @Override
     public void spread(RequestEffect.SpreadQuarantine quarantine) {
-        // The engine of this host keeps the digest; there is no other host to tell.
+        QuarantineNotice notice = QuarantineNotice.newBuilder()
+                .addDigests(QuarantinedDigest.newBuilder()
+                        .setDigest(quarantine.digest())
+                        .setEndpointLosses(quarantine.endpointLosses())
+                        .setExpiresInMillis(QUARANTINE_MILLIS))
+                .build();
+        for (String host : directory.others().keySet()) {
+            peers.send(host, PeerMessage.newBuilder().setQuarantineNotice(notice), NOTICE_LIFETIME_MILLIS);
+        }
     }
 
     @Override
     public void cancelAtEngine(String address, String requestId) {
-        caller.callAsync(
-                "DELETE", URI.create("http://" + address + "/v1/requests/" + requestId), Map.of(), null, CANCEL_MILLIS);
+        URI uri = URI.create("http://" + address + "/v1/requests/" + requestId);
+        caller.callAsync("DELETE", uri, Map.of(), null, CANCEL_MILLIS);
     }
 }
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Exchange of messages with other hosts. */
+package org.gooseberryring.host.peer;
--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/TestFleet.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/TestFleet.java
@@ -20,6 +20,7 @@
 import org.gooseberryring.host.caller.Digests;
 import org.gooseberryring.host.settings.SettingsReader;
 import org.gooseberryring.protocol.ChangeRequest;
+import org.gooseberryring.protocol.HostEntry;
 import org.gooseberryring.protocol.Json;
 import org.gooseberryring.standins.EngineSettings;
 import org.gooseberryring.standins.EngineStandIn;
@@ -103,6 +104,7 @@
         Files.write(file, Json.write(settings));
         Host host = Host.start(SettingsReader.read(file));
         hosts.add(host);
+        platform.putHost(new HostEntry(id, domain, address(host.peerAddress()), "127.0.0.1:1", "live"));
         return host;
     }
 
@@ -199,6 +201,10 @@
         }
     }
 
+    private static String address(InetSocketAddress address) {
+        return "127.0.0.1:" + address.getPort();
+    }
+
     static String sha256(String key) {
         return Digests.hex(key);
     }
