Read the configuration head before the first watch

Cause: on an empty store the first watch ended only after its wait of 20 s, and until then the host refused callers as configuration-stale. Ruled out: a stale stand-in; the stand-in holds a watch on an absent object for the whole wait, as the platform interface allows. Before: configuration-stale 14 s after start on an empty store. Conclusion: the first call, and each call while no object is known, is a read.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/config/ConfigurationFollower.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/config/ConfigurationFollower.java
@@ -79,7 +79,9 @@
     private long step() {
         // The time before the call counts, because a late answer says nothing about the time since.
         long askedAt = clock.getAsLong();
-        StoreReply reply = failures > 0 ? store.read(HEAD) : store.watch(HEAD, version, timeouts.watchMillis());
+        // A watch on an object that does not exist yet ends only after its whole wait, so the first call is a read.
+        boolean readNow = version == 0 || failures > 0;
+        StoreReply reply = readNow ? store.read(HEAD) : store.watch(HEAD, version, timeouts.watchMillis());
         switch (reply.outcome()) {
             case OK -> {
                 version = reply.version();
--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/HostTest.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/HostTest.java
@@ -1,7 +1,5 @@
 package org.gooseberryring.host;
 
-import static com.google.common.truth.Truth.assertThat;
-
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.util.List;
@@ -14,6 +12,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
+import static com.google.common.truth.Truth.assertThat;
+
 class HostTest {
     @TempDir
     private Path directory;
@@ -64,7 +64,8 @@
     /** Guards against a withdrawn key that keeps working on a connection that was opened before. */
     @Test
     void withdrawnKeyStopsOnAKeptAliveConnection() throws Exception {
-        assertThat(fleet.send(fleet.completion(second, "a", 1, false)).statusCode()).isEqualTo(200);
+        assertThat(fleet.send(fleet.completion(second, "a", 1, false)).statusCode())
+                .isEqualTo(200);
         long revision = first.configuration().current().revision();
 
         fleet.change(first, revision, "withdraw", List.of(new Change.WithdrawKey(TestFleet.sha256(TestFleet.KEY))));
--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/TestFleet.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/TestFleet.java
@@ -109,18 +109,18 @@
     /** Configures one organisation, the model {@code m} on all engines and the service {@code desk}. */
     void configure(Host host) throws Exception {
         List<Change> changes = new ArrayList<>();
-        changes.add(new Change.PutOrganisation(
-                new Organisation("inkingi", 1_000_000, 1_000_000, 1, List.of(PriorityClass.NORMAL, PriorityClass.HIGH))));
+        changes.add(new Change.PutOrganisation(new Organisation(
+                "inkingi", 1_000_000, 1_000_000, 1, List.of(PriorityClass.NORMAL, PriorityClass.HIGH))));
         changes.add(new Change.IssueKey(sha256(KEY), "inkingi", "test"));
         changes.add(new Change.PutFailureDomain(new FailureDomain("d1", "r1", true)));
         for (EngineStandIn engine : engines) {
-            changes.add(new Change.PutEndpoint(new Endpoint(
-                    engine.id(), EndpointKind.MODEL, "d1", engine.address(), 16 * GIB, 32, true, false)));
+            changes.add(new Change.PutEndpoint(
+                    new Endpoint(engine.id(), EndpointKind.MODEL, "d1", engine.address(), 16 * GIB, 32, true, false)));
         }
         changes.add(new Change.PutEndpoint(
                 new Endpoint("desk", EndpointKind.SERVICE, "d1", desk.address(), 0, 32, false, false)));
-        changes.add(new Change.PutService(
-                new ServiceRoute("desk", List.of("desk"), List.of("/open"), List.of("/status"))));
+        changes.add(
+                new Change.PutService(new ServiceRoute("desk", List.of("desk"), List.of("/open"), List.of("/status"))));
         changes.add(new Change.PutModel(new Model("m", GIB, List.of("1"), "1", List.of(), true)));
         if (!engines.isEmpty()) {
             changes.add(new Change.ReplaceSheet(List.of(new SheetRow(
@@ -128,7 +128,8 @@
                     engines.size(),
                     engines.stream().map(EngineStandIn::id).toList()))));
         }
-        HttpResponse<String> answer = change(host, host.configuration().current().revision(), "setup", changes);
+        HttpResponse<String> answer =
+                change(host, host.configuration().current().revision(), "setup", changes);
         if (answer.statusCode() != 200) {
             throw new AssertionError(answer.body());
         }
@@ -144,8 +145,7 @@
                 .header("Authorization", "Bearer " + OPERATOR)
                 .header("If-Match", "\"" + revision + "\"")
                 .header("X-Change-Id", id)
-                .POST(HttpRequest.BodyPublishers.ofByteArray(
-                        Json.write(new ChangeRequest("ann", "test", changes))))
+                .POST(HttpRequest.BodyPublishers.ofByteArray(Json.write(new ChangeRequest("ann", "test", changes))))
                 .build();
         return client.send(request, HttpResponse.BodyHandlers.ofString());
     }
@@ -158,8 +158,7 @@
     }
 
     HttpRequest.Builder completion(Host host, String prompt, int tokens, boolean stream) {
-        byte[] body = Json.write(
-                Map.of("model", "m", "prompt", prompt, "max_tokens", tokens, "stream", stream));
+        byte[] body = Json.write(Map.of("model", "m", "prompt", prompt, "max_tokens", tokens, "stream", stream));
         return HttpRequest.newBuilder(uri(host.callerAddress(), "/v1/completions"))
                 .header("Authorization", "Bearer " + KEY)
                 .POST(HttpRequest.BodyPublishers.ofByteArray(body));
