Announce a host to its peers before the platform lists it

Without the announcement a keeper did not know where to send its answer, and the first requests on a new host were refused as rate-limited for up to a second.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/Host.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/Host.java
@@ -52,7 +52,10 @@
 import org.gooseberryring.host.settings.HostSettings;
 import org.gooseberryring.protocol.HostEntry;
 import org.gooseberryring.protocol.LoadReport;
+import org.gooseberryring.protocol.peer.MemberState;
+import org.gooseberryring.protocol.peer.MemberUpdate;
 import org.gooseberryring.protocol.peer.PeerMessage;
+import org.gooseberryring.protocol.peer.Probe;
 import org.gooseberryring.state.Artifact;
 import org.gooseberryring.state.FleetConfiguration;
 import org.gooseberryring.transport.endpoint.EndpointClient;
@@ -76,6 +79,7 @@
     private static final long MILLIS_PER_SECOND = 1000;
     private static final long MAX_RUN_MILLIS = 600_000;
     private static final long HAND_OVER_MILLIS = 5000;
+    private static final long ANNOUNCEMENT_MILLIS = 5000;
 
     private final HostSettings settings;
     private final HostClock clock = new HostClock();
@@ -128,7 +132,7 @@
         TokenRoutes tokens = new TokenRoutes(settings.hostId(), this::sendToPeer, control);
         loop = requestLoop(tokens);
         // The peer address is final only now, because the settings may leave the port to the system.
-        inbox.connect(tokens, loop);
+        inbox.connect(tokens, loop, directory);
         peerAddress = peers.listen(settings.peerAddress());
         limits = limitControl(tokens);
         tokens.connect(loop, limits);
@@ -180,7 +184,12 @@
 
     /** Returns whether the host takes new requests. */
     public boolean ready() {
-        return !open.draining() && holder.current().revision() > 0 && authenticator.fresh() && limits.ready();
+        return !open.draining()
+                && holder.current().revision() > 0
+                && authenticator.fresh()
+                && limits.ready()
+                && loads.settled()
+                && directory.read();
     }
 
     /** Finishes the requests in flight and stops; blocks for as long as the settings allow. */
@@ -241,8 +250,8 @@
     }
 
     private LimitControl limitControl(TokenRoutes tokens) {
-        String address = peerAddress.getAddress().getHostAddress() + ":" + peerAddress.getPort();
-        KeeperIdentity self = new KeeperIdentity(settings.hostId(), incarnation, settings.failureDomain(), address);
+        KeeperIdentity self =
+                new KeeperIdentity(settings.hostId(), incarnation, settings.failureDomain(), text(peerAddress));
         LimitControl created =
                 new LimitControl(self, limitSettings(), new JsonAllotmentCodec(), lanes, control, loop, tokens::send);
         created.members(List.of(settings.hostId()));
@@ -300,6 +309,28 @@
         members.add(settings.hostId());
         directory.live(settings.failureDomain()).forEach(entry -> members.add(entry.id()));
         control.put(now -> limits.members(members));
+        others.keySet().forEach(this::announce);
+    }
+
+    /** Tells a host the address of this one, which the platform's list may not show yet. */
+    private void announce(String host) {
+        MemberUpdate self = MemberUpdate.newBuilder()
+                .setHost(settings.hostId())
+                .setIncarnation(incarnation)
+                .setState(MemberState.MEMBER_STATE_ALIVE)
+                .setFailureDomain(settings.failureDomain())
+                .setPeerAddress(text(peerAddress))
+                .setRelayAddress(text(settings.relayAddress()))
+                .build();
+        Probe probe = Probe.newBuilder()
+                .setConfigurationRevision(holder.current().revision())
+                .addUpdates(self)
+                .build();
+        peers.send(host, PeerMessage.newBuilder().setProbe(probe), ANNOUNCEMENT_MILLIS);
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
     private void loadReported(LoadReport report, long ageMillis) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/fleet/HostDirectory.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/fleet/HostDirectory.java
@@ -19,9 +19,14 @@
 
 /** Platform's list of hosts as it was last seen; it lags and is only a hint. */
 public final class HostDirectory {
+    /** State of a host that takes part. */
+    public static final String LIVE = "live";
+
     private static final Logger LOG = Logger.getLogger(HostDirectory.class);
-    private static final String LIVE = "live";
+
     private static final int OK = 200;
+    // Bounds memory; the target fleet has 1,400 hosts.
+    private static final int MAX_ANNOUNCED = 10_000;
     private static final long CALL_MILLIS = 2000;
     private static final long MIN_INTERVAL_MILLIS = 1000;
     // At 1,400 hosts this spreads the reads to 50 a second, of the store's 2,000.
@@ -31,7 +36,10 @@
     private final String selfId;
     private final HttpCaller caller;
     private final Consumer<Map<String, HostEntry>> listener;
+    private final Map<String, HostEntry> announced = new TreeMap<>();
+    private Map<String, HostEntry> listed = Map.of();
     private volatile Map<String, HostEntry> others = Map.of();
+    private volatile boolean read;
     private long nextAt;
     private boolean inFlight;
 
@@ -65,6 +73,22 @@
         return live;
     }
 
+    /** Returns whether the list was read at least once, or could not be. */
+    public boolean read() {
+        return read;
+    }
+
+    /** Takes the entry of a host that told its address itself; the platform's list overrides it. */
+    public void announced(HostEntry entry) {
+        synchronized (this) {
+            if (entry.id().equals(selfId) || announced.size() >= MAX_ANNOUNCED) {
+                return;
+            }
+            announced.put(entry.id(), entry);
+        }
+        merge();
+    }
+
     /** Reads the list if it is time to; must be called from one thread. */
     public synchronized void tick(long now) {
         if (inFlight || now < nextAt) {
@@ -84,11 +108,25 @@
         return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
 
+    private void merge() {
+        Map<String, HostEntry> merged;
+        synchronized (this) {
+            merged = new TreeMap<>(announced);
+            merged.putAll(listed);
+            if (merged.equals(others)) {
+                return;
+            }
+            others = merged;
+        }
+        listener.accept(merged);
+    }
+
     private void answered(HttpResult result, Throwable failure) {
         synchronized (this) {
             inFlight = false;
         }
         if (failure != null || result.status() != OK) {
+            read = true;
             return;
         }
         try {
@@ -96,10 +134,13 @@
             Arrays.stream(Json.read(result.body(), HostEntry[].class))
                     .filter(entry -> !entry.id().equals(selfId))
                     .forEach(entry -> next.put(entry.id(), entry));
-            if (!next.equals(others)) {
-                others = next;
-                listener.accept(next);
+            synchronized (this) {
+                listed = next;
+                // A listed host needs no announcement, and one that leaves the list has left.
+                announced.keySet().removeAll(next.keySet());
             }
+            merge();
+            read = true;
         } catch (GooseberryringException e) {
             LogLine.event("host-list-unreadable").warn(LOG);
         }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/fleet/LoadPoller.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/fleet/LoadPoller.java
@@ -37,7 +37,7 @@
     private final Map<String, LoadReport> reports = new ConcurrentHashMap<>();
     private final Set<String> heard = ConcurrentHashMap.newKeySet();
     private volatile Set<String> engines = Set.of();
-    private long revision;
+    private volatile long revision;
     private long nextAt;
 
     /**
@@ -61,7 +61,7 @@
 
     /** Returns whether every engine has answered, or failed to, at least once. */
     public boolean settled() {
-        return heard.containsAll(engines);
+        return revision > 0 && heard.containsAll(engines);
     }
 
     /** Asks all engines if it is time to or the configuration has changed; must be called from one thread. */
@@ -69,7 +69,6 @@
         if (now < nextAt && configuration.revision() == revision) {
             return;
         }
-        revision = configuration.revision();
         Set<String> present = new HashSet<>();
         for (Endpoint endpoint : configuration.endpoints().values()) {
             if (endpoint.kind() == EndpointKind.MODEL
@@ -79,6 +78,7 @@
             }
         }
         engines = present;
+        revision = configuration.revision();
         reports.keySet().retainAll(present);
         heard.retainAll(present);
         nextAt = now + Math.max(MIN_INTERVAL_MILLIS, INTERVAL_MILLIS_PER_ENGINE * present.size());
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/PeerInbox.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/PeerInbox.java
@@ -3,8 +3,12 @@
 import com.google.protobuf.ByteString;
 import org.gooseberryring.host.config.ConfigurationHolder;
 import org.gooseberryring.host.engine.RequestLoop;
+import org.gooseberryring.host.fleet.HostDirectory;
+import org.gooseberryring.protocol.HostEntry;
 import org.gooseberryring.protocol.peer.ConfigurationReply;
 import org.gooseberryring.protocol.peer.ConfigurationRequest;
+import org.gooseberryring.protocol.peer.MemberState;
+import org.gooseberryring.protocol.peer.MemberUpdate;
 import org.gooseberryring.protocol.peer.PeerMessage;
 import org.gooseberryring.protocol.peer.QuarantineNotice;
 import org.gooseberryring.protocol.peer.QuarantinedDigest;
@@ -18,6 +22,7 @@
     private final PeerSend peers;
     private TokenRoutes tokens;
     private RequestLoop requests;
+    private HostDirectory directory;
 
     public PeerInbox(ConfigurationHolder holder, PeerSend peers) {
         this.holder = holder;
@@ -25,7 +30,8 @@
     }
 
     /** Names the receivers; must precede the first message. */
-    public void connect(TokenRoutes tokenRoutes, RequestLoop requestLoop) {
+    public void connect(TokenRoutes tokenRoutes, RequestLoop requestLoop, HostDirectory hostDirectory) {
+        directory = hostDirectory;
         tokens = tokenRoutes;
         requests = requestLoop;
     }
@@ -39,6 +45,7 @@
             case TOKEN_RETURN -> tokens.received(sender, TokenMessages.decode(message.getTokenReturn()));
             case CONFIGURATION_REQUEST -> answer(sender, message.getConfigurationRequest());
             case CONFIGURATION_REPLY -> adopt(sender, message.getConfigurationReply());
+            case PROBE -> message.getProbe().getUpdatesList().forEach(this::announced);
             case QUARANTINE_NOTICE -> quarantine(message);
             default -> {
                 // A message of a later version of the program, or one that this host has no part in.
@@ -46,6 +53,17 @@
         }
     }
 
+    private void announced(MemberUpdate update) {
+        if (update.getState() == MemberState.MEMBER_STATE_ALIVE) {
+            directory.announced(new HostEntry(
+                    update.getHost(),
+                    update.getFailureDomain(),
+                    update.getPeerAddress(),
+                    update.getRelayAddress(),
+                    HostDirectory.LIVE));
+        }
+    }
+
     private void answer(String sender, ConfigurationRequest request) {
         if (holder.current().revision() > request.getKnownRevision()) {
             ConfigurationReply reply = ConfigurationReply.newBuilder()
