--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/Host.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/Host.java
@@ -182,6 +182,11 @@
         return holder;
     }
 
+    /** Returns the number of requests that are open. */
+    public int openRequests() {
+        return open.count();
+    }
+
     /** Returns whether the host takes new requests. */
     public boolean ready() {
         return !open.draining()
--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/TestFleet.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/TestFleet.java
@@ -39,9 +39,11 @@
 import org.gooseberryring.state.SheetRow;
 
 /** Stand-ins and hosts of one test, on free ports of the loopback address. */
-final class TestFleet implements AutoCloseable {
-    static final String KEY = "key-of-inkingi";
-    static final String OPERATOR = "token-of-ann";
+public final class TestFleet implements AutoCloseable {
+    /** Key of the organisation. */
+    public static final String KEY = "key-of-inkingi";
+    /** Token of the operator. */
+    public static final String OPERATOR = "token-of-ann";
 
     private static final long GIB = 1L << 30;
     private static final Duration PATIENCE = Duration.ofSeconds(20);
@@ -56,41 +58,43 @@
 
     private final Path directory;
 
-    TestFleet(Path directory) throws IOException {
+    /** Starts the platform and the plain service. */
+    public TestFleet(Path directory) throws IOException {
         this.directory = directory;
         this.weights = new WeightStoreStandIn(1000, 6, 5, 50);
         Files.writeString(directory.resolve("secret"), "a-shared-secret-of-at-least-32-bytes");
     }
 
-    PlatformStandIn platform() {
+    public PlatformStandIn platform() {
         return platform;
     }
 
-    ServiceStandIn desk() {
+    public ServiceStandIn desk() {
         return desk;
     }
 
-    EngineStandIn engineAt(int index) {
+    public EngineStandIn engineAt(int index) {
         return engines.get(index);
     }
 
-    HttpClient client() {
+    public HttpClient client() {
         return client;
     }
 
-    EngineStandIn engine(EngineSettings settings) {
+    /** Starts an engine that holds the model {@code m}. */
+    public EngineStandIn engine(EngineSettings settings) {
         EngineStandIn engine = new EngineStandIn(settings, weights, 1).start();
         engine.preload(new Artifact("m", null, "1"), GIB);
         engines.add(engine);
         return engine;
     }
 
-    EngineStandIn engine(String id) {
+    public EngineStandIn engine(String id) {
         return engine(EngineSettings.of(id, 16 * GIB, 32));
     }
 
     /** Starts a host; {@code overrides} are merged into its settings. */
-    Host host(String id, String domain, String overrides) throws IOException {
+    public Host host(String id, String domain, String overrides) throws IOException {
         ObjectNode settings = (ObjectNode) Json.readTree(overrides.getBytes());
         settings.put("hostId", id);
         settings.put("failureDomain", domain);
@@ -109,7 +113,7 @@
     }
 
     /** Configures one organisation, the model {@code m} on all engines and the service {@code desk}. */
-    void configure(Host host) throws Exception {
+    public void configure(Host host) throws Exception {
         List<Change> changes = new ArrayList<>();
         changes.add(new Change.PutOrganisation(new Organisation(
                 "inkingi", 1_000_000, 1_000_000, 1, List.of(PriorityClass.NORMAL, PriorityClass.HIGH))));
@@ -142,7 +146,8 @@
         await(() -> hosts.stream().allMatch(Host::ready));
     }
 
-    HttpResponse<String> change(Host host, long revision, String id, List<Change> changes) throws Exception {
+    /** Sends changes to the administration interface. */
+    public HttpResponse<String> change(Host host, long revision, String id, List<Change> changes) throws Exception {
         HttpRequest request = HttpRequest.newBuilder(uri(host.adminAddress(), "/admin/v1/changes"))
                 .header("Authorization", "Bearer " + OPERATOR)
                 .header("If-Match", "\"" + revision + "\"")
@@ -152,46 +157,49 @@
         return client.send(request, HttpResponse.BodyHandlers.ofString());
     }
 
-    HttpResponse<String> admin(Host host, String path) throws Exception {
+    /** Reads a path of the administration interface. */
+    public HttpResponse<String> admin(Host host, String path) throws Exception {
         HttpRequest request = HttpRequest.newBuilder(uri(host.adminAddress(), path))
                 .header("Authorization", "Bearer " + OPERATOR)
                 .build();
         return client.send(request, HttpResponse.BodyHandlers.ofString());
     }
 
-    HttpRequest.Builder completion(Host host, String prompt, int tokens, boolean stream) {
+    /** Prepares a completion request with the organisation's key. */
+    public HttpRequest.Builder completion(Host host, String prompt, int tokens, boolean stream) {
         byte[] body = Json.write(Map.of("model", "m", "prompt", prompt, "max_tokens", tokens, "stream", stream));
         return HttpRequest.newBuilder(uri(host.callerAddress(), "/v1/completions"))
                 .header("Authorization", "Bearer " + KEY)
                 .POST(HttpRequest.BodyPublishers.ofByteArray(body));
     }
 
-    HttpRequest.Builder service(Host host, String method, String path) {
+    /** Prepares a request to the plain service with the organisation's key. */
+    public HttpRequest.Builder service(Host host, String method, String path) {
         return HttpRequest.newBuilder(uri(host.callerAddress(), "/services/desk" + path))
                 .header("Authorization", "Bearer " + KEY)
                 .method(method, HttpRequest.BodyPublishers.ofString("order"));
     }
 
-    HttpResponse<String> send(HttpRequest.Builder request) throws Exception {
+    public HttpResponse<String> send(HttpRequest.Builder request) throws Exception {
         return client.send(request.timeout(PATIENCE).build(), HttpResponse.BodyHandlers.ofString());
     }
 
-    static String text(HttpResponse<String> answer) {
+    public static String text(HttpResponse<String> answer) {
         JsonNode node = Json.readTree(answer.body().getBytes());
         return node.path("choices").path(0).path("text").asText();
     }
 
-    static String code(HttpResponse<String> answer) {
+    public static String code(HttpResponse<String> answer) {
         JsonNode node = Json.readTree(answer.body().getBytes());
         return node.path("code").asText() + " " + node.path("verdict").asText();
     }
 
-    static URI uri(InetSocketAddress address, String path) {
+    public static URI uri(InetSocketAddress address, String path) {
         return URI.create("http://127.0.0.1:" + address.getPort() + path);
     }
 
     /** Waits until a condition holds, and fails after a generous time. */
-    static void await(BooleanSupplier condition) {
+    public static void await(BooleanSupplier condition) {
         long end = System.nanoTime() + PATIENCE.toNanos();
         while (!condition.getAsBoolean()) {
             if (System.nanoTime() > end) {
@@ -205,7 +213,7 @@
         return "127.0.0.1:" + address.getPort();
     }
 
-    static String sha256(String key) {
+    public static String sha256(String key) {
         return Digests.hex(key);
     }
 
--- /dev/null
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/caller/CallerHandlerTest.java
@@ -0,0 +1,204 @@
+package org.gooseberryring.host.caller;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.gooseberryring.host.Host;
+import org.gooseberryring.host.TestFleet;
+import org.gooseberryring.standins.EngineSettings;
+import org.gooseberryring.standins.EngineStandIn;
+import org.gooseberryring.standins.Fault;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestInstance;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class CallerHandlerTest {
+    private static final int TIMEOUT_MILLIS = 20_000;
+    private static final String END = "\r\n\r\n";
+
+    private TestFleet fleet;
+    private Host host;
+    private EngineStandIn engine;
+
+    @BeforeAll
+    void start(@TempDir Path directory) throws Exception {
+        fleet = new TestFleet(directory);
+        engine = fleet.engine(EngineSettings.of("e1", 1L << 34, 32).withPace(0, 20));
+        host = fleet.host("h1", "d1", "{\"limits\":{\"maxBodyBytes\":2000,\"maxOpenRequests\":4}}");
+        fleet.configure(host);
+    }
+
+    @AfterAll
+    void stop() {
+        fleet.close();
+    }
+
+    @AfterEach
+    void clear() {
+        engine.faults().clear();
+        fleet.desk().faults().clear();
+        TestFleet.await(() -> open() == 0);
+    }
+
+    /** Guards against request heads that two servers read differently, and against keys that end up in access logs. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "Content-Length: 2;Content-Length: 3 | /v1/completions | 400",
+                "Content-Length: 2;Transfer-Encoding: chunked | /v1/completions | 400",
+                "Authorization: Bearer other;Content-Length: 2 | /v1/completions | 400",
+                "Content-Length: 2 | /v1/completions?api_key=key-of-inkingi | 400",
+                "Content-Length: 2 | /services/desk/open/..%2forders | 400",
+                "Content-Length: 2 | /services/desk//open | 400",
+                "Content-Length: 2 | /v1/other | 404",
+                "Content-Length: 2 | /services/other/x | 404"
+            })
+    void malformedHeadIsRefused(String headers, String path, int status) throws IOException {
+        String answer = exchange("POST " + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nAuthorization: Bearer "
+                + TestFleet.KEY + "\r\n" + headers.replace(";", "\r\n") + END + "{}");
+
+        assertThat(answer).startsWith("HTTP/1.1 " + status);
+        assertThat(fleet.desk().record().calls()).isEqualTo(0);
+    }
+
+    /** Guards against bodies that exhaust memory. */
+    @Test
+    void oversizedBodyIsRefused() throws Exception {
+        HttpResponse<String> answer = fleet.send(fleet.completion(host, "x".repeat(3000), 1, false));
+
+        assertThat(answer.statusCode()).isEqualTo(413);
+        assertThat(TestFleet.code(answer)).isEqualTo("body-too-large not-run");
+    }
+
+    /** Guards against a request that runs although its body did not arrive whole. */
+    @Test
+    void truncatedBodyIsNotRun() throws IOException {
+        try (Socket socket = connect()) {
+            String head = "POST /services/desk/orders HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + TestFleet.KEY
+                    + "\r\nContent-Length: 100" + END + "half";
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            socket.shutdownOutput();
+
+            assertThat(socket.getInputStream().readAllBytes()).isEmpty();
+        }
+        assertThat(fleet.desk().record().calls()).isEqualTo(0);
+    }
+
+    /** Guards against requests without a valid key, and against a name that leaks which models exist. */
+    @Test
+    void keyAndModelMustExist() throws Exception {
+        HttpRequest.Builder noKey = HttpRequest.newBuilder(TestFleet.uri(host.callerAddress(), "/v1/models"));
+        HttpRequest.Builder unknownKey = noKey.copy().header("Authorization", "Bearer unknown");
+        HttpRequest.Builder unknownModel = fleet.completion(host, "x", 1, false)
+                .POST(HttpRequest.BodyPublishers.ofString("{\"model\":\"other\",\"prompt\":\"x\"}"));
+
+        assertThat(TestFleet.code(fleet.send(noKey))).isEqualTo("unauthenticated not-run");
+        assertThat(TestFleet.code(fleet.send(unknownKey))).isEqualTo("unauthenticated not-run");
+        assertThat(TestFleet.code(fleet.send(unknownModel))).isEqualTo("not-found not-run");
+    }
+
+    /** Guards against another caller's answer, and against half an answer that looks whole. */
+    @Test
+    void wrongAndCutAnswersAreReplaced() throws Exception {
+        String expected = EngineStandIn.expectedText("p", 2);
+        engine.faults().set(Fault.WRONG_REQUEST_ID, 1);
+        assertThat(TestFleet.text(fleet.send(fleet.completion(host, "p", 2, false))))
+                .isEqualTo(expected);
+
+        engine.faults().set(Fault.CUT_ANSWERS, 1);
+        HttpResponse<String> cut = fleet.send(fleet.completion(host, "p", 2, false));
+        assertThat(cut.statusCode() == 200 ? TestFleet.text(cut) : expected).isEqualTo(expected);
+    }
+
+    /** Guards against a stream that ends early and looks complete to its caller. */
+    @Test
+    void cutStreamBreaksTheConnection() throws IOException {
+        engine.faults().set(Fault.CUT_ANSWERS, 1);
+        engine.faults().set(Fault.CUT_AFTER_BYTES, 300);
+        String body = "{\"model\":\"m\",\"prompt\":\"p\",\"max_tokens\":9,\"stream\":true}";
+
+        String answer =
+                exchange("POST /v1/completions HTTP/1.1\r\nHost: h\r\nConnection: close\r\nAuthorization: Bearer "
+                        + TestFleet.KEY + "\r\nContent-Length: " + body.length() + END + body);
+
+        assertThat(answer).startsWith("HTTP/1.1 200");
+        assertThat(answer).doesNotContain("[DONE]");
+        assertThat(answer).doesNotContain("\r\n0\r\n");
+    }
+
+    /** Guards against engines that generate for callers who have gone. */
+    @Test
+    void leavingCallerCancelsItsStream() throws IOException {
+        long before = engine.record().interrupted() + engine.record().cancelled();
+        String body = "{\"model\":\"m\",\"prompt\":\"leaving\",\"max_tokens\":1000,\"stream\":true}";
+        try (Socket socket = connect()) {
+            String head = "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + TestFleet.KEY
+                    + "\r\nContent-Length: " + body.length() + END + body;
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            assertThat(socket.getInputStream().read()).isEqualTo('H');
+        }
+
+        TestFleet.await(() -> engine.record().interrupted() + engine.record().cancelled() > before);
+    }
+
+    /** Guards against memory that grows with the number of callers. */
+    @Test
+    void openRequestsAreBounded() throws Exception {
+        List<CompletableFuture<HttpResponse<String>>> streams = java.util.stream.IntStream.range(0, 4)
+                .mapToObj(i -> fleet.client()
+                        .sendAsync(
+                                fleet.completion(host, "s" + i, 40, true).build(),
+                                HttpResponse.BodyHandlers.ofString()))
+                .toList();
+        TestFleet.await(() -> open() == 4);
+
+        HttpResponse<String> refused = fleet.send(fleet.completion(host, "x", 1, false));
+
+        assertThat(TestFleet.code(refused)).isEqualTo("overloaded not-run");
+        assertThat(refused.headers().firstValue("Retry-After")).hasValue("1");
+        for (CompletableFuture<HttpResponse<String>> stream : streams) {
+            assertThat(stream.get().body().strip()).endsWith("data: [DONE]");
+        }
+    }
+
+    private int open() {
+        return host.openRequests();
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket("127.0.0.1", host.callerAddress().getPort());
+        socket.setSoTimeout(TIMEOUT_MILLIS);
+        return socket;
+    }
+
+    /** Sends raw bytes and returns what arrives until the connection ends or an answer head without a body is done. */
+    private String exchange(String request) throws IOException {
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            StringBuilder answer = new StringBuilder();
+            InputStream in = socket.getInputStream();
+            for (int b = in.read(); b >= 0; b = in.read()) {
+                answer.append((char) b);
+            }
+            return answer.toString();
+        } catch (java.net.SocketException e) {
+            return "";
+        }
+    }
+}
