Add trace generation and replay; call hosts with the transport client

gooseberryctl replay sends a JSON Lines trace to live hosts at its times and reports attainment for each organisation, the worst one, refusals within the rate, service in each second and latency percentiles, as text, JSON or a page with plots that loads nothing from elsewhere.

A refusal counts as within the rate if the tokens admitted before it left room for the request in a bucket of the organisation's rate and burst. What was refused does not charge the bucket, so an organisation that sends several times its rate does not hide wrongful refusals.

trace generate makes reproducible traces in the shape of the two users' traffic, and the configuration and sheet that they need.

--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/CtlMain.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/CtlMain.java
@@ -2,26 +2,36 @@
 
 import java.security.SecureRandom;
 import java.util.Base64;
+import java.util.List;
 import java.util.UUID;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 
-import org.gooseberryring.ctl.admin.JdkHttpCalls;
 import org.gooseberryring.ctl.admin.Pause;
+import org.gooseberryring.ctl.admin.TransportHttpCalls;
 import org.gooseberryring.ctl.command.CommandLine;
 import org.gooseberryring.ctl.command.Console;
 import org.gooseberryring.ctl.command.Context;
+import org.gooseberryring.transport.http.HttpCaller;
+import org.gooseberryring.transport.http.HttpWorker;
 
 /** Entry point of the command line. */
 public final class CtlMain {
     private static final int KEY_BYTES = 32;
     private static final String KEY_PREFIX = "gbr_";
+    // These libraries log their versions at each start, which would mix with the output of the command.
+    private static final List<Logger> QUIET =
+            List.of(Logger.getLogger("org.xnio"), Logger.getLogger("org.jboss.threads"));
 
     private CtlMain() {}
 
     /** Runs the command that the arguments name and exits with its code. */
     public static void main(String[] args) {
+        QUIET.forEach(logger -> logger.setLevel(Level.WARNING));
+        HttpWorker worker = HttpWorker.start("gooseberryctl", 1, 1);
         Context context = new Context(
                 new Console(System.out, System.err),
-                new JdkHttpCalls(),
+                new TransportHttpCalls(new HttpCaller(worker)),
                 Pause.blocking(),
                 () -> UUID.randomUUID().toString(),
                 CtlMain::newKey);
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/CommandLine.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/CommandLine.java
@@ -13,6 +13,8 @@
 import org.gooseberryring.ctl.demo.DemoPrepareCommand;
 import org.gooseberryring.ctl.demo.DemoTryCommand;
 import org.gooseberryring.ctl.demo.DemoWaitCommand;
+import org.gooseberryring.ctl.replay.ReplayCommand;
+import org.gooseberryring.ctl.replay.TraceGenerateCommand;
 
 /** Finds the command that the arguments name and runs it. */
 public final class CommandLine {
@@ -85,6 +87,9 @@
         commander.addCommand("apply", new ApplyCommand());
         commander.addCommand("status", new StatusCommand());
         commander.addCommand("audit", new AuditCommand());
+        commander.addCommand("replay", new ReplayCommand());
+        commander.addCommand("trace", new Group());
+        commander.getCommands().get("trace").addCommand("generate", new TraceGenerateCommand());
         commander.addCommand("demo", new DemoCommand());
         commander.addCommand("demo-prepare", new DemoPrepareCommand());
         commander.addCommand("demo-wait", new DemoWaitCommand());
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/InputFile.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/InputFile.java
@@ -8,14 +8,14 @@
 import org.gooseberryring.ctl.ExitCode;
 
 /** Reads input files with a bound on their size. */
-final class InputFile {
-    private static final int MAX_BYTES = 16_000_000;
+public final class InputFile {
+    private static final int MAX_BYTES = 64_000_000;
     private static final String STANDARD_INPUT = "-";
 
     private InputFile() {}
 
     /** Reads a file, or standard input if the name is {@code -}. */
-    static byte[] read(String name) {
+    public static byte[] read(String name) {
         try {
             byte[] bytes = STANDARD_INPUT.equals(name)
                     ? System.in.readNBytes(MAX_BYTES + 1)
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/demo/DemoPrepareCommand.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/demo/DemoPrepareCommand.java
@@ -19,6 +19,7 @@
 import org.gooseberryring.ctl.command.KeyDigest;
 import org.gooseberryring.protocol.HostEntry;
 import org.gooseberryring.protocol.Json;
+import org.gooseberryring.state.Change;
 
 /** Writes the files of the demonstration fleet and puts its hosts on the platform's list. */
 @Parameters(hidden = true, commandDescription = "Writes the files of the demonstration fleet")
@@ -51,7 +52,7 @@
         files.write(DemoFiles.SHEET, DemoFleet.SHEET);
         files.write(
                 DemoFiles.CHANGES,
-                Json.writeString(DemoFleet.changes(engines, services).toArray()));
+                Json.writeString(DemoFleet.changes(engines, services).toArray(Change[]::new)));
         List<String> addresses = FreePorts.addresses(ADDRESSES_PER_HOST * DemoFleet.DOMAINS.size());
         List<String> callers = new ArrayList<>();
         List<String> admins = new ArrayList<>();
--- /dev/null
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/OutcomeSink.java
@@ -0,0 +1,109 @@
+package org.gooseberryring.ctl.replay;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.undertow.util.HeaderMap;
+import org.gooseberryring.coordination.request.AttemptOutcome;
+import org.gooseberryring.protocol.Json;
+import org.gooseberryring.state.GooseberryringException;
+import org.gooseberryring.state.Verdict;
+import org.gooseberryring.transport.endpoint.AnswerSink;
+import org.gooseberryring.transport.endpoint.AttemptListener;
+
+/** Measures an answer and keeps only what tells its outcome. */
+final class OutcomeSink implements AnswerSink, AttemptListener {
+    private static final int MAX_REFUSAL_BYTES = 4_096;
+    private static final int TAIL_BYTES = 64;
+    private static final String FINAL_EVENT = "data: [DONE]";
+    private static final int FIRST_ERROR = 400;
+
+    private final TraceLine line;
+    private final long sentMillis;
+    private final Consumer<Outcome> done;
+    private final long startedNanos = System.nanoTime();
+    private final ByteArrayOutputStream refusal = new ByteArrayOutputStream();
+    private String tail = "";
+    private int status;
+    private long firstByteNanos = -1;
+
+    OutcomeSink(TraceLine line, long sentMillis, Consumer<Outcome> done) {
+        this.line = line;
+        this.sentMillis = sentMillis;
+        this.done = done;
+    }
+
+    @Override
+    public void start(int answerStatus, HeaderMap headers, long contentLength) {
+        status = answerStatus;
+    }
+
+    @Override
+    public int write(ByteBuffer bytes) {
+        if (firstByteNanos < 0) {
+            firstByteNanos = System.nanoTime();
+        }
+        byte[] part = new byte[bytes.remaining()];
+        bytes.get(part);
+        if (status >= FIRST_ERROR && refusal.size() < MAX_REFUSAL_BYTES) {
+            refusal.writeBytes(part);
+        }
+        String text = tail + new String(part, StandardCharsets.ISO_8859_1);
+        tail = text.substring(Math.max(0, text.length() - TAIL_BYTES));
+        return part.length;
+    }
+
+    @Override
+    public void flush() {
+        // Nothing is buffered.
+    }
+
+    @Override
+    public void whenWritable(Runnable callback) {
+        callback.run();
+    }
+
+    @Override
+    public void finish() {
+        // The outcome is taken from ended, which is also called for answers that break off.
+    }
+
+    @Override
+    public void abort() {
+        // The outcome is taken from ended.
+    }
+
+    @Override
+    public void responseStarted() {
+        // The first byte is timed in write.
+    }
+
+    @Override
+    public void ended(AttemptOutcome outcome, byte[] recorded) {
+        boolean complete = outcome.verdict() == Verdict.COMPLETED
+                && (status >= FIRST_ERROR || tail.strip().endsWith(FINAL_EVENT));
+        done.accept(new Outcome(
+                line,
+                sentMillis,
+                status,
+                status >= FIRST_ERROR ? code() : null,
+                complete,
+                firstByteNanos < 0 ? -1 : micros(firstByteNanos),
+                micros(System.nanoTime())));
+    }
+
+    private String code() {
+        try {
+            return Json.readTree(refusal.toByteArray()).path("code").asText("");
+        } catch (GooseberryringException e) {
+            return "";
+        }
+    }
+
+    private long micros(long nanos) {
+        return TimeUnit.NANOSECONDS.toMicros(nanos - startedNanos);
+    }
+}
--- /dev/null
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/ReplayReport.java
@@ -0,0 +1,49 @@
+package org.gooseberryring.ctl.replay;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Result of a replay.
+ *
+ * @param requests requests sent
+ * @param served requests whose whole answer arrived
+ * @param attainment share of the requests within the rate that met the latency objective, from 0 to 1
+ * @param worstOrganisation organisation with the lowest attainment
+ * @param worstAttainment its attainment
+ * @param withinRateRefusals requests refused although within the rate of their organisation
+ * @param refusalsByCode refusals by code
+ * @param sentLate requests sent late because too many were in flight
+ * @param firstToken time to the first token of served requests
+ * @param total time to the end of served requests
+ * @param organisations figures by organisation
+ * @param seconds figures of each second of the replay
+ * @param marks fault marks of the trace
+ */
+record ReplayReport(
+        int requests,
+        int served,
+        double attainment,
+        String worstOrganisation,
+        double worstAttainment,
+        int withinRateRefusals,
+        Map<String, Integer> refusalsByCode,
+        int sentLate,
+        Percentiles firstToken,
+        Percentiles total,
+        List<OrganisationFigures> organisations,
+        List<Second> seconds,
+        List<Mark> marks) {
+    /** Percentiles of a latency in milliseconds. */
+    record Percentiles(double p50, double p95, double p99, double p999, double max) {}
+
+    /** Figures of an organisation; refusals above its rate do not count against its attainment. */
+    record OrganisationFigures(
+            String id, int requests, int served, int refused, int refusedWithinRate, double attainment) {}
+
+    /** Figures of one second: requests sent, served and refused, and tokens served, by time of sending. */
+    record Second(int second, int sent, int served, int refused, long servedTokens) {}
+
+    /** Fault mark at a time of the replay. */
+    record Mark(double second, String fault) {}
+}
--- /dev/null
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/ReportBuilder.java
@@ -0,0 +1,139 @@
+package org.gooseberryring.ctl.replay;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.ToLongFunction;
+
+import org.HdrHistogram.Histogram;
+
+/** Computes the report of a replay from its outcomes. */
+final class ReportBuilder {
+    private static final long MILLIS_PER_SECOND = 1_000;
+    private static final double MICROS_PER_MILLI = 1_000.0;
+    private static final int SIGNIFICANT_DIGITS = 3;
+    private static final String NO_ANSWER = "no-answer";
+
+    private final Map<String, OrganisationAccess> organisations;
+    private final Outcome.Objective objective;
+
+    ReportBuilder(Map<String, OrganisationAccess> organisations, Outcome.Objective objective) {
+        this.organisations = organisations;
+        this.objective = objective;
+    }
+
+    ReplayReport build(List<Outcome> outcomes, List<TraceLine> trace, double speed, int sentLate) {
+        // Outcomes are compared by identity, since two requests may be alike.
+        Set<Integer> wrongful = new HashSet<>();
+        new RateCheck(organisations)
+                .refusedWithinRate(outcomes)
+                .forEach(outcome -> wrongful.add(System.identityHashCode(outcome)));
+        Map<String, List<Outcome>> byOrganisation = new TreeMap<>();
+        outcomes.forEach(outcome -> byOrganisation
+                .computeIfAbsent(outcome.line().organisation(), id -> new ArrayList<>())
+                .add(outcome));
+        List<ReplayReport.OrganisationFigures> figures = byOrganisation.entrySet().stream()
+                .map(entry -> figures(entry.getKey(), entry.getValue(), wrongful))
+                .toList();
+        ReplayReport.OrganisationFigures worst = figures.stream()
+                .min(Comparator.comparingDouble(ReplayReport.OrganisationFigures::attainment))
+                .orElse(new ReplayReport.OrganisationFigures("", 0, 0, 0, 0, 1));
+        return new ReplayReport(
+                outcomes.size(),
+                (int) outcomes.stream().filter(Outcome::served).count(),
+                attainment(outcomes, wrongful),
+                worst.id(),
+                worst.attainment(),
+                wrongful.size(),
+                refusals(outcomes),
+                sentLate,
+                percentiles(outcomes, Outcome::firstTokenMicros),
+                percentiles(outcomes, Outcome::totalMicros),
+                figures,
+                seconds(outcomes),
+                marks(trace, speed));
+    }
+
+    private ReplayReport.OrganisationFigures figures(String id, List<Outcome> outcomes, Set<Integer> wrongful) {
+        return new ReplayReport.OrganisationFigures(
+                id,
+                outcomes.size(),
+                (int) outcomes.stream().filter(Outcome::served).count(),
+                (int) outcomes.stream().filter(Outcome::refused).count(),
+                (int) outcomes.stream()
+                        .filter(outcome -> wrongful.contains(System.identityHashCode(outcome)))
+                        .count(),
+                attainment(outcomes, wrongful));
+    }
+
+    private double attainment(List<Outcome> outcomes, Set<Integer> wrongful) {
+        List<Outcome> counted = outcomes.stream()
+                .filter(outcome -> !outcome.refused() || wrongful.contains(System.identityHashCode(outcome)))
+                .toList();
+        long attained =
+                counted.stream().filter(outcome -> outcome.attained(objective)).count();
+        return counted.isEmpty() ? 1 : (double) attained / counted.size();
+    }
+
+    private static Map<String, Integer> refusals(List<Outcome> outcomes) {
+        Map<String, Integer> refusals = new TreeMap<>();
+        for (Outcome outcome : outcomes) {
+            if (outcome.refused()) {
+                refusals.merge(
+                        outcome.code().isEmpty() ? "status-" + outcome.status() : outcome.code(), 1, Integer::sum);
+            } else if (!outcome.complete()) {
+                refusals.merge(NO_ANSWER, 1, Integer::sum);
+            }
+        }
+        return refusals;
+    }
+
+    private static ReplayReport.Percentiles percentiles(List<Outcome> outcomes, ToLongFunction<Outcome> micros) {
+        Histogram histogram = new Histogram(SIGNIFICANT_DIGITS);
+        outcomes.stream()
+                .filter(Outcome::served)
+                .forEach(outcome -> histogram.recordValue(Math.max(0, micros.applyAsLong(outcome))));
+        return new ReplayReport.Percentiles(
+                histogram.getValueAtPercentile(50) / MICROS_PER_MILLI,
+                histogram.getValueAtPercentile(95) / MICROS_PER_MILLI,
+                histogram.getValueAtPercentile(99) / MICROS_PER_MILLI,
+                histogram.getValueAtPercentile(99.9) / MICROS_PER_MILLI,
+                histogram.getMaxValue() / MICROS_PER_MILLI);
+    }
+
+    private static List<ReplayReport.Second> seconds(List<Outcome> outcomes) {
+        int last = outcomes.stream().mapToInt(ReportBuilder::second).max().orElse(-1);
+        int[] sent = new int[last + 1];
+        int[] served = new int[last + 1];
+        int[] refused = new int[last + 1];
+        long[] tokens = new long[last + 1];
+        for (Outcome outcome : outcomes) {
+            int second = second(outcome);
+            sent[second]++;
+            served[second] += outcome.served() ? 1 : 0;
+            refused[second] += outcome.refused() ? 1 : 0;
+            tokens[second] += outcome.served() ? outcome.line().outputTokens() : 0;
+        }
+        List<ReplayReport.Second> seconds = new ArrayList<>();
+        for (int i = 0; i <= last; i++) {
+            seconds.add(new ReplayReport.Second(i, sent[i], served[i], refused[i], tokens[i]));
+        }
+        return seconds;
+    }
+
+    private static List<ReplayReport.Mark> marks(List<TraceLine> trace, double speed) {
+        return trace.stream()
+                .filter(line -> !line.request())
+                .map(line ->
+                        new ReplayReport.Mark(line.timeMillis() / speed / (double) MILLIS_PER_SECOND, line.fault()))
+                .toList();
+    }
+
+    private static int second(Outcome outcome) {
+        return (int) (outcome.sentMillis() / MILLIS_PER_SECOND);
+    }
+}
--- /dev/null
+++ b/gooseberryring-ctl/src/test/java/org/gooseberryring/ctl/replay/ReplayTest.java
@@ -0,0 +1,32 @@
+package org.gooseberryring.ctl.replay;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class ReplayTest {
+    private static final Map<String, OrganisationAccess> ACCESS = Map.of("o", new OrganisationAccess("k", 10, 100));
+
+    /** Guards against requests that are sent early, late or in another order than the trace says. */
+    @Test
+    void requestsAreSentAtTheirTimesDividedByTheSpeed() {
+        AtomicLong clock = new AtomicLong(5_000);
+        RequestSender sender = (number, line, key, sentMillis, done) ->
+                done.accept(new Outcome(line, sentMillis, 200, null, true, 1, 2));
+        Replay replay = new Replay(sender, ACCESS, clock::get, clock::addAndGet, 1);
+
+        List<Outcome> outcomes =
+                replay.run(List.of(request(0), TraceLine.mark(500, "x"), request(1_000), request(1_000)), 2);
+
+        assertThat(outcomes.stream().map(Outcome::sentMillis)).containsExactly(0L, 500L, 500L);
+        assertThat(replay.late()).isEqualTo(0);
+    }
+
+    static TraceLine request(long timeMillis) {
+        return new TraceLine(timeMillis, "o", "m", null, 40, 10, null, true, null);
+    }
+}
--- /dev/null
+++ b/gooseberryring-ctl/src/test/java/org/gooseberryring/ctl/replay/ReportBuilderTest.java
@@ -0,0 +1,73 @@
+package org.gooseberryring.ctl.replay;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class ReportBuilderTest {
+    private static final Map<String, OrganisationAccess> ACCESS =
+            Map.of("o", new OrganisationAccess("k", 10, 100), "p", new OrganisationAccess("k", 10, 100));
+
+    /** Guards against refusals above the rate that count against the system, and against missed ones within it. */
+    @Test
+    void refusalsAreJudgedByWhatWasAdmittedBefore() {
+        List<Outcome> outcomes = new ArrayList<>();
+        outcomes.add(outcome("o", 0, 200, null));
+        outcomes.add(outcome("o", 0, 429, "rate-limited"));
+        outcomes.add(outcome("o", 1_000, 200, null));
+        outcomes.add(outcome("o", 1_000, 429, "rate-limited"));
+        outcomes.add(outcome("o", 6_000, 429, "rate-limited"));
+
+        ReplayReport report = build(outcomes);
+
+        assertThat(report.withinRateRefusals()).isEqualTo(2);
+        assertThat(report.refusalsByCode()).containsExactly("rate-limited", 3);
+        assertThat(report.attainment()).isEqualTo(0.5);
+    }
+
+    /** Guards against a mean over organisations that hides the worst one. */
+    @Test
+    void worstOrganisationIsNamed() {
+        ReplayReport report = build(List.of(
+                outcome("o", 0, 200, null),
+                outcome("p", 0, 200, null),
+                new Outcome(line("p", 0), 0, 200, null, false, 1, 2)));
+
+        assertThat(report.worstOrganisation()).isEqualTo("p");
+        assertThat(report.worstAttainment()).isEqualTo(0.5);
+        assertThat(report.refusalsByCode()).containsExactly("no-answer", 1);
+    }
+
+    /** Guards against a page that needs other files or lets names of the trace become markup. */
+    @Test
+    void pageIsSelfContainedAndEscaped() {
+        List<TraceLine> trace = List.of(TraceLine.mark(0, "<script>"));
+
+        String page = ReportPage.render(builder().build(List.of(outcome("o", 0, 200, null)), trace, 1, 0));
+
+        assertThat(page).contains("&lt;script&gt;");
+        assertThat(page).doesNotContain("<script");
+        assertThat(page).doesNotContain("http");
+        assertThat(page).contains("<polyline");
+    }
+
+    private static ReplayReport build(List<Outcome> outcomes) {
+        return builder().build(outcomes, List.of(), 1, 0);
+    }
+
+    private static ReportBuilder builder() {
+        return new ReportBuilder(ACCESS, new Outcome.Objective(1, 1));
+    }
+
+    private static TraceLine line(String organisation, long time) {
+        return new TraceLine(time, organisation, "m", null, 40, 10, null, true, null);
+    }
+
+    private static Outcome outcome(String organisation, long time, int status, String code) {
+        return new Outcome(line(organisation, time), time, status, code, true, 500, 1_000);
+    }
+}
--- a/gooseberryring-standins/src/main/java/org/gooseberryring/standins/StandInMain.java
+++ b/gooseberryring-standins/src/main/java/org/gooseberryring/standins/StandInMain.java
@@ -1,15 +1,22 @@
 package org.gooseberryring.standins;
 
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
+import org.gooseberryring.state.Artifact;
 
 /** Runs one stand-in as a process of its own until the process is ended. */
 public final class StandInMain {
     private static final int BAD_USAGE = 2;
+    private static final Pattern PRELOAD = Pattern.compile("([^:@=]+)(?::([^:@=]+))?@([^:@=]+)=([0-9]{1,18})");
 
     private StandInMain() {}
 
@@ -36,14 +43,19 @@
             System.exit(BAD_USAGE);
             return;
         }
-        String started =
-                switch (command) {
-                    case "platform" -> platform.start();
-                    case "engine" -> engine.start();
-                    default -> service.start();
-                };
-        System.out.println("event=started kind=" + command + " " + started);
-        System.out.flush();
+        try {
+            String started =
+                    switch (command) {
+                        case "platform" -> platform.start();
+                        case "engine" -> engine.start();
+                        default -> service.start();
+                    };
+            System.out.println("event=started kind=" + command + " " + started);
+            System.out.flush();
+        } catch (ParameterException | UncheckedIOException e) {
+            System.err.println(e.getMessage());
+            System.exit(BAD_USAGE);
+        }
         new CountDownLatch(1).await();
     }
 
@@ -91,15 +103,31 @@
         @Parameter(names = "--load-concurrency", description = "Model loads at once at full speed")
         private int loadConcurrency = 6;
 
+        @Parameter(
+                names = "--preload",
+                description = "Artifact in memory from the start, model[:adapter]@version=bytes")
+        private List<String> preload = new ArrayList<>();
+
         String start() {
             EngineSettings settings = new EngineSettings(
                     id, port, memoryBytes, concurrency, !ignoreFencing, firstTokenMillis, tokenMillis, reportMillis);
             WeightStoreStandIn weights = new WeightStoreStandIn(loadsPerSecond, loadConcurrency, 7, 50);
-            EngineStandIn engine = new EngineStandIn(settings, weights, System.currentTimeMillis()).start();
+            EngineStandIn engine = new EngineStandIn(settings, weights, System.currentTimeMillis());
+            preload.forEach(entry -> preload(engine, entry));
+            engine.start();
             return "id=" + id + " address=" + engine.address();
         }
     }
 
+    private static void preload(EngineStandIn engine, String entry) {
+        Matcher matcher = PRELOAD.matcher(entry);
+        if (!matcher.matches()) {
+            throw new ParameterException("Option --preload must be model[:adapter]@version=bytes, not " + entry);
+        }
+        Artifact artifact = new Artifact(matcher.group(1), matcher.group(2), matcher.group(3));
+        engine.preload(artifact, Long.parseLong(matcher.group(4)));
+    }
+
     /** Options of the service stand-in. */
     @Parameters(commandDescription = "Runs the stand-in of a plain service")
     private static final class ServiceCommand {
