Balance keepers, keep collected tokens while a request waits, and simulate the limits

Causes found by the simulation of seven hosts: - Wallet and keeper of one host used the same request identifiers, so a keeper answered one with the remembered grant of the other. - A wallet returned the tokens it was collecting for a waiting request as surplus before the round over the keepers had ended. - Tokens in advance were always asked from the nearest keeper. They are now asked in turn.

The document carries the revision that its allotments follow, so that a host with an old configuration does not raise what a later revision lowered.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/AllotmentDocument.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/AllotmentDocument.java
@@ -10,11 +10,14 @@
  * <p>The organisation of a removed configuration entry stays without keepers, so that adding it again does not hand out
  * a second full burst.
  *
+ * @param revision highest revision of the configuration that a writer followed; an older one must not raise allotments
  * @param keepers keepers by host
  * @param organisations allotments by organisation and host
  */
 public record AllotmentDocument(
-        SortedMap<String, KeeperEntry> keepers, SortedMap<String, SortedMap<String, Allotment>> organisations) {
+        long revision,
+        SortedMap<String, KeeperEntry> keepers,
+        SortedMap<String, SortedMap<String, Allotment>> organisations) {
     public AllotmentDocument {
         keepers = Collections.unmodifiableSortedMap(keepers == null ? new TreeMap<>() : new TreeMap<>(keepers));
         SortedMap<String, SortedMap<String, Allotment>> copy = new TreeMap<>();
@@ -27,7 +30,7 @@
 
     /** Returns a document without keepers. */
     public static AllotmentDocument empty() {
-        return new AllotmentDocument(null, null);
+        return new AllotmentDocument(0, null, null);
     }
 
     /** Returns the allotments of one host by organisation. */
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/AllotmentLedger.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/AllotmentLedger.java
@@ -46,6 +46,8 @@
     private final TokenKeeper keeper;
     private final Map<String, Sighting> sightings = new HashMap<>();
     private final Map<Long, Long> sentAtByConfirmation = new HashMap<>();
+    private long revision;
+    private long limitsRevision;
     private Map<String, Organisation> organisations = Map.of();
     private Set<String> members = Set.of();
     private AllotmentDocument document;
@@ -74,9 +76,14 @@
         this.keeper = keeper;
     }
 
-    /** Adopts the configured organisations by identifier. */
-    public void configure(Map<String, Organisation> organisations) {
-        this.organisations = Map.copyOf(organisations);
+    /** Adopts the organisations of a revision of the configuration by identifier. */
+    public void configure(long revision, Map<String, Organisation> organisations) {
+        Map<String, Organisation> adopted = Map.copyOf(organisations);
+        if (!adopted.equals(this.organisations)) {
+            limitsRevision = revision;
+        }
+        this.revision = revision;
+        this.organisations = adopted;
     }
 
     /** Adopts the live hosts of this host's failure domain, this host included. */
@@ -241,13 +248,14 @@
     private AllotmentDocument membership(AllotmentDocument read, String organisation, boolean mine) {
         Organisation configured = leaving ? null : organisations.get(organisation);
         int rank = KeeperChoice.rank(organisation, members).indexOf(self.host());
-        boolean chosen = configured != null && rank >= 0 && rank < settings.keepersPerDomain();
+        boolean chosen =
+                configured != null && revision >= read.revision() && rank >= 0 && rank < settings.keepersPerDomain();
         // A keeper that is only just not chosen stays, because members come and go more often than hosts die.
         boolean stays = configured != null && rank < 2 * settings.keepersPerDomain();
         Allotment present = read.of(self.host()).get(organisation);
         boolean active = present != null && !present.withdrawn();
         if (chosen && !active) {
-            return AllotmentPlan.found(read, configured, self.host());
+            return AllotmentPlan.found(read, limitsRevision, configured, self.host());
         }
         if (active && !stays && mine) {
             return AllotmentPlan.withdraw(read, organisation, self.host());
@@ -274,7 +282,10 @@
                 next = AllotmentPlan.reclaim(next, sighting.getKey());
             }
         }
-        next = AllotmentPlan.rebalance(next, organisations);
+        // A host that is behind must not raise allotments that a later revision lowered.
+        if (revision >= document.revision()) {
+            next = AllotmentPlan.rebalance(next, limitsRevision, organisations);
+        }
         if (next.equals(read)) {
             imbalanceSince = Long.MAX_VALUE;
             return read;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/AllotmentPlan.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/AllotmentPlan.java
@@ -99,10 +99,13 @@
     /**
      * Moves allotments towards equal shares: lowers targets first, and raises only within what is free.
      *
+     * @param revision revision of the configuration that brought the present rates and bursts
      * @param organisations configured organisations by identifier
      */
-    public static AllotmentDocument rebalance(AllotmentDocument document, Map<String, Organisation> organisations) {
+    public static AllotmentDocument rebalance(
+            AllotmentDocument document, long revision, Map<String, Organisation> organisations) {
         Draft draft = new Draft(document);
+        draft.revision = Math.max(draft.revision, revision);
         for (Map.Entry<String, TreeMap<String, Allotment>> entry : draft.organisations.entrySet()) {
             Organisation organisation = organisations.get(entry.getKey());
             long rate = organisation == null ? 0 : Math.max(0, organisation.rateTokensPerSecond());
@@ -114,11 +117,13 @@
     }
 
     /** Joins an organisation that the document does not know yet, whose first keeper starts with a full burst. */
-    public static AllotmentDocument found(AllotmentDocument document, Organisation organisation, String host) {
+    public static AllotmentDocument found(
+            AllotmentDocument document, long revision, Organisation organisation, String host) {
         if (document.organisations().containsKey(organisation.id())) {
             return join(document, organisation.id(), host);
         }
         Draft draft = new Draft(document);
+        draft.revision = Math.max(draft.revision, revision);
         draft.allotments(organisation.id())
                 .put(
                         host,
@@ -180,9 +185,11 @@
     /** Mutable copy of a document. */
     private static final class Draft {
         private final TreeMap<String, KeeperEntry> keepers;
+        private long revision;
         private final TreeMap<String, TreeMap<String, Allotment>> organisations = new TreeMap<>();
 
         private Draft(AllotmentDocument document) {
+            revision = document.revision();
             keepers = new TreeMap<>(document.keepers());
             document.organisations()
                     .forEach((organisation, allotments) -> organisations.put(organisation, new TreeMap<>(allotments)));
@@ -209,7 +216,7 @@
 
         private AllotmentDocument build() {
             SortedMap<String, SortedMap<String, Allotment>> result = new TreeMap<>(organisations);
-            return new AllotmentDocument(keepers, result);
+            return new AllotmentDocument(revision, keepers, result);
         }
 
         private void dropIdleKeepers() {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/TokenFetcher.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/TokenFetcher.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -13,8 +14,10 @@
 /**
  * Fetches tokens of one organisation from its keepers and decides the reservations that wait for them.
  *
- * <p>A round asks one keeper after the other, nearest first, until enough tokens are there. A reservation is refused only
- * after a round that began after its arrival has asked every keeper.
+ * <p>A round asks one keeper after the other until enough tokens are there, nearest first if a request waits. Tokens in
+ * advance are asked from all keepers in turn: a demand that drains the nearest only would leave the others full, and a
+ * full bucket wastes its rate. A reservation is refused only after a round that began after its arrival has asked every
+ * keeper.
  */
 final class TokenFetcher {
     // A keeper that did not answer is asked last for this long, so that it does not delay every round.
@@ -46,6 +49,7 @@
     private double lastFillPerMilli;
     private long pendingTokens;
     private long sequence;
+    private int rotation;
 
     /**
      * Creates a fetcher that knows no keeper yet.
@@ -74,6 +78,11 @@
         return pending.isEmpty();
     }
 
+    /** Returns the tokens that waiting reservations need. */
+    long waitingTokens() {
+        return pendingTokens;
+    }
+
     /** Queues a reservation, or refuses it if it can never fit or too many wait. */
     Admission enqueue(String requestId, long tokens, long now) {
         if (tokens > account.organisation().burstTokens()
@@ -137,7 +146,7 @@
 
     /** Starts a round if tokens are short and none is under way. */
     void startRound(long now) {
-        boolean needed = !pending.isEmpty() || account.available() < account.stock() / 2;
+        boolean needed = !pending.isEmpty() || account.available() < account.stock(now) / 2;
         if (active || !needed || now < nextRoundAt || keepers.isEmpty()) {
             return;
         }
@@ -147,6 +156,9 @@
         fillPerMilli = 0;
         suspects.values().removeIf(until -> until <= now);
         order = new ArrayList<>(keepers);
+        if (pending.isEmpty()) {
+            Collections.rotate(order, rotation++);
+        }
         order.removeAll(suspects.keySet());
         if (!pending.isEmpty()) {
             keepers.stream().filter(suspects::containsKey).forEach(order::add);
@@ -173,7 +185,7 @@
 
     private void askNext(long now) {
         current = null;
-        long wanted = pendingTokens + account.stock() - account.available();
+        long wanted = pendingTokens + account.stock(now) - account.available();
         if (wanted <= 0) {
             active = false;
             return;
@@ -193,6 +205,7 @@
 
     private void finishShort(long now) {
         active = false;
+        account.scarce(now);
         nextRoundAt = now + settings.roundIntervalMillis();
         lastFillPerMilli = fillPerMilli;
         long shortage = -account.available();
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/TokenKeeper.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/TokenKeeper.java
@@ -19,6 +19,10 @@
     // sender does not accept, because the sender accepts one grant for each request.
     private static final int REMEMBERED_ANSWERS = 4_096;
 
+    // Loans are asked for at once after a successful one and more and more rarely while nobody can lend.
+    private static final long MIN_LOAN_INTERVAL_MILLIS = 20;
+    private static final long MAX_LOAN_INTERVAL_MILLIS = 1_000;
+
     private final String host;
     private final long incarnation;
     private final LimitSettings settings;
@@ -38,7 +42,8 @@
         };
         private List<String> lenders = List.of();
         private int nextLender;
-        private long shortage;
+        private long nextLoanAt = Long.MIN_VALUE;
+        private long loanInterval = MIN_LOAN_INTERVAL_MILLIS;
         private String loanRequest;
         private long loanSentAt;
 
@@ -159,20 +164,24 @@
         if (grant.tokens() <= 0 || !inTime || !entitled(now)) {
             return List.of();
         }
+        account.loanInterval = MIN_LOAN_INTERVAL_MILLIS;
+        account.nextLoanAt = now;
         account.bucket.advance(now, fillUntil());
         long added = account.bucket.deposit(grant.tokens());
         return List.of(new LimitEffect.Send(
                 sender, new TokenMessage.Return(grant.organisation(), grant.batchId(), grant.tokens() - added)));
     }
 
-    /** Ends expired batches and borrows from the next lender what was missing since the last call. */
+    /**
+     * Ends expired batches, and borrows from the next lender if less than a quarter of the burst is left. A keeper that
+     * is full wastes what it would fill, so without loans a demand at one host would see only a part of the burst.
+     */
     public List<LimitEffect> tick(long now) {
         List<LimitEffect> effects = new ArrayList<>();
         accounts.forEach((organisation, account) -> {
             account.bucket.advance(now, fillUntil());
-            boolean waiting = account.loanRequest != null && now < account.loanSentAt + settings.askTimeoutMillis();
-            long wanted = Math.min(account.shortage, account.bucket.headroomTokens());
-            if (!waiting && wanted > 0 && !account.lenders.isEmpty() && entitled(now)) {
+            long wanted = account.bucket.burstTokens() / 4 - account.bucket.levelTokens();
+            if (wanted > 0 && now >= account.nextLoanAt && !account.lenders.isEmpty() && entitled(now)) {
                 effects.add(borrow(organisation, account, wanted, now));
             }
         });
@@ -195,22 +204,20 @@
         String lender = account.lenders.get(account.nextLender++ % account.lenders.size());
         account.loanRequest = nextId();
         account.loanSentAt = now;
-        account.shortage = 0;
+        account.loanInterval = Math.min(MAX_LOAN_INTERVAL_MILLIS, 2 * account.loanInterval);
+        account.nextLoanAt = now + account.loanInterval;
         return new LimitEffect.Send(lender, new TokenMessage.Request(account.loanRequest, organisation, wanted, true));
     }
 
     private TokenMessage.Grant grant(String sender, TokenMessage.Request request, Account account, long now) {
         KeeperBucket bucket = account.bucket;
-        // A lender keeps half, so that two keepers do not pass the same tokens back and forth.
-        long offered = request.lend() ? bucket.levelTokens() / 2 : bucket.levelTokens();
+        // A lender keeps half of its burst, so that tokens do not go back and forth.
+        long offered = request.lend() ? bucket.levelTokens() - bucket.burstTokens() / 2 : bucket.levelTokens();
         long wanted = Math.min(Math.max(0, request.tokens()), offered);
         String batchId = nextId();
         long tokens = bucket.grant(batchId, sender, wanted, now + settings.batchLifetimeMillis());
         long missing = Math.max(0, request.tokens() - tokens);
         long retryAfter = missing == 0 ? 0 : bucket.fillMillis(missing);
-        if (missing > 0 && !request.lend()) {
-            account.shortage = Math.max(account.shortage, missing);
-        }
         return tokens == 0
                 ? nothing(request, retryAfter)
                 : new TokenMessage.Grant(
@@ -235,6 +242,6 @@
     }
 
     private String nextId() {
-        return host + '/' + Long.toHexString(incarnation) + '/' + ++sequence;
+        return host + "/keeper/" + Long.toHexString(incarnation) + '/' + ++sequence;
     }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/TokenWallet.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/TokenWallet.java
@@ -79,7 +79,6 @@
         if (entry == null) {
             return Admission.refused(settings.roundIntervalMillis());
         }
-        entry.account().noteDemand(tokens);
         if (entry.fetcher().idle()) {
             Reservation reservation = entry.account().take(tokens, now);
             if (reservation != null) {
@@ -125,7 +124,7 @@
     public void tick(long now) {
         this.now = now;
         for (Entry entry : entries.values()) {
-            entry.account().tick(now);
+            entry.account().tick(entry.fetcher().waitingTokens(), now);
             entry.fetcher().tick(now);
         }
     }
@@ -189,6 +188,7 @@
     }
 
     private String nextRequestId() {
-        return host + '/' + Long.toHexString(incarnation) + '/' + ++sequence;
+        // The keeper of this host borrows under the same sender, so its identifiers must differ.
+        return host + "/wallet/" + Long.toHexString(incarnation) + '/' + ++sequence;
     }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/WalletAccount.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/WalletAccount.java
@@ -12,6 +12,9 @@
     // Demand is averaged over about this time, long enough to smooth single requests.
     private static final double DEMAND_WINDOW_MILLIS = 500;
 
+    // Long enough to outlast the pause between rounds, short against a burst.
+    private static final long SCARCE_MILLIS = 200;
+
     private final LimitSettings settings;
     private final Consumer<LimitEffect> effects;
     private final ArrayDeque<WalletBatch> open = new ArrayDeque<>();
@@ -22,6 +25,7 @@
     private double demandPerMilli;
     private long measuredAt;
     private long reportedAt;
+    private long scarceUntil = Long.MIN_VALUE;
 
     WalletAccount(Organisation organisation, LimitSettings settings, Consumer<LimitEffect> effects, long now) {
         this.organisation = organisation;
@@ -43,13 +47,14 @@
         return available;
     }
 
-    /** Returns the tokens to hold in advance. */
-    long stock() {
-        return (long) (demandPerMilli * settings.stockMillis());
+    /** Returns the tokens to hold in advance, none while they are scarce, so that hosts in need find them. */
+    long stock(long now) {
+        return now < scarceUntil ? 0 : (long) (demandPerMilli * settings.stockMillis());
     }
 
-    void noteDemand(long tokens) {
-        demand += tokens;
+    /** Notes that the keepers together had too few tokens. */
+    void scarce(long now) {
+        scarceUntil = now + SCARCE_MILLIS;
     }
 
     /** Adds a batch, in the order of expiry, because an answer that was late expires before later ones. */
@@ -70,6 +75,7 @@
             return null;
         }
         available -= tokens;
+        demand += tokens;
         Reservation reservation = null;
         long missing = tokens;
         while (missing > 0) {
@@ -107,15 +113,19 @@
         }
     }
 
-    /** Returns batches that are due or not needed, and reports to the keepers. */
-    void tick(long now) {
+    /**
+     * Returns batches that are due or not needed, and reports to the keepers.
+     *
+     * @param waitingTokens tokens that waiting reservations need, which are kept while a round collects them
+     * @param now monotonic time in milliseconds
+     */
+    void tick(long waitingTokens, long now) {
         expire(now);
         measure(now);
-        long surplus = available - 2 * stock();
+        long surplus = available - 2 * stock(now) - waitingTokens;
         for (Iterator<WalletBatch> i = open.iterator(); i.hasNext(); ) {
             WalletBatch batch = i.next();
-            boolean needless = batch.available() <= surplus;
-            if (needless || batch.due(now, 2 * settings.stockMillis())) {
+            if (surplus > 0 || batch.due(now, 2 * settings.stockMillis())) {
                 surplus -= batch.available();
                 i.remove();
                 close(batch);
--- /dev/null
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/FakeAllotmentStore.java
@@ -0,0 +1,65 @@
+package org.gooseberryring.coordination.limit;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.gooseberryring.coordination.store.StoreOutcome;
+import org.gooseberryring.coordination.store.StoreReply;
+import org.gooseberryring.coordination.store.StoreRequest;
+
+/** Object store for one document with conditional updates, outages and lost answers. */
+final class FakeAllotmentStore implements AllotmentCodec {
+    /** How the store treats a call. */
+    enum Mode {
+        UP,
+        DOWN,
+        ANSWER_LOST_AFTER_EFFECT,
+        ANSWER_LOST_WITHOUT_EFFECT
+    }
+
+    private final List<AllotmentDocument> encoded = new ArrayList<>();
+    private AllotmentDocument document;
+    private long version;
+
+    AllotmentDocument document() {
+        return document == null ? AllotmentDocument.empty() : document;
+    }
+
+    StoreReply call(StoreRequest request, Mode mode) {
+        if (mode == Mode.DOWN) {
+            return new StoreReply(request.key(), StoreOutcome.UNAVAILABLE, 0, null);
+        }
+        if (mode == Mode.ANSWER_LOST_WITHOUT_EFFECT) {
+            return new StoreReply(request.key(), StoreOutcome.UNKNOWN, 0, null);
+        }
+        StoreReply reply = request instanceof StoreRequest.Put put ? put(put) : read(request.key());
+        return mode == Mode.UP ? reply : new StoreReply(request.key(), StoreOutcome.UNKNOWN, 0, null);
+    }
+
+    @Override
+    public byte[] encode(AllotmentDocument value) {
+        encoded.add(value);
+        return Integer.toString(encoded.size() - 1).getBytes(StandardCharsets.US_ASCII);
+    }
+
+    @Override
+    public AllotmentDocument decode(byte[] bytes) {
+        return encoded.get(Integer.parseInt(new String(bytes, StandardCharsets.US_ASCII)));
+    }
+
+    private StoreReply read(String key) {
+        return document == null
+                ? new StoreReply(key, StoreOutcome.ABSENT, 0, null)
+                : new StoreReply(key, StoreOutcome.OK, version, encode(document));
+    }
+
+    private StoreReply put(StoreRequest.Put put) {
+        if (put.expectedVersion() != version) {
+            return new StoreReply(put.key(), StoreOutcome.CONFLICT, version, null);
+        }
+        document = decode(put.value());
+        version++;
+        return new StoreReply(put.key(), StoreOutcome.OK, version, null);
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/TokenKeeperTest.java
@@ -0,0 +1,67 @@
+package org.gooseberryring.coordination.limit;
+
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+class TokenKeeperTest {
+    private static final LimitSettings SETTINGS = new LimitSettings(3_000, 40_000, 2, 200, 100, 20, 100);
+
+    /**
+     * Guards against an organisation that exceeds its rate and burst in any window, under kills, freezes past the
+     * reclaim time, partitions, store outages, lost store answers, changes of the configuration, and messages that are
+     * lost, late, repeated or reordered.
+     */
+    @Property(tries = 40, seed = "20261204", shrinking = ShrinkingMode.OFF)
+    void noWindowExceedsRateAndBurst(@ForAll long seed) {
+        LimitSimulation simulation =
+                new LimitSimulation(seed, SETTINGS, new LimitSimulation.Faults(0.03, 0.05, 0.05, 0.1), 4_000, 8_000);
+        Random random = simulation.random();
+        int host = 0;
+        for (int i = 0; i < 12_000; i++) {
+            if (i % 50 == 0) {
+                host = random.nextInt(7);
+            }
+            if (i % 400 == 0) {
+                fault(simulation, random);
+            }
+            simulation.run(random.nextInt(20));
+            long reserved = 1 + random.nextInt(200);
+            // Most requests use little of what they reserve, and some run longer than a batch lives.
+            long used = random.nextInt(3) == 0 ? reserved : random.nextInt((int) reserved + 1);
+            simulation.hosts().get(host).request(reserved, used, random.nextInt(random.nextInt(10) == 0 ? 8_000 : 300));
+        }
+        simulation.run(10_000);
+
+        assertThat(simulation.log().size()).isAtLeast(500);
+        assertWithMessage("excess tokens in a window, seed %s", seed)
+                .that(simulation.log().excess())
+                .isAtMost(0.0);
+    }
+
+    private static void fault(LimitSimulation simulation, Random random) {
+        LimitSimulation.Host host = simulation.hosts().get(random.nextInt(7));
+        switch (random.nextInt(6)) {
+            case 0 -> {
+                host.kill();
+                simulation.at(random.nextInt(15_000), host::start);
+            }
+            case 1 -> host.freeze(random.nextInt(6_000));
+            case 2 -> host.freeze(30_000 + random.nextInt(40_000));
+            case 3 -> {
+                simulation.separate("domain-" + random.nextInt(3));
+                simulation.at(random.nextInt(20_000), () -> simulation.separate(null));
+            }
+            case 4 -> {
+                simulation.store(FakeAllotmentStore.Mode.DOWN);
+                simulation.at(random.nextInt(30_000), () -> simulation.store(FakeAllotmentStore.Mode.UP));
+            }
+            default -> simulation.reconfigure(1_000 + random.nextInt(5_000), 2_000 + random.nextInt(10_000));
+        }
+    }
+}
