--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -38,6 +38,9 @@
     /** Abandoned claims remembered so that a late grant is released; an owner answers within seconds. */
     private static final int MAX_ABANDONED_CLAIMS = 10_000;
 
+    /** Organisation under which the idempotency keys of open routes are claimed. */
+    private static final String OPEN_ROUTE = "";
+
     private static final String NO_ENDPOINT_DETAIL = "no endpoint can serve the request now";
     private static final String DEADLINE_DETAIL = "the request cannot be answered before its deadline";
     private static final String QUEUE_FULL_DETAIL = "the queue of this host is full";
@@ -87,7 +90,7 @@
         this.maxRunMillis = maxRunMillis;
     }
 
-    /** A caller's request arrived and its key is valid. */
+    /** A caller's request arrived and its key is valid; it is ignored if a request with its identifier is open. */
     public List<RequestEffect> arrived(RequestSpec spec, long now) {
         return begin(new Work(spec, false), now);
     }
@@ -268,7 +271,8 @@
         if (work.needsClaim()) {
             RequestSpec spec = work.spec();
             work.step(Work.Step.CLAIM);
-            effects.add(new RequestEffect.Claim(spec.id(), spec.organisation(), spec.idempotencyKey(), spec.digest()));
+            String organisation = spec.organisation() == null ? OPEN_ROUTE : spec.organisation();
+            effects.add(new RequestEffect.Claim(spec.id(), organisation, spec.idempotencyKey(), spec.digest()));
         } else {
             enqueue(work, now);
         }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Work.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Work.java
@@ -65,7 +65,7 @@
     }
 
     boolean needsClaim() {
-        return !relayed && !spec.idempotent() && spec.idempotencyKey() != null && spec.organisation() != null;
+        return !relayed && !spec.idempotent() && spec.idempotencyKey() != null;
     }
 
     void tokensReserved(boolean reserved) {
