--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/route/CreditWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/route/CreditWorld.java
@@ -87,6 +87,10 @@
                 if (target != null) {
                     send(target, () -> target.requested(this, outgoing.request()));
                 }
+                if (faults && random.nextInt(200) == 0) {
+                    // Freezes between a request and its grant, the worst time for a lease.
+                    frozenUntil = time + 500 + random.nextInt(1_500);
+                }
             }
         }
 
