--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/route/CreditWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/route/CreditWorld.java
@@ -56,6 +56,7 @@
                 credits.acquire(clock());
                 long writeBefore = holder.writeBefore(ENDPOINT);
                 later(random.nextInt(3), this, () -> write(writeBefore));
+                freezeAtWorstTime();
             }
             poll();
         }
@@ -87,10 +88,14 @@
                 if (target != null) {
                     send(target, () -> target.requested(this, outgoing.request()));
                 }
-                if (faults && random.nextInt(200) == 0) {
-                    // Freezes between a request and its grant, the worst time for a lease.
-                    frozenUntil = time + 500 + random.nextInt(1_500);
-                }
+                freezeAtWorstTime();
+            }
+        }
+
+        /** Freezes between a request for credits and its grant, or between a decision and the write to the endpoint. */
+        void freezeAtWorstTime() {
+            if (faults && random.nextInt(200) == 0) {
+                frozenUntil = time + 500 + random.nextInt(1_500);
             }
         }
 
