--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/route/CreditWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/route/CreditWorld.java
@@ -94,7 +94,7 @@
 
         /** Freezes between a request for credits and its grant, or between a decision and the write to the endpoint. */
         void freezeAtWorstTime() {
-            if (faults && random.nextInt(200) == 0) {
+            if (faults && random.nextInt(80) == 0) {
                 frozenUntil = time + 500 + random.nextInt(1_500);
             }
         }
