--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/config/DocumentCodec.java
@@ -0,0 +1,19 @@
+package org.gooseberryring.coordination.config;
+
+/** Converts documents of the store to bytes and back. */
+public interface DocumentCodec {
+    /** Serializes the head document. */
+    byte[] encodeHead(HeadDocument document);
+
+    /** Parses the head document. */
+    HeadDocument decodeHead(byte[] bytes);
+
+    /** Serializes an audit page. */
+    byte[] encodePage(AuditPage page);
+
+    /** Parses an audit page. */
+    AuditPage decodePage(byte[] bytes);
+
+    /** Returns a value of the configuration as text for the audit record. */
+    String describe(Object value);
+}
