Add the reservation ledger and the order controller

Cause: an old controller, a lost order or a late one must never overcommit the memory of an endpoint (R1) or take the last replica of a model (R2).

Every order is recorded in the ledger of its endpoint by a conditional update before it is sent, and stays there until it can no longer arrive. Every load first takes a slot of weights/budget, which divides the rate and the concurrency of the weight store without a common clock. An unload is recorded first and then proves, by a conditional update of the ledger of an endpoint with another confirmed replica, that this replica is not being unloaded by somebody else.

--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/DomainLease.java
@@ -0,0 +1,105 @@
+package org.gooseberryring.coordination.order;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+import org.gooseberryring.coordination.store.StoreReply;
+
+/**
+ * Lease of the controller of a failure domain.
+ *
+ * <p>The lease only decides who should act; a holder that acts after it lost the lease does no harm, because every order
+ * needs a conditional update of its ledger.
+ */
+final class DomainLease {
+    private static final int RENEWALS_PER_LEASE = 3;
+
+    private final String self;
+    private final long leaseMillis;
+    private final StoreCell<LeaseDocument> cell;
+    private final RandomGenerator random;
+    private LeaseDocument seen;
+    private long seenSince;
+    private long nextCallAt;
+    private long renewedAt;
+    private boolean leading;
+    private boolean candidate = true;
+    private long stamps;
+
+    DomainLease(String self, String failureDomain, long leaseMillis, OrderCodec codec, RandomGenerator random) {
+        this.self = self;
+        this.leaseMillis = leaseMillis;
+        this.random = random;
+        this.cell = new StoreCell<>(
+                key(failureDomain), LeaseDocument.class, () -> new LeaseDocument("", "", 0, 0), codec, random);
+    }
+
+    static String key(String failureDomain) {
+        return "controllers/" + failureDomain;
+    }
+
+    /** Returns whether this host is the controller, as far as it knows. */
+    boolean leads(long now) {
+        return leading && now - renewedAt < leaseMillis;
+    }
+
+    /** Returns the fencing number; only meaningful while this host leads. */
+    long term() {
+        return cell.doc().term();
+    }
+
+    /** Sets whether this host may take the lease; only a few hosts of a failure domain watch it. */
+    void candidate(boolean mayLead) {
+        candidate = mayLead;
+    }
+
+    List<OrderEffect> onTick(long now) {
+        List<OrderEffect> effects = new ArrayList<>(cell.onTick(now));
+        if (leading && now - renewedAt >= leaseMillis) {
+            leading = false;
+        }
+        if (!candidate && !leading || !cell.idle() || now < nextCallAt) {
+            return effects;
+        }
+        long period = leaseMillis / RENEWALS_PER_LEASE;
+        nextCallAt = now + period / 2 + random.nextLong(period / 2 + 1);
+        LeaseDocument doc = cell.doc();
+        if (leading) {
+            effects.addAll(cell.put(new LeaseDocument(stamp(), self, doc.term(), doc.renewals() + 1), now));
+        } else if (seen != null && now - seenSince >= leaseMillis) {
+            effects.addAll(cell.put(new LeaseDocument(stamp(), self, doc.term() + 1, 0), now));
+        } else {
+            effects.addAll(cell.read());
+        }
+        return effects;
+    }
+
+    List<OrderEffect> onReply(StoreReply reply, long now) {
+        List<OrderEffect> effects = new ArrayList<>();
+        switch (cell.onReply(reply, now, effects)) {
+            case WRITTEN:
+                leading = true;
+                renewedAt = cell.putSentAt();
+                break;
+            case LOST:
+            case READ:
+                leading = false;
+                break;
+            default:
+                return effects;
+        }
+        if (!cell.doc().equals(seen)) {
+            // A free lease may be taken at once.
+            seenSince = cell.doc().holder().isEmpty() ? now - leaseMillis : now;
+            seen = cell.doc();
+            nextCallAt = cell.doc().holder().isEmpty() ? now : nextCallAt;
+        }
+        return effects;
+    }
+
+    private String stamp() {
+        // Random, because a restarted host must not repeat the stamps of its previous life.
+        return self + "/" + Long.toHexString(random.nextLong()) + "/" + stamps++;
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/Held.java
@@ -0,0 +1,11 @@
+package org.gooseberryring.coordination.order;
+
+import org.gooseberryring.state.Artifact;
+
+/**
+ * Artifact that an endpoint holds.
+ *
+ * @param artifact artifact
+ * @param bytes accelerator memory that it takes, in bytes
+ */
+public record Held(Artifact artifact, long bytes) {}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/LeaseDocument.java
@@ -0,0 +1,11 @@
+package org.gooseberryring.coordination.order;
+
+/**
+ * Content of the store object {@code controllers/{domain}}.
+ *
+ * @param stamp identifier of the write
+ * @param holder host that is the controller
+ * @param term fencing number of the controller; each new holder raises it
+ * @param renewals number of renewals in this term
+ */
+public record LeaseDocument(String stamp, String holder, long term, long renewals) implements Stamped {}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/LedgerDocument.java
@@ -0,0 +1,18 @@
+package org.gooseberryring.coordination.order;
+
+import java.util.List;
+
+/**
+ * Content of the store object {@code ledger/{endpoint}}.
+ *
+ * @param stamp identifier of the write
+ * @param endpoint endpoint identifier
+ * @param loaded artifacts that the last usable report showed, with their memory
+ * @param orders orders that may still take effect, oldest first
+ */
+public record LedgerDocument(String stamp, String endpoint, List<Held> loaded, List<Order> orders) implements Stamped {
+    public LedgerDocument {
+        loaded = loaded == null ? List.of() : List.copyOf(loaded);
+        orders = orders == null ? List.of() : List.copyOf(orders);
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/LoadTasks.java
@@ -0,0 +1,208 @@
+package org.gooseberryring.coordination.order;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.gooseberryring.coordination.order.BudgetDocument.Slot;
+import org.gooseberryring.coordination.store.StoreReply;
+import org.gooseberryring.state.Artifact;
+
+/**
+ * Loads artifacts that the placements name, within the budget of the weight store.
+ *
+ * <p>A load takes a slot of the budget, then records its order in the ledger of the endpoint, then sends it. The slot is
+ * given back when the endpoint reports the artifact, or when the order can no longer arrive.
+ */
+final class LoadTasks {
+    /** Key of the budget in the store. */
+    static final String BUDGET_KEY = "weights/budget";
+
+    private static final int URGENT = 1;
+
+    private final Tenure tenure;
+    private final StoreCell<BudgetDocument> budget;
+    private final List<LoadTask> tasks = new ArrayList<>();
+    private LoadTask slotChange;
+    private long nextBudgetReadAt;
+
+    LoadTasks(Tenure tenure) {
+        this.tenure = tenure;
+        this.budget = new StoreCell<>(
+                BUDGET_KEY,
+                BudgetDocument.class,
+                () -> BudgetDocument.free(tenure.settings().weightConcurrency()),
+                tenure.codec(),
+                tenure.random());
+    }
+
+    List<OrderEffect> onTick(long now) {
+        List<OrderEffect> effects = new ArrayList<>(budget.onTick(now));
+        if (budget.doc() == null || now >= nextBudgetReadAt && budget.ready() && slotChange == null) {
+            // Also later, since a paused controller of an earlier term may have taken a slot in the meantime.
+            nextBudgetReadAt = now + tenure.settings().leaseMillis();
+            effects.addAll(budget.read());
+        }
+        for (LoadTask task : new ArrayList<>(tasks)) {
+            advance(task, now, effects);
+        }
+        changeSlots(now, effects);
+        return effects;
+    }
+
+    /** Returns whether any load is under way. */
+    boolean busy() {
+        return !tasks.isEmpty();
+    }
+
+    /** Handles the reply to a call on the budget; returns whether it was one. */
+    boolean onBudgetReply(StoreReply reply, long now, List<OrderEffect> effects) {
+        if (!reply.key().equals(BUDGET_KEY)) {
+            return false;
+        }
+        StoreCell.Event event = budget.onReply(reply, now, effects);
+        LoadTask changed = slotChange;
+        if (event == StoreCell.Event.NONE) {
+            return true;
+        }
+        slotChange = null;
+        if (changed != null && event == StoreCell.Event.WRITTEN) {
+            if (changed.step() == LoadTask.Step.SLOT) {
+                changed.slotTaken(now);
+                advance(changed, now, effects);
+            } else {
+                tasks.remove(changed);
+            }
+        } else if (changed != null && changed.step() == LoadTask.Step.SLOT) {
+            tasks.remove(changed);
+        }
+        adoptSlots(now);
+        changeSlots(now, effects);
+        return true;
+    }
+
+    /** Handles the outcome of a call on the ledger of an endpoint. */
+    void onLedger(EndpointTrack track, StoreCell.Event event, long now, List<OrderEffect> effects) {
+        for (LoadTask task : new ArrayList<>(tasks)) {
+            if (task.track() == track) {
+                task.onLedger(event, now, tenure.settings(), effects);
+            }
+        }
+    }
+
+    private void advance(LoadTask task, long now, List<OrderEffect> effects) {
+        task.advance(tenure, now, effects);
+    }
+
+    /**
+     * Takes over slots that an earlier controller of the failure domain has used, and those that this one took without
+     * learning of it; the latter have no order in a ledger.
+     */
+    private void adoptSlots(long now) {
+        List<Slot> slots = budget.doc().slots();
+        tasks.removeIf(t -> !uses(slots.get(t.slot()), t));
+        for (int i = 0; i < slots.size(); i++) {
+            Slot slot = slots.get(i);
+            if (tenure.failureDomain().equals(slot.failureDomain())
+                    && tasks.stream().noneMatch(t -> uses(slot, t))) {
+                boolean earlier = slot.order().term() < tenure.term();
+                EndpointTrack track = earlier ? tenure.tracks().get(slot.endpoint()) : null;
+                tasks.add(LoadTask.adopted(track, slot.order(), i, now));
+            }
+        }
+    }
+
+    private boolean uses(Slot slot, LoadTask task) {
+        return tenure.failureDomain().equals(slot.failureDomain())
+                && slot.order().equals(task.firstOrder());
+    }
+
+    /** Gives back a slot, or takes one for the most important load that fits. */
+    private void changeSlots(long now, List<OrderEffect> effects) {
+        if (!budget.ready() || slotChange != null) {
+            return;
+        }
+        for (LoadTask task : tasks) {
+            if (task.releasable(now, tenure.settings())) {
+                slotChange = task;
+                effects.addAll(budget.put(budget.doc().with(tenure.nextStamp(), task.slot(), Slot.FREE), now));
+                return;
+            }
+        }
+        List<Integer> free = new ArrayList<>();
+        for (int i = 0; i < budget.doc().slots().size(); i++) {
+            if (Slot.isFree(budget.doc().slots().get(i))) {
+                free.add(i);
+            }
+        }
+        if (free.isEmpty()) {
+            return;
+        }
+        Candidate best = bestCandidate(now);
+        // The last slot is kept for loads that restore reachability, unless there is only one.
+        boolean lastSlot = free.size() == 1 && budget.doc().slots().size() > 1;
+        if (best == null || lastSlot && best.rank() > URGENT) {
+            return;
+        }
+        int index = free.get(tenure.random().nextInt(free.size()));
+        LoadTask task = LoadTask.started(best.track(), best.artifact(), best.bytes(), tenure.nextId(), index);
+        tasks.add(task);
+        slotChange = task;
+        Slot slot = new Slot(tenure.failureDomain(), best.track().endpoint(), task.firstOrder());
+        effects.addAll(budget.put(budget.doc().with(tenure.nextStamp(), index, slot), now));
+    }
+
+    private record Candidate(EndpointTrack track, Artifact artifact, long bytes, int rank) {}
+
+    private record Unit(String model, String adapter) {
+        static Unit of(Artifact a) {
+            return new Unit(a.model(), a.adapter());
+        }
+    }
+
+    private Candidate bestCandidate(long now) {
+        Set<Unit> confirmed = new HashSet<>();
+        Set<EndpointTrack> busy = new HashSet<>();
+        for (EndpointTrack track : tenure.tracks().values()) {
+            if (track.cell().doc() != null && tenure.desired().usable(track.endpoint())) {
+                track.ledger().loaded().stream()
+                        .filter(h -> track.confirms(h.artifact()))
+                        .forEach(h -> confirmed.add(Unit.of(h.artifact())));
+            }
+        }
+        tasks.stream().filter(LoadTask::starting).forEach(t -> busy.add(t.track()));
+        List<Candidate> candidates = new ArrayList<>();
+        for (EndpointTrack track : tenure.tracks().values()) {
+            if (track.usable() && !busy.contains(track) && !tenure.desired().leaving(track.endpoint())) {
+                addCandidates(track, confirmed, candidates);
+            }
+        }
+        return candidates.isEmpty()
+                ? null
+                : Collections.min(
+                        candidates,
+                        Comparator.comparingInt(Candidate::rank)
+                                .thenComparing(Candidate::artifact)
+                                .thenComparing(c -> c.track().endpoint()));
+    }
+
+    private void addCandidates(EndpointTrack track, Set<Unit> confirmed, List<Candidate> candidates) {
+        DesiredState desired = tenure.desired();
+        LedgerDocument ledger = track.ledger();
+        for (Artifact a : tenure.wanted(track.endpoint())) {
+            long bytes = desired.bytes(a);
+            if (bytes < 0
+                    || !LoadTask.possible(tenure, track, a, bytes)
+                    || ReservationLedger.hasOrder(ledger, a, Order.Action.LOAD)) {
+                continue;
+            }
+            int rank = confirmed.contains(Unit.of(a))
+                    ? URGENT + 1
+                    : desired.foreignWitnesses(a).isEmpty() ? 0 : URGENT;
+            candidates.add(new Candidate(track, a, bytes, rank));
+        }
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/Order.java
@@ -0,0 +1,21 @@
+package org.gooseberryring.coordination.order;
+
+import org.gooseberryring.state.Artifact;
+
+/**
+ * Order to a model engine.
+ *
+ * @param id identifier
+ * @param action what to do
+ * @param artifact artifact to load or unload
+ * @param bytes accelerator memory that the artifact takes, in bytes
+ */
+public record Order(OrderId id, Action action, Artifact artifact, long bytes) {
+    /** Kind of order. */
+    public enum Action {
+        /** Loads an artifact from the weight store. */
+        LOAD,
+        /** Unloads an artifact. */
+        UNLOAD
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/OrderController.java
@@ -0,0 +1,113 @@
+package org.gooseberryring.coordination.order;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+import org.gooseberryring.coordination.store.StoreReply;
+import org.gooseberryring.state.FleetConfiguration;
+
+/**
+ * Controller of the endpoints of one failure domain: brings them to the placements of the configuration.
+ *
+ * <p>Only the holder of the lease acts, but safety does not depend on it: every order is covered by a conditional update
+ * of the ledger of its endpoint, every load by one of the budget, and every unload by one of the ledger of an endpoint
+ * with another confirmed replica. Store replies must be handed over in the order of the calls for each key.
+ */
+public final class OrderController {
+    private final String failureDomain;
+    private final OrderSettings settings;
+    private final OrderCodec codec;
+    private final RandomGenerator random;
+    private final DomainLease lease;
+    private final Map<String, Deque<Tenure>> callers = new HashMap<>();
+    private FleetConfiguration configuration = FleetConfiguration.empty();
+    private Tenure tenure;
+
+    /** Creates a host's part of the controller of its failure domain. */
+    public OrderController(
+            String self, String failureDomain, OrderSettings settings, OrderCodec codec, RandomGenerator random) {
+        this.failureDomain = failureDomain;
+        this.settings = settings;
+        this.codec = codec;
+        this.random = random;
+        this.lease = new DomainLease(self, failureDomain, settings.leaseMillis(), codec, random);
+    }
+
+    /** Returns whether this host is the controller, as far as it knows. */
+    public boolean leads(long now) {
+        return lease.leads(now);
+    }
+
+    /** Returns the fencing number of the present term, 0 if this host is not the controller. */
+    public long term() {
+        return tenure == null ? 0 : tenure.term();
+    }
+
+    /** Sets whether this host may become the controller; a few hosts of each failure domain suffice. */
+    public void onCandidate(boolean candidate) {
+        lease.candidate(candidate);
+    }
+
+    /** Takes a new configuration. */
+    public void onConfiguration(FleetConfiguration newConfiguration, long now) {
+        configuration = newConfiguration;
+        if (tenure != null) {
+            tenure.onConfiguration(configuration, now);
+        }
+    }
+
+    /** Sends what is due; called several times a second. */
+    public List<OrderEffect> onTick(long now) {
+        List<OrderEffect> effects = new ArrayList<>(lease.onTick(now));
+        followLease(now);
+        if (tenure != null) {
+            effects.addAll(remember(tenure.onTick(now)));
+        }
+        return effects;
+    }
+
+    /** Handles a reply of the store. */
+    public List<OrderEffect> onStoreReply(StoreReply reply, long now) {
+        if (reply.key().equals(DomainLease.key(failureDomain))) {
+            List<OrderEffect> effects = lease.onReply(reply, now);
+            followLease(now);
+            return effects;
+        }
+        Deque<Tenure> queue = callers.get(reply.key());
+        Tenure caller = queue == null ? null : queue.poll();
+        if (queue != null && queue.isEmpty()) {
+            callers.remove(reply.key());
+        }
+        // A reply to a call of an earlier term is of no use in this one.
+        return caller == null || caller != tenure ? List.of() : remember(tenure.onStoreReply(reply, now));
+    }
+
+    /** Handles a report of an endpoint. */
+    public List<OrderEffect> onReport(EndpointReport report, long now) {
+        return tenure == null ? List.of() : remember(tenure.onReport(report, now));
+    }
+
+    private void followLease(long now) {
+        if (!lease.leads(now)) {
+            tenure = null;
+        } else if (tenure == null || tenure.term() != lease.term()) {
+            tenure = new Tenure(failureDomain, lease.term(), settings, codec, random);
+            tenure.onConfiguration(configuration, now);
+        }
+    }
+
+    private List<OrderEffect> remember(List<OrderEffect> effects) {
+        for (OrderEffect effect : effects) {
+            if (effect instanceof OrderEffect.Call call) {
+                callers.computeIfAbsent(call.request().key(), k -> new ArrayDeque<>())
+                        .add(tenure);
+            }
+        }
+        return effects;
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/ReservationLedger.java
@@ -0,0 +1,129 @@
+package org.gooseberryring.coordination.order;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
+
+import org.gooseberryring.state.Artifact;
+
+/**
+ * Pure transitions of the ledger of one endpoint.
+ *
+ * <p>The memory that an endpoint may use is the union of what it holds and of what any order in the ledger may load. An
+ * order stays in the ledger until it can no longer arrive, also after its effect was seen, because it may be delivered
+ * again.
+ */
+public final class ReservationLedger {
+    private ReservationLedger() {}
+
+    /** Returns the ledger of an endpoint about which nothing is known. */
+    public static LedgerDocument empty(String endpoint) {
+        return new LedgerDocument("", endpoint, List.of(), List.of());
+    }
+
+    /** Returns the memory that may be in use, in bytes. */
+    public static long reservedBytes(LedgerDocument ledger) {
+        Map<Artifact, Long> bytes = new HashMap<>();
+        ledger.loaded().forEach(h -> bytes.merge(h.artifact(), h.bytes(), Math::max));
+        for (Order order : ledger.orders()) {
+            if (order.action() == Order.Action.LOAD) {
+                bytes.merge(order.artifact(), order.bytes(), Math::max);
+            }
+        }
+        return bytes.values().stream().mapToLong(Long::longValue).sum();
+    }
+
+    /** Returns whether the last usable report showed the artifact. */
+    public static boolean holds(LedgerDocument ledger, Artifact artifact) {
+        return ledger.loaded().stream().anyMatch(h -> h.artifact().equals(artifact));
+    }
+
+    /** Returns whether the artifact is loaded and no order can unload it. */
+    public static boolean confirms(LedgerDocument ledger, Artifact artifact) {
+        return holds(ledger, artifact) && !hasOrder(ledger, artifact, Order.Action.UNLOAD);
+    }
+
+    /** Returns whether an order of this kind for the artifact may still take effect. */
+    public static boolean hasOrder(LedgerDocument ledger, Artifact artifact, Order.Action action) {
+        return ledger.orders().stream()
+                .anyMatch(o -> o.action() == action && o.artifact().equals(artifact));
+    }
+
+    /**
+     * Returns whether a load fits into the memory beside everything that may be in use.
+     *
+     * @param memoryBytes accelerator memory of the endpoint
+     */
+    public static boolean fits(LedgerDocument ledger, Artifact artifact, long bytes, long memoryBytes) {
+        boolean reserved = holds(ledger, artifact) || hasOrder(ledger, artifact, Order.Action.LOAD);
+        return reserved || reservedBytes(ledger) + bytes <= memoryBytes;
+    }
+
+    /** Returns the ledger with one more order. */
+    public static LedgerDocument with(LedgerDocument ledger, String stamp, Order order) {
+        List<Order> orders = new ArrayList<>(ledger.orders());
+        orders.add(order);
+        return new LedgerDocument(stamp, ledger.endpoint(), ledger.loaded(), orders);
+    }
+
+    /** Returns the same ledger under a new stamp, which proves that it was current. */
+    public static LedgerDocument touch(LedgerDocument ledger, String stamp) {
+        return new LedgerDocument(stamp, ledger.endpoint(), ledger.loaded(), ledger.orders());
+    }
+
+    /**
+     * Returns the ledger after a report, under the same stamp if nothing changed.
+     *
+     * @param report report that is newer than the ledger
+     * @param mayArrive whether an order can still arrive after the time of the report
+     * @param bytes memory of an artifact in bytes, negative if it is unknown
+     */
+    public static LedgerDocument after(
+            LedgerDocument ledger,
+            EndpointReport report,
+            String stamp,
+            Predicate<OrderId> mayArrive,
+            ToLongFunction<Artifact> bytes) {
+        List<Order> orders = new ArrayList<>();
+        for (Order order : ledger.orders()) {
+            if (mayArrive.test(order.id())
+                    || report.pendingOrders().contains(order.id().toString())) {
+                orders.add(order);
+            }
+        }
+        List<Held> loaded = loaded(ledger, report, bytes);
+        if (orders.equals(ledger.orders()) && new HashSet<>(loaded).equals(new HashSet<>(ledger.loaded()))) {
+            return ledger;
+        }
+        return new LedgerDocument(stamp, ledger.endpoint(), loaded, orders);
+    }
+
+    private static List<Held> loaded(LedgerDocument ledger, EndpointReport report, ToLongFunction<Artifact> bytes) {
+        Map<Artifact, Long> recorded = new HashMap<>();
+        ledger.orders().forEach(o -> recorded.put(o.artifact(), o.bytes()));
+        ledger.loaded().forEach(h -> recorded.put(h.artifact(), h.bytes()));
+        List<Held> loaded = new ArrayList<>();
+        Set<Artifact> unknown = new HashSet<>();
+        long sum = 0;
+        for (Artifact a : report.loaded().stream().sorted().toList()) {
+            long size = recorded.containsKey(a) ? recorded.get(a) : bytes.applyAsLong(a);
+            if (size < 0) {
+                unknown.add(a);
+            } else {
+                loaded.add(new Held(a, size));
+                sum += size;
+            }
+        }
+        // Artifacts without a known size take, as far as can be told, the rest of the memory in use.
+        long rest = Math.max(0, report.memoryUsedBytes() - sum);
+        for (Artifact a : unknown) {
+            loaded.add(new Held(a, rest));
+        }
+        return loaded;
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/StoreCell.java
@@ -0,0 +1,168 @@
+package org.gooseberryring.coordination.order;
+
+import java.util.List;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import org.gooseberryring.coordination.store.StoreOutcome;
+import org.gooseberryring.coordination.store.StoreReply;
+import org.gooseberryring.coordination.store.StoreRequest;
+
+/**
+ * One object of the store with at most one call in flight.
+ *
+ * <p>A write with an unknown outcome is resolved by its stamp. While the object still has the version that the write
+ * expected, the same write is sent again, because the first may still be on its way.
+ */
+final class StoreCell<D extends Stamped> {
+    private static final long MIN_RETRY_MILLIS = 100;
+    private static final long MAX_RETRY_MILLIS = 5_000;
+    private static final int MAX_DOUBLINGS = 10;
+
+    private final String key;
+    private final Class<D> type;
+    private final OrderCodec codec;
+    private final RandomGenerator random;
+    private final Supplier<D> whenAbsent;
+    private D doc;
+    private long version;
+    private boolean known;
+    private long knownAt;
+    private D candidate;
+    private long putSentAt;
+    private StoreRequest inFlight;
+    private long retryAt = Long.MAX_VALUE;
+    private int failures;
+
+    /** What a reply means for the owner of the cell. */
+    enum Event {
+        /** Nothing yet. */
+        NONE,
+        /** The object was read. */
+        READ,
+        /** The write took effect and nothing has overwritten it. */
+        WRITTEN,
+        /** The write did not take effect, or was overwritten; the object must be read again. */
+        LOST
+    }
+
+    StoreCell(String key, Class<D> type, Supplier<D> whenAbsent, OrderCodec codec, RandomGenerator random) {
+        this.key = key;
+        this.type = type;
+        this.whenAbsent = whenAbsent;
+        this.codec = codec;
+        this.random = random;
+    }
+
+    /** Returns whether the document is known and no write is open. */
+    boolean ready() {
+        return known && candidate == null && inFlight == null;
+    }
+
+    boolean idle() {
+        return inFlight == null && candidate == null && retryAt == Long.MAX_VALUE;
+    }
+
+    D doc() {
+        return doc;
+    }
+
+    /** Returns the time at which the present document was received or written. */
+    long knownAt() {
+        return knownAt;
+    }
+
+    /** Returns the time at which the last write was first sent. */
+    long putSentAt() {
+        return putSentAt;
+    }
+
+    /** Reads the object unless a call is open. */
+    List<OrderEffect> read() {
+        return idle() ? send(new StoreRequest.Read(key)) : List.of();
+    }
+
+    /** Writes the document; the cell must be ready. */
+    List<OrderEffect> put(D next, long now) {
+        candidate = next;
+        putSentAt = now;
+        return send(put());
+    }
+
+    /** Sends a call whose retry is due. */
+    List<OrderEffect> onTick(long now) {
+        if (inFlight != null || now < retryAt) {
+            return List.of();
+        }
+        retryAt = Long.MAX_VALUE;
+        return send(new StoreRequest.Read(key));
+    }
+
+    /** Handles a reply; further calls are added to the effects. */
+    Event onReply(StoreReply reply, long now, List<OrderEffect> effects) {
+        boolean read = inFlight instanceof StoreRequest.Read;
+        inFlight = null;
+        if (read) {
+            return onRead(reply, now, effects);
+        }
+        switch (reply.outcome()) {
+            case OK:
+                return written(reply.version(), now);
+            case CONFLICT:
+                effects.addAll(send(new StoreRequest.Read(key)));
+                return Event.NONE;
+            default:
+                // Also after a certain failure, since an earlier copy of the write may have taken effect.
+                retryLater(now);
+                return Event.NONE;
+        }
+    }
+
+    private Event onRead(StoreReply reply, long now, List<OrderEffect> effects) {
+        if (reply.outcome() != StoreOutcome.OK && reply.outcome() != StoreOutcome.ABSENT) {
+            retryLater(now);
+            return Event.NONE;
+        }
+        boolean absent = reply.outcome() == StoreOutcome.ABSENT;
+        long readVersion = absent ? StoreRequest.Put.ABSENT : reply.version();
+        D readDoc = absent ? whenAbsent.get() : codec.decode(reply.value(), type);
+        if (candidate != null && candidate.stamp().equals(readDoc.stamp())) {
+            return written(readVersion, now);
+        }
+        if (candidate != null && readVersion == version) {
+            effects.addAll(send(put()));
+            return Event.NONE;
+        }
+        boolean lost = candidate != null;
+        candidate = null;
+        failures = 0;
+        doc = readDoc;
+        version = readVersion;
+        known = true;
+        knownAt = now;
+        return lost ? Event.LOST : Event.READ;
+    }
+
+    private Event written(long newVersion, long now) {
+        doc = candidate;
+        version = newVersion;
+        candidate = null;
+        failures = 0;
+        knownAt = now;
+        return Event.WRITTEN;
+    }
+
+    private void retryLater(long now) {
+        long limit = Math.min(MAX_RETRY_MILLIS, MIN_RETRY_MILLIS << Math.min(failures++, MAX_DOUBLINGS));
+        retryAt = now + limit / 2 + random.nextLong(limit / 2 + 1);
+    }
+
+    private StoreRequest put() {
+        return new StoreRequest.Put(key, version, codec.encode(candidate));
+    }
+
+    private List<OrderEffect> send(StoreRequest request) {
+        inFlight = request;
+        return List.of(new OrderEffect.Call(request));
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/order/MemoryOrderCodec.java
@@ -0,0 +1,21 @@
+package org.gooseberryring.coordination.order;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Codec for tests that keeps the documents in memory and passes their numbers. */
+final class MemoryOrderCodec implements OrderCodec {
+    private final List<Stamped> documents = new ArrayList<>();
+
+    @Override
+    public byte[] encode(Stamped document) {
+        documents.add(document);
+        return ByteBuffer.allocate(Integer.BYTES).putInt(documents.size() - 1).array();
+    }
+
+    @Override
+    public <D extends Stamped> D decode(byte[] bytes, Class<D> type) {
+        return type.cast(documents.get(ByteBuffer.wrap(bytes).getInt()));
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/order/SimulatedEngine.java
@@ -0,0 +1,91 @@
+package org.gooseberryring.coordination.order;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+import org.gooseberryring.state.Artifact;
+
+/** Model engine of a simulation with its own account of its memory. */
+final class SimulatedEngine {
+    private final String id;
+    private final long memory;
+    private final boolean enforcesFencing;
+    private final Map<Artifact, Long> loaded = new HashMap<>();
+    private final Map<Artifact, Order> loading = new HashMap<>();
+    private final Set<OrderId> seen = new HashSet<>();
+    private long highestTerm;
+    private long incarnation = 1;
+
+    SimulatedEngine(String id, long memory, boolean enforcesFencing) {
+        this.id = id;
+        this.memory = memory;
+        this.enforcesFencing = enforcesFencing;
+    }
+
+    String id() {
+        return id;
+    }
+
+    long memory() {
+        return memory;
+    }
+
+    long incarnation() {
+        return incarnation;
+    }
+
+    boolean has(Artifact artifact) {
+        return loaded.containsKey(artifact);
+    }
+
+    Set<Artifact> loaded() {
+        return loaded.keySet();
+    }
+
+    /** Returns the memory in use, in bytes; a load takes its memory from the start. */
+    long used() {
+        return loaded.values().stream().mapToLong(Long::longValue).sum()
+                + loading.values().stream().mapToLong(Order::bytes).sum();
+    }
+
+    boolean accepts(Order order) {
+        if (enforcesFencing && order.id().term() < highestTerm) {
+            return false;
+        }
+        highestTerm = Math.max(highestTerm, order.id().term());
+        // Engines that ignore fencing numbers here also run a repeated order again.
+        return seen.add(order.id()) || !enforcesFencing;
+    }
+
+    /** Starts a load; returns false if the artifact is loaded or being loaded. */
+    boolean startLoad(Order order) {
+        return !loaded.containsKey(order.artifact()) && loading.putIfAbsent(order.artifact(), order) == null;
+    }
+
+    void finishLoad(Order order) {
+        if (loading.remove(order.artifact(), order)) {
+            loaded.put(order.artifact(), order.bytes());
+        }
+    }
+
+    boolean unload(Artifact artifact) {
+        return loaded.remove(artifact) != null;
+    }
+
+    /** Loses all content and every order, as an engine does that is started again. */
+    void restart() {
+        incarnation++;
+        loaded.clear();
+        loading.clear();
+        seen.clear();
+        highestTerm = 0;
+    }
+
+    EndpointReport report(long observedAt) {
+        Set<String> pending = new HashSet<>();
+        loading.values().forEach(o -> pending.add(o.id().toString()));
+        return new EndpointReport(id, incarnation, loaded.keySet(), pending, used(), observedAt);
+    }
+}
