Add the fair queue and a bucket test for late refunds

FairQueue takes turns between organisations by deficit round robin in tokens within a class; a class that received less than its minimum share goes first. A full queue drops the newest request of the organisation with the most in favour of one with fewer.

--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/queue/OrganisationQueue.java
@@ -0,0 +1,90 @@
+package org.gooseberryring.coordination.queue;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Predicate;
+
+/**
+ * Requests of one organisation in one class, in order of arrival for each target.
+ *
+ * @param <T> type of the requests
+ */
+final class OrganisationQueue<T> {
+    private record Entry<T>(QueueItem<T> item, long sequence) {}
+
+    private final String organisation;
+    private final Map<Object, LinkedHashMap<String, Entry<T>>> byTarget = new LinkedHashMap<>();
+    private long deficit;
+    private long tokens;
+    private int size;
+
+    OrganisationQueue(String organisation) {
+        this.organisation = organisation;
+    }
+
+    String organisation() {
+        return organisation;
+    }
+
+    long deficit() {
+        return deficit;
+    }
+
+    void credit(long amount) {
+        deficit += amount;
+    }
+
+    long tokens() {
+        return tokens;
+    }
+
+    int size() {
+        return size;
+    }
+
+    void add(QueueItem<T> item, long sequence) {
+        byTarget.computeIfAbsent(item.target(), key -> new LinkedHashMap<>())
+                .put(item.id(), new Entry<>(item, sequence));
+        tokens += item.costTokens();
+        size++;
+    }
+
+    /** Returns the request that arrived first among those whose target can take one now, or null. */
+    QueueItem<T> first(Predicate<T> canTake) {
+        Entry<T> best = null;
+        for (LinkedHashMap<String, Entry<T>> entries : byTarget.values()) {
+            Entry<T> head = entries.values().iterator().next();
+            boolean earlier = best == null || head.sequence() < best.sequence();
+            if (earlier && canTake.test(head.item().value())) {
+                best = head;
+            }
+        }
+        return best == null ? null : best.item();
+    }
+
+    /** Returns the request that arrived last, or null. */
+    QueueItem<T> last() {
+        Entry<T> best = null;
+        for (LinkedHashMap<String, Entry<T>> entries : byTarget.values()) {
+            Entry<T> tail = null;
+            for (Iterator<Entry<T>> i = entries.values().iterator(); i.hasNext(); ) {
+                tail = i.next();
+            }
+            if (best == null || tail.sequence() > best.sequence()) {
+                best = tail;
+            }
+        }
+        return best == null ? null : best.item();
+    }
+
+    void remove(QueueItem<T> item) {
+        LinkedHashMap<String, Entry<T>> entries = byTarget.get(item.target());
+        entries.remove(item.id());
+        if (entries.isEmpty()) {
+            byTarget.remove(item.target());
+        }
+        tokens -= item.costTokens();
+        size--;
+    }
+}
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/TokenKeeperTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/TokenKeeperTest.java
@@ -23,6 +23,7 @@
                 new LimitSimulation(seed, SETTINGS, new LimitSimulation.Faults(0.03, 0.05, 0.05, 0.1), 4_000, 8_000);
         Random random = simulation.random();
         int host = 0;
+        boolean flood = false;
         for (int i = 0; i < 12_000; i++) {
             if (i % 50 == 0) {
                 host = random.nextInt(7);
@@ -30,10 +31,15 @@
             if (i % 400 == 0) {
                 fault(simulation, random);
             }
-            simulation.run(random.nextInt(20));
+            if (i % 300 == 0) {
+                // Full buckets and requests that use all they reserve leave no slack that could hide an excess.
+                flood = random.nextBoolean();
+                simulation.run(flood ? 4_000 : 0);
+            }
+            simulation.run(random.nextInt(flood ? 3 : 20));
             long reserved = 1 + random.nextInt(200);
-            // Most requests use little of what they reserve, and some run longer than a batch lives.
-            long used = random.nextInt(3) == 0 ? reserved : random.nextInt((int) reserved + 1);
+            // Other requests use little of what they reserve, and some run longer than a batch lives.
+            long used = flood || random.nextInt(3) == 0 ? reserved : random.nextInt((int) reserved + 1);
             simulation.hosts().get(host).request(reserved, used, random.nextInt(random.nextInt(10) == 0 ? 8_000 : 300));
         }
         simulation.run(10_000);
