--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/admin/AdminClient.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/admin/AdminClient.java
@@ -15,6 +15,7 @@
 /** Calls the administration interface, trying the addresses in turn. */
 public final class AdminClient {
     private static final long TIMEOUT_MILLIS = 10_000;
+    private static final long ONCE_MILLIS = 3_000;
     private static final int ROUNDS = 3;
     private static final long FIRST_PAUSE_MILLIS = 200;
     private static final int FIRST_SERVER_ERROR = 500;
@@ -55,6 +56,20 @@
                 accepted(send("GET", path, Map.of(), null).answer()).body());
     }
 
+    /** Returns the addresses that the client tries in turn. */
+    public List<URI> addresses() {
+        return addresses;
+    }
+
+    /**
+     * Reads from one address without a repetition.
+     *
+     * @throws NoAnswerException if it does not answer
+     */
+    public HttpAnswer getOnce(URI address, String path) {
+        return calls.call("GET", address.resolve(path), withToken(Map.of()), null, ONCE_MILLIS);
+    }
+
     /** Posts a document that changes nothing, and returns the answer even if it is a refusal. */
     public HttpAnswer post(String path, Object body) {
         return send("POST", path, Map.of("Content-Type", "application/json"), Json.write(body))
@@ -67,10 +82,7 @@
      * <p>A call that changes something must carry a change id, so that a repetition has no second effect.
      */
     Sent send(String method, String path, Map<String, String> headers, byte[] body) {
-        Map<String, String> all = new LinkedHashMap<>(headers);
-        if (token != null) {
-            all.put("Authorization", "Bearer " + token);
-        }
+        Map<String, String> all = withToken(headers);
         boolean uncertain = false;
         String failure = "no address was given";
         long pauseMillis = FIRST_PAUSE_MILLIS;
@@ -103,6 +115,14 @@
         return answer;
     }
 
+    private Map<String, String> withToken(Map<String, String> headers) {
+        Map<String, String> all = new LinkedHashMap<>(headers);
+        if (token != null) {
+            all.put("Authorization", "Bearer " + token);
+        }
+        return all;
+    }
+
     /** Answer, and whether an earlier attempt may have taken effect. */
     record Sent(HttpAnswer answer, boolean earlierMayHaveRun) {}
 }
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/ChangeOptions.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/ChangeOptions.java
@@ -33,22 +33,35 @@
         return admin;
     }
 
-    /** Submits changes and prints the revision. */
+    /** Submits changes and prints the result. */
     ExitCode submit(
             Context context,
-            String done,
+            String result,
+            List<Change> changes,
+            BiPredicate<FleetConfiguration, FleetConfiguration> sameBasis) {
+        print(context, change(context, result, changes, sameBasis));
+        return ExitCode.DONE;
+    }
+
+    /** Submits changes and returns the result. */
+    Done change(
+            Context context,
+            String result,
             List<Change> changes,
             BiPredicate<FleetConfiguration, FleetConfiguration> sameBasis) {
         String id = changeId == null ? context.changeIds().get() : changeId;
         context.console().error("event=change-submitted changeId=" + id);
         ChangeRequest request = new ChangeRequest(actor, cause, changes);
         long revision = new ChangeSubmitter(admin.client(context)).submit(request, id, sameBasis);
+        return new Done(id, revision, result);
+    }
+
+    void print(Context context, Done done) {
         if (admin.json()) {
-            context.console().json(new Done(id, revision, done));
+            context.console().json(done);
         } else {
-            context.console().print(done + " (revision " + revision + ")");
+            context.console().print(done.result() + " (revision " + done.revision() + ")");
         }
-        return ExitCode.DONE;
     }
 
     /** Result of a change as JSON. */
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/KeyCommand.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/KeyCommand.java
@@ -35,14 +35,15 @@
             String digest = KeyDigest.of(key);
             // If the answer is lost the key may exist; the digest is what it takes to withdraw it.
             context.console().error("event=key-created digest=" + digest);
-            options.submit(
+            ChangeOptions.Done done = options.change(
                     context,
                     "The key with digest " + digest + " is issued",
                     List.of(new Change.IssueKey(digest, organisation, label)),
                     (before, now) -> true);
             if (options.admin().json()) {
-                context.console().json(new IssuedKey(key, digest));
+                context.console().json(new IssuedKey(done.changeId(), done.revision(), digest, key));
             } else {
+                options.print(context, done);
                 context.console().print("key: " + key);
             }
             return ExitCode.DONE;
@@ -86,5 +87,5 @@
     }
 
     /** New key as JSON. */
-    record IssuedKey(String key, String digest) {}
+    record IssuedKey(String changeId, long revision, String digest, String key) {}
 }
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/StatusCommand.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/StatusCommand.java
@@ -1,18 +1,32 @@
 package org.gooseberryring.ctl.command;
 
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.gooseberryring.ctl.CtlException;
 import org.gooseberryring.ctl.ExitCode;
 import org.gooseberryring.ctl.admin.AdminClient;
+import org.gooseberryring.ctl.admin.HttpAnswer;
+import org.gooseberryring.ctl.admin.NoAnswerException;
+import org.gooseberryring.ctl.admin.Problems;
+import org.gooseberryring.protocol.Json;
+import org.gooseberryring.state.GooseberryringException;
 
-/** Shows the state of a host and of the fleet as it sees it. */
-@Parameters(commandDescription = "Shows the state of a host and of the fleet as it sees it")
+/** Shows the state of every host that the options name. */
+@Parameters(commandDescription = "Shows the state of each host that --admin names")
 final class StatusCommand implements Command {
     private static final String STATUS = "/admin/v1/status";
     private static final String CLEAR = "\u001b[H\u001b[2J";
+    private static final String DETAILS = "details";
+    private static final String ERROR = "error";
+    private static final String ADDRESS = "address";
     private static final long INTERVAL_MILLIS = 2_000;
 
     @ParametersDelegate
@@ -25,18 +39,10 @@
     public ExitCode run(Context context) {
         AdminClient client = options.client(context);
         if (!watch) {
-            print(context, client.get(STATUS), "");
-            return ExitCode.DONE;
+            return show(context, client, "");
         }
         while (!Thread.currentThread().isInterrupted()) {
-            try {
-                print(context, client.get(STATUS), options.json() ? "" : CLEAR);
-            } catch (CtlException e) {
-                if (e.exitCode() != ExitCode.UNREACHABLE) {
-                    throw e;
-                }
-                context.console().error(e.getMessage());
-            }
+            show(context, client, CLEAR);
             context.pause().millis(INTERVAL_MILLIS);
         }
         return ExitCode.DONE;
@@ -47,11 +53,60 @@
         return options.help();
     }
 
-    private void print(Context context, JsonNode status, String before) {
+    private ExitCode show(Context context, AdminClient client, String before) {
+        ArrayNode hosts = Json.mapper().createArrayNode();
+        boolean reached = false;
+        for (URI address : client.addresses()) {
+            ObjectNode host = status(client, address);
+            reached |= !host.has(ERROR);
+            hosts.add(host);
+        }
+        ObjectNode document = Json.mapper().createObjectNode();
+        document.set("hosts", hosts);
         if (options.json()) {
-            context.console().json(status);
+            context.console().json(document);
         } else {
-            context.console().print(before + JsonTable.render(status));
+            context.console().print(before + JsonTable.render(withDetailsApart(document)));
+        }
+        return reached ? ExitCode.DONE : ExitCode.UNREACHABLE;
+    }
+
+    private static ObjectNode status(AdminClient client, URI address) {
+        ObjectNode host = Json.mapper().createObjectNode().put(ADDRESS, address.getAuthority());
+        try {
+            HttpAnswer answer = client.getOnce(address, STATUS);
+            if (!answer.ok()) {
+                throw new CtlException(ExitCode.REFUSED, Problems.describe(answer));
+            }
+            Json.readTree(answer.body()).properties().forEach(field -> host.set(field.getKey(), field.getValue()));
+        } catch (NoAnswerException e) {
+            host.put(ERROR, "no answer");
+        } catch (GooseberryringException e) {
+            host.put(ERROR, "unreadable answer");
+        }
+        return host;
+    }
+
+    /** Moves the details of each host into a table of their own, one row for each figure. */
+    private static ObjectNode withDetailsApart(ObjectNode document) {
+        List<ObjectNode> rows = new ArrayList<>();
+        for (JsonNode host : document.path("hosts")) {
+            JsonNode details = ((ObjectNode) host).remove(DETAILS);
+            if (details != null) {
+                details.properties().forEach(entry -> {
+                    ObjectNode row = Json.mapper().createObjectNode();
+                    row.set("host", host.path("hostId"));
+                    row.put("name", entry.getKey());
+                    row.set("value", entry.getValue());
+                    rows.add(row);
+                });
+            }
+        }
+        ArrayNode table = Json.mapper().createArrayNode();
+        rows.forEach(table::add);
+        if (!table.isEmpty()) {
+            document.set(DETAILS, table);
         }
+        return document;
     }
 }
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/sheet/SheetReader.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/sheet/SheetReader.java
@@ -30,9 +30,11 @@
     private static final int VERSION = 2;
     private static final int REPLICAS = 3;
     private static final int ENDPOINTS = 4;
-    private static final Pattern IDENTIFIER = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,62}");
+    // The forms that the configuration accepts; a model may also contain slashes.
+    private static final Pattern IDENTIFIER = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,127}");
+    private static final Pattern MODEL_IDENTIFIER = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._/-]{0,127}");
     private static final String NOT_IDENTIFIER =
-            "is not an identifier (letters, digits, '.', '_' and '-', beginning with a letter or digit, at most 63)";
+            "is not an identifier (letters, digits, '.', '_' and '-', beginning with a letter or digit, at most 128)";
     private static final int MAX_REPLICAS = 100_000;
     private static final String BYTE_ORDER_MARK = "\uFEFF";
 
@@ -133,7 +135,9 @@
         String value = record.get(column);
         if (value.isEmpty()) {
             error(line, COLUMNS.get(column), "is missing");
-        } else if (!IDENTIFIER.matcher(value).matches()) {
+        } else if (!(column == MODEL ? MODEL_IDENTIFIER : IDENTIFIER)
+                .matcher(value)
+                .matches()) {
             error(line, COLUMNS.get(column), quote(value) + " " + NOT_IDENTIFIER);
         }
         return value;
