Show the groups of a host's details as tables in status

Load reports of the engines made the details column unreadable. Each group of objects is a table with a row for each host and object.

--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/JsonTable.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/JsonTable.java
@@ -72,6 +72,11 @@
             node.forEach(element -> parts.add(text(element)));
             return String.join(",", parts);
         }
+        if (node.isObject() && node.has("model") && node.has("version")) {
+            String adapter = node.path("adapter").asText("");
+            return node.path("model").asText() + (adapter.isEmpty() ? "" : ":" + adapter) + "@"
+                    + node.path("version").asText();
+        }
         return node.isValueNode() ? node.asText() : node.toString();
     }
 
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/StatusCommand.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/StatusCommand.java
@@ -1,8 +1,6 @@
 package org.gooseberryring.ctl.command;
 
 import java.net.URI;
-import java.util.ArrayList;
-import java.util.List;
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
@@ -87,26 +85,34 @@
         return host;
     }
 
-    /** Moves the details of each host into a table of their own, one row for each figure. */
+    /** Moves the details of each host into tables: one of single figures, and one for each group of objects. */
     private static ObjectNode withDetailsApart(ObjectNode document) {
-        List<ObjectNode> rows = new ArrayList<>();
+        ObjectNode tables = Json.mapper().createObjectNode();
         for (JsonNode host : document.path("hosts")) {
             JsonNode details = ((ObjectNode) host).remove(DETAILS);
             if (details != null) {
-                details.properties().forEach(entry -> {
-                    ObjectNode row = Json.mapper().createObjectNode();
-                    row.set("host", host.path("hostId"));
-                    row.put("name", entry.getKey());
-                    row.set("value", entry.getValue());
-                    rows.add(row);
-                });
+                details.properties().forEach(entry -> addDetail(tables, host, entry.getKey(), entry.getValue()));
             }
         }
-        ArrayNode table = Json.mapper().createArrayNode();
-        rows.forEach(table::add);
-        if (!table.isEmpty()) {
-            document.set(DETAILS, table);
+        return document.setAll(tables);
+    }
+
+    private static void addDetail(ObjectNode tables, JsonNode host, String name, JsonNode value) {
+        boolean group =
+                value.isObject() && !value.isEmpty() && value.valueStream().allMatch(JsonNode::isObject);
+        if (!group) {
+            row(tables, DETAILS, host).put("name", name).set("value", value);
+            return;
         }
-        return document;
+        value.properties().forEach(entry -> {
+            ObjectNode row = row(tables, name, host).put("id", entry.getKey());
+            entry.getValue().properties().forEach(field -> row.set(field.getKey(), field.getValue()));
+        });
+    }
+
+    private static ObjectNode row(ObjectNode tables, String table, JsonNode host) {
+        ObjectNode row = tables.withArray(table).addObject();
+        row.set("host", host.path("hostId"));
+        return row;
     }
 }
