Carry out the marks of a trace during a replay

Service while a failure domain leaves and returns can only be measured when the change falls at a known time of the load.

--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/AdminOptions.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/AdminOptions.java
@@ -38,8 +38,12 @@
         return help;
     }
 
+    public boolean given() {
+        return !admin.isEmpty();
+    }
+
     /** Returns a client of the addresses that the options name. */
-    AdminClient client(Context context) {
+    public AdminClient client(Context context) {
         if (admin.isEmpty()) {
             throw new CtlException(ExitCode.BAD_INPUT, "Option --admin is missing");
         }
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/Replay.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/Replay.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 import org.gooseberryring.ctl.admin.Pause;
@@ -44,17 +45,18 @@
      * Sends a trace and returns the outcomes when every request has ended.
      *
      * @param speed factor by which the trace is sent faster than it was recorded
+     * @param marks takes each mark at its time; must not block
      */
-    List<Outcome> run(List<TraceLine> trace, double speed) {
+    List<Outcome> run(List<TraceLine> trace, double speed, Consumer<TraceLine> marks) {
         long start = millis.getAsLong();
         Semaphore slots = new Semaphore(maxInFlight);
         int number = 0;
         for (TraceLine line : trace) {
+            awaitTime(start + Math.round(line.timeMillis() / speed));
             if (!line.request()) {
+                marks.accept(line);
                 continue;
             }
-            long due = Math.round(line.timeMillis() / speed);
-            awaitTime(start + due);
             if (!slots.tryAcquire()) {
                 late.incrementAndGet();
                 slots.acquireUninterruptibly();
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/ReplayCommand.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/ReplayCommand.java
@@ -10,9 +10,12 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
 import com.fasterxml.jackson.core.type.TypeReference;
 import org.gooseberryring.ctl.CtlException;
 import org.gooseberryring.ctl.ExitCode;
+import org.gooseberryring.ctl.admin.AdminClient;
+import org.gooseberryring.ctl.command.AdminOptions;
 import org.gooseberryring.ctl.command.Command;
 import org.gooseberryring.ctl.command.Context;
 import org.gooseberryring.ctl.command.InputFile;
@@ -48,11 +51,8 @@
     @Parameter(names = "--html", description = "File for a page with plots")
     private String html;
 
-    @Parameter(names = "--json", description = "Prints JSON")
-    private boolean json;
-
-    @Parameter(names = "--help", help = true, description = "Prints the usage")
-    private boolean help;
+    @ParametersDelegate
+    private AdminOptions admin = new AdminOptions();
 
     @Parameter(description = "TRACE", required = true)
     private String trace;
@@ -69,7 +69,7 @@
         if (html != null) {
             writePage(report);
         }
-        if (json) {
+        if (admin.json()) {
             context.console().json(report);
         } else {
             context.console().print(ReportText.render(report));
@@ -79,18 +79,20 @@
 
     @Override
     public boolean help() {
-        return help;
+        return admin.help();
     }
 
     private ReplayReport replay(Context context, List<TraceLine> lines, Map<String, OrganisationAccess> organisations) {
-        try (HttpWorker worker = HttpWorker.start("replay", IO_THREADS, 1)) {
+        AdminClient client = admin.given() ? admin.client(context) : null;
+        try (HttpWorker worker = HttpWorker.start("replay", IO_THREADS, 1);
+                MarkActions marks = new MarkActions(context, client)) {
             Replay replay = new Replay(
                     new HttpRequestSender(hosts, worker, maxInFlight),
                     organisations,
                     () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
                     context.pause(),
                     maxInFlight);
-            List<Outcome> outcomes = replay.run(lines, speed);
+            List<Outcome> outcomes = replay.run(lines, speed, marks::accept);
             return new ReportBuilder(organisations, new Outcome.Objective(firstTokenMillis, tokenMillis))
                     .build(outcomes, lines, speed, replay.late());
         }
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/TraceGenerateCommand.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/TraceGenerateCommand.java
@@ -30,6 +30,9 @@
     @Parameter(names = "--requests-per-second", description = "Mean requests a second of all organisations")
     private double requestsPerSecond = 20;
 
+    @Parameter(names = "--domain", description = "Failure domain whose leave and return are marked")
+    private String domain = "b";
+
     @Parameter(names = "--out", description = "File to write, standard output if not given")
     private String out;
 
@@ -50,7 +53,7 @@
         if (seconds < 1 || requestsPerSecond <= 0 || replicas < 1) {
             throw new CtlException(ExitCode.BAD_INPUT, "Seconds, requests a second and replicas must be positive");
         }
-        List<TraceLine> lines = new TraceGenerator(profile, seed, seconds, requestsPerSecond).generate();
+        List<TraceLine> lines = new TraceGenerator(profile, seed, seconds, requestsPerSecond).generate(domain);
         String text = lines.stream().map(Json::writeString).collect(Collectors.joining("\n"));
         if (out == null) {
             context.console().print(text);
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/TraceGenerator.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/TraceGenerator.java
@@ -40,13 +40,18 @@
         this.popularity = zipf(profile.models());
     }
 
-    List<TraceLine> generate() {
+    /**
+     * Generates the trace.
+     *
+     * @param domain failure domain whose leave and return are marked
+     */
+    List<TraceLine> generate(String domain) {
         List<TraceLine> lines = new ArrayList<>();
         for (int i = 0; i < profile.shares().size(); i++) {
             addOrganisation(lines, i);
         }
-        lines.add(TraceLine.mark((long) (lengthMillis * DOMAIN_OUT), "domain-out"));
-        lines.add(TraceLine.mark((long) (lengthMillis * DOMAIN_IN), "domain-in"));
+        lines.add(TraceLine.mark((long) (lengthMillis * DOMAIN_OUT), "domain-out:" + domain));
+        lines.add(TraceLine.mark((long) (lengthMillis * DOMAIN_IN), "domain-in:" + domain));
         lines.sort(Comparator.comparingLong(TraceLine::timeMillis));
         return lines;
     }
--- a/gooseberryring-ctl/src/test/java/org/gooseberryring/ctl/replay/ReplayTest.java
+++ b/gooseberryring-ctl/src/test/java/org/gooseberryring/ctl/replay/ReplayTest.java
@@ -1,9 +1,11 @@
 package org.gooseberryring.ctl.replay;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 
+import org.gooseberryring.state.Change;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -19,13 +21,32 @@
                 done.accept(new Outcome(line, sentMillis, 200, null, true, 1, 2));
         Replay replay = new Replay(sender, ACCESS, clock::get, clock::addAndGet, 1);
 
-        List<Outcome> outcomes =
-                replay.run(List.of(request(0), TraceLine.mark(500, "x"), request(1_000), request(1_000)), 2);
+        List<Long> marked = new ArrayList<>();
+
+        List<Outcome> outcomes = replay.run(
+                List.of(request(0), TraceLine.mark(500, "x"), request(1_000), request(1_000)),
+                2,
+                mark -> marked.add(clock.get()));
 
         assertThat(outcomes.stream().map(Outcome::sentMillis)).containsExactly(0L, 500L, 500L);
+        assertThat(marked).containsExactly(5_250L);
         assertThat(replay.late()).isEqualTo(0);
     }
 
+    /** Guards against marks of the generator that a replay does not carry out. */
+    @Test
+    void marksOfTheGeneratorNameChanges() {
+        List<Change> changes = new TraceGenerator(TraceProfile.WATTLE, 1, 60, 1)
+                .generate("b").stream()
+                        .filter(line -> !line.request())
+                        .map(line -> MarkActions.change(line.fault()))
+                        .toList();
+
+        assertThat(changes)
+                .containsExactly(new Change.SetFailureDomainIn("b", false), new Change.SetFailureDomainIn("b", true))
+                .inOrder();
+    }
+
     static TraceLine request(long timeMillis) {
         return new TraceLine(timeMillis, "o", "m", null, 40, 10, null, true, null);
     }
--- a/gooseberryring-ctl/src/test/java/org/gooseberryring/ctl/replay/TraceGeneratorTest.java
+++ b/gooseberryring-ctl/src/test/java/org/gooseberryring/ctl/replay/TraceGeneratorTest.java
@@ -16,7 +16,7 @@
     @ParameterizedTest
     @EnumSource
     void traceIsReproducibleReadableAndFitsItsSheet(TraceProfile profile) {
-        List<TraceLine> trace = new TraceGenerator(profile, 7, 60, 50).generate();
+        List<TraceLine> trace = new TraceGenerator(profile, 7, 60, 50).generate("b");
         byte[] text = trace.stream()
                 .map(Json::writeString)
                 .collect(Collectors.joining("\n"))
@@ -26,7 +26,7 @@
                         .map(row -> row.artifact().model() + row.artifact().adapter())
                         .toList();
 
-        assertThat(new TraceGenerator(profile, 7, 60, 50).generate()).isEqualTo(trace);
+        assertThat(new TraceGenerator(profile, 7, 60, 50).generate("b")).isEqualTo(trace);
         assertThat(TraceReader.read("trace", text)).isEqualTo(trace);
         assertThat(rows).hasSize(profile.models() + profile.adapters());
         assertThat(rows)
