--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/CommandLine.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/CommandLine.java
@@ -58,7 +58,7 @@
         Object object = leaf.getObjects().get(0);
         if (!(object instanceof Command command)) {
             boolean help = root.help || object instanceof Group group && group.help;
-            usage(leaf);
+            summary(leaf);
             return help ? ExitCode.DONE : ExitCode.BAD_INPUT;
         }
         if (command.help()) {
@@ -74,6 +74,25 @@
         context.console().print(text.toString().stripTrailing() + EXIT_CODES);
     }
 
+    private void summary(JCommander commander) {
+        StringBuilder text = new StringBuilder(
+                "Usage: " + PROGRAM + " COMMAND [options]\n  Commands (--help after one prints its options):\n");
+        appendCommands(
+                text, commander, commander.getProgramName().equals(PROGRAM) ? "" : commander.getProgramName() + " ");
+        context.console().print(text.toString().stripTrailing() + EXIT_CODES);
+    }
+
+    private static void appendCommands(StringBuilder text, JCommander commander, String prefix) {
+        commander.getCommands().forEach((name, command) -> {
+            Parameters about = command.getObjects().get(0).getClass().getAnnotation(Parameters.class);
+            if (!command.getCommands().isEmpty()) {
+                appendCommands(text, command, prefix + name + " ");
+            } else if (!about.hidden()) {
+                text.append(String.format("    %-20s %s%n", prefix + name, about.commandDescription()));
+            }
+        });
+    }
+
     private static JCommander build(Root root) {
         JCommander commander = new JCommander(root);
         commander.setProgramName(PROGRAM);
@@ -117,7 +136,6 @@
     }
 
     /** Command that only groups others. */
-    @Parameters(commandDescription = "Group of commands; --help after it lists them")
     private static final class Group {
         @Parameter(names = "--help", help = true, description = "Prints the usage")
         private boolean help;
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/StateCommand.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/StateCommand.java
@@ -4,11 +4,13 @@
 import java.util.function.Function;
 
 import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import org.gooseberryring.ctl.ExitCode;
 import org.gooseberryring.state.Change;
 
 /** Command that changes the state of one failure domain or endpoint. */
+@Parameters(commandDescription = "Changes the state of the failure domain or endpoint that it names")
 final class StateCommand implements Command {
     private final Function<String, Change> change;
     private final String done;
