--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/placement/DemandTracker.java
@@ -0,0 +1,75 @@
+package org.gooseberryring.coordination.placement;
+
+import java.util.Collections;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * Demand for each model as the mean number of requests that run or wait.
+ *
+ * <p>A fast mean follows a tenfold rise within an hour; a slow mean keeps a short lull from taking replicas away.
+ */
+public final class DemandTracker {
+    private static final long FAST_HALF_LIFE_MILLIS = 60_000;
+    private static final long SLOW_HALF_LIFE_MILLIS = 900_000;
+
+    private final SortedMap<String, Demand> demands = new TreeMap<>();
+
+    /**
+     * Demand for one model.
+     *
+     * @param fast mean over about a minute, in requests
+     * @param slow mean over about a quarter of an hour, in requests
+     * @param at time of the last sample, monotonic milliseconds
+     */
+    public record Demand(double fast, double slow, long at) {
+        /** Returns the demand that replicas are added for. */
+        public double rising() {
+            return fast;
+        }
+
+        /** Returns the demand that must be low before replicas are taken away. */
+        public double falling() {
+            return Math.max(fast, slow);
+        }
+    }
+
+    /**
+     * Records a sample of one model.
+     *
+     * @param model model identifier
+     * @param requests requests that run or wait now, over all hosts
+     * @param now monotonic time in milliseconds
+     */
+    public void observe(String model, double requests, long now) {
+        Demand old = demands.get(model);
+        if (old == null) {
+            demands.put(model, new Demand(requests, requests, now));
+        } else {
+            long elapsed = Math.max(0, now - old.at());
+            demands.put(
+                    model,
+                    new Demand(
+                            mix(old.fast(), requests, elapsed, FAST_HALF_LIFE_MILLIS),
+                            mix(old.slow(), requests, elapsed, SLOW_HALF_LIFE_MILLIS),
+                            now));
+        }
+    }
+
+    /** Returns the demand for each model that was observed. */
+    public Map<String, Demand> demands() {
+        return Collections.unmodifiableMap(demands);
+    }
+
+    /** Forgets models that are no longer configured. */
+    public void retain(Set<String> models) {
+        demands.keySet().retainAll(models);
+    }
+
+    private static double mix(double old, double sample, long elapsed, long halfLife) {
+        double keep = Math.pow(0.5, (double) elapsed / halfLife);
+        return keep * old + (1 - keep) * sample;
+    }
+}
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/placement/PlanAttempt.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/placement/PlanAttempt.java
@@ -19,15 +19,17 @@
     private final Map<Artifact, List<PlanNode>> holders = new HashMap<>();
     private final List<PlanUnit> units;
     private final SortedMap<Integer, RowFault> faults = new TreeMap<>();
+    private boolean reserveKept = true;
 
     /**
      * Options of an attempt.
      *
-     * @param reserve whether one endpoint in each failure domain keeps room for the largest unit
+     * @param reserve whether new replicas leave room for the largest model on one endpoint in each failure domain
      * @param keepPresent whether present replicas are kept before any new one is placed
+     * @param keepExtra whether present replicas beyond the sheet are kept before any new one is placed
      * @param tight whether a new replica goes to the endpoint with the least free memory instead of the most
      */
-    record Options(boolean reserve, boolean keepPresent, boolean tight) {}
+    record Options(boolean reserve, boolean keepPresent, boolean keepExtra, boolean tight) {}
 
     PlanAttempt(Options options, List<PlanNode> nodes, List<PlanUnit> units) {
         this.options = options;
@@ -42,24 +44,31 @@
     }
 
     void run() {
-        if (options.reserve()) {
-            reserve();
-        }
         units.forEach(this::placePins);
         if (options.keepPresent()) {
-            units.forEach(unit -> unit.versions().forEach(row -> keep(row, any -> true, row.replicas())));
-            units.forEach(unit ->
-                    unit.adapters().forEach(row -> keep(row, node -> node.holdsModel(unit.model()), row.replicas())));
+            keepAll(false);
+        }
+        if (options.keepExtra()) {
+            keepAll(true);
+        }
+        if (options.reserve()) {
+            reserve();
         }
         List<PlanUnit> largestFirst = new ArrayList<>(units);
         largestFirst.sort(Comparator.comparingLong(PlanUnit::bytes).reversed().thenComparing(PlanUnit::model));
         largestFirst.forEach(this::placeUnit);
-        units.forEach(unit -> unit.versions().forEach(row -> keep(row, any -> true, Integer.MAX_VALUE)));
-        units.forEach(unit ->
-                unit.adapters().forEach(row -> keep(row, node -> node.holdsModel(unit.model()), Integer.MAX_VALUE)));
+        keepAll(true);
         units.forEach(this::spread);
     }
 
+    private void keepAll(boolean extra) {
+        units.forEach(unit ->
+                unit.versions().forEach(row -> keep(row, any -> true, extra ? Integer.MAX_VALUE : row.replicas())));
+        units.forEach(unit -> unit.adapters()
+                .forEach(row ->
+                        keep(row, node -> node.holdsModel(unit.model()), extra ? Integer.MAX_VALUE : row.replicas())));
+    }
+
     List<RowFault> faults() {
         return List.copyOf(faults.values());
     }
@@ -68,12 +77,13 @@
         return nodes;
     }
 
+    /** Keeps room on the emptiest endpoint of each failure domain; what is kept already does not give way to it. */
     private void reserve() {
         Map<String, PlanNode> emptiest = new TreeMap<>();
         Map<String, Long> largest = new HashMap<>();
         for (PlanNode node : nodes) {
-            emptiest.merge(node.domain(), node, PlanAttempt::emptier);
-            largest.merge(node.domain(), node.free(), Math::max);
+            emptiest.merge(node.domain(), node, (a, b) -> b.free() > a.free() ? b : a);
+            largest.merge(node.domain(), node.memory(), Math::max);
         }
         emptiest.forEach((domain, node) -> {
             long bytes = 0;
@@ -82,13 +92,14 @@
                     bytes = row.bytes() <= largest.get(domain) ? Math.max(bytes, row.bytes()) : bytes;
                 }
             }
+            reserveKept &= node.free() >= bytes;
             node.reserve(Math.min(bytes, node.free()));
         });
     }
 
-    /** Prefers the endpoint that would lose the fewest present artifacts to the reserve. */
-    private static PlanNode emptier(PlanNode a, PlanNode b) {
-        return b.present().size() < a.present().size() ? b : a;
+    /** Returns whether every failure domain has room to load its largest model before it unloads another. */
+    boolean reserveKept() {
+        return options.reserve() && reserveKept;
     }
 
     private void placePins(PlanUnit unit) {
@@ -184,25 +195,31 @@
     }
 
     private PlanNode choose(PlanRow row, long bytes, Predicate<PlanNode> allowed) {
+        List<PlanNode> present = holders.getOrDefault(row.artifact(), List.of());
         PlanNode best = null;
+        int bestInDomain = 0;
         for (PlanNode node : nodes) {
-            if (node.fits(bytes)
-                    && !node.holds(row.artifact())
-                    && allowed.test(node)
-                    && (best == null || better(row, node, best))) {
+            // The cheap checks come first: this loop runs for each replica over every endpoint.
+            if (!node.fits(bytes)) {
+                continue;
+            }
+            int inDomain = row.inDomain(node.domain());
+            if ((best == null || inDomain <= bestInDomain && better(node, inDomain, best, bestInDomain, present))
+                    && !row.nodes().contains(node)
+                    && allowed.test(node)) {
                 best = node;
+                bestInDomain = inDomain;
             }
         }
         return best;
     }
 
-    private boolean better(PlanRow row, PlanNode node, PlanNode best) {
-        int spread = Integer.compare(row.inDomain(node.domain()), row.inDomain(best.domain()));
-        if (spread != 0) {
-            return spread < 0;
+    private boolean better(PlanNode node, int inDomain, PlanNode best, int bestInDomain, List<PlanNode> present) {
+        if (inDomain != bestInDomain) {
+            return inDomain < bestInDomain;
         }
-        if (node.wasPresent(row.artifact()) != best.wasPresent(row.artifact())) {
-            return node.wasPresent(row.artifact());
+        if (!present.isEmpty() && present.contains(node) != present.contains(best)) {
+            return present.contains(node);
         }
         return options.tight() ? node.free() < best.free() : node.free() > best.free();
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/placement/PlanNode.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/placement/PlanNode.java
@@ -32,6 +32,10 @@
         return endpoint.failureDomain();
     }
 
+    long memory() {
+        return endpoint.memoryBytes();
+    }
+
     long free() {
         return free;
     }
@@ -41,10 +45,6 @@
         free -= bytes;
     }
 
-    boolean wasPresent(Artifact artifact) {
-        return present.contains(artifact);
-    }
-
     Set<Artifact> present() {
         return present;
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/placement/Planner.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/placement/Planner.java
@@ -24,12 +24,12 @@
  */
 public final class Planner {
     private static final List<PlanAttempt.Options> ATTEMPTS = List.of(
-            new PlanAttempt.Options(true, true, false),
-            new PlanAttempt.Options(true, true, true),
-            new PlanAttempt.Options(false, true, false),
-            new PlanAttempt.Options(false, true, true),
-            new PlanAttempt.Options(true, false, true),
-            new PlanAttempt.Options(false, false, true));
+            new PlanAttempt.Options(true, true, true, false),
+            new PlanAttempt.Options(true, true, true, true),
+            new PlanAttempt.Options(true, true, false, true),
+            new PlanAttempt.Options(false, true, false, true),
+            new PlanAttempt.Options(true, false, false, true),
+            new PlanAttempt.Options(false, false, false, true));
 
     /**
      * Plans the sheet of a configuration, starting from its present placements.
@@ -40,20 +40,18 @@
     public Plan plan(FleetConfiguration configuration) {
         ArtifactCatalog catalog = new ArtifactCatalog(configuration.models());
         PlanAttempt best = null;
-        boolean reserveKept = false;
         for (PlanAttempt.Options options : ATTEMPTS) {
             PlanAttempt attempt =
                     new PlanAttempt(options, nodes(configuration, catalog), units(configuration, catalog));
             attempt.run();
             if (best == null || attempt.faults().size() < best.faults().size()) {
                 best = attempt;
-                reserveKept = options.reserve();
             }
             if (best.faults().isEmpty()) {
                 break;
             }
         }
-        return result(configuration, catalog, best, reserveKept);
+        return result(configuration, catalog, best);
     }
 
     private static List<PlanNode> nodes(FleetConfiguration configuration, ArtifactCatalog catalog) {
@@ -79,8 +77,7 @@
         return new ArrayList<>(units.values());
     }
 
-    private static Plan result(
-            FleetConfiguration configuration, ArtifactCatalog catalog, PlanAttempt attempt, boolean reserveKept) {
+    private static Plan result(FleetConfiguration configuration, ArtifactCatalog catalog, PlanAttempt attempt) {
         SortedMap<String, List<Artifact>> placements = keptOutOfService(configuration, catalog);
         for (PlanNode node : attempt.nodes()) {
             if (!node.planned().isEmpty()) {
@@ -98,7 +95,7 @@
             loads += after.size() - both;
             unloads += before.size() - both;
         }
-        return new Plan(placements, attempt.faults(), loads, unloads, reserveKept);
+        return new Plan(placements, attempt.faults(), loads, unloads, attempt.reserveKept());
     }
 
     /**
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/placement/ReplicaPolicy.java
@@ -0,0 +1,203 @@
+package org.gooseberryring.coordination.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.gooseberryring.state.Artifact;
+import org.gooseberryring.state.Change;
+import org.gooseberryring.state.FleetConfiguration;
+import org.gooseberryring.state.SheetRow;
+
+/**
+ * Adds replicas beyond the sheet where demand overloads endpoints, and takes them away when it has gone.
+ *
+ * <p>A replica is added only if the overload that it removes over the horizon exceeds the cost of the move. It is taken
+ * away only after a minimum age, and only if the others stay below a mark that is well below the one for adding. The two
+ * marks and the two means of the demand are the hysteresis that keeps replicas from going back and forth.
+ */
+public final class ReplicaPolicy {
+    private final ReplicaPolicySettings settings;
+    private final Map<String, Long> addedAt = new HashMap<>();
+
+    /** Creates a policy. */
+    public ReplicaPolicy(ReplicaPolicySettings settings) {
+        this.settings = settings;
+    }
+
+    /**
+     * Decides which placements change.
+     *
+     * @param configuration present configuration
+     * @param tracker demand for each model
+     * @param now monotonic time in milliseconds
+     * @return changed placements by endpoint, empty if nothing is worth a move
+     */
+    public List<Change> decide(FleetConfiguration configuration, DemandTracker tracker, long now) {
+        Map<String, DemandTracker.Demand> demands = tracker.demands();
+        Map<String, Integer> minimum = minimumReplicas(configuration);
+        FleetLoad rising = new FleetLoad(
+                configuration, m -> demands.containsKey(m) ? demands.get(m).rising() : 0, settings.highWater());
+        FleetLoad falling = new FleetLoad(
+                configuration, m -> demands.containsKey(m) ? demands.get(m).falling() : 0, settings.highWater());
+        TreeSet<String> changed = new TreeSet<>();
+        removeIdle(configuration, rising, falling, minimum, changed, now);
+        for (int i = 0; i < settings.movesPerDecision(); i++) {
+            if (!addBest(configuration, rising, minimum, changed, now)) {
+                break;
+            }
+        }
+        List<Change> changes = new ArrayList<>();
+        for (String endpoint : changed) {
+            changes.add(new Change.PutPlacements(endpoint, List.copyOf(rising.held(endpoint))));
+        }
+        return changes;
+    }
+
+    private void removeIdle(
+            FleetConfiguration configuration,
+            FleetLoad rising,
+            FleetLoad falling,
+            Map<String, Integer> minimum,
+            TreeSet<String> changed,
+            long now) {
+        for (String model : falling.models()) {
+            for (String endpoint : new ArrayList<>(falling.holders(model))) {
+                if (removable(configuration, falling, minimum, model, endpoint, now)
+                        && falling.shareWithout(model, endpoint) < settings.lowWater()) {
+                    falling.remove(model, endpoint);
+                    rising.remove(model, endpoint);
+                    changed.add(endpoint);
+                }
+            }
+        }
+    }
+
+    private boolean removable(
+            FleetConfiguration configuration,
+            FleetLoad load,
+            Map<String, Integer> minimum,
+            String model,
+            String endpoint,
+            long now) {
+        // A replica that another controller has added counts from the time at which it is first seen.
+        long added = addedAt.computeIfAbsent(key(model, endpoint), k -> now);
+        return now - added >= settings.minAgeMillis()
+                && load.holders(model).size() > minimum.getOrDefault(model, 1)
+                && !pinned(configuration, model, endpoint)
+                && keepsTwoDomains(load, model, endpoint);
+    }
+
+    private static boolean keepsTwoDomains(FleetLoad load, String model, String endpoint) {
+        Set<String> before = new HashSet<>();
+        Set<String> after = new HashSet<>();
+        for (String holder : load.holders(model)) {
+            before.add(load.domain(holder));
+            if (!holder.equals(endpoint)) {
+                after.add(load.domain(holder));
+            }
+        }
+        return after.size() >= Math.min(2, before.size());
+    }
+
+    private boolean addBest(
+            FleetConfiguration configuration,
+            FleetLoad load,
+            Map<String, Integer> minimum,
+            TreeSet<String> changed,
+            long now) {
+        String bestModel = null;
+        String bestTarget = null;
+        double bestNet = 0;
+        for (String model : overloadedModels(load)) {
+            long bytes = load.bytes(load.unit(model));
+            for (String target : load.endpoints()) {
+                if (load.holders(model).contains(target)) {
+                    continue;
+                }
+                boolean evicts = load.free(target) < bytes;
+                if (evicts && !makesRoom(configuration, load, minimum, target, bytes, now, null)) {
+                    continue;
+                }
+                double cost = settings.moveCost() * (evicts ? 2 : 1);
+                double net = load.relief(model, target) * settings.horizonSeconds() - cost;
+                if (net > bestNet || net == bestNet && net > 0 && load.share(target) < load.share(bestTarget)) {
+                    bestNet = net;
+                    bestModel = model;
+                    bestTarget = target;
+                }
+            }
+        }
+        if (bestModel == null) {
+            return false;
+        }
+        List<Artifact> unit = load.unit(bestModel);
+        makesRoom(configuration, load, minimum, bestTarget, load.bytes(unit), now, changed);
+        load.add(bestModel, bestTarget, unit);
+        addedAt.put(key(bestModel, bestTarget), now);
+        changed.add(bestTarget);
+        return true;
+    }
+
+    /** Returns the models with a replica on an overloaded endpoint. */
+    private static List<String> overloadedModels(FleetLoad load) {
+        TreeSet<String> models = new TreeSet<>();
+        for (String endpoint : load.endpoints()) {
+            if (load.overload(endpoint) > 0) {
+                load.held(endpoint).forEach(a -> models.add(a.model()));
+            }
+        }
+        return List.copyOf(models);
+    }
+
+    /** Returns whether old extra replicas can make room; takes them away if a set for the changes is given. */
+    private boolean makesRoom(
+            FleetConfiguration configuration,
+            FleetLoad load,
+            Map<String, Integer> minimum,
+            String target,
+            long bytes,
+            long now,
+            TreeSet<String> changed) {
+        long free = load.free(target);
+        TreeSet<String> models = new TreeSet<>();
+        load.held(target).forEach(a -> models.add(a.model()));
+        for (String model : models) {
+            if (free >= bytes) {
+                break;
+            }
+            if (removable(configuration, load, minimum, model, target, now)
+                    && load.shareWithout(model, target) < settings.highWater()) {
+                free += load.bytes(load.held(target).stream()
+                        .filter(a -> a.model().equals(model))
+                        .toList());
+                if (changed != null) {
+                    load.remove(model, target);
+                }
+            }
+        }
+        return free >= bytes;
+    }
+
+    private static boolean pinned(FleetConfiguration configuration, String model, String endpoint) {
+        return configuration.sheet().stream()
+                .anyMatch(
+                        r -> r.artifact().model().equals(model) && r.endpoints().contains(endpoint));
+    }
+
+    private static Map<String, Integer> minimumReplicas(FleetConfiguration configuration) {
+        Map<String, Integer> minimum = new HashMap<>();
+        for (SheetRow row : configuration.sheet()) {
+            minimum.merge(row.artifact().model(), row.replicas(), Math::max);
+        }
+        return minimum;
+    }
+
+    private static String key(String model, String endpoint) {
+        return model + " " + endpoint;
+    }
+}
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/order/OrderSimulation.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/order/OrderSimulation.java
@@ -98,12 +98,15 @@
         store.down(down);
     }
 
-    /** Pauses the present controller of a failure domain until after its lease has been taken by the other host. */
+    /**
+     * Pauses the present controller of a failure domain until after its lease has been taken by the other host. The pause
+     * begins when it has asked for the next change of a ledger, which is the worst moment for an order.
+     */
     void pauseController() {
         String domain = DOMAINS.get(random.nextInt(DOMAINS.size()));
         for (ControllerHost host : hosts) {
             if (host.domain.equals(domain) && host.controller.leads(now)) {
-                host.pause(2 * SETTINGS.leaseMillis() + random.nextInt(10_000));
+                host.pauseAtNextLedger(2 * SETTINGS.leaseMillis() + random.nextInt(20_000));
             }
         }
     }
@@ -281,6 +284,7 @@
         private OrderController controller;
         private FleetConfiguration known = FleetConfiguration.empty();
         private long pausedUntil;
+        private long armedPause;
         private int life;
 
         ControllerHost(String domain, String name) {
@@ -304,8 +308,8 @@
             }
         }
 
-        void pause(long millis) {
-            pausedUntil = now + millis;
+        void pauseAtNextLedger(long millis) {
+            armedPause = millis;
         }
 
         void tick() {
@@ -334,6 +338,12 @@
                     if (queue.size() == 1) {
                         callNext(queue, life);
                     }
+                    if (armedPause > 0
+                            && call.request() instanceof StoreRequest.Put
+                            && call.request().key().startsWith("ledger/")) {
+                        pausedUntil = now + armedPause;
+                        armedPause = 0;
+                    }
                 } else if (effect instanceof OrderEffect.Send sent) {
                     send(engines.get(sent.endpoint()), sent.order());
                 } else if (effect instanceof OrderEffect.AskReport ask) {
