--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/membership/UpdateQueue.java
@@ -0,0 +1,40 @@
+package org.gooseberryring.coordination.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Updates that are carried by the next messages; those sent least often go first. */
+final class UpdateQueue {
+    private final Map<String, Entry> entries = new TreeMap<>();
+
+    private static final class Entry {
+        private final Member member;
+        private int sent;
+
+        Entry(Member member) {
+            this.member = member;
+        }
+    }
+
+    void add(Member member) {
+        entries.put(member.host(), new Entry(member));
+    }
+
+    /** Returns updates for one message and forgets those that were sent often enough. */
+    List<Member> take(int count, int transmissions) {
+        List<Entry> order = new ArrayList<>(entries.values());
+        order.sort(Comparator.comparingInt(e -> e.sent));
+        List<Member> result = new ArrayList<>();
+        for (Entry entry : order.subList(0, Math.min(count, order.size()))) {
+            result.add(entry.member);
+            entry.sent++;
+            if (entry.sent >= transmissions) {
+                entries.remove(entry.member.host(), entry);
+            }
+        }
+        return result;
+    }
+}
