Add claims of idempotency keys

The simulation found a shard that stayed without an owner: its holder had been restarted, another host should own it, and the holder's name was still alive.

--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/claim/ClaimAsk.java
@@ -0,0 +1,17 @@
+package org.gooseberryring.coordination.claim;
+
+/**
+ * Request for a claim as its shard's owner received it.
+ *
+ * @param host host that asks
+ * @param incarnation incarnation of that host
+ * @param request the request
+ * @param receivedAt monotonic time in milliseconds
+ */
+record ClaimAsk(String host, long incarnation, ClaimMessage.Request request, long receivedAt) {
+    boolean sameAs(ClaimAsk other) {
+        return host.equals(other.host)
+                && incarnation == other.incarnation
+                && request.requestId().equals(other.request.requestId());
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/claim/ClaimEffect.java
@@ -0,0 +1,39 @@
+package org.gooseberryring.coordination.claim;
+
+import org.gooseberryring.coordination.store.StoreRequest;
+
+/** Action that the claim components ask their host to take. */
+public sealed interface ClaimEffect {
+    /**
+     * Sends a message to a host, which may be this one.
+     *
+     * @param host identifier of the receiver
+     * @param message message to send
+     */
+    record Send(String host, ClaimMessage message) implements ClaimEffect {}
+
+    /** Component that made a store call. */
+    enum Caller {
+        /** {@link ClaimShards} or {@link ClaimOwner}. */
+        OWNER,
+        /** {@link ClaimRouter}. */
+        ROUTER
+    }
+
+    /**
+     * Calls the object store. The reply goes to the component that made the call and to no other: an owner would take
+     * the reply to a router's read of the same object for the reply to its own commit.
+     *
+     * @param caller component that takes the reply
+     * @param request call to make
+     */
+    record Store(Caller caller, StoreRequest request) implements ClaimEffect {}
+
+    /**
+     * States the final answer to a claim; there is one for each claim.
+     *
+     * @param requestId request that asked
+     * @param answer the answer
+     */
+    record Answered(String requestId, ClaimAnswer answer) implements ClaimEffect {}
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/claim/ClaimMessage.java
@@ -0,0 +1,38 @@
+package org.gooseberryring.coordination.claim;
+
+/** Message about claims between two hosts; each record matches one peer message field by field. */
+public sealed interface ClaimMessage {
+    /** Returns the identifier of the request that the claim is for. */
+    String requestId();
+
+    /**
+     * Asks the owner of a shard for a claim.
+     *
+     * @param requestId identifier of the request, unique over all hosts
+     * @param keyDigest digest of organisation and idempotency key, in hexadecimal
+     * @param requestDigest digest of the request
+     * @param shard shard of the key
+     */
+    record Request(String requestId, String keyDigest, String requestDigest, int shard) implements ClaimMessage {}
+
+    /**
+     * Answers a request for a claim.
+     *
+     * @param requestId identifier of the request
+     * @param answer the answer
+     */
+    record Reply(String requestId, ClaimAnswer answer) implements ClaimMessage {}
+
+    /**
+     * Reports how a claimed request ended; it may be sent again and changes nothing the second time.
+     *
+     * @param keyDigest digest of organisation and idempotency key, in hexadecimal
+     * @param shard shard of the key
+     * @param released whether the request certainly did not run
+     * @param status HTTP status of the answer, 0 if released
+     * @param body body of the answer, or null
+     * @param requestId identifier of the request that holds the claim
+     */
+    record Outcome(String keyDigest, int shard, boolean released, int status, byte[] body, String requestId)
+            implements ClaimMessage {}
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/claim/ClaimRecord.java
@@ -0,0 +1,44 @@
+package org.gooseberryring.coordination.claim;
+
+/**
+ * Claim of one idempotency key.
+ *
+ * @param requestDigest digest of the request that claimed the key
+ * @param requestId identifier of that request
+ * @param host host that the request came through
+ * @param incarnation incarnation of that host
+ * @param claimedAt time of the claim in milliseconds of the shard's clock
+ * @param status HTTP status of the recorded answer, 0 if there is none
+ * @param body body of the recorded answer, or null
+ */
+public record ClaimRecord(
+        String requestDigest,
+        String requestId,
+        String host,
+        long incarnation,
+        long claimedAt,
+        int status,
+        byte[] body) {
+    // Digests, identifiers, numbers and field names in JSON.
+    private static final int FIXED_BYTES = 400;
+
+    /** Returns whether an answer is recorded. */
+    public boolean recorded() {
+        return status != 0;
+    }
+
+    /** Returns this claim with a recorded answer. */
+    ClaimRecord record(int answerStatus, byte[] answerBody) {
+        return new ClaimRecord(requestDigest, requestId, host, incarnation, claimedAt, answerStatus, answerBody);
+    }
+
+    /** Returns whether a request of a host's process holds this claim. */
+    boolean heldBy(String id, String byHost, long byIncarnation) {
+        return requestId.equals(id) && host.equals(byHost) && incarnation == byIncarnation;
+    }
+
+    /** Returns the estimated size in the store, in bytes. */
+    int bytes() {
+        return FIXED_BYTES + (body == null ? 0 : body.length * 4 / 3 + 4);
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/claim/ClaimShards.java
@@ -0,0 +1,110 @@
+package org.gooseberryring.coordination.claim;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.gooseberryring.coordination.store.StoreReply;
+
+/** Keeps the owners of the shards that this host should own, and passes messages and store replies to them. */
+public final class ClaimShards {
+    // Between attempts to take a shard whose present holder still seems alive.
+    private static final long ACQUIRE_INTERVAL_MILLIS = 1_000;
+
+    private final String host;
+    private final long incarnation;
+    private final ClaimSettings settings;
+    private final ClaimCodec codec;
+    private final Map<Integer, ClaimOwner> owners = new HashMap<>();
+    private final Map<String, Integer> shards = new HashMap<>();
+    private Set<String> members = Set.of();
+    private boolean leaving;
+    private long acquireAt = Long.MIN_VALUE;
+
+    /**
+     * Creates the owners of a host.
+     *
+     * @param host identifier of this host
+     * @param incarnation incarnation of this process
+     * @param settings settings of the claims
+     * @param codec converts shard documents
+     */
+    public ClaimShards(String host, long incarnation, ClaimSettings settings, ClaimCodec codec) {
+        this.host = host;
+        this.incarnation = incarnation;
+        this.settings = settings;
+        this.codec = codec;
+        for (int shard = 0; shard < settings.shards(); shard++) {
+            shards.put(ClaimOwner.key(shard), shard);
+        }
+    }
+
+    /** Adopts the live hosts, this host included; shards that another host should own are given up. */
+    public void members(Collection<String> liveHosts, long now) {
+        if (!members.equals(Set.copyOf(liveHosts))) {
+            members = Set.copyOf(liveHosts);
+            acquireAt = now;
+        }
+    }
+
+    /** Begins to give up all shards; {@link #handedOver} tells when that is done. */
+    public void leave(long now) {
+        leaving = true;
+        acquireAt = now;
+    }
+
+    /** Returns whether this host owns no shard any more. */
+    public boolean handedOver() {
+        return owners.values().stream().allMatch(ClaimOwner::idle);
+    }
+
+    /** Answers a request for a claim. */
+    public List<ClaimEffect> onRequest(String sender, long senderIncarnation, ClaimMessage.Request request, long now) {
+        return owner(request.shard()).onRequest(sender, senderIncarnation, request, now);
+    }
+
+    /** Notes the outcome of a claimed request. */
+    public List<ClaimEffect> onOutcome(String sender, long senderIncarnation, ClaimMessage.Outcome outcome, long now) {
+        return owner(outcome.shard()).onOutcome(sender, senderIncarnation, outcome, now);
+    }
+
+    /** Takes the reply to a store call of one of the owners. */
+    public List<ClaimEffect> onStore(StoreReply reply, long now) {
+        Integer shard = shards.get(reply.key());
+        ClaimOwner owner = shard == null ? null : owners.get(shard);
+        return owner == null ? List.of() : owner.onStore(reply, now);
+    }
+
+    /** Takes and gives up shards, and commits waiting claims. */
+    public List<ClaimEffect> tick(long now) {
+        if (now >= acquireAt) {
+            acquireAt = now + ACQUIRE_INTERVAL_MILLIS;
+            assign();
+        }
+        List<ClaimEffect> effects = new ArrayList<>();
+        for (ClaimOwner owner : owners.values()) {
+            effects.addAll(owner.tick(now));
+        }
+        return effects;
+    }
+
+    private void assign() {
+        for (int shard = 0; shard < settings.shards(); shard++) {
+            if (!leaving && host.equals(ClaimRouter.chosenOwner(shard, members))) {
+                owner(shard).acquire(holder -> !members.contains(holder));
+            } else if (owners.containsKey(shard)) {
+                owners.get(shard).resign();
+            }
+        }
+    }
+
+    private ClaimOwner owner(int shard) {
+        if (shard < 0 || shard >= settings.shards()) {
+            throw new IllegalArgumentException("shard " + shard + " is not below " + settings.shards());
+        }
+        return owners.computeIfAbsent(shard, number -> new ClaimOwner(number, host, incarnation, settings, codec));
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/claim/ClaimOwnerTest.java
@@ -0,0 +1,91 @@
+package org.gooseberryring.coordination.claim;
+
+import java.util.List;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class ClaimOwnerTest {
+    /**
+     * Guards against a second dispatch of a key whose request may have run, when owners are paused and replaced, hosts
+     * disagree about who is alive, processes die, the store is down or loses answers, messages are lost, late or
+     * repeated, and callers retry through other hosts. The simulation checks each grant.
+     */
+    @Property(tries = 40, seed = "20261204", shrinking = ShrinkingMode.OFF)
+    void keyIsDispatchedAtMostOnce(@ForAll long seed) {
+        ClaimSimulation simulation = new ClaimSimulation(seed, 0.05);
+        Random random = simulation.random();
+        for (int i = 0; i < 1_500; i++) {
+            simulation.run(random.nextInt(40));
+            simulation.hosts().get(random.nextInt(3)).claim("key-" + (i / 30 + random.nextInt(4)));
+            if (random.nextInt(40) == 0) {
+                fault(simulation, random);
+            }
+        }
+        int granted = simulation.answers().getOrDefault(ClaimAnswer.Decision.GRANTED, 0);
+        assertThat(granted).isAtLeast(5);
+
+        simulation.heal();
+        simulation.run(10_000);
+        granted = simulation.answers().getOrDefault(ClaimAnswer.Decision.GRANTED, 0);
+        for (int i = 0; i < 5; i++) {
+            simulation.hosts().get(i % 3).claim("after-" + i);
+        }
+        simulation.run(1_000);
+        assertThat(simulation.answers().get(ClaimAnswer.Decision.GRANTED)).isEqualTo(granted + 5);
+    }
+
+    /** Guards against claims that stay after their request certainly did not run, and against lost recordings. */
+    @Test
+    void releasedKeyCanBeClaimedAgain() {
+        ClaimSimulation simulation = new ClaimSimulation(3, 0);
+        simulation.run(1_000);
+        for (int i = 0; i < 200; i++) {
+            simulation.hosts().get(i % 3).claim("key-" + i / 20);
+            simulation.run(300);
+        }
+        // Half of the dispatches are released, so most of the 10 keys are granted more than once.
+        assertThat(simulation.answers().get(ClaimAnswer.Decision.GRANTED)).isAtLeast(15);
+        assertThat(simulation.answers().get(ClaimAnswer.Decision.RECORDED)).isAtLeast(15);
+        assertThat(simulation.answers().get(ClaimAnswer.Decision.MAY_HAVE_RUN)).isAtLeast(15);
+        assertThat(simulation.answers()).doesNotContainKey(ClaimAnswer.Decision.UNAVAILABLE);
+    }
+
+    /** Guards against claims that are granted without the store, and against a shard that stays without an owner. */
+    @Test
+    void claimsAreRefusedDuringAnOutageAndGrantedAfterIt() {
+        ClaimSimulation simulation = new ClaimSimulation(4, 0);
+        simulation.run(1_000);
+        simulation.down(true);
+        for (int i = 0; i < 20; i++) {
+            simulation.hosts().get(i % 3).claim("outage-" + i);
+            simulation.run(300);
+        }
+        assertThat(simulation.answers().keySet()).containsExactly(ClaimAnswer.Decision.UNAVAILABLE);
+
+        simulation.down(false);
+        simulation.run(10_000);
+        simulation.hosts().get(0).claim("outage-0");
+        simulation.run(1_000);
+        assertThat(simulation.answers().get(ClaimAnswer.Decision.GRANTED)).isEqualTo(1);
+    }
+
+    private static void fault(ClaimSimulation simulation, Random random) {
+        ClaimSimulation.Host host = simulation.hosts().get(random.nextInt(3));
+        switch (random.nextInt(5)) {
+            case 0 -> host.freeze(random.nextInt(3_000));
+            case 1 -> host.start();
+            case 2 -> host.members(List.of("h0", "h1", "h2"));
+            case 3 -> host.members(random.nextBoolean() ? List.of("h0", "h1") : List.of("h1", "h2"));
+            default -> {
+                simulation.down(true);
+                simulation.at(random.nextInt(2_000), () -> simulation.down(false));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/claim/ClaimSimulation.java
@@ -0,0 +1,281 @@
+package org.gooseberryring.coordination.claim;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.TreeMap;
+
+import org.gooseberryring.coordination.store.StoreOutcome;
+import org.gooseberryring.coordination.store.StoreReply;
+import org.gooseberryring.coordination.store.StoreRequest;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/** Three hosts that share one shard of claims, with a faulty store and network and a simulated clock. */
+final class ClaimSimulation implements ClaimCodec {
+    private static final ClaimSettings SETTINGS = new ClaimSettings(1, 5, 100, 500, 86_400_000, 800_000, 4_096, 100);
+
+    private record Event(long at, long sequence, Runnable action) {}
+
+    /** One host; its parts are replaced when its process is. */
+    final class Host {
+        private final String name;
+        private long incarnation;
+        private boolean frozen;
+        private List<Runnable> inbox = new ArrayList<>();
+        private ClaimShards shards;
+        private ClaimRouter router;
+
+        private Host(String name) {
+            this.name = name;
+        }
+
+        /** Starts a new process; what the earlier one dispatched may have run. */
+        void start() {
+            incarnation++;
+            frozen = false;
+            inbox = new ArrayList<>();
+            shards = new ClaimShards(name, incarnation, SETTINGS, ClaimSimulation.this);
+            router = new ClaimRouter(SETTINGS, ClaimSimulation.this);
+            members(List.of("h0", "h1", "h2"));
+        }
+
+        void members(List<String> live) {
+            deliver(() -> {
+                shards.members(live, now);
+                router.members(live);
+            });
+        }
+
+        void freeze(long millis) {
+            frozen = true;
+            long own = incarnation;
+            at(millis, () -> {
+                if (incarnation == own) {
+                    frozen = false;
+                    List<Runnable> arrived = inbox;
+                    inbox = new ArrayList<>();
+                    arrived.forEach(Runnable::run);
+                }
+            });
+        }
+
+        void claim(String key) {
+            String id = name + "-" + incarnation + "-" + ++requests;
+            keys.put(id, key);
+            deliver(() -> carryOut(router.claim(id, ClaimRouter.keyDigest("org", key), "digest", now)));
+        }
+
+        private void deliver(Runnable action) {
+            if (frozen) {
+                inbox.add(action);
+            } else {
+                action.run();
+            }
+        }
+
+        private void tick() {
+            deliver(() -> {
+                carryOut(shards.tick(now));
+                carryOut(router.tick(now));
+            });
+        }
+
+        private void carryOut(List<ClaimEffect> effects) {
+            long own = incarnation;
+            for (ClaimEffect effect : effects) {
+                if (effect instanceof ClaimEffect.Send send) {
+                    send(this, send.host(), send.message());
+                } else if (effect instanceof ClaimEffect.Answered answered) {
+                    answered(answered);
+                } else if (effect instanceof ClaimEffect.Store call) {
+                    at(1 + random.nextInt(10), () -> {
+                        StoreReply reply = store(call.request());
+                        at(
+                                delay(),
+                                () -> deliver(() -> {
+                                    if (incarnation == own) {
+                                        carryOut(
+                                                call.caller() == ClaimEffect.Caller.OWNER
+                                                        ? shards.onStore(reply, now)
+                                                        : router.onStore(reply, now));
+                                    }
+                                }));
+                    });
+                }
+            }
+        }
+
+        private void answered(ClaimEffect.Answered answered) {
+            answers.merge(answered.answer().decision(), 1, Integer::sum);
+            String key = keys.get(answered.requestId());
+            if (answered.answer().decision() != ClaimAnswer.Decision.GRANTED) {
+                return;
+            }
+            assertWithMessage("dispatches of %s that may have run, at %s", key, now)
+                    .that(mayHaveRun.getOrDefault(key, 0))
+                    .isEqualTo(0);
+            mayHaveRun.merge(key, 1, Integer::sum);
+            long own = incarnation;
+            int fate = random.nextInt(4);
+            at(
+                    random.nextInt(200),
+                    () -> deliver(() -> {
+                        if (incarnation != own) {
+                            return;
+                        }
+                        if (fate == 0) {
+                            router.forget(answered.requestId());
+                        } else if (fate == 1) {
+                            carryOut(router.record(answered.requestId(), 200, new byte[] {1}, now));
+                        } else {
+                            mayHaveRun.merge(key, -1, Integer::sum);
+                            carryOut(router.release(answered.requestId(), now));
+                        }
+                    }));
+        }
+
+        private void receive(String sender, long senderIncarnation, ClaimMessage message) {
+            if (message instanceof ClaimMessage.Request request) {
+                carryOut(shards.onRequest(sender, senderIncarnation, request, now));
+            } else if (message instanceof ClaimMessage.Outcome outcome) {
+                carryOut(shards.onOutcome(sender, senderIncarnation, outcome, now));
+            } else if (message instanceof ClaimMessage.Reply reply) {
+                carryOut(router.onReply(sender, reply, now));
+            }
+        }
+    }
+
+    private final Random random;
+    private double faults;
+    private final List<Host> hosts = new ArrayList<>();
+    private final Map<String, String> keys = new HashMap<>();
+    private final Map<String, Integer> mayHaveRun = new HashMap<>();
+    private final Map<ClaimAnswer.Decision, Integer> answers = new TreeMap<>();
+    private final List<ClaimShardDocument> encoded = new ArrayList<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::sequence));
+    private byte[] stored;
+    private long version;
+    private boolean down;
+    private long now;
+    private long sequence;
+    private long requests;
+
+    /**
+     * Starts the hosts.
+     *
+     * @param faults probability of each fault of a message or of a store call
+     */
+    ClaimSimulation(long seed, double faults) {
+        this.random = new Random(seed);
+        this.faults = faults;
+        for (int i = 0; i < 3; i++) {
+            hosts.add(new Host("h" + i));
+        }
+        hosts.forEach(Host::start);
+        at(1, this::tick);
+    }
+
+    Random random() {
+        return random;
+    }
+
+    List<Host> hosts() {
+        return hosts;
+    }
+
+    Map<ClaimAnswer.Decision, Integer> answers() {
+        return answers;
+    }
+
+    void down(boolean isDown) {
+        down = isDown;
+    }
+
+    /** Ends all faults; hosts that are frozen resume by themselves. */
+    void heal() {
+        faults = 0;
+        down = false;
+        hosts.forEach(host -> host.members(List.of("h0", "h1", "h2")));
+    }
+
+    void at(long delayMillis, Runnable action) {
+        events.add(new Event(now + delayMillis, sequence++, action));
+    }
+
+    void run(long millis) {
+        long end = now + millis;
+        while (!events.isEmpty() && events.peek().at() <= end) {
+            Event event = events.poll();
+            now = event.at();
+            event.action().run();
+        }
+        now = end;
+    }
+
+    @Override
+    public byte[] encode(ClaimShardDocument document) {
+        encoded.add(document);
+        return Integer.toString(encoded.size() - 1).getBytes(StandardCharsets.US_ASCII);
+    }
+
+    @Override
+    public ClaimShardDocument decode(byte[] bytes) {
+        return encoded.get(Integer.parseInt(new String(bytes, StandardCharsets.US_ASCII)));
+    }
+
+    private void tick() {
+        hosts.forEach(Host::tick);
+        at(5, this::tick);
+    }
+
+    private StoreReply store(StoreRequest request) {
+        if (down) {
+            return new StoreReply(request.key(), StoreOutcome.UNAVAILABLE, 0, null);
+        }
+        boolean lost = random.nextDouble() < faults;
+        if (lost && random.nextBoolean()) {
+            return new StoreReply(request.key(), StoreOutcome.UNKNOWN, 0, null);
+        }
+        StoreReply reply = apply(request);
+        return lost ? new StoreReply(request.key(), StoreOutcome.UNKNOWN, 0, null) : reply;
+    }
+
+    private StoreReply apply(StoreRequest request) {
+        if (request instanceof StoreRequest.Put put) {
+            if (put.expectedVersion() != version) {
+                return new StoreReply(put.key(), StoreOutcome.CONFLICT, version, null);
+            }
+            stored = put.value();
+            version++;
+            return new StoreReply(put.key(), StoreOutcome.OK, version, null);
+        }
+        return stored == null
+                ? new StoreReply(request.key(), StoreOutcome.ABSENT, 0, null)
+                : new StoreReply(request.key(), StoreOutcome.OK, version, stored);
+    }
+
+    private void send(Host from, String to, ClaimMessage message) {
+        int copies = random.nextDouble() < faults ? 2 : 1;
+        long incarnation = from.incarnation;
+        for (int i = 0; i < copies; i++) {
+            if (random.nextDouble() >= faults) {
+                at(
+                        delay(),
+                        () -> hosts.stream()
+                                .filter(host -> host.name.equals(to))
+                                .forEach(host -> host.deliver(() -> host.receive(from.name, incarnation, message))));
+            }
+        }
+    }
+
+    private long delay() {
+        return random.nextDouble() < faults ? random.nextInt(2_000) : 1 + random.nextInt(2);
+    }
+}
