--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/AllotmentLedger.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/AllotmentLedger.java
@@ -30,6 +30,8 @@
     private static final long KEEPER_READ_MILLIS = 2_000;
     // Other hosts only need to know the keepers.
     private static final long OTHER_READ_MILLIS = 30_000;
+    // Planning copies the document, which would cost too much at each tick.
+    private static final long PLAN_MILLIS = 100;
     // After an outage all hosts would come back at once; the wait grows to this and differs by host.
     private static final long MAX_BACKOFF_MILLIS = 10_000;
     // A confirmation is renewed this many times within the reclaim time, so that a few lost writes do no harm.
@@ -58,6 +60,7 @@
     private long confirmation;
     private long renewedAt;
     private long nextReadAt = Long.MIN_VALUE;
+    private long nextPlanAt = Long.MIN_VALUE;
     private long backoff;
     private long imbalanceSince = Long.MAX_VALUE;
 
@@ -128,9 +131,10 @@
         if (now >= nextReadAt) {
             return call(new StoreRequest.Read(KEY));
         }
-        if (document == null || backoff > 0) {
+        if (document == null || backoff > 0 || now < nextPlanAt) {
             return List.of();
         }
+        nextPlanAt = now + PLAN_MILLIS;
         AllotmentDocument next = next(now);
         if (next.equals(document)) {
             return List.of();
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/KeeperChoice.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/KeeperChoice.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -12,10 +13,11 @@
 
     /** Returns the hosts ordered by their rendezvous weight for a key, highest first. */
     public static List<String> rank(String key, Collection<String> hosts) {
-        List<String> ranked = new ArrayList<>(hosts);
-        ranked.sort(Comparator.comparingLong((String host) -> weight(key, host))
-                .reversed()
-                .thenComparing(Comparator.naturalOrder()));
+        Map<String, Long> weights = new HashMap<>();
+        hosts.forEach(host -> weights.put(host, weight(key, host)));
+        List<String> ranked = new ArrayList<>(weights.keySet());
+        Comparator<String> byWeight = Comparator.comparing(weights::get);
+        ranked.sort(byWeight.reversed().thenComparing(Comparator.naturalOrder()));
         return ranked;
     }
 
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/LimitSimulation.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/LimitSimulation.java
@@ -39,6 +39,7 @@
         private TokenKeeper keeper;
         private TokenWallet wallet;
         private AllotmentLedger ledger;
+        private AllotmentDocument known;
         private final Map<String, Integer> running = new HashMap<>();
         private final Map<String, Long> waiting = new HashMap<>();
 
@@ -60,6 +61,7 @@
             wallet = new TokenWallet(name, incarnation, settings);
             ledger = new AllotmentLedger(
                     new KeeperIdentity(name, incarnation, domain, address), settings, store, keeper);
+            known = null;
             configure(organisation, revision);
         }
 
@@ -145,7 +147,10 @@
 
         private void tick() {
             deliver(() -> {
-                wallet.keepers(ORGANISATION, ledger.keepers(ORGANISATION));
+                if (known != ledger.document()) {
+                    known = ledger.document();
+                    wallet.keepers(ORGANISATION, ledger.keepers(ORGANISATION));
+                }
                 wallet.tick(clock());
                 carryOut(keeper.tick(clock()));
                 carryOut(ledger.tick(clock()));
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/TokenKeeperTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/TokenKeeperTest.java
@@ -1,10 +1,12 @@
 package org.gooseberryring.coordination.limit;
 
+import java.util.Map;
 import java.util.Random;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
+import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -50,6 +52,42 @@
                 .isAtMost(0.0);
     }
 
+    /** Guards against a successor that grants while batches of its predecessor may still be spent. */
+    @Test
+    void inheritedBucketFillsOnlyAfterOneBatchLifetime() {
+        TokenKeeper keeper = new TokenKeeper("h", 2, SETTINGS);
+        Allotment inherited = new Allotment(1_000, 1_000, 1_000, 500, false, false);
+        keeper.confirmed(10_000);
+        keeper.adopt(Map.of("o", inherited), 10_000);
+
+        assertThat(granted(keeper, "r1", 10_000 + 2_999)).isEqualTo(0);
+        assertThat(keeper.mayConfirm("o", 10_000 + 2_999)).isFalse();
+        assertThat(keeper.mayConfirm("o", 10_000 + 3_000)).isTrue();
+        assertThat(granted(keeper, "r2", 10_000 + 3_100)).isEqualTo(100);
+    }
+
+    /** Guards against a paused or cut-off keeper that grants what was given to others after the reclaim time. */
+    @Test
+    void keeperWithoutConfirmationStopsBeforeItsAllotmentIsReclaimed() {
+        TokenKeeper keeper = new TokenKeeper("h", 1, SETTINGS);
+        keeper.adopt(Map.of("o", Allotment.none().raised(1_000, 1_000, true)), 0);
+        assertThat(granted(keeper, "early", 0)).isEqualTo(0);
+        keeper.confirmed(0);
+        assertThat(granted(keeper, "r1", 1)).isEqualTo(1_000);
+
+        // 40,000 ms less 10% and one batch lifetime of 3,000 ms.
+        assertThat(granted(keeper, "r2", 32_999)).isEqualTo(1_000);
+        assertThat(granted(keeper, "r3", 33_000)).isEqualTo(0);
+        keeper.confirmed(40_000);
+        assertThat(granted(keeper, "r4", 40_001)).isGreaterThan(0L);
+    }
+
+    private static long granted(TokenKeeper keeper, String requestId, long now) {
+        LimitEffect effect = keeper.onRequest("w", new TokenMessage.Request(requestId, "o", 1_000, false), now)
+                .get(0);
+        return ((TokenMessage.Grant) ((LimitEffect.Send) effect).message()).tokens();
+    }
+
     private static void fault(LimitSimulation simulation, Random random) {
         LimitSimulation.Host host = simulation.hosts().get(random.nextInt(7));
         switch (random.nextInt(6)) {
--- /dev/null
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/TokenWalletBenchmark.java
@@ -0,0 +1,103 @@
+package org.gooseberryring.coordination.limit;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import org.gooseberryring.state.Organisation;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** Measures one limit decision: a reservation from the wallet, and a reservation with its settlement. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(1)
+public class TokenWalletBenchmark {
+    private static final int RUNNING = 1_000;
+    private static final int ORGANISATIONS = 100;
+
+    private final String[] requests = new String[RUNNING];
+    private final String[] organisations = new String[ORGANISATIONS];
+    private TokenWallet wallet;
+    private TokenKeeper keeper;
+    private long now;
+    private int next;
+
+    @Setup
+    public void fill() {
+        wallet = new TokenWallet("h", 1, LimitSettings.defaults());
+        keeper = new TokenKeeper("h", 1, LimitSettings.defaults());
+        Map<String, Organisation> configured = new HashMap<>();
+        Map<String, Allotment> allotments = new HashMap<>();
+        for (int i = 0; i < ORGANISATIONS; i++) {
+            organisations[i] = "organisation-" + i;
+            configured.put(organisations[i], new Organisation(organisations[i], 1L << 40, 1L << 40, 1, null));
+            allotments.put(organisations[i], Allotment.none().raised(1L << 40, 1L << 40, true));
+        }
+        wallet.configure(configured, now);
+        keeper.confirmed(now);
+        keeper.adopt(allotments, now);
+        for (String organisation : organisations) {
+            wallet.keepers(organisation, List.of("h"));
+        }
+        for (int i = 0; i < RUNNING; i++) {
+            requests[i] = "request-" + i;
+            wallet.reserve(requests[i], organisations[i % ORGANISATIONS], 500, now);
+            exchange();
+        }
+    }
+
+    /** Reserves for one request and settles the one that has run longest, at 50,000 requests a second. */
+    @Benchmark
+    public Admission reserveAndSettle() {
+        int i = next++ % RUNNING;
+        if (next % 50 == 0) {
+            now++;
+        }
+        if (next % 500 == 0) {
+            wallet.tick(now);
+            exchange();
+        }
+        wallet.settle(requests[i], 200, now);
+        Admission admission = wallet.reserve(requests[i], organisations[i % ORGANISATIONS], 500, now);
+        if (admission.kind() != Admission.Kind.ADMITTED) {
+            exchange();
+        }
+        return admission;
+    }
+
+    private void exchange() {
+        List<LimitEffect> effects = wallet.drain();
+        while (!effects.isEmpty()) {
+            for (LimitEffect effect : effects) {
+                if (effect instanceof LimitEffect.Send send) {
+                    deliver(send.message());
+                }
+            }
+            effects = wallet.drain();
+        }
+        keeper.confirmed(now);
+    }
+
+    private void deliver(TokenMessage message) {
+        if (message instanceof TokenMessage.Request request) {
+            for (LimitEffect answer : keeper.onRequest("h", request, now)) {
+                wallet.onGrant("h", (TokenMessage.Grant) ((LimitEffect.Send) answer).message(), now);
+            }
+        } else if (message instanceof TokenMessage.Return back) {
+            keeper.onReturn("h", back, now);
+        }
+    }
+}
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/TokenWalletTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/TokenWalletTest.java
@@ -1,7 +1,10 @@
 package org.gooseberryring.coordination.limit;
 
+import java.util.List;
+import java.util.Map;
 import java.util.function.IntUnaryOperator;
 
+import org.gooseberryring.state.Organisation;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -67,4 +70,34 @@
 
         assertThat(simulation.refused()).isEqualTo(1);
     }
+
+    /** Guards against a host that resumes after a pause and spends a batch that its keeper counts as expired. */
+    @Test
+    void pausedWalletSpendsNoExpiredBatch() {
+        TokenWallet wallet = new TokenWallet("w", 1, LimitSettings.defaults());
+        wallet.configure(Map.of("o", new Organisation("o", 1_000, 1_000, 1, null)), 0);
+        wallet.keepers("o", List.of("k"));
+        assertThat(wallet.reserve("r1", "o", 100, 0).kind()).isEqualTo(Admission.Kind.PENDING);
+        TokenMessage.Grant grant = new TokenMessage.Grant(requestId(wallet), "o", 600, 5_000, 0, "b");
+        wallet.onGrant("k", grant, 1_000);
+        wallet.onGrant("k", grant, 1_001);
+        assertThat(wallet.available("o")).isEqualTo(500);
+
+        // The lifetime of 5,000 ms counts from the request at 0, less 10%.
+        assertThat(wallet.reserve("r2", "o", 100, 4_499).kind()).isEqualTo(Admission.Kind.ADMITTED);
+        assertThat(wallet.reserve("r3", "o", 100, 4_500).kind()).isEqualTo(Admission.Kind.PENDING);
+        wallet.onGrant("k", new TokenMessage.Grant(requestId(wallet), "o", 900, 5_000, 0, "late"), 9_000);
+        assertThat(wallet.available("o")).isEqualTo(0);
+    }
+
+    private static String requestId(TokenWallet wallet) {
+        return wallet.drain().stream()
+                .filter(effect -> effect instanceof LimitEffect.Send)
+                .map(effect -> ((LimitEffect.Send) effect).message())
+                .filter(message -> message instanceof TokenMessage.Request)
+                .map(TokenMessage.Request.class::cast)
+                .map(TokenMessage.Request::requestId)
+                .reduce((first, second) -> second)
+                .orElseThrow();
+    }
 }
