--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/HolderId.java
@@ -0,0 +1,9 @@
+package org.gooseberryring.coordination.route;
+
+/**
+ * One process of a host, which holds or grants credits.
+ *
+ * @param host identifier of the host
+ * @param incarnation number of the process, higher after each restart of the host
+ */
+public record HolderId(String host, long incarnation) {}
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/SlowStart.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/SlowStart.java
@@ -38,6 +38,11 @@
         limit = Math.min(limit, capacity);
     }
 
+    /** Starts at the full capacity, for an endpoint that is known to be in use. */
+    public void warm() {
+        limit = capacity;
+    }
+
     /** Returns to one concurrent request, after a restart or a lost connection. */
     public void restart() {
         limit = 1;
