Hold back suspects and test crashing requests over several hosts

A suspect now waits 500 ms after a loss, so that the notices of other hosts arrive before it runs again, and one host runs one copy at a time. An attempt that did not run no longer makes its request a suspect; a connection refused by a dead endpoint did before.

Bounds, as the test states them: with notices that arrive within the hold time two endpoints for one copy at a time and 1 + c for c copies at a time; with all notices lost, for each host two or the copies at a time. A first bound of two for each host without notices was wrong: three copies that run at once on one host before the first loss take down three endpoints.

Open: hosts count the loss of one endpoint once each, because notices carry no identity of the loss, so a request that two hosts sent to the endpoint is quarantined after one loss.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -1,6 +1,7 @@
 package org.gooseberryring.coordination.request;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -192,10 +193,11 @@
             int running,
             int waiting,
             int capacity,
-            Set<Artifact> loadedArtifacts,
+            Collection<Artifact> loadedArtifacts,
             long ageMillis,
             long now) {
-        router.loadReported(endpoint, incarnation, running, waiting, capacity, loadedArtifacts, ageMillis, now);
+        Set<Artifact> loaded = new HashSet<>(loadedArtifacts);
+        router.loadReported(endpoint, incarnation, running, waiting, capacity, loaded, ageMillis, now);
         return done(now);
     }
 
@@ -337,7 +339,7 @@
         if (suspects.isQuarantined(digest)) {
             return true;
         }
-        if (suspects.isSuspect(digest) && runningSuspects.contains(digest)) {
+        if (suspects.isSuspect(digest) && (runningSuspects.contains(digest) || suspects.isHeld(digest, now))) {
             return false;
         }
         return choose(work, now).kind() != RouteChoice.Kind.WAIT;
@@ -376,8 +378,10 @@
         String digest = work.spec().digest();
         if (outcome.endpointLost()) {
             router.lost(endpoint, work.lossEpoch(), now);
-            int losses = suspects.endpointLost(digest, endpoint + '#' + work.lossEpoch(), now);
-            effects.add(new RequestEffect.SpreadQuarantine(digest, losses));
+            if (outcome.verdict() != Verdict.NOT_RUN) {
+                int losses = suspects.endpointLost(digest, endpoint + '#' + work.lossEpoch(), now);
+                effects.add(new RequestEffect.SpreadQuarantine(digest, losses));
+            }
         } else if (outcome.verdict() == Verdict.COMPLETED) {
             router.succeeded(endpoint, outcome.firstTokenMillis());
             if (work.query().alone()) {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/retry/CrashSuspects.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/retry/CrashSuspects.java
@@ -9,7 +9,12 @@
  * Recognises requests that crash the endpoints that run them.
  *
  * <p>Each host counts the endpoint losses that it saw itself and sends its count to the others. The losses of a request
- * are the sum over all hosts, so that notices may come late, repeatedly and in any order.
+ * are the sum over all hosts, so that notices may come late, repeatedly and in any order. The loss of one endpoint counts
+ * once for each host that had the request in flight there, so a request that several hosts sent to it is refused early.
+ *
+ * <p>If each notice arrives within the hold time, a request that crashes every endpoint takes down at most two while its
+ * callers send one copy at a time, and at most 1 + c while they send c copies at a time through different hosts. If all
+ * notices are lost, each host stops it by itself, after two losses or as many as it ran copies at once.
  */
 public final class CrashSuspects {
     /** Losses after which a request is refused on every host. */
@@ -21,6 +26,12 @@
     /** A caller that gets an unchanged refusal for this long gives up or changes the request. */
     static final long EXPIRY_MILLIS = 600_000;
 
+    /**
+     * A suspect is held back for this long after a loss, so that the notices of other hosts arrive first. A notice
+     * crosses a failure domain in about 1 ms and a region in less than 100 ms.
+     */
+    private static final long HOLD_MILLIS = 500;
+
     /** Bounds memory per digest; two reporting hosts are enough for quarantine. */
     private static final int MAX_REPORTERS = 4;
 
@@ -85,6 +96,12 @@
         return suspects.containsKey(digest);
     }
 
+    /** Returns whether a suspect must still wait for notices of other hosts. */
+    public boolean isHeld(String digest, long now) {
+        Suspect suspect = suspects.get(digest);
+        return suspect != null && now - suspect.lastLossAt < HOLD_MILLIS;
+    }
+
     /** Returns whether the request must be refused. */
     public boolean isQuarantined(String digest) {
         Suspect suspect = suspects.get(digest);
