--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/FifoRequestQueue.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/FifoRequestQueue.java
@@ -7,10 +7,13 @@
 import java.util.Map;
 import java.util.function.Predicate;
 
+import org.gooseberryring.coordination.queue.QueueOffer;
 import org.gooseberryring.state.FleetConfiguration;
 
 /** Queue in order of arrival, without shares or classes. */
 public final class FifoRequestQueue implements RequestQueue {
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
     private final int capacity;
     private final Map<String, RequestSpec> waiting = new LinkedHashMap<>();
 
@@ -19,12 +22,12 @@
     }
 
     @Override
-    public boolean offer(RequestSpec spec, long now) {
+    public QueueOffer<RequestSpec> offer(RequestSpec spec, boolean apart, long now) {
         if (waiting.size() >= capacity) {
-            return false;
+            return new QueueOffer<>(QueueOffer.Kind.FULL, RETRY_AFTER_MILLIS, List.of());
         }
         waiting.put(spec.id(), spec);
-        return true;
+        return new QueueOffer<>(QueueOffer.Kind.ACCEPTED, 0, List.of());
     }
 
     @Override
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/sheet/SheetReader.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/sheet/SheetReader.java
@@ -7,9 +7,9 @@
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -30,15 +30,17 @@
     private static final int VERSION = 2;
     private static final int REPLICAS = 3;
     private static final int ENDPOINTS = 4;
-    private static final Pattern IDENTIFIER = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,62}");
+    // The forms that the configuration accepts; a model may also contain slashes.
+    private static final Pattern IDENTIFIER = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,127}");
+    private static final Pattern MODEL_IDENTIFIER = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._/-]{0,127}");
     private static final String NOT_IDENTIFIER =
-            "is not an identifier (letters, digits, '.', '_' and '-', beginning with a letter or digit, at most 63)";
+            "is not an identifier (letters, digits, '.', '_' and '-', beginning with a letter or digit, at most 128)";
     private static final int MAX_REPLICAS = 100_000;
     private static final String BYTE_ORDER_MARK = "\uFEFF";
 
     private final List<SheetRow> rows = new ArrayList<>();
     private final List<SheetError> errors = new ArrayList<>();
-    private final Map<Artifact, Long> lines = new HashMap<>();
+    private final Map<Artifact, Long> lines = new LinkedHashMap<>();
 
     private SheetReader() {}
 
@@ -54,7 +56,7 @@
         } catch (CharacterCodingException e) {
             reader.error(1, "", "the file is not UTF-8 text");
         }
-        return new SheetFile(reader.rows, reader.errors);
+        return new SheetFile(reader.rows, List.copyOf(reader.lines.values()), reader.errors);
     }
 
     private void readText(String text) {
@@ -133,7 +135,9 @@
         String value = record.get(column);
         if (value.isEmpty()) {
             error(line, COLUMNS.get(column), "is missing");
-        } else if (!IDENTIFIER.matcher(value).matches()) {
+        } else if (!(column == MODEL ? MODEL_IDENTIFIER : IDENTIFIER)
+                .matcher(value)
+                .matches()) {
             error(line, COLUMNS.get(column), quote(value) + " " + NOT_IDENTIFIER);
         }
         return value;
