--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Reason.java
@@ -0,0 +1,35 @@
+package org.gooseberryring.coordination.request;
+
+import org.gooseberryring.state.ErrorCode;
+
+/** Reason for which a request is refused. */
+enum Reason {
+    NO_ENDPOINT(ErrorCode.NO_ENDPOINT, "no endpoint can serve the request now"),
+    DEADLINE(ErrorCode.DEADLINE_UNREACHABLE, "the request cannot be answered before its deadline"),
+    QUEUE_FULL(ErrorCode.OVERLOADED, "the queue of this host is full"),
+    SHUTDOWN(ErrorCode.SHUTTING_DOWN, "this host is shutting down"),
+    RATE(ErrorCode.RATE_LIMITED, "the organisation is over its token rate and burst"),
+    CLAIM_UNAVAILABLE(ErrorCode.CLAIM_UNAVAILABLE, "the idempotency key could not be claimed"),
+    ALREADY_CLAIMED(ErrorCode.ALREADY_CLAIMED, "the idempotency key was used before and may have run"),
+    KEY_REUSED(ErrorCode.IDEMPOTENCY_KEY_REUSED, "the idempotency key was used with a different request"),
+    QUARANTINED(ErrorCode.QUARANTINED, "the request was in flight when several endpoints were lost"),
+    TIMEOUT(ErrorCode.ENDPOINT_TIMEOUT, "the endpoint did not answer before the deadline"),
+    INCOMPLETE(ErrorCode.INCOMPLETE_ANSWER, "the endpoint's answer ended before it was complete");
+
+    private final ErrorCode code;
+    private final String detail;
+
+    Reason(ErrorCode code, String detail) {
+        this.code = code;
+        this.detail = detail;
+    }
+
+    ErrorCode code() {
+        return code;
+    }
+
+    /** Returns the explanation for the caller. */
+    String detail() {
+        return detail;
+    }
+}
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestQueue.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestQueue.java
@@ -3,12 +3,17 @@
 import java.util.List;
 import java.util.function.Predicate;
 
+import org.gooseberryring.coordination.queue.QueueOffer;
 import org.gooseberryring.state.FleetConfiguration;
 
 /** Bounded queue of requests that wait for an endpoint. */
 public interface RequestQueue {
-    /** Adds a request; returns false if the queue is full. */
-    boolean offer(RequestSpec spec, long now);
+    /**
+     * Adds a request, or refuses it with a time to come back.
+     *
+     * @param apart whether the request may have to wait while others for its target go on
+     */
+    QueueOffer<RequestSpec> offer(RequestSpec spec, boolean apart, long now);
 
     /** Removes and returns the next request in the fair order that can run now, or null. */
     RequestSpec poll(long now, Predicate<RequestSpec> canRun);
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/retry/RetryBudget.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/retry/RetryBudget.java
@@ -1,18 +1,25 @@
 package org.gooseberryring.coordination.retry;
 
-/** Limits retries to a tenth of the first attempts, so that an outage does not multiply the load. */
+/**
+ * Limits retries in an outage to a tenth of the first attempts, so that it does not multiply the load.
+ *
+ * <p>A host with little traffic has a few saved retries. In an outage of n first attempts there are at most
+ * 10 + n / 12 retries, which is at most a tenth from 600 first attempts on.
+ */
 public final class RetryBudget {
-    /** A first attempt earns this part of a retry. */
-    private static final int FIRST_ATTEMPTS_PER_RETRY = 10;
+    /** A first attempt earns this part of a retry; the rest of the tenth pays for the saved retries. */
+    private static final int FIRST_ATTEMPTS_PER_RETRY = 12;
 
-    /** Retries saved up in quiet times; more would come as a burst at the start of an outage. */
-    private static final int MAX_SAVED_RETRIES = 20;
+    /** Enough for the requests that the loss of one endpoint cuts off on a host with little traffic. */
+    private static final int MAX_SAVED_RETRIES = 10;
 
-    private long earned;
+    private static final long MAX_EARNED = (long) MAX_SAVED_RETRIES * FIRST_ATTEMPTS_PER_RETRY;
+
+    private long earned = MAX_EARNED;
 
     /** Counts a first attempt. */
     public void firstAttempt() {
-        earned = Math.min(earned + 1, (long) MAX_SAVED_RETRIES * FIRST_ATTEMPTS_PER_RETRY);
+        earned = Math.min(earned + 1, MAX_EARNED);
     }
 
     /** Returns whether a retry is allowed now. */
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/CreditHome.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/CreditHome.java
@@ -23,6 +23,7 @@
     private final CreditRules rules;
     private final Map<String, EndpointHome> homes = new LinkedHashMap<>();
     private final Map<String, Long> newestIncarnations = new HashMap<>();
+    private final Map<String, Long> newestTerms = new HashMap<>();
     private Set<HolderId> roster = Set.of();
     private long confirmedAt = Long.MIN_VALUE / 2;
 
@@ -39,7 +40,7 @@
     }
 
     /**
-     * Becomes home of an endpoint after the store has recorded it.
+     * Becomes home of an endpoint after the store has recorded it; a term that is not new is ignored.
      *
      * @param endpoint endpoint
      * @param term term that the store recorded
@@ -68,6 +69,10 @@
             Map<HolderId, Integer> holdings,
             Collection<HolderId> predecessors,
             long now) {
+        if (term <= newestTerms.getOrDefault(endpoint, 0L)) {
+            return;
+        }
+        newestTerms.put(endpoint, term);
         Set<HolderId> others = new HashSet<>(predecessors);
         others.remove(self);
         EndpointHome home = new EndpointHome(endpoint, term, concurrency, rules, holdings, others, now);
