Relay requests between failure domains

A request for a model that no endpoint of the failure domain holds goes to a host of one that does, over the relay address. The HMAC covers method, path, body digest and a head with request id, organisation, deadline, time and hop count; the caller's key is not sent. A head out of time, seen before or with another hop count is refused.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/Host.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/Host.java
@@ -34,7 +34,10 @@
 import org.gooseberryring.host.caller.CallerEffects;
 import org.gooseberryring.host.caller.CallerHandler;
 import org.gooseberryring.host.caller.OpenRequests;
+import org.gooseberryring.host.caller.RelayHandler;
+import org.gooseberryring.host.caller.Relays;
 import org.gooseberryring.host.caller.RequestIds;
+import org.gooseberryring.host.caller.RequestIntake;
 import org.gooseberryring.host.config.AuditTrail;
 import org.gooseberryring.host.config.ConfigurationChanger;
 import org.gooseberryring.host.config.ConfigurationHolder;
@@ -45,6 +48,7 @@
 import org.gooseberryring.host.control.LimitControl;
 import org.gooseberryring.host.control.OrderControl;
 import org.gooseberryring.host.control.StoreLanes;
+import org.gooseberryring.host.control.SummaryControl;
 import org.gooseberryring.host.engine.RequestLoop;
 import org.gooseberryring.host.fleet.HostDirectory;
 import org.gooseberryring.host.fleet.LoadPoller;
@@ -108,7 +112,9 @@
     private final RequestLoop loop;
     private final FeedControl feed;
     private final OrderControl orders;
+    private final SummaryControl summaries;
     private final ScheduledExecutorService timer;
+    private final HttpListener relay;
     private final HttpListener callers;
     private final HttpListener admin;
 
@@ -126,20 +132,15 @@
         authenticator = new Authenticator(holder, settings.keyGraceSeconds(), clock::now);
 
         PeerInbox inbox = new PeerInbox();
-        peers = new PeerLinks(
-                settings.hostId(),
-                incarnation,
-                settings.peerSecret(),
-                PeerLimits.defaults(bounds.peerQueueFrames()),
-                inbox,
-                metrics.registry());
+        peers = peerLinks(inbox);
         directory = new HostDirectory(settings.platformUri(), settings.hostId(), caller, this::hostsChanged);
         loads = new LoadPoller(settings.failureDomain(), caller, this::loadReported, clock::now);
         TokenRoutes tokens = new TokenRoutes(settings.hostId(), this::sendToPeer, control);
         loop = requestLoop(tokens);
-        // The peer address is final only now, because the settings may leave the port to the system.
         feed = new FeedControl(settings, store, control, this::sendToPeer, holder, codec, incarnation, clock.now());
-        inbox.connect(tokens, loop, directory, control, feed);
+        summaries = summaryControl();
+        inbox.connect(tokens, loop, directory, control, feed, summaries);
+        // The peer address is final only now, because the settings may leave the port to the system.
         peerAddress = peers.listen(settings.peerAddress());
         limits = limitControl(tokens);
         tokens.connect(loop, limits);
@@ -151,21 +152,23 @@
         control.onTick(limits::tick);
         control.onTick(feed::tick);
         control.onTick(orders::tick);
+        control.onTick(summaries::tick);
         RequestIds ids = new RequestIds(settings.hostId(), incarnation);
+        RequestIntake intake = new RequestIntake(open, loop);
+        relay = HttpListener.start(
+                worker,
+                settings.relayAddress(),
+                bounds.maxConnections(),
+                new RelayHandler(settings, open, intake, loop, clock::now, clock::wallMillis));
         startThreads();
         callers = HttpListener.start(
                 worker,
                 settings.callerAddress(),
                 bounds.maxConnections(),
-                new CallerHandler(settings, holder, authenticator, ids, open, loop, metrics, clock::now));
+                new CallerHandler(settings, holder, authenticator, ids, open, intake, loop, metrics, clock::now));
         admin = HttpListener.start(
                 worker, settings.adminAddress(), ADMIN_CONNECTIONS, new BlockingHandler(adminHandler(ids)));
-        LogLine.event("host-started")
-                .with("host", settings.hostId())
-                .with("callers", callers.address())
-                .with("admin", admin.address())
-                .with("peers", peerAddress)
-                .info(LOG);
+        logStart();
     }
 
     /** Starts a host. */
@@ -183,6 +186,11 @@
         return admin.address();
     }
 
+    /** Returns the address that takes requests from other failure domains, with the port in use. */
+    public InetSocketAddress relayAddress() {
+        return relay.address();
+    }
+
     /** Returns the address of the peer links, with the port in use. */
     public InetSocketAddress peerAddress() {
         return peerAddress;
@@ -239,6 +247,7 @@
         orders.close();
         timer.shutdownNow();
         callers.close();
+        relay.close();
         admin.close();
         peers.close();
         loop.close();
@@ -247,6 +256,38 @@
         worker.close();
     }
 
+    private void logStart() {
+        LogLine.event("host-started")
+                .with("host", settings.hostId())
+                .with("callers", callers.address())
+                .with("admin", admin.address())
+                .with("peers", peerAddress)
+                .with("relay", relay.address())
+                .info(LOG);
+    }
+
+    private PeerLinks peerLinks(PeerInbox inbox) {
+        return new PeerLinks(
+                settings.hostId(),
+                incarnation,
+                settings.peerSecret(),
+                PeerLimits.defaults(settings.limits().peerQueueFrames()),
+                inbox,
+                metrics.registry());
+    }
+
+    private SummaryControl summaryControl() {
+        return new SummaryControl(
+                settings.hostId(),
+                settings.failureDomain(),
+                directory,
+                holder::current,
+                loads::reports,
+                this::sendToPeer,
+                loop,
+                clock::wallMillis);
+    }
+
     private RequestLoop requestLoop(TokenRoutes tokens) {
         TokenWallet wallet = new TokenWallet(settings.hostId(), incarnation, limitSettings());
         RequestEngine engine = new RequestEngine(
@@ -261,7 +302,8 @@
                 holder,
                 new EndpointClient(worker, endpointLimits()),
                 metrics,
-                new PeerEffectLinks(caller, directory, this::sendToPeer));
+                new PeerEffectLinks(caller, directory, this::sendToPeer),
+                new Relays(directory::live, settings.peerSecret(), incarnation, clock::now, clock::wallMillis));
         RequestLoop created =
                 new RequestLoop(settings.limits().requestRingSize(), engine, wallet, effects, tokens::send, clock::now);
         effects.connect(created);
@@ -351,7 +393,7 @@
                 .setState(MemberState.MEMBER_STATE_ALIVE)
                 .setFailureDomain(settings.failureDomain())
                 .setPeerAddress(text(peerAddress))
-                .setRelayAddress(text(settings.relayAddress()))
+                .setRelayAddress(text(relay.address()))
                 .build();
         Probe probe = Probe.newBuilder()
                 .setConfigurationRevision(holder.current().revision())
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -25,6 +25,7 @@
     private final EndpointClient client;
     private final HostMetrics metrics;
     private final EffectLinks links;
+    private final Relays relays;
     private RequestLoop loop;
 
     /** Creates the effects; {@link #connect} must follow before the first effect. */
@@ -33,12 +34,14 @@
             ConfigurationHolder holder,
             EndpointClient client,
             HostMetrics metrics,
-            EffectLinks links) {
+            EffectLinks links,
+            Relays relays) {
         this.open = open;
         this.holder = holder;
         this.client = client;
         this.metrics = metrics;
         this.links = links;
+        this.relays = relays;
     }
 
     /** Names the loop that hears of the outcomes. */
@@ -55,7 +58,7 @@
         } else if (effect instanceof RequestEffect.Cancel cancel) {
             cancel(cancel);
         } else if (effect instanceof RequestEffect.Relay relay) {
-            links.relay(open.get(relay.requestId()), relay, loop);
+            relay(relay);
         } else if (effect instanceof RequestEffect.Claim claim) {
             links.claim(open.get(claim.requestId()), claim, loop);
         } else if (effect instanceof RequestEffect.SettleClaim settle) {
@@ -86,8 +89,19 @@
         request.thread().execute(() -> send(request, dispatch.attempt(), endpoint.address(), call));
     }
 
+    private void relay(RequestEffect.Relay relay) {
+        OpenRequest request = open.get(relay.requestId());
+        String address = relays.address(relay.failureDomain());
+        if (request == null || address == null) {
+            loop.attemptEnded(relay.requestId(), relay.attempt(), notRun());
+            return;
+        }
+        EndpointCall call = relays.call(request, relay.attempt());
+        request.thread().execute(() -> send(request, relay.attempt(), address, call));
+    }
+
     /** Sends a request to an endpoint or a relay; must run on the I/O thread of the request. */
-    void send(OpenRequest request, int number, String address, EndpointCall call) {
+    private void send(OpenRequest request, int number, String address, EndpointCall call) {
         if (request.ended()) {
             loop.attemptEnded(request.spec().id(), number, notRun());
             return;
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerHandler.java
@@ -36,14 +36,14 @@
     private static final String OPEN_ROUTE = "";
     private static final int MAX_IDEMPOTENCY_KEY_CHARS = 255;
     private static final long MAX_DEADLINE_MILLIS = 86_400_000;
-    // Long enough for a burst to drain, short enough not to keep capacity idle.
-    private static final long BUSY_RETRY_MILLIS = 1000;
+    private static final long BUSY_RETRY_MILLIS = RequestIntake.BUSY_RETRY_MILLIS;
 
     private final HostSettings settings;
     private final ConfigurationHolder holder;
     private final Authenticator authenticator;
     private final RequestIds ids;
     private final OpenRequests open;
+    private final RequestIntake intake;
     private final RequestLoop loop;
     private final HostMetrics metrics;
     private final LongSupplier clock;
@@ -55,6 +55,7 @@
             Authenticator authenticator,
             RequestIds ids,
             OpenRequests open,
+            RequestIntake intake,
             RequestLoop loop,
             HostMetrics metrics,
             LongSupplier clock) {
@@ -63,6 +64,7 @@
         this.authenticator = authenticator;
         this.ids = ids;
         this.open = open;
+        this.intake = intake;
         this.loop = loop;
         this.metrics = metrics;
         this.clock = clock;
@@ -156,19 +158,7 @@
     private void received(HttpServerExchange exchange, String id, byte[] body) {
         try {
             OpenRequest request = examine(exchange, id, body);
-            open.put(request);
-            // Keeps the exchange open after this call, until the request thread has decided.
-            exchange.dispatch();
-            exchange.addExchangeCompleteListener((e, next) -> {
-                ended(request);
-                next.proceed();
-            });
-            CallerWatch.start(exchange, () -> gone(request));
-            if (!loop.arrived(request.spec())) {
-                exchange.getIoThread()
-                        .execute(() -> request.refuse(Refusal.retry(
-                                ErrorCode.OVERLOADED, BUSY_RETRY_MILLIS, "The request queue of this host is full")));
-            }
+            intake.take(exchange, request, loop::arrived);
         } catch (RefusedException e) {
             refuse(exchange, id, e.refusal());
         }
@@ -223,18 +213,6 @@
                 "");
     }
 
-    private void gone(OpenRequest request) {
-        // Reported before the close, which ends the exchange and with it the request.
-        loop.callerGone(request.spec().id());
-        IoUtils.safeClose(request.connection());
-    }
-
-    /** Forgets a request after the request thread has handled everything that concerns it. */
-    private void ended(OpenRequest request) {
-        request.markEnded();
-        loop.after(() -> open.remove(request.spec().id()));
-    }
-
     private void refuse(HttpServerExchange exchange, String id, Refusal refusal) {
         metrics.refused(refusal.code().wireName());
         ProblemWriter.write(exchange, id, refusal);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EffectLinks.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EffectLinks.java
@@ -5,9 +5,6 @@
 
 /** Effects of the request engine that need other hosts or the store; called on the request thread. */
 public interface EffectLinks {
-    /** Sends a request to a host of another failure domain. */
-    void relay(OpenRequest request, RequestEffect.Relay relay, RequestLoop loop);
-
     /** Asks for a claim and hands the answer to the loop. */
     void claim(OpenRequest request, RequestEffect.Claim claim, RequestLoop loop);
 
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayHandler.java
@@ -0,0 +1,155 @@
+package org.gooseberryring.host.caller;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.undertow.io.Receiver;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
+import org.gooseberryring.coordination.request.RequestSpec;
+import org.gooseberryring.coordination.request.Target;
+import org.gooseberryring.host.engine.RequestLoop;
+import org.gooseberryring.host.settings.HostSettings;
+import org.gooseberryring.protocol.Json;
+import org.gooseberryring.state.Artifact;
+import org.gooseberryring.state.ErrorCode;
+import org.gooseberryring.state.GooseberryringException;
+import org.gooseberryring.transport.endpoint.EndpointAttempt;
+import org.gooseberryring.transport.endpoint.EndpointCall;
+import org.gooseberryring.transport.peer.FrameSigner;
+import org.xnio.IoUtils;
+
+/** Takes requests to models that hosts of other failure domains have authenticated, admitted and claimed. */
+public final class RelayHandler implements HttpHandler {
+    // Hosts' wall clocks differ by less than a second; the rest is time for a request on its way.
+    private static final long MAX_AGE_MILLIS = 30_000;
+    // At 1,000 relayed requests/s this covers the age above twice over.
+    private static final int REMEMBERED = 65_536;
+    private static final HttpString PRIORITY = new HttpString("X-Request-Priority");
+    private static final HttpString SALT = new HttpString("X-Cache-Salt");
+
+    private final HostSettings settings;
+    private final OpenRequests open;
+    private final RequestIntake intake;
+    private final RequestLoop loop;
+    private final LongSupplier clock;
+    private final LongSupplier wallClock;
+    private final Map<String, Boolean> seen = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > REMEMBERED;
+        }
+    };
+
+    /** Creates a handler; the clocks give monotonic milliseconds and milliseconds since the Unix epoch. */
+    public RelayHandler(
+            HostSettings settings,
+            OpenRequests open,
+            RequestIntake intake,
+            RequestLoop loop,
+            LongSupplier clock,
+            LongSupplier wallClock) {
+        this.settings = settings;
+        this.open = open;
+        this.intake = intake;
+        this.loop = loop;
+        this.clock = clock;
+        this.wallClock = wallClock;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        String claimedId = exchange.getRequestHeaders().getFirst(EndpointAttempt.REQUEST_ID);
+        String id = claimedId == null ? "" : claimedId;
+        exchange.getResponseHeaders().put(EndpointAttempt.REQUEST_ID, id);
+        if (open.draining() || !open.enter()) {
+            ProblemWriter.write(
+                    exchange,
+                    id,
+                    Refusal.retry(ErrorCode.OVERLOADED, RequestIntake.BUSY_RETRY_MILLIS, "This host takes no more"));
+            return;
+        }
+        exchange.addExchangeCompleteListener((e, next) -> {
+            open.leave();
+            next.proceed();
+        });
+        Receiver receiver = exchange.getRequestReceiver();
+        receiver.setMaxBufferSize(settings.limits().maxBodyBytes());
+        receiver.receiveFullBytes((e, body) -> received(e, id, body), (e, failure) -> {
+            IoUtils.safeClose(e.getConnection());
+            e.endExchange();
+        });
+    }
+
+    private void received(HttpServerExchange exchange, String id, byte[] body) {
+        try {
+            OpenRequest request = examine(exchange, id, body);
+            intake.take(exchange, request, loop::relayed);
+        } catch (RefusedException e) {
+            ProblemWriter.write(exchange, id, e.refusal());
+        }
+    }
+
+    private OpenRequest examine(HttpServerExchange exchange, String id, byte[] body) {
+        String method = exchange.getRequestMethod().toString();
+        String path = exchange.getRequestURI();
+        HeaderMap headers = exchange.getRequestHeaders();
+        RelayHead head = RelayHead.of(headers, new FrameSigner(settings.peerSecret()), method, path, body);
+        if (head == null || !head.requestId().equals(id) || head.hops() != 1 || isOld(head)) {
+            throw new RefusedException(Refusal.of(ErrorCode.UNAUTHENTICATED, "The request is not from a host"));
+        }
+        Artifact artifact = artifact(body);
+        String owner = head.organisation();
+        RequestSpec spec = new RequestSpec(
+                id,
+                owner.isEmpty() ? null : owner,
+                new Target.ModelTarget(artifact),
+                head.priorityClass(),
+                0,
+                0,
+                Digests.hex(owner, method + " " + path, java.util.HexFormat.of().formatHex(Digests.sha256(body))),
+                head.idempotent(),
+                null,
+                clock.getAsLong() + head.deadlineMillis());
+        Destination destination =
+                new Destination(spec.target(), EndpointCall.Kind.MODEL_ENGINE, path, body, head.idempotent(), 0, "");
+        HeaderMap toEndpoint = HeaderRules.forEndpoint(headers);
+        copy(headers, toEndpoint, PRIORITY);
+        copy(headers, toEndpoint, SALT);
+        return new OpenRequest(spec, destination, exchange, toEndpoint);
+    }
+
+    /** Returns whether a head is out of time or was seen before, as a replayed one is. */
+    private boolean isOld(RelayHead head) {
+        synchronized (seen) {
+            return Math.abs(wallClock.getAsLong() - head.wallMillis()) > MAX_AGE_MILLIS
+                    || seen.put(head.requestId() + "/" + head.attempt(), true) != null;
+        }
+    }
+
+    private static Artifact artifact(byte[] body) {
+        try {
+            JsonNode model = Json.readTree(body).path("model");
+            Artifact artifact = ArtifactNames.parse(model.textValue());
+            if (artifact != null) {
+                return artifact;
+            }
+        } catch (GooseberryringException e) {
+            // Falls through to the refusal, which is the same for every malformed body.
+        }
+        throw new RefusedException(Refusal.of(ErrorCode.INVALID_REQUEST, "The body does not name an artifact"));
+    }
+
+    private static void copy(HeaderMap from, HeaderMap to, HttpString name) {
+        String value = from.getFirst(name);
+        if (value != null) {
+            to.put(name, value);
+        }
+    }
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayHead.java
@@ -0,0 +1,95 @@
+package org.gooseberryring.host.caller;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
+import java.util.Locale;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
+import org.gooseberryring.state.PriorityClass;
+import org.gooseberryring.transport.peer.FrameSigner;
+
+/**
+ * What a host tells a host of another failure domain about a request; the caller's key is never part of it.
+ *
+ * @param requestId identifier of the request
+ * @param attempt number of the attempt
+ * @param organisation organisation of the request, empty on an open route
+ * @param priorityClass class of the request
+ * @param idempotent whether it may run twice
+ * @param deadlineMillis milliseconds left until the deadline
+ * @param wallMillis time of sending, in milliseconds since the Unix epoch
+ * @param hops relays that the request has gone through, this one included
+ */
+record RelayHead(
+        String requestId,
+        int attempt,
+        String organisation,
+        PriorityClass priorityClass,
+        boolean idempotent,
+        long deadlineMillis,
+        long wallMillis,
+        int hops) {
+    private static final HttpString HEAD = new HttpString("X-Relay-Head");
+    private static final HttpString MAC = new HttpString("X-Relay-Hmac");
+    private static final int FIELDS = 8;
+    private static final String SEPARATOR = ",";
+
+    /** Adds the head and its HMAC, which also covers method, path and body, to the headers of a request. */
+    void addTo(HeaderMap headers, FrameSigner signer, String method, String path, byte[] body) {
+        String text = text();
+        headers.put(HEAD, text);
+        headers.put(MAC, HexFormat.of().formatHex(signer.sign(signed(text, method, path, body))));
+    }
+
+    /** Returns the head of a request, or null if it is missing, malformed or not authentic. */
+    static RelayHead of(HeaderMap headers, FrameSigner signer, String method, String path, byte[] body) {
+        if (headers.count(HEAD) != 1 || headers.count(MAC) != 1) {
+            return null;
+        }
+        String text = headers.getFirst(HEAD);
+        try {
+            byte[] mac = HexFormat.of().parseHex(headers.getFirst(MAC));
+            return signer.verify(signed(text, method, path, body), mac) ? parse(text) : null;
+        } catch (IllegalArgumentException e) {
+            return null;
+        }
+    }
+
+    private String text() {
+        return String.join(
+                SEPARATOR,
+                requestId,
+                Integer.toString(attempt),
+                HexFormat.of().formatHex(organisation.getBytes(StandardCharsets.UTF_8)),
+                priorityClass.name().toLowerCase(Locale.ROOT),
+                Boolean.toString(idempotent),
+                Long.toString(deadlineMillis),
+                Long.toString(wallMillis),
+                Integer.toString(hops));
+    }
+
+    private static RelayHead parse(String text) {
+        String[] fields = text.split(SEPARATOR, -1);
+        if (fields.length != FIELDS) {
+            return null;
+        }
+        return new RelayHead(
+                fields[0],
+                Integer.parseInt(fields[1]),
+                new String(HexFormat.of().parseHex(fields[2]), StandardCharsets.UTF_8),
+                PriorityClass.valueOf(fields[3].toUpperCase(Locale.ROOT)),
+                Boolean.parseBoolean(fields[4]),
+                Long.parseLong(fields[5]),
+                Long.parseLong(fields[6]),
+                Integer.parseInt(fields[7]));
+    }
+
+    private static byte[] signed(String text, String method, String path, byte[] body) {
+        return Digests.sha256(
+                text.getBytes(StandardCharsets.UTF_8),
+                method.getBytes(StandardCharsets.UTF_8),
+                path.getBytes(StandardCharsets.UTF_8),
+                Digests.sha256(body));
+    }
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/Relays.java
@@ -0,0 +1,76 @@
+package org.gooseberryring.host.caller;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+
+import io.undertow.util.HeaderMap;
+import org.gooseberryring.protocol.HostEntry;
+import org.gooseberryring.transport.endpoint.EndpointCall;
+import org.gooseberryring.transport.peer.FrameSigner;
+
+/** Chooses hosts of other failure domains and prepares the requests to them; belongs to the request thread. */
+public final class Relays {
+    private static final int ONE_HOP = 1;
+
+    private final Function<String, List<HostEntry>> liveHosts;
+    private final FrameSigner signer;
+    private final SplittableRandom random;
+    private final LongSupplier clock;
+    private final LongSupplier wallClock;
+
+    /**
+     * Creates relays.
+     *
+     * @param liveHosts gives the live hosts of a failure domain
+     * @param secret secret that all hosts share
+     * @param seed seed of the choice of hosts
+     * @param clock monotonic milliseconds
+     * @param wallClock milliseconds since the Unix epoch
+     */
+    public Relays(
+            Function<String, List<HostEntry>> liveHosts,
+            byte[] secret,
+            long seed,
+            LongSupplier clock,
+            LongSupplier wallClock) {
+        this.liveHosts = liveHosts;
+        this.signer = new FrameSigner(secret);
+        this.random = new SplittableRandom(seed);
+        this.clock = clock;
+        this.wallClock = wallClock;
+    }
+
+    /** Returns the relay address of a live host of a failure domain, or null if none is known. */
+    String address(String failureDomain) {
+        List<HostEntry> hosts = liveHosts.apply(failureDomain);
+        return hosts.isEmpty() ? null : hosts.get(random.nextInt(hosts.size())).relayAddress();
+    }
+
+    /** Returns the signed request to a relay. */
+    EndpointCall call(OpenRequest request, int attempt) {
+        Destination to = request.destination();
+        String organisation = request.spec().organisation();
+        RelayHead head = new RelayHead(
+                request.spec().id(),
+                attempt,
+                organisation == null ? "" : organisation,
+                request.spec().priorityClass(),
+                to.idempotent(),
+                Math.max(1, request.spec().deadline() - clock.getAsLong()),
+                wallClock.getAsLong(),
+                ONE_HOP);
+        HeaderMap headers = new HeaderMap();
+        request.headers().forEach(values -> headers.putAll(values.getHeaderName(), values));
+        head.addTo(headers, signer, request.method(), to.path(), to.body());
+        return new EndpointCall(
+                request.spec().id(),
+                request.method(),
+                to.path(),
+                headers,
+                to.body(),
+                EndpointCall.Kind.RELAY,
+                to.idempotent());
+    }
+}
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/PeerEffectLinks.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/PeerEffectLinks.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 
 import org.gooseberryring.coordination.claim.ClaimAnswer;
-import org.gooseberryring.coordination.request.AttemptOutcome;
 import org.gooseberryring.coordination.request.RequestEffect;
 import org.gooseberryring.host.caller.EffectLinks;
 import org.gooseberryring.host.caller.OpenRequest;
@@ -13,7 +12,6 @@
 import org.gooseberryring.protocol.peer.PeerMessage;
 import org.gooseberryring.protocol.peer.QuarantineNotice;
 import org.gooseberryring.protocol.peer.QuarantinedDigest;
-import org.gooseberryring.state.Verdict;
 import org.gooseberryring.transport.http.HttpCaller;
 
 /** Carries out the effects of the request engine that concern other hosts. */
@@ -33,12 +31,6 @@
         this.peers = peers;
     }
 
-    @Override
-    public void relay(OpenRequest request, RequestEffect.Relay relay, RequestLoop loop) {
-        loop.attemptEnded(
-                relay.requestId(), relay.attempt(), new AttemptOutcome(Verdict.NOT_RUN, 0, 0, false, false, -1));
-    }
-
     @Override
     public void claim(OpenRequest request, RequestEffect.Claim claim, RequestLoop loop) {
         ClaimAnswer answer = new ClaimAnswer(ClaimAnswer.Decision.UNAVAILABLE, RETRY_AFTER_MILLIS, 0, null);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/PeerInbox.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/PeerInbox.java
@@ -2,6 +2,7 @@
 
 import org.gooseberryring.host.control.ControlLoop;
 import org.gooseberryring.host.control.FeedControl;
+import org.gooseberryring.host.control.SummaryControl;
 import org.gooseberryring.host.engine.RequestLoop;
 import org.gooseberryring.host.fleet.HostDirectory;
 import org.gooseberryring.protocol.HostEntry;
@@ -20,6 +21,7 @@
     private HostDirectory directory;
     private ControlLoop control;
     private FeedControl feed;
+    private SummaryControl summaries;
 
     /** Names the receivers; must precede the first message. */
     public void connect(
@@ -27,7 +29,9 @@
             RequestLoop requestLoop,
             HostDirectory hostDirectory,
             ControlLoop controlLoop,
-            FeedControl feedControl) {
+            FeedControl feedControl,
+            SummaryControl summaryControl) {
+        summaries = summaryControl;
         control = controlLoop;
         feed = feedControl;
         directory = hostDirectory;
@@ -47,6 +51,7 @@
             case CONFIGURATION_REPLY ->
                 control.offer(now -> feed.replied(sender, message.getConfigurationReply(), now));
             case PROBE -> probed(sender, message.getProbe());
+            case DOMAIN_SUMMARY -> summaries.received(sender, message.getDomainSummary());
             case QUARANTINE_NOTICE -> quarantine(message);
             default -> {
                 // A message of a later version of the program, or one that this host has no part in.
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/TokenRoutes.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/TokenRoutes.java
@@ -14,7 +14,7 @@
     private final PeerSend peers;
     private final ControlLoop control;
     private RequestLoop requests;
-    private LimitControl limits;
+    private volatile LimitControl limits;
 
     public TokenRoutes(String self, PeerSend peers, ControlLoop control) {
         this.self = self;
@@ -39,6 +39,10 @@
 
     /** Takes a message that the named host sent to this one. */
     public void received(String sender, TokenMessage message) {
+        if (limits == null) {
+            // The host is still starting; the sender asks again.
+            return;
+        }
         if (message instanceof TokenMessage.Grant grant && !limits.isLoan(grant)) {
             requests.granted(sender, grant);
         } else {
--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/TestFleet.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/TestFleet.java
@@ -108,7 +108,7 @@
         Files.write(file, Json.write(settings));
         Host host = Host.start(SettingsReader.read(file));
         hosts.add(host);
-        platform.putHost(new HostEntry(id, domain, address(host.peerAddress()), "127.0.0.1:1", "live"));
+        platform.putHost(new HostEntry(id, domain, address(host.peerAddress()), address(host.relayAddress()), "live"));
         return host;
     }
 
@@ -119,6 +119,7 @@
                 "inkingi", 1_000_000, 1_000_000, 1, List.of(PriorityClass.NORMAL, PriorityClass.HIGH))));
         changes.add(new Change.IssueKey(sha256(KEY), "inkingi", "test"));
         changes.add(new Change.PutFailureDomain(new FailureDomain("d1", "r1", true)));
+        changes.add(new Change.PutFailureDomain(new FailureDomain("d2", "r1", true)));
         for (EngineStandIn engine : engines) {
             changes.add(new Change.PutEndpoint(
                     new Endpoint(engine.id(), EndpointKind.MODEL, "d1", engine.address(), 16 * GIB, 32, true, false)));
