--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EngineWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EngineWorld.java
@@ -12,6 +12,7 @@
 import org.gooseberryring.coordination.claim.ClaimAnswer;
 import org.gooseberryring.coordination.limit.Admission;
 import org.gooseberryring.coordination.limit.TokenAdmission;
+import org.gooseberryring.coordination.queue.QueueSettings;
 import org.gooseberryring.coordination.retry.CrashSuspects;
 import org.gooseberryring.coordination.retry.RetryBudget;
 import org.gooseberryring.coordination.retry.RetryPolicy;
@@ -70,7 +71,7 @@
         Router router = new Router("d0", new Random(seed), new UnsharedCredits());
         engine = new RequestEngine(
                 this,
-                new FifoRequestQueue(8),
+                new FairRequestQueue(new QueueSettings(8, 5, 50, Map.of())),
                 router,
                 new RetryPolicy(new RetryBudget()),
                 new CrashSuspects(),
