--- a/bin/demo.sh
+++ b/bin/demo.sh
@@ -95,7 +95,7 @@
   demo_services=(a-desk c-desk)
   demo_start platform standins $main platform
   for id in "${demo_engines[@]}"; do
-    demo_start "$id" standins $main engine --id "$id" --loads-per-second 12 ${DEMO_ENGINE_OPTIONS:-}
+    demo_start "$id" standins $main engine --id "$id" --loads-per-second 12
   done
   for id in "${demo_services[@]}"; do
     demo_start "$id" standins $main service --id "$id"
