--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/AllotmentLedger.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/AllotmentLedger.java
@@ -99,6 +99,11 @@
         leaving = true;
     }
 
+    /** Reads the document at the next tick, as when a watch shows that it changed. */
+    public void refresh() {
+        nextReadAt = Long.MIN_VALUE;
+    }
+
     /** Returns whether the document holds nothing of this host any more. */
     public boolean handedOver() {
         return document != null && document.of(self.host()).isEmpty();
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/KeeperBucket.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/KeeperBucket.java
@@ -17,8 +17,8 @@
 
     // Settlements later than this lose their unused tokens. Long generations take minutes.
     private static final long CLOSED_RETENTION_MILLIS = 600_000;
-    // Bounds the memory of one organisation to a few megabytes.
-    private static final int MAX_CLOSED = 20_000;
+    // Bounds the memory of one organisation to about a megabyte.
+    private static final int MAX_CLOSED = 5_000;
 
     /** Batch that this keeper gave out. */
     private static final class Batch {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/TokenKeeper.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/TokenKeeper.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Keeps this host's part of the token buckets of organisations.
@@ -17,7 +19,7 @@
 public final class TokenKeeper {
     // Remembered answers per organisation. A request repeated after its answer is forgotten gets a batch that its
     // sender does not accept, because the sender accepts one grant for each request.
-    private static final int REMEMBERED_ANSWERS = 4_096;
+    private static final int REMEMBERED_ANSWERS = 512;
 
     // Loans are asked for at once after a successful one and more and more rarely while nobody can lend.
     private static final long MIN_LOAN_INTERVAL_MILLIS = 20;
@@ -27,6 +29,7 @@
     private final long incarnation;
     private final LimitSettings settings;
     private final Map<String, Account> accounts = new HashMap<>();
+    private final Set<String> startedFull = new HashSet<>();
     private boolean confirmedOnce;
     private long confirmedAt;
     private long sequence;
@@ -66,8 +69,8 @@
     }
 
     /**
-     * Adopts this host's allotments from the store. A bucket that is new here fills only after one batch lifetime,
-     * because batches of an earlier incarnation may still be spent.
+     * Adopts this host's allotments from the store. A bucket that is new here but holds an allotment already fills only
+     * after one batch lifetime, because batches of an earlier incarnation may still be spent.
      *
      * @param allotments allotments of this host by organisation
      * @param now monotonic time in milliseconds
@@ -78,11 +81,12 @@
             Account account = accounts.get(organisation);
             boolean isNew = account == null;
             if (isNew) {
-                account = new Account(new KeeperBucket(allotment.full() ? now : now + settings.batchLifetimeMillis()));
+                boolean inherited = !allotment.full() && !allotment.empty();
+                account = new Account(new KeeperBucket(inherited ? now + settings.batchLifetimeMillis() : now));
                 accounts.put(organisation, account);
             }
             account.bucket.allot(allotment.targetRate(), allotment.targetBurst(), now, fillUntil());
-            if (isNew && allotment.full()) {
+            if (allotment.full() && startedFull.add(organisation)) {
                 account.bucket.fillUp();
             }
         });
