--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -199,7 +199,7 @@
 
     /** Credits of an endpoint arrived. */
     public List<RequestEffect> creditsArrived(String endpoint, long now) {
-        router.creditsArrived(endpoint);
+        router.creditsArrived(endpoint, now);
         return done(now);
     }
 
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/Router.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/Router.java
@@ -35,6 +35,7 @@
     private final Map<String, List<ReplicaSet>> serviceSetsOf = new HashMap<>();
     private final RemoteDomains remote = new RemoteDomains();
     private final PrefixAffinity affinity = new PrefixAffinity(AFFINITY_ENTRIES);
+    private boolean domainIn;
 
     /**
      * Creates a router without any endpoint.
@@ -57,7 +58,8 @@
                 domainsIn.add(domain.id());
             }
         }
-        configureEndpoints(configuration, domainsIn.contains(failureDomain));
+        domainIn = domainsIn.contains(failureDomain);
+        configureEndpoints(configuration);
         configureServices(configuration);
         rebuildAll();
         domainsIn.remove(failureDomain);
@@ -94,7 +96,7 @@
             before.stream().filter(artifact -> !loaded.contains(artifact)).forEach(this::rebuild);
             loaded.stream().filter(artifact -> !before.contains(artifact)).forEach(this::rebuild);
         }
-        freed(state);
+        freed(state, now);
     }
 
     /** Takes over the summary of another failure domain; an older sequence number is ignored. */
@@ -115,16 +117,16 @@
     }
 
     /** Notes that credits of an endpoint arrived. */
-    public void creditsArrived(String endpoint) {
+    public void creditsArrived(String endpoint, long now) {
         EndpointState state = endpoints.get(endpoint);
         if (state != null) {
-            freed(state);
+            freed(state, now);
         }
     }
 
     /** Chooses where to send a request; it changes nothing but the demand for credits. */
     public RouteChoice choose(RouteQuery query, long now) {
-        Replicas replicas = replicasOf(query.target());
+        Replicas replicas = domainIn ? replicasOf(query.target()) : null;
         ReplicaSet set = replicas == null ? null : replicas.inService();
         if (set != null) {
             EndpointState chosen = set.choose(hint(query), query.prefixHash(), query.alone(), random, now);
@@ -158,16 +160,15 @@
             if (state.isRemoved() && state.ownInFlight() == 0) {
                 endpoints.remove(endpoint);
             }
-            freed(state);
+            freed(state, now);
         }
     }
 
-    /** Counts a complete answer towards the slow start of an endpoint. */
+    /** Counts a complete answer towards the slow start of an endpoint; called before {@link #ended}. */
     public void succeeded(String endpoint, long firstTokenMillis) {
         EndpointState state = endpoints.get(endpoint);
         if (state != null) {
             state.succeeded(firstTokenMillis);
-            freed(state);
         }
     }
 
@@ -205,7 +206,7 @@
         boolean any = false;
         for (EndpointState state : endpoints.values()) {
             if (state.retryDue(now)) {
-                freed(state);
+                freed(state, now);
                 any = true;
             }
         }
@@ -224,7 +225,7 @@
         return state == null ? 0 : state.slowStartLimit();
     }
 
-    private void configureEndpoints(FleetConfiguration configuration, boolean domainIn) {
+    private void configureEndpoints(FleetConfiguration configuration) {
         Set<String> gone = new HashSet<>(endpoints.keySet());
         for (Endpoint endpoint : configuration.endpoints().values()) {
             if (!endpoint.failureDomain().equals(failureDomain)) {
@@ -305,7 +306,10 @@
         return state != null && state.holds(model.artifact()) ? state : null;
     }
 
-    private void freed(EndpointState state) {
+    private void freed(EndpointState state, long now) {
+        if (!state.hasRoom(false, now)) {
+            return;
+        }
         for (Artifact artifact : state.loaded()) {
             Replicas replicas = byArtifact.get(artifact);
             if (replicas != null) {
