--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/Host.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/Host.java
@@ -42,6 +42,7 @@
 import org.gooseberryring.host.config.ConfigurationChanger;
 import org.gooseberryring.host.config.ConfigurationHolder;
 import org.gooseberryring.host.config.JsonDocumentCodec;
+import org.gooseberryring.host.control.ClaimControl;
 import org.gooseberryring.host.control.ControlLoop;
 import org.gooseberryring.host.control.FeedControl;
 import org.gooseberryring.host.control.JsonAllotmentCodec;
@@ -109,6 +110,8 @@
     private final HostDirectory directory;
     private final LoadPoller loads;
     private final LimitControl limits;
+    private final PeerEffectLinks links;
+    private final ClaimControl claims;
     private final RequestLoop loop;
     private final FeedControl feed;
     private final OrderControl orders;
@@ -136,10 +139,14 @@
         directory = new HostDirectory(settings.platformUri(), settings.hostId(), caller, this::hostsChanged);
         loads = new LoadPoller(settings.failureDomain(), caller, this::loadReported, clock::now);
         TokenRoutes tokens = new TokenRoutes(settings.hostId(), this::sendToPeer, control);
+        links = new PeerEffectLinks(caller, directory, this::sendToPeer, control);
+        claims = new ClaimControl(
+                settings.hostId(), incarnation, lanes, control, this::sendToPeer, links::answered);
         loop = requestLoop(tokens);
+        links.connect(claims, loop);
         feed = new FeedControl(settings, store, control, this::sendToPeer, holder, codec, incarnation, clock.now());
         summaries = summaryControl();
-        inbox.connect(tokens, loop, directory, control, feed, summaries);
+        inbox.connect(tokens, loop, directory, control, feed, summaries, claims);
         // The peer address is final only now, because the settings may leave the port to the system.
         peerAddress = peers.listen(settings.peerAddress());
         limits = limitControl(tokens);
@@ -151,6 +158,7 @@
         registerGauges();
         control.onTick(limits::tick);
         control.onTick(feed::tick);
+        control.onTick(claims::tick);
         control.onTick(orders::tick);
         control.onTick(summaries::tick);
         RequestIds ids = new RequestIds(settings.hostId(), incarnation);
@@ -160,6 +168,7 @@
                 settings.relayAddress(),
                 bounds.maxConnections(),
                 new RelayHandler(settings, open, intake, loop, clock::now, clock::wallMillis));
+        control.put(now -> claims.members(List.of(settings.hostId()), now));
         startThreads();
         callers = HttpListener.start(
                 worker,
@@ -226,8 +235,10 @@
             control.put(now -> {
                 limits.leave();
                 orders.leave();
+                claims.leave(now);
             });
-            boolean handedOver = limits.awaitHandOver(HAND_OVER_MILLIS);
+            boolean handedOver =
+                    limits.awaitHandOver(HAND_OVER_MILLIS) && claims.awaitHandOver(HAND_OVER_MILLIS);
             LogLine.event("drain-ended")
                     .with("complete", done)
                     .with("handedOver", handedOver)
@@ -302,7 +313,7 @@
                 holder,
                 new EndpointClient(worker, endpointLimits()),
                 metrics,
-                new PeerEffectLinks(caller, directory, this::sendToPeer),
+                links,
                 new Relays(directory::live, settings.peerSecret(), incarnation, clock::now, clock::wallMillis));
         RequestLoop created =
                 new RequestLoop(settings.limits().requestRingSize(), engine, wallet, effects, tokens::send, clock::now);
@@ -374,13 +385,19 @@
         members.add(settings.hostId());
         directory.live(settings.failureDomain()).forEach(entry -> members.add(entry.id()));
         List<FeedMember> live = new ArrayList<>();
+        List<String> all = new ArrayList<>();
+        all.add(settings.hostId());
         others.values().stream()
                 .filter(entry -> entry.state().equals(HostDirectory.LIVE))
-                .forEach(entry -> live.add(new FeedMember(entry.id(), entry.failureDomain())));
+                .forEach(entry -> {
+                    live.add(new FeedMember(entry.id(), entry.failureDomain()));
+                    all.add(entry.id());
+                });
         control.put(now -> {
             limits.members(members);
             orders.members(members);
             feed.members(live, now);
+            claims.members(all, now);
         });
         others.keySet().forEach(this::announce);
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -60,7 +60,7 @@
         } else if (effect instanceof RequestEffect.Relay relay) {
             relay(relay);
         } else if (effect instanceof RequestEffect.Claim claim) {
-            links.claim(open.get(claim.requestId()), claim, loop);
+            links.claim(open.get(claim.requestId()), claim);
         } else if (effect instanceof RequestEffect.SettleClaim settle) {
             links.settle(open.get(settle.requestId()), settle);
         } else if (effect instanceof RequestEffect.Replay replay) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerSink.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerSink.java
@@ -28,6 +28,7 @@
 
     private final HttpServerExchange exchange;
     private StreamSinkChannel channel;
+    private String contentType = "";
 
     CallerSink(HttpServerExchange exchange) {
         this.exchange = exchange;
@@ -36,6 +37,9 @@
     @Override
     public void start(int status, HeaderMap headers, long contentLength) {
         exchange.setStatusCode(status);
+        if (headers.contains(Headers.CONTENT_TYPE)) {
+            contentType = headers.getFirst(Headers.CONTENT_TYPE);
+        }
         for (HttpString name : TO_CALLER) {
             HeaderValues values = headers.get(name);
             if (values != null) {
@@ -48,6 +52,11 @@
         channel = exchange.getResponseChannel();
     }
 
+    /** Returns the media type of the answer, empty if it has none. */
+    String contentType() {
+        return contentType;
+    }
+
     @Override
     public int write(ByteBuffer bytes) throws IOException {
         return channel.write(bytes);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EffectLinks.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EffectLinks.java
@@ -1,12 +1,11 @@
 package org.gooseberryring.host.caller;
 
 import org.gooseberryring.coordination.request.RequestEffect;
-import org.gooseberryring.host.engine.RequestLoop;
 
 /** Effects of the request engine that need other hosts or the store; called on the request thread. */
 public interface EffectLinks {
-    /** Asks for a claim and hands the answer to the loop. */
-    void claim(OpenRequest request, RequestEffect.Claim claim, RequestLoop loop);
+    /** Asks for a claim, whose answer goes to the request thread. */
+    void claim(OpenRequest request, RequestEffect.Claim claim);
 
     /** Reports the outcome of a claimed request. */
     void settle(OpenRequest request, RequestEffect.SettleClaim settle);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequest.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequest.java
@@ -1,8 +1,13 @@
 package org.gooseberryring.host.caller;
 
+import java.nio.ByteBuffer;
+
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
 import org.gooseberryring.coordination.request.RequestSpec;
+import org.gooseberryring.state.ErrorCode;
 import org.gooseberryring.state.Verdict;
 import org.gooseberryring.transport.endpoint.EndpointAttempt;
 import org.xnio.IoUtils;
@@ -10,6 +15,8 @@
 
 /** Request whose caller waits for an answer; its exchange is touched on its I/O thread only. */
 public final class OpenRequest {
+    private static final HttpString REPLAYED = new HttpString("Idempotent-Replayed");
+
     private final RequestSpec spec;
     private final Destination destination;
     private final HttpServerExchange exchange;
@@ -57,12 +64,14 @@
     }
 
     /** Returns the answer kept for an idempotency key, or null. */
-    Recorded recorded() {
+    public Recorded recorded() {
         return recorded;
     }
 
+    /** Keeps the whole answer; {@code body} is null if it was too large. */
     void record(int status, byte[] body) {
-        recorded = new Recorded(status, body);
+        byte[] kept = body == null ? null : new RecordedAnswer(sink.contentType(), body).encode();
+        recorded = new Recorded(status, kept);
     }
 
     void attempt(int number, EndpointAttempt started) {
@@ -98,22 +107,30 @@
         ProblemWriter.write(exchange, spec.id(), refusal);
     }
 
-    /** Answers with a recorded answer. */
-    void replay(int status, byte[] body) {
+    /** Answers with a recorded answer, on the I/O thread of the request. */
+    public void replay(int status, byte[] body) {
+        thread().execute(() -> replayNow(status, body));
+    }
+
+    private void replayNow(int status, byte[] body) {
         if (ended || !exchange.isResponseChannelAvailable()) {
             return;
         }
         if (body == null) {
             refuse(new Refusal(
-                    org.gooseberryring.state.ErrorCode.ALREADY_CLAIMED,
+                    ErrorCode.ALREADY_CLAIMED,
                     Verdict.MAY_HAVE_RUN,
                     0,
                     "The idempotency key was used before and its answer is not kept"));
             return;
         }
         exchange.setStatusCode(status);
-        exchange.getResponseHeaders().put(new io.undertow.util.HttpString("Idempotent-Replayed"), "true");
-        exchange.getResponseSender().send(java.nio.ByteBuffer.wrap(body));
+        exchange.getResponseHeaders().put(REPLAYED, "true");
+        RecordedAnswer answer = RecordedAnswer.decode(body);
+        if (!answer.contentType().isEmpty()) {
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, answer.contentType());
+        }
+        exchange.getResponseSender().send(ByteBuffer.wrap(answer.body()));
     }
 
     /**
@@ -122,5 +139,5 @@
      * @param status HTTP status
      * @param body whole body, or null if it was too large to keep
      */
-    record Recorded(int status, byte[] body) {}
+    public record Recorded(int status, byte[] body) {}
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/PeerEffectLinks.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/PeerEffectLinks.java
@@ -2,21 +2,24 @@
 
 import java.net.URI;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 
 import org.gooseberryring.coordination.claim.ClaimAnswer;
 import org.gooseberryring.coordination.request.RequestEffect;
 import org.gooseberryring.host.caller.EffectLinks;
 import org.gooseberryring.host.caller.OpenRequest;
+import org.gooseberryring.host.control.ClaimControl;
+import org.gooseberryring.host.control.ControlLoop;
 import org.gooseberryring.host.engine.RequestLoop;
 import org.gooseberryring.host.fleet.HostDirectory;
 import org.gooseberryring.protocol.peer.PeerMessage;
 import org.gooseberryring.protocol.peer.QuarantineNotice;
 import org.gooseberryring.protocol.peer.QuarantinedDigest;
+import org.gooseberryring.state.Verdict;
 import org.gooseberryring.transport.http.HttpCaller;
 
 /** Carries out the effects of the request engine that concern other hosts. */
 public final class PeerEffectLinks implements EffectLinks {
-    private static final long RETRY_AFTER_MILLIS = 1000;
     private static final long CANCEL_MILLIS = 1000;
     private static final long NOTICE_LIFETIME_MILLIS = 30_000;
     private static final long QUARANTINE_MILLIS = 600_000;
@@ -24,27 +27,60 @@
     private final HttpCaller caller;
     private final HostDirectory directory;
     private final PeerSend peers;
+    private final ControlLoop control;
+    private final Map<String, ClaimAnswer> answers = new ConcurrentHashMap<>();
+    private ClaimControl claims;
+    private RequestLoop requests;
 
-    public PeerEffectLinks(HttpCaller caller, HostDirectory directory, PeerSend peers) {
+    public PeerEffectLinks(HttpCaller caller, HostDirectory directory, PeerSend peers, ControlLoop control) {
+        this.control = control;
         this.caller = caller;
         this.directory = directory;
         this.peers = peers;
     }
 
+    /** Names the owners of claims and requests; must precede the first effect. */
+    public void connect(ClaimControl claimControl, RequestLoop requestLoop) {
+        claims = claimControl;
+        requests = requestLoop;
+    }
+
     @Override
-    public void claim(OpenRequest request, RequestEffect.Claim claim, RequestLoop loop) {
-        ClaimAnswer answer = new ClaimAnswer(ClaimAnswer.Decision.UNAVAILABLE, RETRY_AFTER_MILLIS, 0, null);
-        loop.put((engine, now) -> engine.claimAnswered(claim.requestId(), answer, now));
+    public void claim(OpenRequest request, RequestEffect.Claim claim) {
+        control.put(now -> claims.claim(
+                claim.requestId(), claim.organisation(), claim.idempotencyKey(), claim.requestDigest(), now));
     }
 
     @Override
     public void settle(OpenRequest request, RequestEffect.SettleClaim settle) {
-        // No claim was granted, so there is none to settle.
+        OpenRequest.Recorded recorded = request == null ? null : request.recorded();
+        control.put(now -> {
+            if (settle.verdict() == Verdict.NOT_RUN) {
+                claims.release(settle.requestId(), now);
+            } else if (settle.verdict() == Verdict.COMPLETED && recorded != null) {
+                claims.record(settle.requestId(), recorded.status(), recorded.body(), now);
+            } else {
+                claims.forget(settle.requestId());
+            }
+        });
     }
 
     @Override
     public void replay(OpenRequest request) {
-        // No answer was recorded, so there is none to replay.
+        ClaimAnswer answer = request == null ? null : answers.remove(request.spec().id());
+        if (answer != null) {
+            request.replay(answer.status(), answer.body());
+        }
+    }
+
+    /** Takes the answer to a claim and hands it to the request engine. */
+    public void answered(String requestId, ClaimAnswer answer) {
+        if (answer.decision() == ClaimAnswer.Decision.RECORDED) {
+            answers.put(requestId, answer);
+        }
+        requests.put((engine, now) -> engine.claimAnswered(requestId, answer, now));
+        // By then the engine has asked for the replay, or has no more use for the answer.
+        requests.after(() -> answers.remove(requestId));
     }
 
     @Override
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/PeerInbox.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/PeerInbox.java
@@ -1,5 +1,7 @@
 package org.gooseberryring.host.peer;
 
+import org.gooseberryring.coordination.claim.ClaimMessage;
+import org.gooseberryring.host.control.ClaimControl;
 import org.gooseberryring.host.control.ControlLoop;
 import org.gooseberryring.host.control.FeedControl;
 import org.gooseberryring.host.control.SummaryControl;
@@ -22,6 +24,7 @@
     private ControlLoop control;
     private FeedControl feed;
     private SummaryControl summaries;
+    private ClaimControl claims;
 
     /** Names the receivers; must precede the first message. */
     public void connect(
@@ -30,7 +33,9 @@
             HostDirectory hostDirectory,
             ControlLoop controlLoop,
             FeedControl feedControl,
-            SummaryControl summaryControl) {
+            SummaryControl summaryControl,
+            ClaimControl claimControl) {
+        claims = claimControl;
         summaries = summaryControl;
         control = controlLoop;
         feed = feedControl;
@@ -51,6 +56,9 @@
             case CONFIGURATION_REPLY ->
                 control.offer(now -> feed.replied(sender, message.getConfigurationReply(), now));
             case PROBE -> probed(sender, message.getProbe());
+            case CLAIM_REQUEST -> claim(message, ClaimMessages.decode(message.getClaimRequest()));
+            case CLAIM_REPLY -> claim(message, ClaimMessages.decode(message.getClaimReply()));
+            case CLAIM_OUTCOME -> claim(message, ClaimMessages.decode(message.getClaimOutcome()));
             case DOMAIN_SUMMARY -> summaries.received(sender, message.getDomainSummary());
             case QUARANTINE_NOTICE -> quarantine(message);
             default -> {
@@ -59,6 +67,12 @@
         }
     }
 
+    private void claim(PeerMessage message, ClaimMessage claim) {
+        if (claim != null) {
+            control.offer(now -> claims.received(message.getSender(), message.getSenderIncarnation(), claim, now));
+        }
+    }
+
     private void probed(String sender, Probe probe) {
         probe.getUpdatesList().forEach(this::announced);
         control.offer(now -> feed.announced(sender, probe.getConfigurationRevision(), now));
