--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -1,6 +1,7 @@
 package org.gooseberryring.coordination.request;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -11,6 +12,8 @@
 import org.gooseberryring.coordination.claim.ClaimAnswer;
 import org.gooseberryring.coordination.limit.Admission;
 import org.gooseberryring.coordination.limit.TokenAdmission;
+import org.gooseberryring.coordination.queue.QueueItem;
+import org.gooseberryring.coordination.queue.QueueOffer;
 import org.gooseberryring.coordination.retry.CrashSuspects;
 import org.gooseberryring.coordination.retry.RetryPolicy;
 import org.gooseberryring.coordination.route.ArtifactLoad;
@@ -18,7 +21,6 @@
 import org.gooseberryring.coordination.route.RouteQuery;
 import org.gooseberryring.coordination.route.Router;
 import org.gooseberryring.state.Artifact;
-import org.gooseberryring.state.ErrorCode;
 import org.gooseberryring.state.FleetConfiguration;
 import org.gooseberryring.state.Verdict;
 
@@ -41,18 +43,6 @@
     /** Organisation under which the idempotency keys of open routes are claimed. */
     private static final String OPEN_ROUTE = "";
 
-    private static final String NO_ENDPOINT_DETAIL = "no endpoint can serve the request now";
-    private static final String DEADLINE_DETAIL = "the request cannot be answered before its deadline";
-    private static final String QUEUE_FULL_DETAIL = "the queue of this host is full";
-    private static final String SHUTDOWN_DETAIL = "this host is shutting down";
-    private static final String RATE_DETAIL = "the organisation is over its token rate and burst";
-    private static final String CLAIM_DETAIL = "the idempotency key could not be claimed";
-    private static final String ALREADY_CLAIMED_DETAIL = "the idempotency key was used before and may have run";
-    private static final String KEY_REUSED_DETAIL = "the idempotency key was used with a different request";
-    private static final String QUARANTINE_DETAIL = "the request was in flight when several endpoints were lost";
-    private static final String TIMEOUT_DETAIL = "the endpoint did not answer before the deadline";
-    private static final String INCOMPLETE_DETAIL = "the endpoint's answer ended before it was complete";
-
     private final TokenAdmission admission;
     private final RequestQueue queue;
     private final Router router;
@@ -170,7 +160,7 @@
         suspects.expire(now);
         router.tick(now);
         for (RequestSpec spec : queue.expire(now)) {
-            refuse(works.get(spec.id()), ErrorCode.DEADLINE_UNREACHABLE, RETRY_AFTER_MILLIS, DEADLINE_DETAIL, now);
+            refuse(works.get(spec.id()), Reason.DEADLINE, RETRY_AFTER_MILLIS, now);
         }
         for (Work work : List.copyOf(works.values())) {
             checkTime(work, now);
@@ -192,10 +182,11 @@
             int running,
             int waiting,
             int capacity,
-            Set<Artifact> loadedArtifacts,
+            Collection<Artifact> loadedArtifacts,
             long ageMillis,
             long now) {
-        router.loadReported(endpoint, incarnation, running, waiting, capacity, loadedArtifacts, ageMillis, now);
+        Set<Artifact> loaded = new HashSet<>(loadedArtifacts);
+        router.loadReported(endpoint, incarnation, running, waiting, capacity, loaded, ageMillis, now);
         return done(now);
     }
 
@@ -214,7 +205,11 @@
 
     /** Another host saw endpoints lost that ran a request; see {@link CrashSuspects#reported}. */
     public List<RequestEffect> quarantined(String reporter, String digest, int losses, long now) {
+        boolean known = suspects.isSuspect(digest);
         suspects.reported(reporter, digest, losses, now);
+        if (!known) {
+            setApart(digest, now);
+        }
         return done(now);
     }
 
@@ -235,13 +230,13 @@
         }
         works.put(work.id(), work);
         if (shuttingDown) {
-            refuse(work, ErrorCode.SHUTTING_DOWN, RETRY_AFTER_MILLIS, SHUTDOWN_DETAIL, now);
+            refuse(work, Reason.SHUTDOWN, RETRY_AFTER_MILLIS, now);
         } else if (suspects.isQuarantined(work.spec().digest())) {
-            refuse(work, ErrorCode.QUARANTINED, 0, QUARANTINE_DETAIL, now);
+            refuse(work, Reason.QUARANTINED, 0, now);
         } else if (work.spec().deadline() <= now) {
-            refuse(work, ErrorCode.DEADLINE_UNREACHABLE, RETRY_AFTER_MILLIS, DEADLINE_DETAIL, now);
+            refuse(work, Reason.DEADLINE, RETRY_AFTER_MILLIS, now);
         } else if (choose(work, now).kind() == RouteChoice.Kind.UNREACHABLE) {
-            refuse(work, ErrorCode.NO_ENDPOINT, RETRY_AFTER_MILLIS, NO_ENDPOINT_DETAIL, now);
+            refuse(work, Reason.NO_ENDPOINT, RETRY_AFTER_MILLIS, now);
         } else {
             Admission decision = Admission.admitted();
             if (work.needsTokens()) {
@@ -257,7 +252,7 @@
         switch (decision.kind()) {
             case REFUSED -> {
                 work.tokensReserved(false);
-                refuse(work, ErrorCode.RATE_LIMITED, decision.retryAfterMillis(), RATE_DETAIL, now);
+                refuse(work, Reason.RATE, decision.retryAfterMillis(), now);
             }
             case PENDING -> work.tokensReserved(true);
             default -> {
@@ -289,16 +284,16 @@
                 leaveClaim(work, now);
             }
             case MAY_HAVE_RUN -> {
-                effects.add(refusal(work, ErrorCode.ALREADY_CLAIMED, Verdict.MAY_HAVE_RUN, 0, ALREADY_CLAIMED_DETAIL));
+                effects.add(refusal(work, Reason.ALREADY_CLAIMED, Verdict.MAY_HAVE_RUN, 0));
                 leaveClaim(work, now);
             }
             case KEY_REUSED -> {
-                effects.add(refusal(work, ErrorCode.IDEMPOTENCY_KEY_REUSED, Verdict.NOT_RUN, 0, KEY_REUSED_DETAIL));
+                effects.add(refusal(work, Reason.KEY_REUSED, Verdict.NOT_RUN, 0));
                 leaveClaim(work, now);
             }
             default -> {
                 long after = Math.max(RETRY_AFTER_MILLIS, answer.retryAfterMillis());
-                effects.add(refusal(work, ErrorCode.CLAIM_UNAVAILABLE, Verdict.NOT_RUN, after, CLAIM_DETAIL));
+                effects.add(refusal(work, Reason.CLAIM_UNAVAILABLE, Verdict.NOT_RUN, after));
                 leaveClaim(work, now);
             }
         }
@@ -311,8 +306,25 @@
 
     private void enqueue(Work work, long now) {
         work.step(Work.Step.QUEUE);
-        if (!queue.offer(work.spec(), now)) {
-            refuse(work, ErrorCode.OVERLOADED, RETRY_AFTER_MILLIS, QUEUE_FULL_DETAIL, now);
+        QueueOffer<RequestSpec> offer =
+                queue.offer(work.spec(), suspects.isSuspect(work.spec().digest()), now);
+        for (QueueItem<RequestSpec> item : offer.evicted()) {
+            refuse(works.get(item.id()), Reason.QUEUE_FULL, RETRY_AFTER_MILLIS, now);
+        }
+        if (offer.kind() == QueueOffer.Kind.FULL) {
+            refuse(work, Reason.QUEUE_FULL, offer.retryAfterMillis(), now);
+        } else if (offer.kind() == QueueOffer.Kind.DEADLINE_UNREACHABLE) {
+            refuse(work, Reason.DEADLINE, offer.retryAfterMillis(), now);
+        }
+    }
+
+    /** Queues waiting copies of a new suspect apart, so that they do not hold up others for their target. */
+    private void setApart(String digest, long now) {
+        for (Work work : List.copyOf(works.values())) {
+            if (work.step() == Work.Step.QUEUE && work.spec().digest().equals(digest)) {
+                queue.remove(work.spec());
+                enqueue(work, now);
+            }
         }
     }
 
@@ -322,9 +334,9 @@
         while (spec != null) {
             Work work = works.get(spec.id());
             if (suspects.isQuarantined(spec.digest())) {
-                refuse(work, ErrorCode.QUARANTINED, 0, QUARANTINE_DETAIL, now);
+                refuse(work, Reason.QUARANTINED, 0, now);
             } else if (work.choice().kind() == RouteChoice.Kind.UNREACHABLE) {
-                refuse(work, ErrorCode.NO_ENDPOINT, RETRY_AFTER_MILLIS, NO_ENDPOINT_DETAIL, now);
+                refuse(work, Reason.NO_ENDPOINT, RETRY_AFTER_MILLIS, now);
             } else {
                 dispatch(work, now);
             }
@@ -337,7 +349,7 @@
         if (suspects.isQuarantined(digest)) {
             return true;
         }
-        if (suspects.isSuspect(digest) && runningSuspects.contains(digest)) {
+        if (suspects.isSuspect(digest) && (runningSuspects.contains(digest) || suspects.isHeld(digest, now))) {
             return false;
         }
         return choose(work, now).kind() != RouteChoice.Kind.WAIT;
@@ -376,8 +388,14 @@
         String digest = work.spec().digest();
         if (outcome.endpointLost()) {
             router.lost(endpoint, work.lossEpoch(), now);
-            int losses = suspects.endpointLost(digest, endpoint + '#' + work.lossEpoch(), now);
-            effects.add(new RequestEffect.SpreadQuarantine(digest, losses));
+            if (outcome.verdict() != Verdict.NOT_RUN) {
+                boolean known = suspects.isSuspect(digest);
+                int losses = suspects.endpointLost(digest, endpoint + '#' + work.lossEpoch(), now);
+                if (!known) {
+                    setApart(digest, now);
+                }
+                effects.add(new RequestEffect.SpreadQuarantine(digest, losses));
+            }
         } else if (outcome.verdict() == Verdict.COMPLETED) {
             router.succeeded(endpoint, outcome.firstTokenMillis());
             if (work.query().alone()) {
@@ -394,14 +412,14 @@
         boolean bytes = outcome.bytesReachedCaller() || work.hasResponseStarted();
         work.step(Work.Step.QUEUE);
         if (suspects.isQuarantined(spec.digest())) {
-            refuse(work, ErrorCode.QUARANTINED, 0, QUARANTINE_DETAIL, now);
+            refuse(work, Reason.QUARANTINED, 0, now);
         } else if (retryPolicy.retry(
                 outcome.verdict(), spec.idempotent(), bytes, work.attempt(), spec.deadline(), now)) {
             enqueue(work, now);
         } else if (work.verdict() == Verdict.NOT_RUN) {
-            refuse(work, ErrorCode.NO_ENDPOINT, RETRY_AFTER_MILLIS, NO_ENDPOINT_DETAIL, now);
+            refuse(work, Reason.NO_ENDPOINT, RETRY_AFTER_MILLIS, now);
         } else {
-            refuse(work, ErrorCode.INCOMPLETE_ANSWER, RETRY_AFTER_MILLIS, INCOMPLETE_DETAIL, now);
+            refuse(work, Reason.INCOMPLETE, RETRY_AFTER_MILLIS, now);
         }
     }
 
@@ -409,14 +427,14 @@
         boolean late = now >= work.spec().deadline();
         if (work.step() == Work.Step.RUNNING) {
             if (late && !work.isAnswered() && !work.hasResponseStarted()) {
-                refuse(work, ErrorCode.ENDPOINT_TIMEOUT, RETRY_AFTER_MILLIS, TIMEOUT_DETAIL, now);
+                refuse(work, Reason.TIMEOUT, RETRY_AFTER_MILLIS, now);
                 cancelIfUseless(work);
             }
             if (now - work.dispatchedAt() >= maxRunMillis) {
                 cancel(work);
             }
         } else if (late && work.step() != Work.Step.QUEUE) {
-            refuse(work, ErrorCode.DEADLINE_UNREACHABLE, RETRY_AFTER_MILLIS, DEADLINE_DETAIL, now);
+            refuse(work, Reason.DEADLINE, RETRY_AFTER_MILLIS, now);
         }
     }
 
@@ -437,17 +455,16 @@
     }
 
     /** Gives the final answer at once; a running attempt is followed to its end. */
-    private void refuse(Work work, ErrorCode code, long retryAfterMillis, String detail, long now) {
-        effects.add(refusal(work, code, work.verdict(), retryAfterMillis, detail));
+    private void refuse(Work work, Reason reason, long retryAfterMillis, long now) {
+        effects.add(refusal(work, reason, work.verdict(), retryAfterMillis));
         work.answered();
         if (work.step() != Work.Step.RUNNING) {
             end(work, work.verdict(), now);
         }
     }
 
-    private static RequestEffect.Refuse refusal(
-            Work work, ErrorCode code, Verdict verdict, long retryAfterMillis, String detail) {
-        return new RequestEffect.Refuse(work.id(), code, verdict, retryAfterMillis, detail);
+    private static RequestEffect.Refuse refusal(Work work, Reason reason, Verdict verdict, long retryAfterMillis) {
+        return new RequestEffect.Refuse(work.id(), reason.code(), verdict, retryAfterMillis, reason.detail());
     }
 
     /** Forgets a request and gives back what it holds. */
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/route/CreditWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/route/CreditWorld.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.UnaryOperator;
 
 import org.gooseberryring.state.Endpoint;
 import org.gooseberryring.state.EndpointKind;
@@ -117,7 +119,7 @@
         }
 
         /** Changes the record if this process is still its home; the answer may be lost or late. */
-        void update(java.util.function.UnaryOperator<StoreRecord> change) {
+        void update(UnaryOperator<StoreRecord> change) {
             if (!storeUp || homeTerm != record.term()) {
                 return;
             }
@@ -149,6 +151,24 @@
             poll();
         }
 
+        /** Gives the home to another process; the old home stops before the store records the new one. */
+        void handOver(Process successor) {
+            if (!storeUp || homeTerm != record.term() || successor == this) {
+                return;
+            }
+            homeTerm = 0;
+            Map<HolderId, Integer> holdings = home.retire(ENDPOINT);
+            StoreRecord taken =
+                    new StoreRecord(record.term() + 1, successor.id, record.roster(), record.predecessors());
+            record = taken;
+            later(random.nextInt(20), successor, () -> {
+                successor.homeTerm = Math.max(successor.homeTerm, taken.term());
+                successor.home.handedOver(
+                        ENDPOINT, taken.term(), CONCURRENCY, holdings, taken.predecessors(), successor.clock());
+                successor.read();
+            });
+        }
+
         void takeOver() {
             if (!storeUp || record.home().equals(id)) {
                 return;
@@ -158,8 +178,8 @@
             StoreRecord taken = new StoreRecord(record.term() + 1, id, record.roster(), predecessors);
             record = taken;
             later(random.nextInt(20), this, () -> {
-                homeTerm = taken.term();
-                home.takeOver(ENDPOINT, homeTerm, CONCURRENCY, taken.roster(), predecessors, clock());
+                homeTerm = Math.max(homeTerm, taken.term());
+                home.takeOver(ENDPOINT, taken.term(), CONCURRENCY, taken.roster(), predecessors, clock());
                 read();
             });
         }
@@ -239,7 +259,9 @@
             process.frozenUntil = time + random.nextInt(random.nextInt(4) == 0 ? 8_000 : 600);
         } else if (what < 40 && !isStopped(process)) {
             process.takeOver();
-        } else if (what < 48) {
+        } else if (what < 56 && !isStopped(process)) {
+            process.handOver(processes.get(random.nextInt(processes.size())));
+        } else if (what < 64) {
             storeUp = !storeUp;
         }
     }
