--- /dev/null
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/AllotmentLedgerTest.java
@@ -0,0 +1,58 @@
+package org.gooseberryring.coordination.limit;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class AllotmentLedgerTest {
+    private static final LimitSettings SETTINGS = new LimitSettings(3_000, 40_000, 2, 200, 100, 20, 100);
+
+    private final LimitSimulation simulation =
+            new LimitSimulation(5, SETTINGS, LimitSimulation.Faults.NONE, 6_000, 12_000);
+
+    /** Guards against a leaving keeper whose part of the rate is lost until the reclaim time. */
+    @Test
+    void leavingKeeperHandsOverItsAllotments() {
+        simulation.run(15_000);
+        assertThat(simulation.allotted("host-1").rate()).isEqualTo(1_000);
+        simulation.hosts().get(1).request(500, 500, 10_000);
+        simulation.hosts().get(1).leave();
+        simulation.run(15_000);
+
+        assertThat(simulation.allotted("host-1")).isNull();
+        assertThat(simulation.hosts().get(1).handedOver()).isTrue();
+        assertThat(simulation.allotted("host-4").rate()).isEqualTo(1_200);
+        assertThat(simulation.totalRate()).isEqualTo(6_000);
+    }
+
+    /** Guards against a dead keeper's allotment that is given away too early or never. */
+    @Test
+    void deadKeeperIsReclaimedAfterItsConfirmationIsOld() {
+        simulation.run(15_000);
+        simulation.hosts().get(1).kill();
+        simulation.run(30_000);
+        assertThat(simulation.allotted("host-1").rate()).isEqualTo(1_000);
+        simulation.run(25_000);
+
+        assertThat(simulation.allotted("host-1")).isNull();
+        assertThat(simulation.totalRate()).isEqualTo(6_000);
+    }
+
+    /** Guards against limits that stop admitting, or stop lending, while the store is down. */
+    @Test
+    void storeOutageKeepsAllotmentsAndAdmission() {
+        simulation.run(15_000);
+        simulation.store(FakeAllotmentStore.Mode.DOWN);
+        for (int i = 0; i < 100; i++) {
+            // 5,000 tokens per second at one host, of which its own keeper has 1,000.
+            simulation.hosts().get(6).request(500, 500, 100);
+            simulation.run(100);
+        }
+        assertThat(simulation.refused()).isEqualTo(0);
+
+        simulation.store(FakeAllotmentStore.Mode.UP);
+        simulation.reconfigure(3_000, 12_000);
+        simulation.run(20_000);
+        assertThat(simulation.totalRate()).isEqualTo(3_000);
+    }
+}
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/LimitSimulation.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/LimitSimulation.java
@@ -82,8 +82,12 @@
             });
         }
 
-        boolean alive() {
-            return alive;
+        void leave() {
+            ledger.leave();
+        }
+
+        boolean handedOver() {
+            return ledger.handedOver();
         }
 
         void configure(Organisation changed, long changedRevision) {
@@ -276,6 +280,15 @@
         storeMode = mode;
     }
 
+    /** Returns a host's allotment in the store, or null. */
+    Allotment allotted(String host) {
+        return store.document().of(host).get(ORGANISATION);
+    }
+
+    long totalRate() {
+        return store.document().rateOf(ORGANISATION);
+    }
+
     /** Cuts a failure domain off from the others and from the store; null heals the partition. */
     void separate(String domain) {
         separated = domain;
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/TokenKeeperTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/TokenKeeperTest.java
@@ -94,7 +94,7 @@
 
     private static void fault(LimitSimulation simulation, Random random) {
         LimitSimulation.Host host = simulation.hosts().get(random.nextInt(7));
-        switch (random.nextInt(6)) {
+        switch (random.nextInt(7)) {
             case 0 -> {
                 host.kill();
                 simulation.at(random.nextInt(15_000), host::start);
@@ -102,10 +102,14 @@
             case 1 -> host.freeze(random.nextInt(6_000));
             case 2 -> host.freeze(30_000 + random.nextInt(40_000));
             case 3 -> {
+                host.leave();
+                simulation.at(5_000 + random.nextInt(10_000), host::start);
+            }
+            case 4 -> {
                 simulation.separate("domain-" + random.nextInt(3));
                 simulation.at(random.nextInt(20_000), () -> simulation.separate(null));
             }
-            case 4 -> {
+            case 5 -> {
                 simulation.store(FakeAllotmentStore.Mode.DOWN);
                 simulation.at(random.nextInt(30_000), () -> simulation.store(FakeAllotmentStore.Mode.UP));
             }
