--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/route/RouterTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/route/RouterTest.java
@@ -115,7 +115,7 @@
         warm("e0", "e1");
         router.prefixCached(77, "e0");
         int[] started = new int[2];
-        for (int i = 0; i < 12; i++) {
+        for (int i = 0; i < 10; i++) {
             String chosen = router.choose(query(77), START).id();
             started[chosen.equals("e0") ? 0 : 1]++;
             router.started(chosen, query(78), START);
@@ -130,6 +130,7 @@
     void lostServiceIsTriedAgainWithOneRequest() {
         configure(true, "e0");
         RouteQuery service = new RouteQuery(new Target.ServiceTarget("svc"), 0, false, false);
+        warm("s0");
         router.lost("s0", router.lossEpoch("s0"), START);
         assertThat(router.choose(service, START + 500).kind()).isEqualTo(RouteChoice.Kind.UNREACHABLE);
 
