End the demonstration's processes whatever signals arrive

A signal that came while the script was ending its processes killed the script by the restored default action and left nine stand-ins running. It ignores further signals from there on. Commands run in the background and are waited for, so that a signal is handled at once and not after the command. The process id of a finished command is forgotten, so that it is never signalled after its reuse.

--- a/bin/demo.sh
+++ b/bin/demo.sh
@@ -4,6 +4,7 @@
 
 demo_pids=()
 demo_host_pids=()
+demo_ctl_pid=
 demo_dir=
 demo_opts='-Xmx96m -XX:+UseSerialGC -XX:TieredStopAtLevel=1'
 
@@ -30,8 +31,14 @@
   return 1
 }
 
+# Runs the command line in the background and waits, so that a signal is handled at once.
 demo_ctl() {
-  "$java" $demo_opts -cp "$(class_path ctl)" org.gooseberryring.ctl.CtlMain "$@"
+  "$java" $demo_opts -cp "$(class_path ctl)" org.gooseberryring.ctl.CtlMain "$@" &
+  demo_ctl_pid=$!
+  local code=0
+  wait "$demo_ctl_pid" || code=$?
+  demo_ctl_pid=
+  return "$code"
 }
 
 # Shows a command and runs it.
@@ -42,7 +49,10 @@
 
 # Ends the hosts, which finish what they serve, and then the stand-ins; waits for each.
 demo_stop() {
-  trap - EXIT INT TERM
+  # A second signal must not end the script before it has ended its processes.
+  trap - EXIT
+  trap '' INT TERM
+  demo_end ${demo_ctl_pid:+"$demo_ctl_pid"}
   demo_end "${demo_host_pids[@]}"
   demo_end "${demo_pids[@]}"
 }
