--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/Host.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/Host.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -29,7 +28,6 @@
 import org.gooseberryring.coordination.route.UnsharedCredits;
 import org.gooseberryring.host.admin.AdminHandler;
 import org.gooseberryring.host.admin.OperatorAuthenticator;
-import org.gooseberryring.host.admin.StatusDocument;
 import org.gooseberryring.host.caller.Authenticator;
 import org.gooseberryring.host.caller.CallerEffects;
 import org.gooseberryring.host.caller.CallerHandler;
@@ -116,6 +114,7 @@
     private final FeedControl feed;
     private final OrderControl orders;
     private final SummaryControl summaries;
+    private final HostReport report;
     private final ScheduledExecutorService timer;
     private final HttpListener relay;
     private final HttpListener callers;
@@ -140,8 +139,7 @@
         loads = new LoadPoller(settings.failureDomain(), caller, this::loadReported, clock::now);
         TokenRoutes tokens = new TokenRoutes(settings.hostId(), this::sendToPeer, control);
         links = new PeerEffectLinks(caller, directory, this::sendToPeer, control);
-        claims = new ClaimControl(
-                settings.hostId(), incarnation, lanes, control, this::sendToPeer, links::answered);
+        claims = new ClaimControl(settings.hostId(), incarnation, lanes, control, this::sendToPeer, links::answered);
         loop = requestLoop(tokens);
         links.connect(claims, loop);
         feed = new FeedControl(settings, store, control, this::sendToPeer, holder, codec, incarnation, clock.now());
@@ -153,9 +151,8 @@
         tokens.connect(loop, limits);
         holder.onAdopted(this::configured);
         orders = new OrderControl(settings, lanes, control, caller, holder::current, clock, incarnation);
-        orders.members(List.of(settings.hostId()));
         timer = Executors.newSingleThreadScheduledExecutor(Host::timerThread);
-        registerGauges();
+        report = hostReport();
         control.onTick(limits::tick);
         control.onTick(feed::tick);
         control.onTick(claims::tick);
@@ -168,7 +165,6 @@
                 settings.relayAddress(),
                 bounds.maxConnections(),
                 new RelayHandler(settings, open, intake, loop, clock::now, clock::wallMillis));
-        control.put(now -> claims.members(List.of(settings.hostId()), now));
         startThreads();
         callers = HttpListener.start(
                 worker,
@@ -237,8 +233,7 @@
                 orders.leave();
                 claims.leave(now);
             });
-            boolean handedOver =
-                    limits.awaitHandOver(HAND_OVER_MILLIS) && claims.awaitHandOver(HAND_OVER_MILLIS);
+            boolean handedOver = limits.awaitHandOver(HAND_OVER_MILLIS) && claims.awaitHandOver(HAND_OVER_MILLIS);
             LogLine.event("drain-ended")
                     .with("complete", done)
                     .with("handedOver", handedOver)
@@ -326,7 +321,6 @@
                 new KeeperIdentity(settings.hostId(), incarnation, settings.failureDomain(), text(peerAddress));
         LimitControl created =
                 new LimitControl(self, limitSettings(), new JsonAllotmentCodec(), lanes, control, loop, tokens::send);
-        created.members(List.of(settings.hostId()));
         return created;
     }
 
@@ -447,7 +441,24 @@
                 committed -> control.put(now -> feed.committed(committed, now)),
                 Host::logChange);
         OperatorAuthenticator operators = new OperatorAuthenticator(settings.operatorTokens());
-        return new AdminHandler(operators, ids, holder, changer, audit, metrics, this::ready, this::status);
+        return new AdminHandler(operators, ids, holder, changer, audit, metrics, this::ready, report::status);
+    }
+
+    private HostReport hostReport() {
+        HostReport created = new HostReport(
+                settings,
+                incarnation,
+                holder,
+                authenticator,
+                open,
+                clock,
+                this::ready,
+                () -> Map.of(
+                        "hosts", directory.others().size(),
+                        "controllerTerm", orders.term(),
+                        "loadReports", loads.reports()));
+        created.registerGauges(metrics, loop, control, lanes);
+        return created;
     }
 
     private EndpointLimits endpointLimits() {
@@ -460,36 +471,6 @@
                 MAX_RECORDED_BYTES);
     }
 
-    private void registerGauges() {
-        metrics.gauge("configuration.revision", () -> holder.current().revision());
-        metrics.gauge("configuration.fresh", () -> authenticator.fresh() ? 1 : 0);
-        metrics.gauge("requests.open", open::count);
-        metrics.gauge("ring.requests.depth", loop::depth);
-        metrics.gauge("ring.control.depth", control::depth);
-        metrics.gauge("ring.store.depth", lanes::depth);
-    }
-
-    private StatusDocument status() {
-        long confirmedAt = holder.confirmedAt();
-        return new StatusDocument(
-                settings.hostId(),
-                settings.failureDomain(),
-                Long.toHexString(incarnation),
-                ready(),
-                open.draining(),
-                holder.current().revision(),
-                authenticator.fresh(),
-                confirmedAt == 0 ? -1 : clock.now() - confirmedAt,
-                open.count(),
-                new TreeMap<>(Map.of(
-                        "hosts",
-                        directory.others().size(),
-                        "controllerTerm",
-                        orders.term(),
-                        "loadReports",
-                        loads.reports())));
-    }
-
     private static void logChange(ChangeRecord record) {
         LogLine.event("audit")
                 .with("changeId", record.changeId())
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/fleet/HostDirectory.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/fleet/HostDirectory.java
@@ -85,6 +85,10 @@
                 return;
             }
             announced.put(entry.id(), entry);
+            if (!read) {
+                // A part of the hosts would be taken for all of them.
+                return;
+            }
         }
         merge();
     }
@@ -113,7 +117,7 @@
         synchronized (this) {
             merged = new TreeMap<>(announced);
             merged.putAll(listed);
-            if (merged.equals(others)) {
+            if (merged.equals(others) && read) {
                 return;
             }
             others = merged;
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/PeerEffectLinks.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/PeerEffectLinks.java
@@ -32,6 +32,7 @@
     private ClaimControl claims;
     private RequestLoop requests;
 
+    /** Creates the links; {@link #connect} must follow before the first effect. */
     public PeerEffectLinks(HttpCaller caller, HostDirectory directory, PeerSend peers, ControlLoop control) {
         this.control = control;
         this.caller = caller;
@@ -67,7 +68,8 @@
 
     @Override
     public void replay(OpenRequest request) {
-        ClaimAnswer answer = request == null ? null : answers.remove(request.spec().id());
+        ClaimAnswer answer =
+                request == null ? null : answers.remove(request.spec().id());
         if (answer != null) {
             request.replay(answer.status(), answer.body());
         }
--- /dev/null
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/control/ClaimControlTest.java
@@ -0,0 +1,99 @@
+package org.gooseberryring.host.control;
+
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.gooseberryring.host.Host;
+import org.gooseberryring.host.TestFleet;
+import org.gooseberryring.standins.Fault;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class ClaimControlTest {
+    @TempDir
+    private Path directory;
+
+    private TestFleet fleet;
+    private Host first;
+    private Host second;
+
+    @BeforeEach
+    void start() throws Exception {
+        fleet = new TestFleet(directory);
+        fleet.engine("e1");
+        first = fleet.host("h1", "d1", "{\"timeouts\":{\"storeMillis\":500}}");
+        second = fleet.host("h2", "d1", "{\"timeouts\":{\"storeMillis\":500}}");
+        fleet.configure(first);
+        TestFleet.await(() -> post(first, "warm-up").statusCode() == 200);
+    }
+
+    @AfterEach
+    void stop() {
+        fleet.close();
+    }
+
+    /** Guards against an order that runs twice because its caller sends it again, also through another host. */
+    @Test
+    void repeatedOrderRunsOnceAndGetsTheRecordedAnswer() {
+        HttpResponse<String> answer = post(first, "k1");
+        assertThat(answer.statusCode()).isEqualTo(200);
+
+        TestFleet.await(() -> post(second, "k1").statusCode() == 200);
+
+        assertThat(post(second, "k1").body()).isEqualTo(answer.body());
+        assertThat(fleet.desk().record().byIdempotencyKey()).containsEntry("k1", 1);
+    }
+
+    /** Guards against orders that run twice when callers do not wait for the first answer. */
+    @Test
+    void concurrentOrdersRunOnce() {
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            Host host = i % 2 == 0 ? first : second;
+            answers.add(CompletableFuture.supplyAsync(() -> post(host, "k2")));
+        }
+        answers.forEach(CompletableFuture::join);
+
+        assertThat(fleet.desk().record().byIdempotencyKey()).containsEntry("k2", 1);
+    }
+
+    /** Guards against an order that runs although its claim is not in the store. */
+    @Test
+    void orderIsNotRunWhileTheStoreIsDown() {
+        fleet.platform().faults().set(Fault.DOWN, 1);
+
+        HttpResponse<String> answer = post(first, "k3");
+
+        assertThat(TestFleet.code(answer)).isEqualTo("claim-unavailable not-run");
+        assertThat(answer.headers().firstValue("Retry-After")).isPresent();
+        assertThat(fleet.desk().record().byIdempotencyKey()).doesNotContainKey("k3");
+    }
+
+    /** Guards against a second run of an order whose answer was lost after the service took it. */
+    @Test
+    void orderWithALostAnswerIsNotRepeated() {
+        fleet.desk().faults().set(Fault.LOSE_ANSWERS, 1);
+
+        HttpResponse<String> lost = post(first, "k4");
+        HttpResponse<String> repeated = post(second, "k4");
+
+        assertThat(TestFleet.code(lost)).endsWith("may-have-run");
+        assertThat(TestFleet.code(repeated)).isEqualTo("already-claimed may-have-run");
+        assertThat(fleet.desk().record().byIdempotencyKey()).containsEntry("k4", 1);
+    }
+
+    private HttpResponse<String> post(Host host, String key) {
+        try {
+            return fleet.send(fleet.service(host, "POST", "/orders").header("Idempotency-Key", key));
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
+    }
+}
