--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/Host.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/Host.java
@@ -135,7 +135,8 @@
 
         PeerInbox inbox = new PeerInbox();
         peers = peerLinks(inbox);
-        directory = new HostDirectory(settings.platformUri(), settings.hostId(), caller, this::hostsChanged);
+        directory = new HostDirectory(
+                settings.platformUri(), settings.hostId(), settings.peerSeeds(), caller, this::hostsChanged);
         loads = new LoadPoller(settings.failureDomain(), caller, this::loadReported, clock::now);
         TokenRoutes tokens = new TokenRoutes(settings.hostId(), this::sendToPeer, control);
         links = new PeerEffectLinks(caller, directory, this::sendToPeer, control);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/control/LimitControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/control/LimitControl.java
@@ -1,5 +1,6 @@
 package org.gooseberryring.host.control;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -12,6 +13,7 @@
 
 import org.gooseberryring.coordination.limit.AllotmentCodec;
 import org.gooseberryring.coordination.limit.AllotmentLedger;
+import org.gooseberryring.coordination.limit.KeeperChoice;
 import org.gooseberryring.coordination.limit.KeeperIdentity;
 import org.gooseberryring.coordination.limit.LimitEffect;
 import org.gooseberryring.coordination.limit.LimitSettings;
@@ -25,6 +27,8 @@
     // The wallet numbers its requests in the same way; the suffix keeps the two apart in answers.
     private static final String KEEPER_SUFFIX = "#keeper";
 
+    private final String self;
+    private final int keepersPerDomain;
     private final String keeperPrefix;
     private final TokenKeeper keeper;
     private final AllotmentLedger ledger;
@@ -34,6 +38,7 @@
     private final BiConsumer<String, TokenMessage> messages;
     private final Map<String, List<String>> knownKeepers = new HashMap<>();
     private final CountDownLatch handedOver = new CountDownLatch(1);
+    private List<String> members = List.of();
     private Set<String> organisations = Set.of();
     private boolean leaving;
     private volatile boolean ready;
@@ -51,6 +56,8 @@
             ControlLoop control,
             RequestLoop requests,
             BiConsumer<String, TokenMessage> messages) {
+        this.self = self.host();
+        this.keepersPerDomain = settings.keepersPerDomain();
         this.keeperPrefix = self.host() + KEEPER_SUFFIX + "/";
         this.keeper = new TokenKeeper(self.host() + KEEPER_SUFFIX, self.incarnation(), settings);
         this.ledger = new AllotmentLedger(self, settings, codec, keeper);
@@ -70,7 +77,9 @@
 
     /** Takes over the live hosts of this failure domain, this host included. */
     public void members(Collection<String> liveHosts) {
+        members = List.copyOf(liveHosts);
         ledger.members(liveHosts);
+        announceKeepers();
     }
 
     /** Returns whether a grant answers a loan of the keeper rather than a request of the wallet. */
@@ -133,9 +142,19 @@
         }
     }
 
+    /** Returns the keepers as recorded; before the record was read, the hosts that are chosen by the usual rule. */
+    private List<String> keepers(String organisation) {
+        if (ledger.document() != null) {
+            return ledger.keepers(organisation);
+        }
+        List<String> likely = new ArrayList<>(KeeperChoice.rank(organisation, members));
+        likely.remove(self);
+        return likely.subList(0, Math.min(keepersPerDomain, likely.size()));
+    }
+
     private void announceKeepers() {
         for (String organisation : organisations) {
-            List<String> keepers = ledger.keepers(organisation);
+            List<String> keepers = keepers(organisation);
             if (!keepers.equals(knownKeepers.put(organisation, keepers))) {
                 requests.keepers(organisation, keepers);
             }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/fleet/HostDirectory.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/fleet/HostDirectory.java
@@ -37,7 +37,8 @@
     private final HttpCaller caller;
     private final Consumer<Map<String, HostEntry>> listener;
     private final Map<String, HostEntry> announced = new TreeMap<>();
-    private Map<String, HostEntry> listed = Map.of();
+    private final List<HostEntry> seeds;
+    private Map<String, HostEntry> listed;
     private volatile Map<String, HostEntry> others = Map.of();
     private volatile boolean read;
     private long nextAt;
@@ -48,9 +49,15 @@
      *
      * @param platform address of the platform
      * @param selfId identifier of this host, which is left out
+     * @param seeds other hosts to assume until the list was read
      * @param listener takes the other hosts after each change, on an I/O thread
      */
-    public HostDirectory(URI platform, String selfId, HttpCaller caller, Consumer<Map<String, HostEntry>> listener) {
+    public HostDirectory(URI platform,
+            String selfId,
+            List<HostEntry> seeds,
+            HttpCaller caller,
+            Consumer<Map<String, HostEntry>> listener) {
+        this.seeds = seeds;
         this.hosts = platform.resolve("/v1/hosts");
         this.selfId = selfId;
         this.caller = caller;
@@ -113,10 +120,14 @@
     }
 
     private void merge() {
-        Map<String, HostEntry> merged;
+        Map<String, HostEntry> merged = new TreeMap<>();
         synchronized (this) {
-            merged = new TreeMap<>(announced);
-            merged.putAll(listed);
+            merged.putAll(announced);
+            if (listed != null) {
+                merged.putAll(listed);
+            } else {
+                seeds.forEach(seed -> merged.putIfAbsent(seed.id(), seed));
+            }
             if (merged.equals(others) && read) {
                 return;
             }
@@ -130,6 +141,7 @@
             inFlight = false;
         }
         if (failure != null || result.status() != OK) {
+            merge();
             read = true;
             return;
         }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/log/LogLine.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/log/LogLine.java
@@ -4,6 +4,8 @@
 
 /** Builds one log line of key=value pairs for one event. */
 public final class LogLine {
+    // Tells the logger to name the caller of this class as the source of the line.
+    private static final String NAME = LogLine.class.getName();
     private static final int MAX_VALUE_CHARS = 200;
 
     private final StringBuilder text = new StringBuilder("event=");
@@ -33,20 +35,20 @@
     }
 
     public void info(Logger log) {
-        log.info(text);
+        log.info(NAME, text, null);
     }
 
     public void debug(Logger log) {
-        log.debug(text);
+        log.debug(NAME, text, null);
     }
 
     public void warn(Logger log) {
-        log.warn(text);
+        log.warn(NAME, text, null);
     }
 
     /** Logs the line as an error with the stack trace of an unexpected failure. */
     public void error(Logger log, Exception failure) {
-        log.error(text, failure);
+        log.error(NAME, text, failure);
     }
 
     @Override
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/settings/HostSettings.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/settings/HostSettings.java
@@ -4,6 +4,8 @@
 import java.net.URI;
 import java.util.List;
 
+import org.gooseberryring.protocol.HostEntry;
+
 /**
  * Settings of one host.
  *
@@ -15,6 +17,7 @@
  * @param relayAddress address that takes requests from other failure domains
  * @param platformUri address of the platform
  * @param peerSecret shared secret of the hosts, read from the file that the settings name
+ * @param peerSeeds hosts to talk to while the platform's list of hosts cannot be read
  * @param operatorTokens tokens that may use the administration interface
  * @param weightStore what the weight store takes
  * @param limits bounds on what the host holds at once
@@ -31,6 +34,7 @@
         InetSocketAddress relayAddress,
         URI platformUri,
         byte[] peerSecret,
+        List<HostEntry> peerSeeds,
         List<OperatorToken> operatorTokens,
         WeightStore weightStore,
         Limits limits,
@@ -38,6 +42,7 @@
         long keyGraceSeconds,
         long reclaimAfterSeconds) {
     public HostSettings {
+        peerSeeds = List.copyOf(peerSeeds);
         operatorTokens = List.copyOf(operatorTokens);
     }
 
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/settings/SettingsReader.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/settings/SettingsReader.java
@@ -1,6 +1,7 @@
 package org.gooseberryring.host.settings;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -8,6 +9,7 @@
 import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.gooseberryring.protocol.HostEntry;
 import org.gooseberryring.protocol.Json;
 import org.gooseberryring.state.GooseberryringException;
 
@@ -62,6 +64,7 @@
                 section.address("relayAddress"),
                 section.uri("platformUri", HTTP_URI),
                 secret(section, directory),
+                seeds(section),
                 tokens(section),
                 weightStore(section.section("weightStore")),
                 limits(section.section("limits")),
@@ -96,6 +99,24 @@
         }
     }
 
+    private static List<HostEntry> seeds(JsonSection section) {
+        List<HostEntry> seeds = new ArrayList<>();
+        for (JsonSection entry : section.sections("peerSeeds")) {
+            seeds.add(new HostEntry(
+                    entry.text("id", IDENTIFIER),
+                    entry.text("failureDomain", IDENTIFIER),
+                    text(entry.address("peerAddress")),
+                    text(entry.address("relayAddress")),
+                    "live"));
+            entry.refuseUnknown();
+        }
+        return seeds;
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address == null ? "" : address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     private static List<HostSettings.OperatorToken> tokens(JsonSection section) {
         List<HostSettings.OperatorToken> tokens = new ArrayList<>();
         for (JsonSection entry : section.sections("operatorTokens")) {
--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/HostTest.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/HostTest.java
@@ -3,7 +3,9 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 
+import org.gooseberryring.standins.EngineSettings;
 import org.gooseberryring.standins.EngineStandIn;
 import org.gooseberryring.standins.Fault;
 import org.gooseberryring.state.Change;
@@ -25,8 +27,8 @@
     @BeforeEach
     void start() throws Exception {
         fleet = new TestFleet(directory);
-        fleet.engine("e1");
-        fleet.engine("e2");
+        fleet.engine(EngineSettings.of("e1", 1L << 34, 32).withPace(50, 20));
+        fleet.engine(EngineSettings.of("e2", 1L << 34, 32).withPace(50, 20));
         first = fleet.host("h1", "d1", "{}");
         second = fleet.host("h2", "d1", "{}");
         fleet.configure(first);
@@ -103,4 +105,44 @@
         assertThat(answer.statusCode()).isEqualTo(200);
         assertThat(fleet.admin(first, "/admin/v1/audit?after=0").body()).contains("\"changeId\":\"setup\"");
     }
+
+    /** Guards against a shutdown that cuts answers, or that leaves new callers without a verdict. */
+    @Test
+    void drainFinishesAnswersAndRefusesNewRequests() throws Exception {
+        Host leaving = fleet.host("h3", "d1", "{\"timeouts\":{\"drainNoticeMillis\":1000}}");
+        TestFleet.await(leaving::ready);
+        CompletableFuture<HttpResponse<String>> stream = fleet.client()
+                .sendAsync(fleet.completion(leaving, "long", 20, true).build(), HttpResponse.BodyHandlers.ofString());
+        TestFleet.await(() -> leaving.openRequests() == 1);
+
+        CompletableFuture<Void> drained = CompletableFuture.runAsync(leaving::drain);
+        TestFleet.await(() -> !leaving.ready());
+        HttpResponse<String> refused = fleet.send(fleet.completion(leaving, "new", 1, false));
+
+        assertThat(TestFleet.code(refused)).isEqualTo("shutting-down not-run");
+        assertThat(stream.get().body().strip()).endsWith("data: [DONE]");
+        drained.get();
+    }
+
+    /** Guards against a new host that cannot serve while the platform is down although its peers can. */
+    @Test
+    void newHostTakesTheConfigurationFromAPeerWhileThePlatformIsDown() throws Exception {
+        assertThat(fleet.send(fleet.completion(first, "a", 1, false)).statusCode())
+                .isEqualTo(200);
+        fleet.platform().faults().set(Fault.DOWN, 1);
+        String seeds = TestFleet.seed("h1", "d1", first) + "," + TestFleet.seed("h2", "d1", second);
+
+        Host late = fleet.host("h3", "d1", "{\"peerSeeds\":[" + seeds + "]}");
+
+        TestFleet.await(late::ready);
+        TestFleet.await(() -> status(late) == 200);
+    }
+
+    private int status(Host host) {
+        try {
+            return fleet.send(fleet.completion(host, "b", 1, false)).statusCode();
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
+    }
 }
--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/TestFleet.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/TestFleet.java
@@ -185,6 +185,19 @@
         return client.send(request.timeout(PATIENCE).build(), HttpResponse.BodyHandlers.ofString());
     }
 
+    /** Returns the entry of a host in a list of seeds. */
+    public static String seed(String id, String domain, Host host) {
+        return Json.writeString(Map.of(
+                "id",
+                id,
+                "failureDomain",
+                domain,
+                "peerAddress",
+                address(host.peerAddress()),
+                "relayAddress",
+                address(host.relayAddress())));
+    }
+
     public static String text(HttpResponse<String> answer) {
         JsonNode node = Json.readTree(answer.body().getBytes());
         return node.path("choices").path(0).path("text").asText();
