--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/control/FeedControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/control/FeedControl.java
@@ -131,7 +131,8 @@
 
     @Override
     public void close() {
-        watches.close();
+        // The thread may wait in a watch for many seconds; it is a daemon and ends with the call.
+        watches.halt();
     }
 
     private void carryOut(List<FeedEffect> effects) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/fleet/HostDirectory.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/fleet/HostDirectory.java
@@ -52,7 +52,8 @@
      * @param seeds other hosts to assume until the list was read
      * @param listener takes the other hosts after each change, on an I/O thread
      */
-    public HostDirectory(URI platform,
+    public HostDirectory(
+            URI platform,
             String selfId,
             List<HostEntry> seeds,
             HttpCaller caller,
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/ring/EventRing.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/ring/EventRing.java
@@ -86,6 +86,11 @@
         return name;
     }
 
+    /** Stops without handling what waits, for a consumer that may be blocked in a long call. */
+    public void halt() {
+        disruptor.halt();
+    }
+
     @Override
     public void close() {
         try {
