Take shards of claims at a bounded rate

Hosts that start together took all their shards at once, 256 reads and writes within milliseconds. A host now takes 50 a second, those that are asked for first. The chosen owners are computed once for each membership.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/claim/ClaimShards.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/claim/ClaimShards.java
@@ -1,8 +1,10 @@
 package org.gooseberryring.coordination.claim;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -13,6 +15,9 @@
 public final class ClaimShards {
     // Between attempts to take a shard whose present holder still seems alive.
     private static final long ACQUIRE_INTERVAL_MILLIS = 1_000;
+    // A shard takes a read and a write. Without a pause, hosts that start together would send more writes at once than
+    // the store takes in a second.
+    private static final long ACQUIRE_PAUSE_MILLIS = 20;
 
     private final String host;
     private final long incarnation;
@@ -20,9 +25,13 @@
     private final ClaimCodec codec;
     private final Map<Integer, ClaimOwner> owners = new HashMap<>();
     private final Map<String, Integer> shards = new HashMap<>();
+    private final Set<Integer> wanted = new LinkedHashSet<>();
+    // Computed once for each membership, because ranking all hosts for all shards is slow at the target size.
+    private final BitSet chosen = new BitSet();
     private Set<String> members = Set.of();
     private boolean leaving;
     private long acquireAt = Long.MIN_VALUE;
+    private long nextAcquireAt = Long.MIN_VALUE;
 
     /**
      * Creates the owners of a host.
@@ -47,6 +56,9 @@
         if (!members.equals(Set.copyOf(liveHosts))) {
             members = Set.copyOf(liveHosts);
             acquireAt = now;
+            for (int shard = 0; shard < settings.shards(); shard++) {
+                chosen.set(shard, host.equals(ClaimRouter.chosenOwner(shard, members)));
+            }
         }
     }
 
@@ -63,6 +75,10 @@
 
     /** Answers a request for a claim. */
     public List<ClaimEffect> onRequest(String sender, long senderIncarnation, ClaimMessage.Request request, long now) {
+        if (wanted.remove(request.shard())) {
+            // A shard that is asked for does not wait for its turn.
+            owner(request.shard()).acquire(holder -> !members.contains(holder));
+        }
         return owner(request.shard()).onRequest(sender, senderIncarnation, request, now);
     }
 
@@ -84,6 +100,12 @@
             acquireAt = now + ACQUIRE_INTERVAL_MILLIS;
             assign();
         }
+        if (!wanted.isEmpty() && now >= nextAcquireAt) {
+            nextAcquireAt = now + ACQUIRE_PAUSE_MILLIS;
+            Integer shard = wanted.iterator().next();
+            wanted.remove(shard);
+            owner(shard).acquire(holder -> !members.contains(holder));
+        }
         List<ClaimEffect> effects = new ArrayList<>();
         for (ClaimOwner owner : owners.values()) {
             effects.addAll(owner.tick(now));
@@ -93,10 +115,14 @@
 
     private void assign() {
         for (int shard = 0; shard < settings.shards(); shard++) {
-            if (!leaving && host.equals(ClaimRouter.chosenOwner(shard, members))) {
-                owner(shard).acquire(holder -> !members.contains(holder));
-            } else if (owners.containsKey(shard)) {
-                owners.get(shard).resign();
+            boolean mine = !leaving && chosen.get(shard);
+            if (mine && !owner(shard).owns()) {
+                wanted.add(shard);
+            } else if (!mine) {
+                wanted.remove(shard);
+                if (owners.containsKey(shard)) {
+                    owners.get(shard).resign();
+                }
             }
         }
     }
