--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/config/ChangeDigest.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/config/AuditRecords.java
@@ -12,7 +12,7 @@
 import org.gooseberryring.state.FleetConfiguration;
 
 /** Writes the audit record of a change: what was changed, and the values before and after. */
-final class ChangeDigest {
+final class AuditRecords {
     /** Longest text of one field. The head document keeps up to 64 records within its 900,000 bytes. */
     private static final int MAX_TEXT = 400;
 
@@ -20,7 +20,7 @@
 
     private final DocumentCodec codec;
 
-    ChangeDigest(DocumentCodec codec) {
+    AuditRecords(DocumentCodec codec) {
         this.codec = codec;
     }
 
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/config/ChangeCommitter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/config/ChangeCommitter.java
@@ -33,7 +33,7 @@
     private final ChangeSubmission submission;
     private final ConfigurationEditor editor;
     private final DocumentCodec codec;
-    private final ChangeDigest digest;
+    private final AuditRecords digest;
     private final Backoff backoff;
     private State state = State.READING;
     private StoreRequest current = new StoreRequest.Read(HEAD_KEY);
@@ -60,7 +60,7 @@
         this.submission = submission;
         this.editor = editor;
         this.codec = codec;
-        this.digest = new ChangeDigest(codec);
+        this.digest = new AuditRecords(codec);
         this.backoff = new Backoff(MIN_RETRY_MILLIS, MAX_RETRY_MILLIS, random);
     }
 
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/Tenure.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/ControllerTerm.java
@@ -13,40 +13,41 @@
 import org.gooseberryring.state.FleetConfiguration;
 
 /** Work of a controller during one term. */
-final class Tenure {
+final class ControllerTerm {
     /** Ledgers that are read at a time; the store takes about 2,000 reads a second from the whole fleet. */
     private static final int READS_PER_TICK = 20;
 
     private final String failureDomain;
-    private final long term;
+    private final long number;
     private final OrderSettings settings;
     private final OrderCodec codec;
     private final RandomGenerator random;
-    private final SortedMap<String, EndpointTrack> tracks = new TreeMap<>();
+    private final SortedMap<String, EndpointTracker> tracks = new TreeMap<>();
     private final LoadTasks loads;
     private final UnloadTasks unloads;
-    private final Detours detours;
+    private final TemporaryReplicas temporary;
     private DesiredState desired;
     private long sequence;
     private long stamps;
 
-    Tenure(String failureDomain, long term, OrderSettings settings, OrderCodec codec, RandomGenerator random) {
+    ControllerTerm(
+            String failureDomain, long number, OrderSettings settings, OrderCodec codec, RandomGenerator random) {
         this.failureDomain = failureDomain;
-        this.term = term;
+        this.number = number;
         this.settings = settings;
         this.codec = codec;
         this.random = random;
         this.loads = new LoadTasks(this);
         this.unloads = new UnloadTasks(this);
-        this.detours = new Detours(this);
+        this.temporary = new TemporaryReplicas(this);
     }
 
     String failureDomain() {
         return failureDomain;
     }
 
-    long term() {
-        return term;
+    long number() {
+        return number;
     }
 
     OrderSettings settings() {
@@ -61,7 +62,7 @@
         return random;
     }
 
-    SortedMap<String, EndpointTrack> tracks() {
+    SortedMap<String, EndpointTracker> tracks() {
         return tracks;
     }
 
@@ -71,35 +72,35 @@
 
     /** Returns a new order identifier of this term. */
     OrderId nextId() {
-        return new OrderId(term, ++sequence);
+        return new OrderId(number, ++sequence);
     }
 
     /** Returns a new stamp; terms are unique within a failure domain, so the stamp is unique. */
     String nextStamp() {
-        return failureDomain + "/" + term + "/" + ++stamps;
+        return failureDomain + "/" + number + "/" + ++stamps;
     }
 
     /** Returns what the endpoint shall hold, with temporary replicas. */
     Set<Artifact> wanted(String endpoint) {
         Set<Artifact> wanted = desired.wanted(endpoint);
-        wanted.addAll(detours.extra(endpoint));
-        wanted.removeIf(a -> detours.pushedOff(endpoint, a));
+        wanted.addAll(temporary.extra(endpoint));
+        wanted.removeIf(a -> temporary.displaced(endpoint, a));
         return wanted;
     }
 
     /** Returns whether the endpoint shall hold the artifact, also if only for the time being. */
     boolean wants(String endpoint, Artifact artifact) {
-        return (desired.wants(endpoint, artifact) || detours.extra(endpoint).contains(artifact))
-                && !detours.pushedOff(endpoint, artifact);
+        return (desired.wants(endpoint, artifact) || temporary.extra(endpoint).contains(artifact))
+                && !temporary.displaced(endpoint, artifact);
     }
 
     void onConfiguration(FleetConfiguration configuration, long now) {
         desired = new DesiredState(configuration, failureDomain);
         for (String id : desired.engines()) {
-            tracks.computeIfAbsent(id, k -> new EndpointTrack(k, settings.longestOrderDelayMillis(), codec, random));
+            tracks.computeIfAbsent(id, k -> new EndpointTracker(k, settings.longestOrderDelayMillis(), codec, random));
         }
         tracks.keySet().retainAll(desired.engines());
-        detours.clear(now);
+        temporary.clear(now);
     }
 
     List<OrderEffect> onTick(long now) {
@@ -108,7 +109,7 @@
             return effects;
         }
         int reads = 0;
-        for (EndpointTrack track : tracks.values()) {
+        for (EndpointTracker track : tracks.values()) {
             effects.addAll(track.cell().onTick(now));
             if (track.cell().doc() == null) {
                 if (track.cell().idle() && reads++ < READS_PER_TICK) {
@@ -119,14 +120,14 @@
             effects.addAll(track.ask(now, settings.reportMillis()));
             effects.addAll(track.applyReport(nextStamp(), desired::bytes, now));
         }
-        detours.onTick(loads.busy() || unloads.busy(), now);
+        temporary.onTick(loads.busy() || unloads.busy(), now);
         effects.addAll(unloads.onTick(now));
         effects.addAll(loads.onTick(now));
         return effects;
     }
 
     List<OrderEffect> onReport(EndpointReport report, long now) {
-        EndpointTrack track = tracks.get(report.endpoint());
+        EndpointTracker track = tracks.get(report.endpoint());
         if (track == null || track.cell().doc() == null) {
             return List.of();
         }
@@ -139,9 +140,9 @@
         if (loads.onBudgetReply(reply, now, effects) || unloads.onForeignReply(reply, now, effects)) {
             return effects;
         }
-        for (Map.Entry<String, EndpointTrack> entry : tracks.entrySet()) {
-            if (EndpointTrack.key(entry.getKey()).equals(reply.key())) {
-                StoreCell.Event event = entry.getValue().onReply(reply, now, effects);
+        for (Map.Entry<String, EndpointTracker> entry : tracks.entrySet()) {
+            if (EndpointTracker.key(entry.getKey()).equals(reply.key())) {
+                StoredObject.Event event = entry.getValue().onReply(reply, now, effects);
                 loads.onLedger(entry.getValue(), event, now, effects);
                 unloads.onLedger(entry.getValue(), event, now, effects);
             }
@@ -150,9 +151,9 @@
     }
 
     /** Returns a usable endpoint of the failure domain with a confirmed replica, except one endpoint, or null. */
-    EndpointTrack witness(Artifact artifact, String except) {
-        EndpointTrack found = null;
-        for (EndpointTrack track : tracks.values()) {
+    EndpointTracker witness(Artifact artifact, String except) {
+        EndpointTracker found = null;
+        for (EndpointTracker track : tracks.values()) {
             if (track.endpoint().equals(except) || track.cell().doc() == null || !desired.usable(track.endpoint())) {
                 continue;
             }
@@ -166,7 +167,7 @@
     }
 
     /** Prefers an endpoint that is to keep the artifact, then one whose ledger can be updated now. */
-    private int witnessRank(EndpointTrack track, Artifact artifact) {
+    private int witnessRank(EndpointTracker track, Artifact artifact) {
         return (wants(track.endpoint(), artifact) ? 2 : 0) + (track.cell().ready() ? 1 : 0);
     }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/DomainLease.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/DomainLease.java
@@ -17,7 +17,7 @@
 
     private final String self;
     private final long leaseMillis;
-    private final StoreCell<LeaseDocument> cell;
+    private final StoredObject<LeaseDocument> cell;
     private final RandomGenerator random;
     private LeaseDocument seen;
     private long seenSince;
@@ -31,7 +31,7 @@
         this.self = self;
         this.leaseMillis = leaseMillis;
         this.random = random;
-        this.cell = new StoreCell<>(
+        this.cell = new StoredObject<>(
                 key(failureDomain), LeaseDocument.class, () -> new LeaseDocument("", "", 0, 0), codec, random);
     }
 
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/EndpointTrack.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/EndpointTracker.java
@@ -11,11 +11,11 @@
 import org.gooseberryring.state.Artifact;
 
 /** Endpoint of the own failure domain as the controller sees it: its ledger and its last report. */
-final class EndpointTrack {
+final class EndpointTracker {
     private static final long NEVER = Long.MIN_VALUE;
 
     private final String endpoint;
-    private final StoreCell<LedgerDocument> cell;
+    private final StoredObject<LedgerDocument> cell;
     private final long longestOrderDelay;
     private final Map<OrderId, Long> firstSeen = new HashMap<>();
     private final Map<Artifact, Long> unwantedSince = new HashMap<>();
@@ -23,10 +23,10 @@
     private long usedReportAt = NEVER;
     private long nextAskAt;
 
-    EndpointTrack(String endpoint, long longestOrderDelay, OrderCodec codec, RandomGenerator random) {
+    EndpointTracker(String endpoint, long longestOrderDelay, OrderCodec codec, RandomGenerator random) {
         this.endpoint = endpoint;
         this.longestOrderDelay = longestOrderDelay;
-        this.cell = new StoreCell<>(
+        this.cell = new StoredObject<>(
                 key(endpoint), LedgerDocument.class, () -> ReservationLedger.empty(endpoint), codec, random);
     }
 
@@ -38,7 +38,7 @@
         return endpoint;
     }
 
-    StoreCell<LedgerDocument> cell() {
+    StoredObject<LedgerDocument> cell() {
         return cell;
     }
 
@@ -91,9 +91,9 @@
         }
     }
 
-    StoreCell.Event onReply(StoreReply reply, long now, List<OrderEffect> effects) {
-        StoreCell.Event event = cell.onReply(reply, now, effects);
-        if (event != StoreCell.Event.NONE) {
+    StoredObject.Event onReply(StoreReply reply, long now, List<OrderEffect> effects) {
+        StoredObject.Event event = cell.onReply(reply, now, effects);
+        if (event != StoredObject.Event.NONE) {
             cell.doc().orders().forEach(o -> firstSeen.putIfAbsent(o.id(), now));
         }
         return event;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/LedgerDocument.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/LedgerDocument.java
@@ -10,7 +10,8 @@
  * @param loaded artifacts that the last usable report showed, with their memory
  * @param orders orders that may still take effect, oldest first
  */
-public record LedgerDocument(String stamp, String endpoint, List<Held> loaded, List<Order> orders) implements Stamped {
+public record LedgerDocument(String stamp, String endpoint, List<LoadedArtifact> loaded, List<Order> orders)
+        implements Stamped {
     public LedgerDocument {
         loaded = loaded == null ? List.of() : List.copyOf(loaded);
         orders = orders == null ? List.of() : List.copyOf(orders);
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/LoadTask.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/LoadTask.java
@@ -6,7 +6,7 @@
 
 /** One load on its way from the slot of the budget to the report that shows it. */
 final class LoadTask {
-    private final EndpointTrack track;
+    private final EndpointTracker track;
     private final int slot;
     private final OrderId firstOrder;
     private Artifact artifact;
@@ -32,7 +32,7 @@
         RESOLVED
     }
 
-    private LoadTask(EndpointTrack track, Artifact artifact, long bytes, OrderId firstOrder, int slot, Step step) {
+    private LoadTask(EndpointTracker track, Artifact artifact, long bytes, OrderId firstOrder, int slot, Step step) {
         this.track = track;
         this.artifact = artifact;
         this.bytes = bytes;
@@ -41,7 +41,7 @@
         this.step = step;
     }
 
-    static LoadTask started(EndpointTrack track, Artifact artifact, long bytes, OrderId firstOrder, int slot) {
+    static LoadTask started(EndpointTracker track, Artifact artifact, long bytes, OrderId firstOrder, int slot) {
         return new LoadTask(track, artifact, bytes, firstOrder, slot, Step.SLOT);
     }
 
@@ -50,16 +50,16 @@
      *
      * @param track endpoint that may load, or null if none can
      */
-    static LoadTask adopted(EndpointTrack track, OrderId firstOrder, int slot, long now) {
+    static LoadTask adopted(EndpointTracker track, OrderId firstOrder, int slot, long now) {
         LoadTask task = new LoadTask(track, null, 0, firstOrder, slot, track == null ? Step.RESOLVED : Step.ADOPT);
         task.slotAt = now;
         return task;
     }
 
     /** Returns whether the artifact can be loaded now: no order stands against it, it fits, an adapter has its model. */
-    static boolean possible(Tenure tenure, EndpointTrack track, Artifact artifact, long bytes) {
+    static boolean possible(ControllerTerm term, EndpointTracker track, Artifact artifact, long bytes) {
         LedgerDocument ledger = track.ledger();
-        long memory = tenure.desired().memoryBytes(track.endpoint());
+        long memory = term.desired().memoryBytes(track.endpoint());
         if (ReservationLedger.holds(ledger, artifact)
                 || ReservationLedger.hasOrder(ledger, artifact, Order.Action.UNLOAD)
                 || !ReservationLedger.fits(ledger, artifact, bytes, memory)) {
@@ -69,11 +69,11 @@
                 || ledger.loaded().stream()
                         .anyMatch(h -> h.artifact().adapter() == null
                                 && h.artifact().model().equals(artifact.model())
-                                && tenure.wants(track.endpoint(), h.artifact())
+                                && term.wants(track.endpoint(), h.artifact())
                                 && ReservationLedger.confirms(ledger, h.artifact()));
     }
 
-    EndpointTrack track() {
+    EndpointTracker track() {
         return track;
     }
 
@@ -104,47 +104,47 @@
         return step == Step.RESOLVED && now - slotAt >= settings.slotIntervalMillis();
     }
 
-    void advance(Tenure tenure, long now, List<OrderEffect> effects) {
+    void advance(ControllerTerm term, long now, List<OrderEffect> effects) {
         if (track == null || track.cell().doc() == null || ledgerOpen) {
             return;
         }
         switch (step) {
             case ADOPT:
-                adopt(tenure, now, effects);
+                adopt(term, now, effects);
                 break;
             case LEDGER:
-                record(tenure, now, effects);
+                record(term, now, effects);
                 break;
             case SENT:
-                follow(tenure, now);
+                follow(term, now);
                 break;
             default:
                 break;
         }
     }
 
-    void onLedger(StoreCell.Event event, long now, OrderSettings settings, List<OrderEffect> effects) {
-        if (!ledgerOpen || event == StoreCell.Event.NONE) {
+    void onLedger(StoredObject.Event event, long now, OrderSettings settings, List<OrderEffect> effects) {
+        if (!ledgerOpen || event == StoredObject.Event.NONE) {
             return;
         }
         ledgerOpen = false;
         if (step == Step.ADOPT) {
-            if (event == StoreCell.Event.WRITTEN) {
+            if (event == StoredObject.Event.WRITTEN) {
                 adoptFrom(track.ledger(), now);
             }
             return;
         }
         step = Step.SENT;
         sentAt = now;
-        if (event == StoreCell.Event.WRITTEN && now - ledgerAt <= settings.sendWindowMillis()) {
+        if (event == StoredObject.Event.WRITTEN && now - ledgerAt <= settings.sendWindowMillis()) {
             effects.add(new OrderEffect.Send(track.endpoint(), order));
         }
     }
 
-    private void adopt(Tenure tenure, long now, List<OrderEffect> effects) {
+    private void adopt(ControllerTerm term, long now, List<OrderEffect> effects) {
         if (track.cell().ready()) {
             ledgerOpen = true;
-            effects.addAll(track.cell().put(ReservationLedger.touch(track.ledger(), tenure.nextStamp()), now));
+            effects.addAll(track.cell().put(ReservationLedger.touch(track.ledger(), term.nextStamp()), now));
         }
     }
 
@@ -165,30 +165,30 @@
         }
     }
 
-    private void record(Tenure tenure, long now, List<OrderEffect> effects) {
-        OrderSettings settings = tenure.settings();
+    private void record(ControllerTerm term, long now, List<OrderEffect> effects) {
+        OrderSettings settings = term.settings();
         String endpoint = track.endpoint();
-        DesiredState desired = tenure.desired();
+        DesiredState desired = term.desired();
         boolean late = now - Math.max(slotAt, sentAt) > settings.sendWindowMillis();
-        if (late || !desired.usable(endpoint) || !tenure.wants(endpoint, artifact)) {
+        if (late || !desired.usable(endpoint) || !term.wants(endpoint, artifact)) {
             step = Step.SENT; // An earlier order of this load may still be open.
             return;
         }
         if (!track.usable()) {
             return;
         }
-        if (!possible(tenure, track, artifact, bytes)) {
+        if (!possible(term, track, artifact, bytes)) {
             step = Step.SENT;
             return;
         }
-        order = new Order(order == null ? firstOrder : tenure.nextId(), Order.Action.LOAD, artifact, bytes);
+        order = new Order(order == null ? firstOrder : term.nextId(), Order.Action.LOAD, artifact, bytes);
         ledgerAt = now;
         ledgerOpen = true;
-        effects.addAll(track.cell().put(ReservationLedger.with(track.ledger(), tenure.nextStamp(), order), now));
+        effects.addAll(track.cell().put(ReservationLedger.with(track.ledger(), term.nextStamp(), order), now));
     }
 
     /** Waits for the report that shows the artifact; replaces an order that shows no effect by a new one. */
-    private void follow(Tenure tenure, long now) {
+    private void follow(ControllerTerm term, long now) {
         LedgerDocument ledger = track.ledger();
         long open = ledger.orders().stream()
                 .filter(o -> o.action() == Order.Action.LOAD && o.artifact().equals(artifact))
@@ -203,8 +203,8 @@
             return;
         }
         boolean noEffect = order == null
-                || track.usedReportAt() >= sentAt + tenure.settings().retryMillis() && !anyPending(ledger);
-        if (noEffect && tenure.wants(track.endpoint(), artifact)) {
+                || track.usedReportAt() >= sentAt + term.settings().retryMillis() && !anyPending(ledger);
+        if (noEffect && term.wants(track.endpoint(), artifact)) {
             sentAt = now;
             step = Step.LEDGER;
         }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/LoadTasks.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/LoadTasks.java
@@ -23,27 +23,27 @@
 
     private static final int URGENT = 1;
 
-    private final Tenure tenure;
-    private final StoreCell<BudgetDocument> budget;
+    private final ControllerTerm term;
+    private final StoredObject<BudgetDocument> budget;
     private final List<LoadTask> tasks = new ArrayList<>();
     private LoadTask slotChange;
     private long nextBudgetReadAt;
 
-    LoadTasks(Tenure tenure) {
-        this.tenure = tenure;
-        this.budget = new StoreCell<>(
+    LoadTasks(ControllerTerm term) {
+        this.term = term;
+        this.budget = new StoredObject<>(
                 BUDGET_KEY,
                 BudgetDocument.class,
-                () -> BudgetDocument.free(tenure.settings().weightConcurrency()),
-                tenure.codec(),
-                tenure.random());
+                () -> BudgetDocument.free(term.settings().weightConcurrency()),
+                term.codec(),
+                term.random());
     }
 
     List<OrderEffect> onTick(long now) {
         List<OrderEffect> effects = new ArrayList<>(budget.onTick(now));
         if (budget.doc() == null || now >= nextBudgetReadAt && budget.ready() && slotChange == null) {
             // Also later, since a paused controller of an earlier term may have taken a slot in the meantime.
-            nextBudgetReadAt = now + tenure.settings().leaseMillis();
+            nextBudgetReadAt = now + term.settings().leaseMillis();
             effects.addAll(budget.read());
         }
         for (LoadTask task : new ArrayList<>(tasks)) {
@@ -63,13 +63,13 @@
         if (!reply.key().equals(BUDGET_KEY)) {
             return false;
         }
-        StoreCell.Event event = budget.onReply(reply, now, effects);
+        StoredObject.Event event = budget.onReply(reply, now, effects);
         LoadTask changed = slotChange;
-        if (event == StoreCell.Event.NONE) {
+        if (event == StoredObject.Event.NONE) {
             return true;
         }
         slotChange = null;
-        if (changed != null && event == StoreCell.Event.WRITTEN) {
+        if (changed != null && event == StoredObject.Event.WRITTEN) {
             if (changed.step() == LoadTask.Step.SLOT) {
                 changed.slotTaken(now);
                 advance(changed, now, effects);
@@ -85,16 +85,16 @@
     }
 
     /** Handles the outcome of a call on the ledger of an endpoint. */
-    void onLedger(EndpointTrack track, StoreCell.Event event, long now, List<OrderEffect> effects) {
+    void onLedger(EndpointTracker track, StoredObject.Event event, long now, List<OrderEffect> effects) {
         for (LoadTask task : new ArrayList<>(tasks)) {
             if (task.track() == track) {
-                task.onLedger(event, now, tenure.settings(), effects);
+                task.onLedger(event, now, term.settings(), effects);
             }
         }
     }
 
     private void advance(LoadTask task, long now, List<OrderEffect> effects) {
-        task.advance(tenure, now, effects);
+        task.advance(term, now, effects);
     }
 
     /**
@@ -106,16 +106,15 @@
         tasks.removeIf(t -> !uses(slots.get(t.slot()), t));
         for (int i = 0; i < slots.size(); i++) {
             Slot slot = slots.get(i);
-            if (tenure.failureDomain().equals(slot.failureDomain())
+            if (term.failureDomain().equals(slot.failureDomain())
                     && tasks.stream().noneMatch(t -> uses(slot, t))) {
-                tasks.add(LoadTask.adopted(tenure.tracks().get(slot.endpoint()), slot.order(), i, now));
+                tasks.add(LoadTask.adopted(term.tracks().get(slot.endpoint()), slot.order(), i, now));
             }
         }
     }
 
     private boolean uses(Slot slot, LoadTask task) {
-        return tenure.failureDomain().equals(slot.failureDomain())
-                && slot.order().equals(task.firstOrder());
+        return term.failureDomain().equals(slot.failureDomain()) && slot.order().equals(task.firstOrder());
     }
 
     /** Gives back a slot, or takes one for the most important load that fits. */
@@ -124,9 +123,9 @@
             return;
         }
         for (LoadTask task : tasks) {
-            if (task.releasable(now, tenure.settings())) {
+            if (task.releasable(now, term.settings())) {
                 slotChange = task;
-                effects.addAll(budget.put(budget.doc().with(tenure.nextStamp(), task.slot(), Slot.FREE), now));
+                effects.addAll(budget.put(budget.doc().with(term.nextStamp(), task.slot(), Slot.FREE), now));
                 return;
             }
         }
@@ -145,15 +144,15 @@
         if (best == null || lastSlot && best.rank() > URGENT) {
             return;
         }
-        int index = free.get(tenure.random().nextInt(free.size()));
-        LoadTask task = LoadTask.started(best.track(), best.artifact(), best.bytes(), tenure.nextId(), index);
+        int index = free.get(term.random().nextInt(free.size()));
+        LoadTask task = LoadTask.started(best.track(), best.artifact(), best.bytes(), term.nextId(), index);
         tasks.add(task);
         slotChange = task;
-        Slot slot = new Slot(tenure.failureDomain(), best.track().endpoint(), task.firstOrder());
-        effects.addAll(budget.put(budget.doc().with(tenure.nextStamp(), index, slot), now));
+        Slot slot = new Slot(term.failureDomain(), best.track().endpoint(), task.firstOrder());
+        effects.addAll(budget.put(budget.doc().with(term.nextStamp(), index, slot), now));
     }
 
-    private record Candidate(EndpointTrack track, Artifact artifact, long bytes, int rank) {}
+    private record Candidate(EndpointTracker track, Artifact artifact, long bytes, int rank) {}
 
     private record Unit(String model, String adapter) {
         static Unit of(Artifact a) {
@@ -163,9 +162,9 @@
 
     private Candidate bestCandidate(long now) {
         Set<Unit> confirmed = new HashSet<>();
-        Set<EndpointTrack> busy = new HashSet<>();
-        for (EndpointTrack track : tenure.tracks().values()) {
-            if (track.cell().doc() != null && tenure.desired().usable(track.endpoint())) {
+        Set<EndpointTracker> busy = new HashSet<>();
+        for (EndpointTracker track : term.tracks().values()) {
+            if (track.cell().doc() != null && term.desired().usable(track.endpoint())) {
                 track.ledger().loaded().stream()
                         .filter(h -> track.confirms(h.artifact()))
                         .forEach(h -> confirmed.add(Unit.of(h.artifact())));
@@ -173,8 +172,8 @@
         }
         tasks.stream().filter(LoadTask::starting).forEach(t -> busy.add(t.track()));
         List<Candidate> candidates = new ArrayList<>();
-        for (EndpointTrack track : tenure.tracks().values()) {
-            if (track.usable() && !busy.contains(track) && !tenure.desired().leaving(track.endpoint())) {
+        for (EndpointTracker track : term.tracks().values()) {
+            if (track.usable() && !busy.contains(track) && !term.desired().leaving(track.endpoint())) {
                 addCandidates(track, confirmed, candidates);
             }
         }
@@ -187,13 +186,13 @@
                                 .thenComparing(c -> c.track().endpoint()));
     }
 
-    private void addCandidates(EndpointTrack track, Set<Unit> confirmed, List<Candidate> candidates) {
-        DesiredState desired = tenure.desired();
+    private void addCandidates(EndpointTracker track, Set<Unit> confirmed, List<Candidate> candidates) {
+        DesiredState desired = term.desired();
         LedgerDocument ledger = track.ledger();
-        for (Artifact a : tenure.wanted(track.endpoint())) {
+        for (Artifact a : term.wanted(track.endpoint())) {
             long bytes = desired.bytes(a);
             if (bytes < 0
-                    || !LoadTask.possible(tenure, track, a, bytes)
+                    || !LoadTask.possible(term, track, a, bytes)
                     || ReservationLedger.hasOrder(ledger, a, Order.Action.LOAD)) {
                 continue;
             }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/Held.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/LoadedArtifact.java
@@ -8,4 +8,4 @@
  * @param artifact artifact
  * @param bytes accelerator memory that it takes, in bytes
  */
-public record Held(Artifact artifact, long bytes) {}
+public record LoadedArtifact(Artifact artifact, long bytes) {}
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/OrderController.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/OrderController.java
@@ -24,9 +24,9 @@
     private final OrderCodec codec;
     private final RandomGenerator random;
     private final DomainLease lease;
-    private final Map<String, Deque<Tenure>> callers = new HashMap<>();
+    private final Map<String, Deque<ControllerTerm>> callers = new HashMap<>();
     private FleetConfiguration configuration = FleetConfiguration.empty();
-    private Tenure tenure;
+    private ControllerTerm term;
 
     /** Creates a host's part of the controller of its failure domain. */
     public OrderController(
@@ -45,7 +45,7 @@
 
     /** Returns the fencing number of the present term, 0 if this host is not the controller. */
     public long term() {
-        return tenure == null ? 0 : tenure.term();
+        return term == null ? 0 : term.number();
     }
 
     /** Sets whether this host may become the controller; a few hosts of each failure domain suffice. */
@@ -56,8 +56,8 @@
     /** Takes a new configuration. */
     public void onConfiguration(FleetConfiguration newConfiguration, long now) {
         configuration = newConfiguration;
-        if (tenure != null) {
-            tenure.onConfiguration(configuration, now);
+        if (term != null) {
+            term.onConfiguration(configuration, now);
         }
     }
 
@@ -65,8 +65,8 @@
     public List<OrderEffect> onTick(long now) {
         List<OrderEffect> effects = new ArrayList<>(lease.onTick(now));
         followLease(now);
-        if (tenure != null) {
-            effects.addAll(remember(tenure.onTick(now)));
+        if (term != null) {
+            effects.addAll(remember(term.onTick(now)));
         }
         return effects;
     }
@@ -78,26 +78,26 @@
             followLease(now);
             return effects;
         }
-        Deque<Tenure> queue = callers.get(reply.key());
-        Tenure caller = queue == null ? null : queue.poll();
+        Deque<ControllerTerm> queue = callers.get(reply.key());
+        ControllerTerm caller = queue == null ? null : queue.poll();
         if (queue != null && queue.isEmpty()) {
             callers.remove(reply.key());
         }
         // A reply to a call of an earlier term is of no use in this one.
-        return caller == null || caller != tenure ? List.of() : remember(tenure.onStoreReply(reply, now));
+        return caller == null || caller != term ? List.of() : remember(term.onStoreReply(reply, now));
     }
 
     /** Handles a report of an endpoint. */
     public List<OrderEffect> onReport(EndpointReport report, long now) {
-        return tenure == null ? List.of() : remember(tenure.onReport(report, now));
+        return term == null ? List.of() : remember(term.onReport(report, now));
     }
 
     private void followLease(long now) {
         if (!lease.leads(now)) {
-            tenure = null;
-        } else if (tenure == null || tenure.term() != lease.term()) {
-            tenure = new Tenure(failureDomain, lease.term(), settings, codec, random);
-            tenure.onConfiguration(configuration, now);
+            term = null;
+        } else if (term == null || term.number() != lease.term()) {
+            term = new ControllerTerm(failureDomain, lease.term(), settings, codec, random);
+            term.onConfiguration(configuration, now);
         }
     }
 
@@ -105,7 +105,7 @@
         for (OrderEffect effect : effects) {
             if (effect instanceof OrderEffect.Call call) {
                 callers.computeIfAbsent(call.request().key(), k -> new ArrayDeque<>())
-                        .add(tenure);
+                        .add(term);
             }
         }
         return effects;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/ReservationLedger.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/ReservationLedger.java
@@ -96,18 +96,19 @@
                 orders.add(order);
             }
         }
-        List<Held> loaded = loaded(ledger, report, bytes);
+        List<LoadedArtifact> loaded = loaded(ledger, report, bytes);
         if (orders.equals(ledger.orders()) && new HashSet<>(loaded).equals(new HashSet<>(ledger.loaded()))) {
             return ledger;
         }
         return new LedgerDocument(stamp, ledger.endpoint(), loaded, orders);
     }
 
-    private static List<Held> loaded(LedgerDocument ledger, EndpointReport report, ToLongFunction<Artifact> bytes) {
+    private static List<LoadedArtifact> loaded(
+            LedgerDocument ledger, EndpointReport report, ToLongFunction<Artifact> bytes) {
         Map<Artifact, Long> recorded = new HashMap<>();
         ledger.orders().forEach(o -> recorded.put(o.artifact(), o.bytes()));
         ledger.loaded().forEach(h -> recorded.put(h.artifact(), h.bytes()));
-        List<Held> loaded = new ArrayList<>();
+        List<LoadedArtifact> loaded = new ArrayList<>();
         Set<Artifact> unknown = new HashSet<>();
         long sum = 0;
         for (Artifact a : report.loaded().stream().sorted().toList()) {
@@ -115,14 +116,14 @@
             if (size < 0) {
                 unknown.add(a);
             } else {
-                loaded.add(new Held(a, size));
+                loaded.add(new LoadedArtifact(a, size));
                 sum += size;
             }
         }
         // Artifacts without a known size take, as far as can be told, the rest of the memory in use.
         long rest = Math.max(0, report.memoryUsedBytes() - sum);
         for (Artifact a : unknown) {
-            loaded.add(new Held(a, rest));
+            loaded.add(new LoadedArtifact(a, rest));
         }
         return loaded;
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/StoreCell.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/StoredObject.java
@@ -14,7 +14,7 @@
  * <p>A write with an unknown outcome is resolved by its stamp. While the object still has the version that the write
  * expected, the same write is sent again, because the first may still be on its way.
  */
-final class StoreCell<D extends Stamped> {
+final class StoredObject<D extends Stamped> {
     private static final long MIN_RETRY_MILLIS = 100;
     private static final long MAX_RETRY_MILLIS = 5_000;
     private static final int MAX_DOUBLINGS = 10;
@@ -46,7 +46,7 @@
         LOST
     }
 
-    StoreCell(String key, Class<D> type, Supplier<D> whenAbsent, OrderCodec codec, RandomGenerator random) {
+    StoredObject(String key, Class<D> type, Supplier<D> whenAbsent, OrderCodec codec, RandomGenerator random) {
         this.key = key;
         this.type = type;
         this.whenAbsent = whenAbsent;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/Detours.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/TemporaryReplicas.java
@@ -13,19 +13,19 @@
 /**
  * Temporary replicas that let a swap proceed where memory is too tight for make-before-break.
  *
- * <p>A swap is stuck if an endpoint has no room for what it shall hold, and what it shall give up has no other replica.
- * The latter is then loaded on a third endpoint for the time being. Dropping a detour is always safe, because the
+ * <p>A swap is blocked if an endpoint has no room for what it shall hold, and what it shall give up has no other replica.
+ * The latter is then loaded on a third endpoint for the time being. Giving this up is always safe, because the
  * temporary replica is only unloaded once another one is confirmed.
  */
-final class Detours {
-    private final Tenure tenure;
+final class TemporaryReplicas {
+    private final ControllerTerm term;
     private final Map<String, Set<Artifact>> extra = new TreeMap<>();
-    private final Set<Artifact> pushedOff = new HashSet<>();
-    private String stuck;
+    private final Set<Artifact> displaced = new HashSet<>();
+    private String blocked;
     private long progressAt;
 
-    Detours(Tenure tenure) {
-        this.tenure = tenure;
+    TemporaryReplicas(ControllerTerm term) {
+        this.term = term;
     }
 
     /** Returns artifacts that the endpoint shall hold for the time being. */
@@ -34,19 +34,19 @@
     }
 
     /** Returns whether the artifact must leave the endpoint for the time being although the placements name it. */
-    boolean pushedOff(String endpoint, Artifact artifact) {
-        return endpoint.equals(stuck) && pushedOff.contains(artifact);
+    boolean displaced(String endpoint, Artifact artifact) {
+        return endpoint.equals(blocked) && displaced.contains(artifact);
     }
 
     void clear(long now) {
         extra.clear();
-        pushedOff.clear();
-        stuck = null;
+        displaced.clear();
+        blocked = null;
         progressAt = now;
     }
 
     /**
-     * Looks for a swap that is stuck.
+     * Looks for a swap that is blocked.
      *
      * @param busy whether any load or unload is under way
      */
@@ -54,29 +54,29 @@
         if (busy) {
             progressAt = now;
         }
-        if (stuck != null && !isStuck(tenure.tracks().get(stuck))) {
+        if (blocked != null && !isBlocked(term.tracks().get(blocked))) {
             clear(now);
         }
-        OrderSettings settings = tenure.settings();
+        OrderSettings settings = term.settings();
         long patience = settings.longestOrderDelayMillis() + settings.retryMillis() + settings.drainMillis();
         if (now - progressAt < patience) {
             return;
         }
-        String last = stuck;
+        String last = blocked;
         clear(now);
         // The next endpoint in order comes first, so that one that cannot be helped does not hold up the others.
-        Map<String, EndpointTrack> after = new TreeMap<>(tenure.tracks());
+        Map<String, EndpointTracker> after = new TreeMap<>(term.tracks());
         if (last != null) {
             after.keySet().removeIf(id -> id.compareTo(last) <= 0);
         }
         if (!findIn(after) && last != null) {
-            findIn(tenure.tracks());
+            findIn(term.tracks());
         }
     }
 
-    private boolean findIn(Map<String, EndpointTrack> tracks) {
-        for (EndpointTrack track : tracks.values()) {
-            if (isStuck(track) && detour(track)) {
+    private boolean findIn(Map<String, EndpointTracker> tracks) {
+        for (EndpointTracker track : tracks.values()) {
+            if (isBlocked(track) && replicate(track)) {
                 return true;
             }
         }
@@ -84,13 +84,13 @@
     }
 
     /** Returns whether the endpoint lacks an artifact for which it has no room. */
-    private boolean isStuck(EndpointTrack track) {
-        if (track == null || !track.usable() || !tenure.desired().usable(track.endpoint())) {
-            return track != null && track.endpoint().equals(stuck);
+    private boolean isBlocked(EndpointTracker track) {
+        if (track == null || !track.usable() || !term.desired().usable(track.endpoint())) {
+            return track != null && track.endpoint().equals(blocked);
         }
-        DesiredState desired = tenure.desired();
-        if (track.endpoint().equals(stuck)) {
-            return !desired.wanted(stuck).stream().allMatch(a -> ReservationLedger.holds(track.ledger(), a));
+        DesiredState desired = term.desired();
+        if (track.endpoint().equals(blocked)) {
+            return !desired.wanted(blocked).stream().allMatch(a -> ReservationLedger.holds(track.ledger(), a));
         }
         long memory = desired.memoryBytes(track.endpoint());
         return desired.wanted(track.endpoint()).stream()
@@ -98,40 +98,40 @@
                         desired.bytes(a) >= 0 && !ReservationLedger.fits(track.ledger(), a, desired.bytes(a), memory));
     }
 
-    private boolean detour(EndpointTrack track) {
-        DesiredState desired = tenure.desired();
+    private boolean replicate(EndpointTracker track) {
+        DesiredState desired = term.desired();
         Map<String, Long> taken = new HashMap<>();
-        for (Held held : track.ledger().loaded()) {
+        for (LoadedArtifact held : track.ledger().loaded()) {
             Artifact a = held.artifact();
             boolean leaves = !desired.wants(track.endpoint(), a) || lostBase(track, a);
             if (!leaves) {
                 continue;
             }
-            pushedOff.add(a);
-            if (desired.needed(a) && tenure.witness(a, track.endpoint()) == null) {
+            displaced.add(a);
+            if (desired.needed(a) && term.witness(a, track.endpoint()) == null) {
                 place(track.endpoint(), desired.withBase(a), taken);
             }
         }
         if (extra.isEmpty()) {
-            pushedOff.clear();
+            displaced.clear();
             return false;
         }
-        stuck = track.endpoint();
+        blocked = track.endpoint();
         return true;
     }
 
     /** Returns whether the artifact is an adapter that is loaded on versions that must leave. */
-    private boolean lostBase(EndpointTrack track, Artifact a) {
+    private boolean lostBase(EndpointTracker track, Artifact a) {
         return a.adapter() != null
                 && track.ledger().loaded().stream()
                         .noneMatch(h -> h.artifact().adapter() == null
                                 && h.artifact().model().equals(a.model())
-                                && tenure.desired().wants(track.endpoint(), h.artifact()));
+                                && term.desired().wants(track.endpoint(), h.artifact()));
     }
 
     private void place(String except, List<Artifact> artifacts, Map<String, Long> taken) {
-        DesiredState desired = tenure.desired();
-        for (EndpointTrack target : tenure.tracks().values()) {
+        DesiredState desired = term.desired();
+        for (EndpointTracker target : term.tracks().values()) {
             String id = target.endpoint();
             if (id.equals(except) || !target.usable() || !desired.usable(id)) {
                 continue;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/UnloadTasks.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/UnloadTasks.java
@@ -16,12 +16,12 @@
  * that rely on each other's replica, at least one finds the other's record and does not send its order.
  */
 final class UnloadTasks {
-    private final Tenure tenure;
+    private final ControllerTerm term;
     private final Map<String, Task> tasks = new TreeMap<>();
-    private final Map<String, StoreCell<LedgerDocument>> foreign = new TreeMap<>();
+    private final Map<String, StoredObject<LedgerDocument>> foreign = new TreeMap<>();
 
-    UnloadTasks(Tenure tenure) {
-        this.tenure = tenure;
+    UnloadTasks(ControllerTerm term) {
+        this.term = term;
     }
 
     /** Step of an unload. */
@@ -32,7 +32,7 @@
     }
 
     private static final class Task {
-        private final EndpointTrack track;
+        private final EndpointTracker track;
         private final Artifact artifact;
         private final long bytes;
         private final String witness;
@@ -43,7 +43,7 @@
         private long preparedAt;
         private boolean touching;
 
-        Task(EndpointTrack track, Held held, String witness, boolean foreignWitness, long startedAt) {
+        Task(EndpointTracker track, LoadedArtifact held, String witness, boolean foreignWitness, long startedAt) {
             this.track = track;
             this.artifact = held.artifact();
             this.bytes = held.bytes();
@@ -56,11 +56,11 @@
 
     List<OrderEffect> onTick(long now) {
         List<OrderEffect> effects = new ArrayList<>();
-        for (StoreCell<LedgerDocument> cell : foreign.values()) {
+        for (StoredObject<LedgerDocument> cell : foreign.values()) {
             effects.addAll(cell.onTick(now));
         }
         for (Task task : new ArrayList<>(tasks.values())) {
-            if (now - task.startedAt > tenure.settings().sendWindowMillis() && !task.touching) {
+            if (now - task.startedAt > term.settings().sendWindowMillis() && !task.touching) {
                 // A recorded order that was not sent stays in the ledger until it cannot arrive.
                 tasks.remove(task.track.endpoint());
             } else {
@@ -70,7 +70,7 @@
         foreign.entrySet()
                 .removeIf(f -> f.getValue().idle()
                         && tasks.values().stream().noneMatch(t -> t.foreignWitness && t.witness.equals(f.getKey())));
-        for (EndpointTrack track : tenure.tracks().values()) {
+        for (EndpointTracker track : term.tracks().values()) {
             if (track.cell().doc() != null && !tasks.containsKey(track.endpoint())) {
                 start(track, now, effects);
             }
@@ -84,14 +84,14 @@
     }
 
     /** Handles the outcome of a call on the ledger of an endpoint of the own failure domain. */
-    void onLedger(EndpointTrack track, StoreCell.Event event, long now, List<OrderEffect> effects) {
+    void onLedger(EndpointTracker track, StoredObject.Event event, long now, List<OrderEffect> effects) {
         Task own = tasks.get(track.endpoint());
         if (own != null && own.step == Step.PREPARE && own.order != null) {
-            if (event == StoreCell.Event.WRITTEN
+            if (event == StoredObject.Event.WRITTEN
                     && ReservationLedger.hasOrder(track.ledger(), own.artifact, Order.Action.UNLOAD)) {
                 own.step = Step.TOUCH;
                 effects.addAll(advance(own, now));
-            } else if (event == StoreCell.Event.LOST) {
+            } else if (event == StoredObject.Event.LOST) {
                 tasks.remove(track.endpoint());
             }
         }
@@ -104,11 +104,11 @@
 
     /** Handles the reply to a call on the ledger of another failure domain; returns whether it was one. */
     boolean onForeignReply(StoreReply reply, long now, List<OrderEffect> effects) {
-        for (Map.Entry<String, StoreCell<LedgerDocument>> entry : foreign.entrySet()) {
-            if (!EndpointTrack.key(entry.getKey()).equals(reply.key())) {
+        for (Map.Entry<String, StoredObject<LedgerDocument>> entry : foreign.entrySet()) {
+            if (!EndpointTracker.key(entry.getKey()).equals(reply.key())) {
                 continue;
             }
-            StoreCell.Event event = entry.getValue().onReply(reply, now, effects);
+            StoredObject.Event event = entry.getValue().onReply(reply, now, effects);
             for (Task task : new ArrayList<>(tasks.values())) {
                 if (task.foreignWitness && task.witness.equals(entry.getKey())) {
                     onForeign(task, event, now, effects);
@@ -119,10 +119,10 @@
         return false;
     }
 
-    private void onForeign(Task task, StoreCell.Event event, long now, List<OrderEffect> effects) {
+    private void onForeign(Task task, StoredObject.Event event, long now, List<OrderEffect> effects) {
         if (task.touching) {
             touched(task, event, now, effects);
-        } else if (event == StoreCell.Event.READ && task.step == Step.READ_WITNESS) {
+        } else if (event == StoredObject.Event.READ && task.step == Step.READ_WITNESS) {
             if (standsIn(foreign.get(task.witness).doc(), task.artifact)) {
                 task.step = Step.PREPARE;
                 effects.addAll(advance(task, now));
@@ -133,13 +133,13 @@
     }
 
     /** Sends the order once the witness was proven current. */
-    private void touched(Task task, StoreCell.Event event, long now, List<OrderEffect> effects) {
-        if (event == StoreCell.Event.NONE) {
+    private void touched(Task task, StoredObject.Event event, long now, List<OrderEffect> effects) {
+        if (event == StoredObject.Event.NONE) {
             return;
         }
         tasks.remove(task.track.endpoint());
-        if (event == StoreCell.Event.WRITTEN
-                && now - task.preparedAt <= tenure.settings().sendWindowMillis()) {
+        if (event == StoredObject.Event.WRITTEN
+                && now - task.preparedAt <= term.settings().sendWindowMillis()) {
             effects.add(new OrderEffect.Send(task.track.endpoint(), task.order));
         }
     }
@@ -155,11 +155,11 @@
                         || !witnessed(task)) {
                     return List.of();
                 }
-                task.order = new Order(tenure.nextId(), Order.Action.UNLOAD, task.artifact, task.bytes);
+                task.order = new Order(term.nextId(), Order.Action.UNLOAD, task.artifact, task.bytes);
                 task.preparedAt = now;
                 return task.track
                         .cell()
-                        .put(ReservationLedger.with(task.track.ledger(), tenure.nextStamp(), task.order), now);
+                        .put(ReservationLedger.with(task.track.ledger(), term.nextStamp(), task.order), now);
             default:
                 return touch(task, now);
         }
@@ -173,28 +173,28 @@
             tasks.remove(task.track.endpoint());
             return List.of(new OrderEffect.Send(task.track.endpoint(), task.order));
         }
-        EndpointTrack own = tenure.tracks().get(task.witness);
-        StoreCell<LedgerDocument> cell =
+        EndpointTracker own = term.tracks().get(task.witness);
+        StoredObject<LedgerDocument> cell =
                 task.foreignWitness ? foreign.get(task.witness) : own == null ? null : own.cell();
         if (cell == null || !cell.ready() || !standsIn(cell.doc(), task.artifact)) {
             return List.of();
         }
         task.touching = true;
-        return cell.put(ReservationLedger.touch(cell.doc(), tenure.nextStamp()), now);
+        return cell.put(ReservationLedger.touch(cell.doc(), term.nextStamp()), now);
     }
 
     private boolean standsIn(LedgerDocument ledger, Artifact artifact) {
         return ledger.loaded().stream()
-                .anyMatch(h -> tenure.desired().standsIn(h.artifact(), artifact)
+                .anyMatch(h -> term.desired().standsIn(h.artifact(), artifact)
                         && ReservationLedger.confirms(ledger, h.artifact()));
     }
 
-    private void start(EndpointTrack track, long now, List<OrderEffect> effects) {
-        for (Held held : track.ledger().loaded()) {
+    private void start(EndpointTracker track, long now, List<OrderEffect> effects) {
+        for (LoadedArtifact held : track.ledger().loaded()) {
             Artifact a = held.artifact();
-            long since = track.unwantedSince(a, tenure.wants(track.endpoint(), a), now);
-            if (tenure.wants(track.endpoint(), a)
-                    || now - since < tenure.settings().drainMillis()
+            long since = track.unwantedSince(a, term.wants(track.endpoint(), a), now);
+            if (term.wants(track.endpoint(), a)
+                    || now - since < term.settings().drainMillis()
                     || !track.usable()
                     || !track.confirms(a)
                     || ReservationLedger.hasOrder(track.ledger(), a, Order.Action.LOAD)
@@ -211,34 +211,34 @@
     }
 
     /** Chooses the witness; returns null if there is none now. */
-    private Task choose(EndpointTrack track, Held held, long now) {
-        if (!tenure.desired().needed(held.artifact()) || hasLocalStandIn(track, held.artifact())) {
+    private Task choose(EndpointTracker track, LoadedArtifact held, long now) {
+        if (!term.desired().needed(held.artifact()) || hasLocalStandIn(track, held.artifact())) {
             return new Task(track, held, null, false, now);
         }
-        EndpointTrack own = tenure.witness(held.artifact(), track.endpoint());
+        EndpointTracker own = term.witness(held.artifact(), track.endpoint());
         if (own != null) {
             return own.cell().ready() ? new Task(track, held, own.endpoint(), false, now) : null;
         }
-        List<String> others = tenure.desired().foreignWitnesses(held.artifact());
+        List<String> others = term.desired().foreignWitnesses(held.artifact());
         if (others.isEmpty()) {
             return null;
         }
-        String witness = others.get(tenure.random().nextInt(others.size()));
+        String witness = others.get(term.random().nextInt(others.size()));
         foreign.computeIfAbsent(
                 witness,
-                k -> new StoreCell<>(
-                        EndpointTrack.key(k),
+                k -> new StoredObject<>(
+                        EndpointTracker.key(k),
                         LedgerDocument.class,
                         () -> ReservationLedger.empty(k),
-                        tenure.codec(),
-                        tenure.random()));
+                        term.codec(),
+                        term.random()));
         return new Task(track, held, witness, true, now);
     }
 
     /** Returns whether a task without a witness still needs none. */
     private boolean witnessed(Task task) {
         return task.witness != null
-                || !tenure.desired().needed(task.artifact)
+                || !term.desired().needed(task.artifact)
                 || hasLocalStandIn(task.track, task.artifact);
     }
 
@@ -246,11 +246,11 @@
      * Returns whether another version on the same endpoint stands in. The update that records the unload is conditional
      * on the same ledger, so that no further proof is needed.
      */
-    private boolean hasLocalStandIn(EndpointTrack track, Artifact artifact) {
+    private boolean hasLocalStandIn(EndpointTracker track, Artifact artifact) {
         return track.ledger().loaded().stream()
                 .anyMatch(h -> !h.artifact().equals(artifact)
-                        && tenure.desired().standsIn(h.artifact(), artifact)
-                        && tenure.desired().usable(track.endpoint())
+                        && term.desired().standsIn(h.artifact(), artifact)
+                        && term.desired().usable(track.endpoint())
                         && track.confirms(h.artifact()));
     }
 
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/order/ReservationLedgerTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/order/ReservationLedgerTest.java
@@ -21,7 +21,7 @@
         LedgerDocument ledger = new LedgerDocument(
                 "s",
                 "e",
-                List.of(new Held(X, 60)),
+                List.of(new LoadedArtifact(X, 60)),
                 List.of(load(1, X, 60), load(2, Y, 30), order(3, Order.Action.UNLOAD, X, 60)));
 
         assertThat(ReservationLedger.reservedBytes(ledger)).isEqualTo(90);
@@ -41,7 +41,7 @@
         LedgerDocument after = ReservationLedger.after(ledger, report, "t", id -> id.sequence() == 2, a -> -1);
 
         assertThat(after.orders()).containsExactly(load(1, X, 60), load(2, Y, 30));
-        assertThat(after.loaded()).containsExactly(new Held(Y, 30));
+        assertThat(after.loaded()).containsExactly(new LoadedArtifact(Y, 30));
         assertThat(ReservationLedger.after(after, report, "u", id -> id.sequence() == 2, a -> -1))
                 .isSameInstanceAs(after);
     }
