--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -397,7 +397,7 @@
                 effects.add(new RequestEffect.SpreadQuarantine(digest, losses));
             }
         } else if (outcome.verdict() == Verdict.COMPLETED) {
-            router.succeeded(endpoint, outcome.firstTokenMillis());
+            router.succeeded(endpoint, outcome.firstTokenMillis(), now);
             if (work.query().alone()) {
                 suspects.completedAlone(digest);
             }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/PrefixAffinity.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/PrefixAffinity.java
@@ -9,59 +9,57 @@
  * <p>Its entries are hints. The table is direct-mapped and of fixed size, so a colliding prefix replaces an older one.
  */
 public final class PrefixAffinity {
+    /** Hints for an endpoint between two gaps of its cache events. */
+    private static final class Source {
+        private final String endpoint;
+        private boolean forgotten;
+
+        Source(String endpoint) {
+            this.endpoint = endpoint;
+        }
+    }
+
     private final long[] hashes;
-    private final String[] endpoints;
-    private final int[] generations;
-    private final Map<String, Integer> currentGenerations = new HashMap<>();
+    private final Source[] sources;
+    private final Map<String, Source> current = new HashMap<>();
 
     /**
      * Creates an empty table.
      *
-     * @param entries number of prefixes to remember, a power of two; an entry takes about 16 bytes
+     * @param entries number of prefixes to remember, a power of two; an entry takes about 12 bytes
      */
     public PrefixAffinity(int entries) {
         if (Integer.bitCount(entries) != 1) {
             throw new IllegalArgumentException("entries must be a power of two but is " + entries);
         }
         hashes = new long[entries];
-        endpoints = new String[entries];
-        generations = new int[entries];
+        sources = new Source[entries];
     }
 
     /** Remembers that an endpoint holds a prefix; hash 0 is ignored. */
     public void remember(long prefixHash, String endpoint) {
-        if (prefixHash == 0) {
-            return;
+        if (prefixHash != 0) {
+            int i = index(prefixHash);
+            hashes[i] = prefixHash;
+            sources[i] = current.computeIfAbsent(endpoint, Source::new);
         }
-        int i = index(prefixHash);
-        hashes[i] = prefixHash;
-        endpoints[i] = endpoint;
-        generations[i] = currentGenerations.getOrDefault(endpoint, 0);
     }
 
     /** Returns the endpoint that probably holds a prefix, or null. */
     public String find(long prefixHash) {
         int i = index(prefixHash);
-        if (prefixHash == 0 || hashes[i] != prefixHash) {
+        if (prefixHash == 0 || hashes[i] != prefixHash || sources[i].forgotten) {
             return null;
         }
-        return generations[i] == currentGenerations.getOrDefault(endpoints[i], 0) ? endpoints[i] : null;
+        return sources[i].endpoint;
     }
 
-    /** Drops all hints for an endpoint, after a restart or a gap in its cache events. */
+    /** Drops all hints for an endpoint: after a restart, a gap in its cache events, or its removal. */
     public void forget(String endpoint) {
-        currentGenerations.merge(endpoint, 1, Integer::sum);
-    }
-
-    /** Drops all trace of an endpoint that left the configuration. */
-    public void remove(String endpoint) {
-        for (int i = 0; i < endpoints.length; i++) {
-            if (endpoint.equals(endpoints[i])) {
-                hashes[i] = 0;
-                endpoints[i] = null;
-            }
+        Source source = current.remove(endpoint);
+        if (source != null) {
+            source.forgotten = true;
         }
-        currentGenerations.remove(endpoint);
     }
 
     private int index(long prefixHash) {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/Router.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/Router.java
@@ -23,7 +23,7 @@
  * thread.
  */
 public final class Router {
-    /** About 1 MB; at 50 requests/s a host meets its prefixes again within minutes or not at all. */
+    /** About 800 KB; at 50 requests/s a host meets its prefixes again within minutes or not at all. */
     private static final int AFFINITY_ENTRIES = 1 << 16;
 
     private final String failureDomain;
@@ -91,12 +91,15 @@
         if (state == null) {
             return;
         }
+        boolean hadRoom = state.hasRoom(false, now);
         Set<Artifact> before = state.loaded();
         if (state.reported(incarnation, running + waiting, capacity, loaded, now - ageMillis)) {
             before.stream().filter(artifact -> !loaded.contains(artifact)).forEach(this::rebuild);
             loaded.stream().filter(artifact -> !before.contains(artifact)).forEach(this::rebuild);
         }
-        freed(state, now);
+        if (!hadRoom) {
+            freed(state, now);
+        }
     }
 
     /** Takes over the summary of another failure domain; an older sequence number is ignored. */
@@ -156,19 +159,26 @@
     public void ended(String endpoint, RouteQuery query, long now) {
         EndpointState state = endpoints.get(endpoint);
         if (state != null) {
+            boolean hadRoom = state.hasRoom(false, now);
             state.ended(query.alone(), now);
             if (state.isRemoved() && state.ownInFlight() == 0) {
                 endpoints.remove(endpoint);
             }
-            freed(state, now);
+            if (!hadRoom) {
+                freed(state, now);
+            }
         }
     }
 
-    /** Counts a complete answer towards the slow start of an endpoint; called before {@link #ended}. */
-    public void succeeded(String endpoint, long firstTokenMillis) {
+    /** Counts a complete answer towards the slow start of an endpoint. */
+    public void succeeded(String endpoint, long firstTokenMillis, long now) {
         EndpointState state = endpoints.get(endpoint);
         if (state != null) {
+            boolean hadRoom = state.hasRoom(false, now);
             state.succeeded(firstTokenMillis);
+            if (!hadRoom) {
+                freed(state, now);
+            }
         }
     }
 
@@ -238,7 +248,7 @@
             state.configured(endpoint, credits, new HashSet<>(placed), domainIn);
         }
         for (String id : gone) {
-            affinity.remove(id);
+            affinity.forget(id);
             EndpointState state = endpoints.get(id);
             state.removed();
             if (state.ownInFlight() == 0) {
@@ -306,6 +316,7 @@
         return state != null && state.holds(model.artifact()) ? state : null;
     }
 
+    /** Lets the replica sets of an endpoint look for room again, after it had none. */
     private void freed(EndpointState state, long now) {
         if (!state.hasRoom(false, now)) {
             return;
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/route/RouterBenchmark.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/route/RouterBenchmark.java
@@ -86,7 +86,7 @@
 
     private void warm(String endpoint) {
         for (int i = 0; i < 2 * CONCURRENCY; i++) {
-            router.succeeded(endpoint, 100);
+            router.succeeded(endpoint, 100, 0);
         }
     }
 
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/route/RouterTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/route/RouterTest.java
@@ -106,6 +106,28 @@
         assertThat(router.choose(QUERY, START + 1).kind()).isEqualTo(RouteChoice.Kind.WAIT);
     }
 
+    /** Guards against requests that wait though slow start, an end or a report has made room. */
+    @ParameterizedTest
+    @CsvSource({"SUCCESS", "END", "REPORT"})
+    void roomIsSeenAfterAllWereFull(String cause) {
+        configure(true, "e0");
+        report("e0", 1, 0, 0, START);
+        if (cause.equals("REPORT")) {
+            report("e0", 1, 8, 0, START);
+        } else {
+            start("e0", 1, START);
+        }
+        assertThat(router.choose(QUERY, START).kind()).isEqualTo(RouteChoice.Kind.WAIT);
+
+        switch (cause) {
+            case "SUCCESS" -> router.succeeded("e0", 100, START);
+            case "END" -> router.ended("e0", QUERY, START);
+            default -> report("e0", 1, 0, 0, START);
+        }
+
+        assertThat(router.choose(QUERY, START).kind()).isEqualTo(RouteChoice.Kind.ENDPOINT);
+    }
+
     /** Guards against a prefix that many callers share and that overloads the endpoint that caches it. */
     @Test
     void prefixIsFollowedOnlyUpToABoundedLoad() {
@@ -207,7 +229,7 @@
     private void warm(String... endpoints) {
         for (String endpoint : endpoints) {
             for (int i = 0; i < 16; i++) {
-                router.succeeded(endpoint, 100);
+                router.succeeded(endpoint, 100, START);
             }
         }
     }
