Relay plain service requests to the failure domains that run the service

Cause: a host whose failure domain runs no endpoint of a service refused its requests with no-endpoint, because summaries list artifacts only. Ruled out: services in the summaries; the configuration already says which failure domains run a service, and it is in force on every host. Before: in the demonstration a reorder through failure domain b, which runs no desk, was refused with no-endpoint. Conclusion: a relay is chosen evenly among the failure domains that are in and have an endpoint of the service that is not leaving.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/Router.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/Router.java
@@ -34,6 +34,7 @@
     private final Map<String, Replicas> byService = new HashMap<>();
     private final Map<String, List<ReplicaSet>> serviceSetsOf = new HashMap<>();
     private final RemoteDomains remote = new RemoteDomains();
+    private final RemoteServices remoteServices = new RemoteServices();
     private final PrefixAffinity affinity = new PrefixAffinity(AFFINITY_ENTRIES);
     private boolean domainIn;
 
@@ -64,6 +65,7 @@
         rebuildAll();
         domainsIn.remove(failureDomain);
         remote.configured(domainsIn);
+        remoteServices.configured(configuration, domainsIn);
     }
 
     /**
@@ -139,11 +141,8 @@
             set.wantCredit(query.alone(), random, now);
             return RouteChoice.WAIT;
         }
-        if (!query.relayed() && query.target() instanceof Target.ModelTarget model) {
-            RouteChoice relay = remote.choose(model.artifact(), random, now);
-            return relay == null ? RouteChoice.UNREACHABLE : relay;
-        }
-        return RouteChoice.UNREACHABLE;
+        RouteChoice relay = query.relayed() ? null : relay(query.target(), now);
+        return relay == null ? RouteChoice.UNREACHABLE : relay;
     }
 
     /** Counts a request that is sent to an endpoint. */
@@ -300,6 +299,13 @@
         }
     }
 
+    private RouteChoice relay(Target target, long now) {
+        if (target instanceof Target.ModelTarget model) {
+            return remote.choose(model.artifact(), random, now);
+        }
+        return remoteServices.choose(((Target.ServiceTarget) target).service(), random);
+    }
+
     private Replicas replicasOf(Target target) {
         if (target instanceof Target.ModelTarget model) {
             return byArtifact.get(model.artifact());
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/route/RouterTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/route/RouterTest.java
@@ -62,6 +62,16 @@
         assertThat(router.choose(query, START + 60_000).kind()).isEqualTo(RouteChoice.Kind.UNREACHABLE);
     }
 
+    /** Guards against a plain service that cannot be reached through hosts of other failure domains. */
+    @ParameterizedTest
+    @CsvSource({"true, false, RELAY", "true, true, UNREACHABLE", "false, false, UNREACHABLE"})
+    void serviceOfAnotherFailureDomainIsRelayed(boolean remoteIn, boolean relayed, RouteChoice.Kind expected) {
+        configure(true, remoteIn);
+        RouteQuery query = new RouteQuery(new Target.ServiceTarget("far"), 0, false, relayed);
+
+        assertThat(router.choose(query, START).kind()).isEqualTo(expected);
+    }
+
     /** Guards against a lagging report that counts requests twice or that counts requests that ended since. */
     @Test
     void reportIsCorrectedByOwnRequestsSinceIt() {
@@ -203,11 +213,13 @@
             EndpointKind kind = id.startsWith("e") ? EndpointKind.MODEL : EndpointKind.SERVICE;
             endpoints.put(id, new Endpoint(id, kind, "d0", "127.0.0.1:1", 0, 8, true, false));
         }
+        endpoints.put("s1", new Endpoint("s1", EndpointKind.SERVICE, "d1", "127.0.0.1:2", 0, 8, true, false));
         TreeMap<String, FailureDomain> domains = new TreeMap<>();
         domains.put("d0", new FailureDomain("d0", "r", localIn));
         domains.put("d1", new FailureDomain("d1", "r", remoteIn));
         TreeMap<String, ServiceRoute> services = new TreeMap<>();
         services.put("svc", new ServiceRoute("svc", List.of("s0"), null, null));
+        services.put("far", new ServiceRoute("far", List.of("s1"), null, null));
         TreeMap<String, List<Artifact>> placements = new TreeMap<>();
         for (String id : wanted) {
             placements.put(id, List.of(ARTIFACT));
