Prefer endpoints where a new replica fits before anything is unloaded

The planner now prefers an endpoint where the new replica fits beside what is present.

A swap that is pinned to such an endpoint can still stay open: the last replica must not be unloaded.

Properties of orders, planner and move plan pass.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/placement/PlanAttempt.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/placement/PlanAttempt.java
@@ -204,7 +204,9 @@
                 continue;
             }
             int inDomain = row.inDomain(node.domain());
-            if ((best == null || inDomain <= bestInDomain && better(node, inDomain, best, bestInDomain, present))
+            if ((best == null
+                            || inDomain <= bestInDomain
+                                    && (inDomain < bestInDomain || better(row, node, best, present)))
                     && !row.nodes().contains(node)
                     && allowed.test(node)) {
                 best = node;
@@ -214,13 +216,16 @@
         return best;
     }
 
-    private boolean better(PlanNode node, int inDomain, PlanNode best, int bestInDomain, List<PlanNode> present) {
-        if (inDomain != bestInDomain) {
-            return inDomain < bestInDomain;
-        }
+    /** Compares two endpoints in failure domains that hold equally many replicas of the row. */
+    private boolean better(PlanRow row, PlanNode node, PlanNode best, List<PlanNode> present) {
         if (!present.isEmpty() && present.contains(node) != present.contains(best)) {
             return present.contains(node);
         }
+        // Where it fits before anything is unloaded, the load never has to wait for another replica.
+        boolean fits = node.fitsBeforeUnloads(row.bytes());
+        if (fits != best.fitsBeforeUnloads(row.bytes())) {
+            return fits;
+        }
         return options.tight() ? node.free() < best.free() : node.free() > best.free();
     }
 
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/placement/PlanNode.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/placement/PlanNode.java
@@ -17,11 +17,13 @@
     private final TreeSet<Artifact> planned = new TreeSet<>();
     private final Map<String, Integer> versionsOfModel = new HashMap<>();
     private long free;
+    private long leaving;
 
-    PlanNode(Endpoint endpoint, List<Artifact> present) {
+    PlanNode(Endpoint endpoint, List<Artifact> present, ArtifactCatalog catalog) {
         this.endpoint = endpoint;
         this.present = new HashSet<>(present);
         this.free = endpoint.memoryBytes();
+        this.leaving = this.present.stream().mapToLong(catalog::bytes).sum();
     }
 
     String id() {
@@ -65,8 +67,14 @@
         return bytes <= free;
     }
 
+    /** Returns whether the artifact fits beside everything that is present and not planned. */
+    boolean fitsBeforeUnloads(long bytes) {
+        return bytes <= free - leaving;
+    }
+
     void add(Artifact artifact, long bytes) {
         planned.add(artifact);
+        leaving -= present.contains(artifact) ? bytes : 0;
         free -= bytes;
         if (artifact.adapter() == null) {
             versionsOfModel.merge(artifact.model(), 1, Integer::sum);
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/placement/Planner.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/placement/Planner.java
@@ -60,7 +60,7 @@
             if (ReplicaCount.usable(configuration, e)) {
                 List<Artifact> present = configuration.placements().getOrDefault(e.id(), List.of());
                 nodes.add(
-                        new PlanNode(e, present.stream().filter(catalog::knows).toList()));
+                        new PlanNode(e, present.stream().filter(catalog::knows).toList(), catalog));
             }
         }
         return nodes;
@@ -112,7 +112,7 @@
             if (e == null || e.leaving() || e.kind() != EndpointKind.MODEL || ReplicaCount.usable(configuration, e)) {
                 continue;
             }
-            PlanNode node = new PlanNode(e, List.of());
+            PlanNode node = new PlanNode(e, List.of(), catalog);
             for (Artifact a : new TreeSet<>(held.getValue())) {
                 if (inSheet.contains(a)
                         && node.fits(catalog.bytes(a))
