--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/Router.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/Router.java
@@ -23,7 +23,7 @@
  * thread.
  */
 public final class Router {
-    /** About 1 MB; at 50 requests/s a host meets its prefixes again within minutes or not at all. */
+    /** About 800 KB; at 50 requests/s a host meets its prefixes again within minutes or not at all. */
     private static final int AFFINITY_ENTRIES = 1 << 16;
 
     private final String failureDomain;
@@ -34,6 +34,7 @@
     private final Map<String, Replicas> byService = new HashMap<>();
     private final Map<String, List<ReplicaSet>> serviceSetsOf = new HashMap<>();
     private final RemoteDomains remote = new RemoteDomains();
+    private final RemoteServices remoteServices = new RemoteServices();
     private final PrefixAffinity affinity = new PrefixAffinity(AFFINITY_ENTRIES);
     private boolean domainIn;
 
@@ -64,6 +65,7 @@
         rebuildAll();
         domainsIn.remove(failureDomain);
         remote.configured(domainsIn);
+        remoteServices.configured(configuration, domainsIn);
     }
 
     /**
@@ -91,12 +93,15 @@
         if (state == null) {
             return;
         }
+        boolean hadRoom = state.hasRoom(false, now);
         Set<Artifact> before = state.loaded();
         if (state.reported(incarnation, running + waiting, capacity, loaded, now - ageMillis)) {
             before.stream().filter(artifact -> !loaded.contains(artifact)).forEach(this::rebuild);
             loaded.stream().filter(artifact -> !before.contains(artifact)).forEach(this::rebuild);
         }
-        freed(state, now);
+        if (!hadRoom) {
+            freed(state, now);
+        }
     }
 
     /** Takes over the summary of another failure domain; an older sequence number is ignored. */
@@ -136,11 +141,8 @@
             set.wantCredit(query.alone(), random, now);
             return RouteChoice.WAIT;
         }
-        if (!query.relayed() && query.target() instanceof Target.ModelTarget model) {
-            RouteChoice relay = remote.choose(model.artifact(), random, now);
-            return relay == null ? RouteChoice.UNREACHABLE : relay;
-        }
-        return RouteChoice.UNREACHABLE;
+        RouteChoice relay = query.relayed() ? null : relay(query.target(), now);
+        return relay == null ? RouteChoice.UNREACHABLE : relay;
     }
 
     /** Counts a request that is sent to an endpoint. */
@@ -156,19 +158,26 @@
     public void ended(String endpoint, RouteQuery query, long now) {
         EndpointState state = endpoints.get(endpoint);
         if (state != null) {
+            boolean hadRoom = state.hasRoom(false, now);
             state.ended(query.alone(), now);
             if (state.isRemoved() && state.ownInFlight() == 0) {
                 endpoints.remove(endpoint);
             }
-            freed(state, now);
+            if (!hadRoom) {
+                freed(state, now);
+            }
         }
     }
 
-    /** Counts a complete answer towards the slow start of an endpoint; called before {@link #ended}. */
-    public void succeeded(String endpoint, long firstTokenMillis) {
+    /** Counts a complete answer towards the slow start of an endpoint. */
+    public void succeeded(String endpoint, long firstTokenMillis, long now) {
         EndpointState state = endpoints.get(endpoint);
         if (state != null) {
+            boolean hadRoom = state.hasRoom(false, now);
             state.succeeded(firstTokenMillis);
+            if (!hadRoom) {
+                freed(state, now);
+            }
         }
     }
 
@@ -238,7 +247,7 @@
             state.configured(endpoint, credits, new HashSet<>(placed), domainIn);
         }
         for (String id : gone) {
-            affinity.remove(id);
+            affinity.forget(id);
             EndpointState state = endpoints.get(id);
             state.removed();
             if (state.ownInFlight() == 0) {
@@ -290,6 +299,13 @@
         }
     }
 
+    private RouteChoice relay(Target target, long now) {
+        if (target instanceof Target.ModelTarget model) {
+            return remote.choose(model.artifact(), random, now);
+        }
+        return remoteServices.choose(((Target.ServiceTarget) target).service(), random);
+    }
+
     private Replicas replicasOf(Target target) {
         if (target instanceof Target.ModelTarget model) {
             return byArtifact.get(model.artifact());
@@ -306,6 +322,7 @@
         return state != null && state.holds(model.artifact()) ? state : null;
     }
 
+    /** Lets the replica sets of an endpoint look for room again, after it had none. */
     private void freed(EndpointState state, long now) {
         if (!state.hasRoom(false, now)) {
             return;
