Serve relayed plain service requests

The relay also dropped the query from the signed path. Before: RelayHandlerTest had no service case; by hand five service requests through a failure domain without a desk were refused. Conclusion: the head names the service, and the kind of call says whether the answering process echoes the id, is a host, or is a model.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayHandler.java
@@ -23,7 +23,7 @@
 import org.gooseberryring.transport.peer.FrameSigner;
 import org.xnio.IoUtils;
 
-/** Takes requests to models that hosts of other failure domains have authenticated, admitted and claimed. */
+/** Takes requests that hosts of other failure domains have authenticated, admitted and claimed. */
 public final class RelayHandler implements HttpHandler {
     // Hosts' wall clocks differ by less than a second; the rest is time for a request on its way.
     private static final long MAX_AGE_MILLIS = 30_000;
@@ -98,18 +98,20 @@
 
     private OpenRequest examine(HttpServerExchange exchange, String id, byte[] body) {
         String method = exchange.getRequestMethod().toString();
-        String path = exchange.getRequestURI();
+        String query = exchange.getQueryString();
+        String path = exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
         HeaderMap headers = exchange.getRequestHeaders();
         RelayHead head = RelayHead.of(headers, new FrameSigner(settings.peerSecret()), method, path, body);
         if (head == null || !head.requestId().equals(id) || head.hops() != 1 || isOld(head)) {
             throw new RefusedException(Refusal.of(ErrorCode.UNAUTHENTICATED, "The request is not from a host"));
         }
-        Artifact artifact = artifact(body);
+        boolean model = head.service().isEmpty();
+        Target target = model ? new Target.ModelTarget(artifact(body)) : new Target.ServiceTarget(head.service());
         String owner = head.organisation();
         RequestSpec spec = new RequestSpec(
                 id,
                 owner.isEmpty() ? null : owner,
-                new Target.ModelTarget(artifact),
+                target,
                 head.priorityClass(),
                 0,
                 0,
@@ -117,8 +119,8 @@
                 head.idempotent(),
                 null,
                 clock.getAsLong() + head.deadlineMillis());
-        Destination destination =
-                new Destination(spec.target(), EndpointCall.Kind.MODEL_ENGINE, path, body, head.idempotent(), 0, "");
+        EndpointCall.Kind kind = model ? EndpointCall.Kind.MODEL_ENGINE : EndpointCall.Kind.PLAIN_SERVICE;
+        Destination destination = new Destination(target, kind, path, body, head.idempotent(), 0, "");
         HeaderMap toEndpoint = HeaderRules.forEndpoint(headers);
         copy(headers, toEndpoint, PRIORITY);
         copy(headers, toEndpoint, SALT);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayHead.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayHead.java
@@ -19,6 +19,7 @@
  * @param idempotent whether it may run twice
  * @param deadlineMillis milliseconds left until the deadline
  * @param wallMillis time of sending, in milliseconds since the Unix epoch
+ * @param service plain service that the request is for, empty if it is for a model
  * @param hops relays that the request has gone through, this one included
  */
 record RelayHead(
@@ -29,10 +30,11 @@
         boolean idempotent,
         long deadlineMillis,
         long wallMillis,
+        String service,
         int hops) {
     private static final HttpString HEAD = new HttpString("X-Relay-Head");
     private static final HttpString MAC = new HttpString("X-Relay-Hmac");
-    private static final int FIELDS = 8;
+    private static final int FIELDS = 9;
     private static final String SEPARATOR = ",";
 
     /** Adds the head and its HMAC, which also covers method, path and body, to the headers of a request. */
@@ -61,11 +63,12 @@
                 SEPARATOR,
                 requestId,
                 Integer.toString(attempt),
-                HexFormat.of().formatHex(organisation.getBytes(StandardCharsets.UTF_8)),
+                hex(organisation),
                 priorityClass.name().toLowerCase(Locale.ROOT),
                 Boolean.toString(idempotent),
                 Long.toString(deadlineMillis),
                 Long.toString(wallMillis),
+                hex(service),
                 Integer.toString(hops));
     }
 
@@ -77,12 +80,21 @@
         return new RelayHead(
                 fields[0],
                 Integer.parseInt(fields[1]),
-                new String(HexFormat.of().parseHex(fields[2]), StandardCharsets.UTF_8),
+                text(fields[2]),
                 PriorityClass.valueOf(fields[3].toUpperCase(Locale.ROOT)),
                 Boolean.parseBoolean(fields[4]),
                 Long.parseLong(fields[5]),
                 Long.parseLong(fields[6]),
-                Integer.parseInt(fields[7]));
+                text(fields[7]),
+                Integer.parseInt(fields[8]));
+    }
+
+    private static String hex(String text) {
+        return HexFormat.of().formatHex(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String text(String hex) {
+        return new String(HexFormat.of().parseHex(hex), StandardCharsets.UTF_8);
     }
 
     private static byte[] signed(String text, String method, String path, byte[] body) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/Relays.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/Relays.java
@@ -6,6 +6,7 @@
 import java.util.function.LongSupplier;
 
 import io.undertow.util.HeaderMap;
+import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.protocol.HostEntry;
 import org.gooseberryring.transport.endpoint.EndpointCall;
 import org.gooseberryring.transport.peer.FrameSigner;
@@ -60,6 +61,7 @@
                 to.idempotent(),
                 Math.max(1, request.spec().deadline() - clock.getAsLong()),
                 wallClock.getAsLong(),
+                to.target() instanceof Target.ServiceTarget service ? service.service() : "",
                 ONE_HOP);
         HeaderMap headers = new HeaderMap();
         request.headers().forEach(values -> headers.putAll(values.getHeaderName(), values));
@@ -70,7 +72,9 @@
                 to.path(),
                 headers,
                 to.body(),
-                EndpointCall.Kind.RELAY,
+                to.target() instanceof Target.ServiceTarget
+                        ? EndpointCall.Kind.SERVICE_RELAY
+                        : EndpointCall.Kind.MODEL_RELAY,
                 to.idempotent());
     }
 }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/AnswerCopier.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/AnswerCopier.java
@@ -161,7 +161,7 @@
         }
         String type = headers().getFirst(Headers.CONTENT_TYPE);
         boolean events = type != null && type.startsWith(EVENT_STREAM);
-        if (events && call.kind() != EndpointCall.Kind.PLAIN_SERVICE) {
+        if (events && call.kind().isModel()) {
             return tail.endsWithFinalEvent();
         }
         // Without a length or chunks, a closed connection cannot be told from a complete answer.
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -124,7 +124,7 @@
         }
         ClientResponse response = exchange.getResponse();
         HeaderMap headers = response.getResponseHeaders();
-        if (call.kind() != EndpointCall.Kind.PLAIN_SERVICE && !call.requestId().equals(headers.getFirst(REQUEST_ID))) {
+        if (call.kind().echoesRequestId() && !call.requestId().equals(headers.getFirst(REQUEST_ID))) {
             LOG.warnf(
                     "event=answer-dropped reason=wrong-request-id requestId=%s address=%s", call.requestId(), address);
             end(Verdict.MAY_HAVE_RUN, false, null);
@@ -143,11 +143,10 @@
     /** Returns the verdict if the answer is a failure that must not go to the caller as it is, otherwise null. */
     private Verdict refusal(HeaderMap headers) {
         String verdict = headers.getFirst(VERDICT);
-        if (call.kind() == EndpointCall.Kind.RELAY && verdict != null && status >= FIRST_ERROR) {
+        if (call.kind().isRelay() && verdict != null && status >= FIRST_ERROR) {
             return Verdict.NOT_RUN.wireName().equals(verdict) ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
         }
-        boolean engine = call.kind() != EndpointCall.Kind.PLAIN_SERVICE;
-        return engine && status >= FIRST_SERVER_ERROR ? Verdict.MAY_HAVE_RUN : null;
+        return call.kind().isModel() && status >= FIRST_SERVER_ERROR ? Verdict.MAY_HAVE_RUN : null;
     }
 
     /** Notes that bytes moved, which restarts the idle timeout. */
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointCall.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointCall.java
@@ -21,7 +21,24 @@
         MODEL_ENGINE,
         /** Plain service: its answers are passed on as they are. */
         PLAIN_SERVICE,
-        /** Host of another failure domain: echoes the request id and states its verdict in a header. */
-        RELAY
+        /** Host of another failure domain that serves a model: also states its verdict in a header. */
+        MODEL_RELAY,
+        /** Host of another failure domain that serves a plain service: echoes the request id and states its verdict. */
+        SERVICE_RELAY;
+
+        /** Returns whether the answering process echoes the request id. */
+        public boolean echoesRequestId() {
+            return this != PLAIN_SERVICE;
+        }
+
+        /** Returns whether the answering process is a host, which states its verdict. */
+        public boolean isRelay() {
+            return this == MODEL_RELAY || this == SERVICE_RELAY;
+        }
+
+        /** Returns whether the answer is a model's, whose streams end with a final event. */
+        public boolean isModel() {
+            return this == MODEL_ENGINE || this == MODEL_RELAY;
+        }
     }
 }
