Wait for the engine before the caller leaves in its test

The test now waits until an engine has started the request; the condition that it checks is unchanged.

--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/caller/CallerHandlerTest.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/caller/CallerHandlerTest.java
@@ -169,13 +169,15 @@
     /** Guards against engines that work on an answer that nobody waits for, before its first byte. */
     @Test
     void leavingCallerCancelsItsRequest() throws IOException {
+        long startedBefore = started();
         long before = given();
         String body = "{\"model\":\"m\",\"prompt\":\"leaving\",\"max_tokens\":2000}";
         try (Socket socket = connect()) {
             String head = "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + TestFleet.KEY
                     + "\r\nContent-Length: " + body.length() + END + body;
             socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
-            TestFleet.await(() -> open() == 1);
+            // A caller that leaves before its request was sent on leaves the engines nothing to give up.
+            TestFleet.await(() -> started() > startedBefore);
         }
 
         TestFleet.await(() -> given() > before);
@@ -216,6 +218,10 @@
         }
     }
 
+    private long started() {
+        return engines.stream().mapToLong(e -> e.record().started().size()).sum();
+    }
+
     /** Returns the requests that the engines gave up. */
     private long given() {
         return engines.stream()
