Let closed peer links refuse messages, and print scores in a replay

Cause: during a shutdown a request that ended after the links were closed threw RejectedExecutionException on the request ring (seen in the host tests as event=ring-failure), so the effects after it were lost. Conclusion: a closed link is a full one to its sender: the message is not taken, and nothing is thrown.

--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/ReplayCommand.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/ReplayCommand.java
@@ -48,6 +48,9 @@
     @Parameter(names = "--token-millis", description = "Objective for the mean time between tokens")
     private double tokenMillis = 33;
 
+    @Parameter(names = "--weights", description = "JSON file from user to the weights of the measures in the score")
+    private String weightsFile;
+
     @Parameter(names = "--html", description = "File for a page with plots")
     private String html;
 
@@ -65,7 +68,8 @@
         List<TraceLine> lines = TraceReader.read(trace, InputFile.read(trace));
         Map<String, OrganisationAccess> organisations = organisations();
         checkOrganisations(lines, organisations);
-        ReplayReport report = replay(context, lines, organisations);
+        Map<String, ScoreWeights> weights = weights();
+        ReplayReport report = replay(context, lines, organisations, weights);
         if (html != null) {
             writePage(report);
         }
@@ -82,7 +86,11 @@
         return admin.help();
     }
 
-    private ReplayReport replay(Context context, List<TraceLine> lines, Map<String, OrganisationAccess> organisations) {
+    private ReplayReport replay(
+            Context context,
+            List<TraceLine> lines,
+            Map<String, OrganisationAccess> organisations,
+            Map<String, ScoreWeights> weights) {
         AdminClient client = admin.given() ? admin.client(context) : null;
         try (HttpWorker worker = HttpWorker.start("replay", IO_THREADS, 1);
                 MarkActions marks = new MarkActions(context, client)) {
@@ -93,7 +101,7 @@
                     context.pause(),
                     maxInFlight);
             List<Outcome> outcomes = replay.run(lines, speed, marks::accept);
-            return new ReportBuilder(organisations, new Outcome.Objective(firstTokenMillis, tokenMillis))
+            return new ReportBuilder(organisations, new Outcome.Objective(firstTokenMillis, tokenMillis), weights)
                     .build(outcomes, lines, speed, replay.late());
         }
     }
@@ -107,6 +115,20 @@
         }
     }
 
+    private Map<String, ScoreWeights> weights() {
+        if (weightsFile == null) {
+            return Map.of();
+        }
+        try {
+            return Json.mapper().readValue(InputFile.read(weightsFile), new TypeReference<>() {});
+        } catch (IOException e) {
+            throw new CtlException(
+                    ExitCode.BAD_INPUT,
+                    weightsFile + " is not a JSON object from user to attainment, worstOrganisation,"
+                            + " withinRateRefusals and domainMove");
+        }
+    }
+
     private static void checkOrganisations(List<TraceLine> lines, Map<String, OrganisationAccess> organisations) {
         for (TraceLine line : lines) {
             if (line.request() && !organisations.containsKey(line.organisation())) {
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/ReplayReport.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/ReplayReport.java
@@ -11,6 +11,8 @@
  * @param attainment share of the requests within the rate that met the latency objective, from 0 to 1
  * @param worstOrganisation organisation with the lowest attainment
  * @param worstAttainment its attainment
+ * @param domainMoveService share of requests served while failure domains leave and return, from 0 to 1
+ * @param scores weighted mean of the measures by user, from 0 to 100; empty without weights
  * @param withinRateRefusals requests refused although within the rate of their organisation
  * @param refusalsByCode refusals by code
  * @param sentLate requests sent late because too many were in flight
@@ -26,6 +28,8 @@
         double attainment,
         String worstOrganisation,
         double worstAttainment,
+        double domainMoveService,
+        Map<String, Double> scores,
         int withinRateRefusals,
         Map<String, Integer> refusalsByCode,
         int sentLate,
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/ReportBuilder.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/ReportBuilder.java
@@ -20,10 +20,15 @@
 
     private final Map<String, OrganisationAccess> organisations;
     private final Outcome.Objective objective;
+    private final Map<String, ScoreWeights> weights;
 
-    ReportBuilder(Map<String, OrganisationAccess> organisations, Outcome.Objective objective) {
+    ReportBuilder(
+            Map<String, OrganisationAccess> organisations,
+            Outcome.Objective objective,
+            Map<String, ScoreWeights> weights) {
         this.organisations = organisations;
         this.objective = objective;
+        this.weights = weights;
     }
 
     ReplayReport build(List<Outcome> outcomes, List<TraceLine> trace, double speed, int sentLate) {
@@ -42,20 +47,30 @@
         ReplayReport.OrganisationFigures worst = figures.stream()
                 .min(Comparator.comparingDouble(ReplayReport.OrganisationFigures::attainment))
                 .orElse(new ReplayReport.OrganisationFigures("", 0, 0, 0, 0, 1));
+        double attainment = attainment(outcomes, wrongful);
+        List<ReplayReport.Second> seconds = seconds(outcomes);
+        List<ReplayReport.Mark> marks = marks(trace, speed);
+        double moveService = DomainMoveService.of(seconds, marks);
+        double notWronglyRefused = outcomes.isEmpty() ? 1 : 1 - (double) wrongful.size() / outcomes.size();
+        Map<String, Double> scores = new TreeMap<>();
+        weights.forEach((user, weight) ->
+                scores.put(user, weight.score(attainment, worst.attainment(), notWronglyRefused, moveService)));
         return new ReplayReport(
                 outcomes.size(),
                 (int) outcomes.stream().filter(Outcome::served).count(),
-                attainment(outcomes, wrongful),
+                attainment,
                 worst.id(),
                 worst.attainment(),
+                moveService,
+                scores,
                 wrongful.size(),
                 refusals(outcomes),
                 sentLate,
                 percentiles(outcomes, Outcome::firstTokenMicros),
                 percentiles(outcomes, Outcome::totalMicros),
                 figures,
-                seconds(outcomes),
-                marks(trace, speed));
+                seconds,
+                marks);
     }
 
     private ReplayReport.OrganisationFigures figures(String id, List<Outcome> outcomes, Set<Integer> wrongful) {
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/peer/PeerLinks.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/peer/PeerLinks.java
@@ -116,7 +116,7 @@
      * @param receiver peer that it is meant for
      * @param body message without sender, sequence and receiver
      * @param lifetimeMillis milliseconds after which the message is dropped if it was not sent
-     * @return false if the peer is unknown or too much waits for it
+     * @return false if the peer is unknown, too much waits for it, or the links are closed
      */
     public boolean send(String receiver, PeerMessage.Builder body, long lifetimeMillis) {
         PeerSender sender = senders.get(receiver);
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/peer/PeerSender.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/peer/PeerSender.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -49,31 +50,44 @@
     void moveTo(InetSocketAddress next) {
         if (!next.equals(address)) {
             address = next;
-            loop.execute(this::disconnect);
+            execute(this::disconnect);
         }
     }
 
-    /** Queues a message; returns false if too many wait. */
+    /** Queues a message; returns false if too many wait or the links are closed. */
     boolean send(PeerMessage message, long expiresAtNanos) {
         if (waiting.incrementAndGet() > limits.maxQueuedFrames()) {
             waiting.decrementAndGet();
             counters.queueFull().inc();
             return false;
         }
-        loop.execute(() -> {
+        boolean accepted = execute(() -> {
             queue.add(new Queued(message, expiresAtNanos));
             flush();
         });
-        return true;
+        if (!accepted) {
+            waiting.decrementAndGet();
+        }
+        return accepted;
     }
 
     void close() {
-        loop.execute(() -> {
+        execute(() -> {
             closed = true;
             disconnect();
         });
     }
 
+    /** Runs a task on the peer's I/O thread; returns false once the links are closed, while requests may still end. */
+    private boolean execute(Runnable task) {
+        try {
+            loop.execute(task);
+            return true;
+        } catch (RejectedExecutionException e) {
+            return false;
+        }
+    }
+
     private void flush() {
         if (channel == null || !channel.isActive()) {
             connect();
--- a/gooseberryring-transport/src/test/java/org/gooseberryring/transport/peer/PeerLinksTest.java
+++ b/gooseberryring-transport/src/test/java/org/gooseberryring/transport/peer/PeerLinksTest.java
@@ -87,6 +87,15 @@
         }
     }
 
+    /** Guards against a shutdown in which the end of a request fails because its notice cannot be sent any more. */
+    @Test
+    void closedLinksRefuseMessages() {
+        links.peer("h2", new InetSocketAddress("127.0.0.1", 1));
+        links.close();
+
+        assertThat(links.send("h2", body(1), MINUTE)).isFalse();
+    }
+
     /** Guards against memory that grows while a peer is away. */
     @Test
     void messagesToAnAbsentPeerAreBounded() {
