Add benchmarks of the control components at the target size

They print CPU time of the thread, retained heap and serialized bytes at three or more sizes with a least-squares line. The build does not run them.

--- /dev/null
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/capacity/LimitSlopeBenchmark.java
@@ -0,0 +1,206 @@
+package org.gooseberryring.host.capacity;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+import org.gooseberryring.coordination.limit.Allotment;
+import org.gooseberryring.coordination.limit.AllotmentDocument;
+import org.gooseberryring.coordination.limit.KeeperEntry;
+import org.gooseberryring.coordination.limit.LimitEffect;
+import org.gooseberryring.coordination.limit.LimitSettings;
+import org.gooseberryring.coordination.limit.TokenKeeper;
+import org.gooseberryring.coordination.limit.TokenMessage;
+import org.gooseberryring.coordination.limit.TokenWallet;
+import org.gooseberryring.host.control.JsonAllotmentCodec;
+import org.gooseberryring.protocol.peer.PeerMessage;
+import org.gooseberryring.protocol.peer.TokenGrant;
+import org.gooseberryring.protocol.peer.TokenRequest;
+import org.gooseberryring.state.Organisation;
+
+/** Measures keeper, wallet and allotment document by organisations and by keepers of each organisation. */
+public final class LimitSlopeBenchmark {
+    private static final int[] ORGANISATIONS = {10, 100, 1_000};
+    private static final int[] KEEPERS = {2, 6, 14};
+    private static final int TICKS = 2_000;
+    private static final int HOSTS = 1_400;
+    private static final int SECONDS = 60;
+    private static final int REQUESTS_PER_SECOND = 54;
+
+    private LimitSlopeBenchmark() {}
+
+    /** Prints one line with points and fit for each slope. */
+    public static void main(String[] args) {
+        Slope keeperTick = new Slope("one tick of a keeper by organisations", "CPU ms");
+        Slope walletTick = new Slope("one tick of an idle wallet by organisations", "CPU ms");
+        Slope request = new Slope("one batch of tokens at the keeper by organisations", "CPU ms");
+        Slope heap = new Slope("keeper and wallet by organisations", "MB");
+        for (int n : ORGANISATIONS) {
+            TokenKeeper keeper = keeper(n);
+            TokenWallet wallet = wallet(n);
+            long[] now = {0};
+            keeperTick.add(n, Slope.cpuMillis(TICKS, () -> keeper.tick(now[0] += 10)));
+            walletTick.add(n, Slope.cpuMillis(TICKS, () -> wallet.tick(now[0] += 10)));
+            request.add(n, Slope.cpuMillis(20_000, () -> {
+                now[0]++;
+                exchange(keeper, "organisation-" + now[0] % n, now[0]);
+            }));
+            heap.add(n, Slope.heapMegabytes(() -> List.of(keeper(n), wallet(n))));
+        }
+        keeperTick.print();
+        walletTick.print();
+        request.print();
+        heap.print();
+        documents();
+        messages();
+        Slope fetched = new Slope("token messages of a host at 54 requests/s by organisations", "messages/s");
+        for (int n : ORGANISATIONS) {
+            fetched.add(n, messagesPerSecond(n));
+        }
+        fetched.print();
+    }
+
+    /** Runs a wallet against one keeper for a simulated minute and returns the messages in both directions. */
+    private static double messagesPerSecond(int organisations) {
+        TokenKeeper keeper = keeper(organisations);
+        TokenWallet wallet = wallet(organisations);
+        Random random = new Random(1);
+        long messages = 0;
+        int next = 0;
+        for (long now = 1; now <= SECONDS * 1_000L; now++) {
+            keeper.confirmed(now);
+            if (random.nextInt(1_000) < REQUESTS_PER_SECOND) {
+                wallet.reserve("r" + next, "organisation-" + random.nextInt(organisations), 1_000, now);
+                wallet.settle("r" + (next++ - REQUESTS_PER_SECOND), 700, now);
+            }
+            if (now % 10 == 0) {
+                wallet.tick(now);
+            }
+            messages += deliver(wallet, keeper, now);
+        }
+        return messages / (double) SECONDS;
+    }
+
+    private static long deliver(TokenWallet wallet, TokenKeeper keeper, long now) {
+        long messages = 0;
+        for (List<LimitEffect> effects = wallet.drain(); !effects.isEmpty(); effects = wallet.drain()) {
+            for (LimitEffect effect : effects) {
+                if (!(effect instanceof LimitEffect.Send send)) {
+                    continue;
+                }
+                messages++;
+                if (send.message() instanceof TokenMessage.Return back) {
+                    keeper.onReturn("w", back, now);
+                } else if (send.message() instanceof TokenMessage.Request ask) {
+                    messages++;
+                    LimitEffect.Send answer =
+                            (LimitEffect.Send) keeper.onRequest("w", ask, now).get(0);
+                    wallet.onGrant("h", (TokenMessage.Grant) answer.message(), now);
+                }
+            }
+        }
+        return messages;
+    }
+
+    private static void documents() {
+        JsonAllotmentCodec codec = new JsonAllotmentCodec();
+        Slope bytes = new Slope("limits/allotments by organisations, 14 keepers each", "bytes");
+        Slope parse = new Slope("parse of limits/allotments by organisations", "CPU ms");
+        for (int n : ORGANISATIONS) {
+            byte[] encoded = codec.encode(document(n, 14));
+            bytes.add(n, encoded.length);
+            parse.add(n, Slope.cpuMillis(50, () -> codec.decode(encoded)));
+        }
+        bytes.print();
+        parse.print();
+        Slope byKeeper = new Slope("limits/allotments by keepers of each of 100 organisations", "bytes");
+        for (int k : KEEPERS) {
+            byKeeper.add(k, codec.encode(document(100, k)).length);
+        }
+        byKeeper.print();
+    }
+
+    private static void messages() {
+        int asked = PeerMessage.newBuilder()
+                .setSender("host-1234")
+                .setSenderIncarnation(1)
+                .setSequence(1_000_000)
+                .setReceiver("host-0123")
+                .setTokenRequest(TokenRequest.newBuilder()
+                        .setRequestId("host-1234/wallet/1a0c3f5e7b9/1234567")
+                        .setOrganisation("organisation-1")
+                        .setTokens(50_000))
+                .build()
+                .getSerializedSize();
+        int granted = PeerMessage.newBuilder()
+                .setSender("host-0123")
+                .setSenderIncarnation(1)
+                .setSequence(1_000_000)
+                .setReceiver("host-1234")
+                .setTokenGrant(TokenGrant.newBuilder()
+                        .setRequestId("host-1234/wallet/1a0c3f5e7b9/1234567")
+                        .setOrganisation("organisation-1")
+                        .setTokens(50_000)
+                        .setLifetimeMillis(5_000)
+                        .setBatchId("host-0123#keeper/keeper/1a0c3f5e7b9/1234567"))
+                .build()
+                .getSerializedSize();
+        System.out.println("bytes of a token request " + asked + ", of a grant " + granted);
+    }
+
+    private static void exchange(TokenKeeper keeper, String organisation, long now) {
+        keeper.confirmed(now);
+        TokenMessage.Request ask = new TokenMessage.Request("r" + now, organisation, 500, false);
+        LimitEffect.Send answer =
+                (LimitEffect.Send) keeper.onRequest("h", ask, now).get(0);
+        TokenMessage.Grant grant = (TokenMessage.Grant) answer.message();
+        keeper.onReturn("h", new TokenMessage.Return(organisation, grant.batchId(), 0), now);
+    }
+
+    private static TokenKeeper keeper(int organisations) {
+        TokenKeeper keeper = new TokenKeeper("h", 1, LimitSettings.defaults());
+        Map<String, Allotment> allotments = new HashMap<>();
+        for (int i = 0; i < organisations; i++) {
+            allotments.put("organisation-" + i, new Allotment(1L << 40, 1L << 40, 1L << 40, 1L << 40, true, false));
+        }
+        keeper.confirmed(0);
+        keeper.adopt(allotments, 0);
+        return keeper;
+    }
+
+    private static TokenWallet wallet(int organisations) {
+        TokenWallet wallet = new TokenWallet("h", 1, LimitSettings.defaults());
+        Map<String, Organisation> configured = new HashMap<>();
+        for (int i = 0; i < organisations; i++) {
+            String id = "organisation-" + i;
+            configured.put(id, new Organisation(id, 1_000_000, 10_000_000, 1, null));
+        }
+        wallet.configure(configured, 0);
+        configured.keySet().forEach(id -> wallet.keepers(id, List.of("h")));
+        return wallet;
+    }
+
+    /** Spreads the keepers over all hosts, as rendezvous hashing does. */
+    private static AllotmentDocument document(int organisations, int keepers) {
+        TreeMap<String, KeeperEntry> entries = new TreeMap<>();
+        TreeMap<String, SortedMap<String, Allotment>> allotments = new TreeMap<>();
+        List<String> hosts = new ArrayList<>();
+        for (int i = 0; i < HOSTS; i++) {
+            hosts.add(String.format("host-%04d", i));
+        }
+        for (int i = 0; i < organisations; i++) {
+            TreeMap<String, Allotment> of = new TreeMap<>();
+            for (int k = 0; k < keepers; k++) {
+                String host = hosts.get((i * keepers + k) % HOSTS);
+                entries.put(host, new KeeperEntry(1_790_000_000_000L, "d" + k % 7, "10.0.0.1:7000", 1_000));
+                of.put(host, new Allotment(71_428, 714_285, 71_428, 714_285, true, false));
+            }
+            allotments.put("organisation-" + i, of);
+        }
+        return new AllotmentDocument(100_000, entries, allotments);
+    }
+}
