Share the concurrency of endpoints between the hosts of a failure domain

CreditControl runs the homes on the control thread and keeps credits/{domain} by conditional updates; RequestCredits runs the holder on the request thread; CreditRoutes carries their messages. EndpointAttempt checks the lease right before the write and ends as not run if it has lapsed.

Sharing is off unless the setting sharedCredits is 1. A process that starts while the store is down cannot be put on the roster, so with sharing on it is granted no credits until the store returns.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/Host.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/Host.java
@@ -26,7 +26,6 @@
 import org.gooseberryring.coordination.retry.RetryBudget;
 import org.gooseberryring.coordination.retry.RetryPolicy;
 import org.gooseberryring.coordination.route.Router;
-import org.gooseberryring.coordination.route.UnsharedCredits;
 import org.gooseberryring.host.admin.AdminHandler;
 import org.gooseberryring.host.admin.OperatorAuthenticator;
 import org.gooseberryring.host.caller.Authenticator;
@@ -111,6 +110,7 @@
     private final LimitControl limits;
     private final PeerEffectLinks links;
     private final ClaimControl claims;
+    private final HostCredits credits;
     private final RequestLoop loop;
     private final FeedControl feed;
     private final OrderControl orders;
@@ -133,7 +133,6 @@
         control = new ControlLoop(bounds.controlRingSize(), clock::now);
         open = new OpenRequests(bounds.maxOpenRequests());
         authenticator = new Authenticator(holder, settings.keyGraceSeconds(), clock::now);
-
         PeerInbox inbox = new PeerInbox();
         peers = peerLinks(inbox);
         directory = new HostDirectory(
@@ -142,11 +141,13 @@
         TokenRoutes tokens = new TokenRoutes(settings.hostId(), this::sendToPeer, control);
         links = new PeerEffectLinks(caller, directory, this::sendToPeer, control);
         claims = new ClaimControl(settings.hostId(), incarnation, lanes, control, this::sendToPeer, links::answered);
+        credits = new HostCredits(settings, incarnation, MAX_RUN_MILLIS, clock, this::sendToPeer, control, lanes);
         loop = requestLoop(tokens);
+        credits.connect(loop);
         links.connect(claims, loop);
         feed = new FeedControl(settings, store, control, this::sendToPeer, holder, codec, incarnation, clock.now());
         summaries = summaryControl();
-        inbox.connect(tokens, loop, directory, control, feed, summaries, claims);
+        inbox.connect(tokens, loop, directory, control, feed, summaries, claims, credits.routes());
         // The peer address is final only now, because the settings may leave the port to the system.
         peerAddress = peers.listen(settings.peerAddress());
         limits = limitControl(tokens);
@@ -304,7 +305,10 @@
         RequestEngine engine = new RequestEngine(
                 wallet,
                 new FairRequestQueue(QueueSettings.defaults()),
-                new Router(settings.failureDomain(), new Random(incarnation), new UnsharedCredits()),
+                new Router(
+                        settings.failureDomain(),
+                        new Random(incarnation),
+                        credits.holder().source()),
                 new RetryPolicy(new RetryBudget()),
                 new CrashSuspects(),
                 MAX_RUN_MILLIS);
@@ -314,7 +318,8 @@
                 new EndpointClient(worker, endpointLimits()),
                 metrics,
                 links,
-                new Relays(directory::live, settings.peerSecret(), incarnation, clock::now, clock::wallMillis));
+                new Relays(directory::live, settings.peerSecret(), incarnation, clock::now, clock::wallMillis),
+                credits.holder());
         RequestLoop created =
                 new RequestLoop(settings.limits().requestRingSize(), engine, wallet, effects, tokens::send, clock::now);
         effects.connect(created);
@@ -324,9 +329,7 @@
     private LimitControl limitControl(TokenRoutes tokens) {
         KeeperIdentity self =
                 new KeeperIdentity(settings.hostId(), incarnation, settings.failureDomain(), text(peerAddress));
-        LimitControl created =
-                new LimitControl(self, limitSettings(), new JsonAllotmentCodec(), lanes, control, loop, tokens::send);
-        return created;
+        return new LimitControl(self, limitSettings(), new JsonAllotmentCodec(), lanes, control, loop, tokens::send);
     }
 
     private LimitSettings limitSettings() {
@@ -369,6 +372,7 @@
         loop.configured(configuration);
         control.put(now -> {
             limits.configured(configuration);
+            credits.configured(configuration);
             orders.configured(configuration, now);
         });
     }
@@ -396,6 +400,7 @@
                 });
         control.put(now -> {
             limits.members(members);
+            credits.members(members);
             orders.members(members);
             feed.members(live, now);
             claims.members(all, now);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -1,11 +1,13 @@
 package org.gooseberryring.host.caller;
 
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import org.gooseberryring.coordination.request.AttemptOutcome;
 import org.gooseberryring.coordination.request.RequestEffect;
 import org.gooseberryring.host.HostMetrics;
 import org.gooseberryring.host.config.ConfigurationHolder;
+import org.gooseberryring.host.engine.RequestCredits;
 import org.gooseberryring.host.engine.RequestLoop;
 import org.gooseberryring.host.log.LogLine;
 import org.gooseberryring.state.Endpoint;
@@ -26,6 +28,7 @@
     private final HostMetrics metrics;
     private final EffectLinks links;
     private final Relays relays;
+    private final RequestCredits credits;
     private RequestLoop loop;
 
     /** Creates the effects; {@link #connect} must follow before the first effect. */
@@ -35,13 +38,15 @@
             EndpointClient client,
             HostMetrics metrics,
             EffectLinks links,
-            Relays relays) {
+            Relays relays,
+            RequestCredits credits) {
         this.open = open;
         this.holder = holder;
         this.client = client;
         this.metrics = metrics;
         this.links = links;
         this.relays = relays;
+        this.credits = credits;
     }
 
     /** Names the loop that hears of the outcomes. */
@@ -86,7 +91,9 @@
                 to.body(),
                 to.kind(),
                 to.idempotent());
-        request.thread().execute(() -> send(request, dispatch.attempt(), endpoint.address(), call));
+        BooleanSupplier mayStart = credits.mayStart(endpoint.id());
+        Progress progress = new Progress(request, dispatch.attempt(), endpoint.id());
+        request.thread().execute(() -> send(progress, endpoint.address(), call, mayStart));
     }
 
     private void relay(RequestEffect.Relay relay) {
@@ -97,18 +104,19 @@
             return;
         }
         EndpointCall call = relays.call(request, relay.attempt());
-        request.thread().execute(() -> send(request, relay.attempt(), address, call));
+        Progress progress = new Progress(request, relay.attempt(), null);
+        request.thread().execute(() -> send(progress, address, call, () -> true));
     }
 
     /** Sends a request to an endpoint or a relay; must run on the I/O thread of the request. */
-    private void send(OpenRequest request, int number, String address, EndpointCall call) {
+    private void send(Progress progress, String address, EndpointCall call, BooleanSupplier mayStart) {
+        OpenRequest request = progress.request;
         if (request.ended()) {
-            loop.attemptEnded(request.spec().id(), number, notRun());
+            loop.attemptEnded(request.spec().id(), progress.number, notRun());
             return;
         }
-        EndpointAttempt attempt =
-                client.send(address, call, request.thread(), request.sink(), new Progress(request, number));
-        request.attempt(number, attempt);
+        EndpointAttempt attempt = client.send(address, call, request.thread(), request.sink(), progress, mayStart);
+        request.attempt(progress.number, attempt);
     }
 
     private void refuse(RequestEffect.Refuse refuse) {
@@ -145,11 +153,14 @@
     private final class Progress implements AttemptListener {
         private final OpenRequest request;
         private final int number;
+        private final String endpoint;
         private final long startedNanos = System.nanoTime();
 
-        private Progress(OpenRequest request, int number) {
+        /** Creates the progress of one attempt; {@code endpoint} is null for a relay. */
+        private Progress(OpenRequest request, int number, String endpoint) {
             this.request = request;
             this.number = number;
+            this.endpoint = endpoint;
         }
 
         @Override
@@ -163,6 +174,9 @@
                 request.record(outcome.status(), recorded);
             }
             metrics.attemptEnded(outcome.verdict(), System.nanoTime() - startedNanos);
+            if (endpoint != null) {
+                credits.attemptEnded(endpoint, outcome);
+            }
             loop.attemptEnded(request.spec().id(), number, outcome);
         }
     }
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/control/JsonCreditCodec.java
@@ -0,0 +1,14 @@
+package org.gooseberryring.host.control;
+
+import org.gooseberryring.protocol.Json;
+
+/** Keeps the homes of credits as JSON. */
+final class JsonCreditCodec {
+    byte[] encode(CreditDocument document) {
+        return Json.write(document);
+    }
+
+    CreditDocument decode(byte[] bytes) {
+        return Json.read(bytes, CreditDocument.class);
+    }
+}
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/RequestLoop.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/RequestLoop.java
@@ -128,6 +128,11 @@
         ring.put(input);
     }
 
+    /** Hands over an event that is repeated soon; left out when the ring is full. */
+    public void offer(RequestInput input) {
+        ring.offer(input);
+    }
+
     public long depth() {
         return ring.depth();
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/PeerInbox.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/PeerInbox.java
@@ -1,6 +1,7 @@
 package org.gooseberryring.host.peer;
 
 import org.gooseberryring.coordination.claim.ClaimMessage;
+import org.gooseberryring.coordination.route.HolderId;
 import org.gooseberryring.host.control.ClaimControl;
 import org.gooseberryring.host.control.ControlLoop;
 import org.gooseberryring.host.control.FeedControl;
@@ -25,6 +26,7 @@
     private FeedControl feed;
     private SummaryControl summaries;
     private ClaimControl claims;
+    private CreditRoutes credits;
 
     /** Names the receivers; must precede the first message. */
     public void connect(
@@ -34,7 +36,9 @@
             ControlLoop controlLoop,
             FeedControl feedControl,
             SummaryControl summaryControl,
-            ClaimControl claimControl) {
+            ClaimControl claimControl,
+            CreditRoutes creditRoutes) {
+        credits = creditRoutes;
         claims = claimControl;
         summaries = summaryControl;
         control = controlLoop;
@@ -56,6 +60,9 @@
             case CONFIGURATION_REPLY ->
                 control.offer(now -> feed.replied(sender, message.getConfigurationReply(), now));
             case PROBE -> probed(sender, message.getProbe());
+            case CREDIT_REQUEST ->
+                credits.received(new HolderId(sender, message.getSenderIncarnation()), message.getCreditRequest());
+            case CREDIT_GRANT -> credits.received(message.getCreditGrant());
             case CLAIM_REQUEST -> claim(message, ClaimMessages.decode(message.getClaimRequest()));
             case CLAIM_REPLY -> claim(message, ClaimMessages.decode(message.getClaimReply()));
             case CLAIM_OUTCOME -> claim(message, ClaimMessages.decode(message.getClaimOutcome()));
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/settings/HostSettings.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/settings/HostSettings.java
@@ -24,6 +24,7 @@
  * @param timeouts times after which the host gives up waiting
  * @param keyGraceSeconds seconds for which known keys are served without a confirmed configuration
  * @param reclaimAfterSeconds age in seconds at which an unconfirmed allotment may be reclaimed
+ * @param sharedCredits whether the hosts of a failure domain share the concurrency of its endpoints; equal on all hosts
  */
 public record HostSettings(
         String hostId,
@@ -40,7 +41,8 @@
         Limits limits,
         Timeouts timeouts,
         long keyGraceSeconds,
-        long reclaimAfterSeconds) {
+        long reclaimAfterSeconds,
+        boolean sharedCredits) {
     public HostSettings {
         peerSeeds = List.copyOf(peerSeeds);
         operatorTokens = List.copyOf(operatorTokens);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/settings/SettingsReader.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/settings/SettingsReader.java
@@ -70,7 +70,10 @@
                 limits(section.section("limits")),
                 timeouts(section.section("timeouts")),
                 section.number("keyGraceSeconds", 900, 0, MAX_SECONDS),
-                section.number("reclaimAfterSeconds", 14_400, 60, MAX_SECONDS));
+                section.number("reclaimAfterSeconds", 14_400, 60, MAX_SECONDS),
+                // Off unless set: a process that starts while the store is down cannot be put on the roster, so it
+                // would serve nothing until the store returns.
+                section.number("sharedCredits", 0, 0, 1) == 1);
         section.refuseUnknown();
         if (!faults.isEmpty()) {
             throw new InvalidSettingsException(faults);
--- /dev/null
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/HostCreditsTest.java
@@ -0,0 +1,51 @@
+package org.gooseberryring.host;
+
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.gooseberryring.standins.EngineSettings;
+import org.gooseberryring.standins.EngineStandIn;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class HostCreditsTest {
+    private static final int CONCURRENCY = 4;
+    private static final int REQUESTS = 40;
+
+    @TempDir
+    private Path directory;
+
+    /** Guards against two hosts that together send an engine more requests than it can run at once. */
+    @Test
+    void hostsOfOneDomainKeepWithinTheConcurrencyOfAnEngine() throws Exception {
+        // The engine would let more requests run at once than are configured, because it makes the ones above its own
+        // capacity wait and its record would not show them.
+        try (TestFleet fleet = new TestFleet(directory)) {
+            EngineStandIn engine =
+                    fleet.engine(EngineSettings.of("e1", 1L << 34, REQUESTS).withPace(20, 5));
+            Host first = fleet.host("h1", "d1", "{\"sharedCredits\":1}");
+            Host second = fleet.host("h2", "d1", "{\"sharedCredits\":1}");
+            fleet.configure(first, CONCURRENCY);
+
+            List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+            for (int i = 0; i < REQUESTS; i++) {
+                Host host = i % 2 == 0 ? first : second;
+                answers.add(fleet.client()
+                        .sendAsync(
+                                fleet.completion(host, "p" + i, 4, false).build(),
+                                HttpResponse.BodyHandlers.ofString()));
+            }
+
+            for (CompletableFuture<HttpResponse<String>> answer : answers) {
+                assertThat(answer.get().statusCode()).isEqualTo(200);
+            }
+            assertThat(engine.record().largestConcurrency()).isAtMost(CONCURRENCY);
+            assertThat(engine.record().completed()).hasSize(REQUESTS);
+        }
+    }
+}
--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/TestFleet.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/TestFleet.java
@@ -114,6 +114,11 @@
 
     /** Configures one organisation, the model {@code m} on all engines and the service {@code desk}. */
     public void configure(Host host) throws Exception {
+        configure(host, 32);
+    }
+
+    /** Configures the same with a given concurrency of each engine. */
+    public void configure(Host host, int concurrency) throws Exception {
         List<Change> changes = new ArrayList<>();
         changes.add(new Change.PutOrganisation(new Organisation(
                 "inkingi", 1_000_000, 1_000_000, 1, List.of(PriorityClass.NORMAL, PriorityClass.HIGH))));
@@ -121,8 +126,8 @@
         changes.add(new Change.PutFailureDomain(new FailureDomain("d1", "r1", true)));
         changes.add(new Change.PutFailureDomain(new FailureDomain("d2", "r1", true)));
         for (EngineStandIn engine : engines) {
-            changes.add(new Change.PutEndpoint(
-                    new Endpoint(engine.id(), EndpointKind.MODEL, "d1", engine.address(), 16 * GIB, 32, true, false)));
+            changes.add(new Change.PutEndpoint(new Endpoint(
+                    engine.id(), EndpointKind.MODEL, "d1", engine.address(), 16 * GIB, concurrency, true, false)));
         }
         changes.add(new Change.PutEndpoint(
                 new Endpoint("desk", EndpointKind.SERVICE, "d1", desk.address(), 0, 32, false, false)));
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import io.undertow.client.ClientCallback;
@@ -38,6 +39,7 @@
     private final XnioIoThread thread;
     private final AnswerSink sink;
     private final AttemptListener listener;
+    private final BooleanSupplier mayStart;
     private final long startedNanos = System.nanoTime();
 
     private boolean entered;
@@ -57,13 +59,15 @@
             EndpointCall call,
             XnioIoThread thread,
             AnswerSink sink,
-            AttemptListener listener) {
+            AttemptListener listener,
+            BooleanSupplier mayStart) {
         this.client = client;
         this.address = address;
         this.call = call;
         this.thread = thread;
         this.sink = sink;
         this.listener = listener;
+        this.mayStart = mayStart;
     }
 
     /** Gives the attempt up and closes its connection; may be called on any thread. */
@@ -93,6 +97,11 @@
             client.connector().release(address, opened);
             return;
         }
+        if (!mayStart.getAsBoolean()) {
+            client.connector().release(address, opened);
+            end(Verdict.NOT_RUN, false, null);
+            return;
+        }
         connection = opened;
         restartTimer(client.limits().firstByteMillis());
         sent = true;
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointClient.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointClient.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 
 import org.gooseberryring.transport.http.ClientConnector;
 import org.gooseberryring.transport.http.HttpWorker;
@@ -35,7 +36,22 @@
      */
     public EndpointAttempt send(
             String address, EndpointCall call, XnioIoThread thread, AnswerSink sink, AttemptListener listener) {
-        EndpointAttempt attempt = new EndpointAttempt(this, address, call, thread, sink, listener);
+        return send(address, call, thread, sink, listener, () -> true);
+    }
+
+    /**
+     * Sends a request unless it may no longer start by the time its connection is open.
+     *
+     * @param mayStart checked on the I/O thread right before the write; if false, the attempt ends as not run
+     */
+    public EndpointAttempt send(
+            String address,
+            EndpointCall call,
+            XnioIoThread thread,
+            AnswerSink sink,
+            AttemptListener listener,
+            BooleanSupplier mayStart) {
+        EndpointAttempt attempt = new EndpointAttempt(this, address, call, thread, sink, listener, mayStart);
         thread.execute(attempt::begin);
         return attempt;
     }
