Become home of an endpoint only once its concurrency is known

A take-over estimates what others may hold from the concurrency; without it the estimate was one credit for each process.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/control/CreditControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/control/CreditControl.java
@@ -196,7 +196,11 @@
     }
 
     private void become(String endpoint, CreditDocument.Home entry, long now) {
-        int requests = concurrency.getOrDefault(endpoint, 0);
+        Integer requests = concurrency.get(endpoint);
+        if (requests == null) {
+            // Shares of earlier terms cannot be estimated without the concurrency; a later read comes here again.
+            return;
+        }
         if (entry.term() == 1) {
             // Nobody can hold credits of an endpoint that never had a home.
             home.handedOver(endpoint, 1, requests, Map.of(), Set.of(), now);
