Let the controller search for loads four times a second

Cause: each tick of the order controller searches all endpoints of its failure domain; at 100 ticks/s that is 83% of a core at 1,430 endpoints (derived from the measured 8.3 ms a tick in CAPACITY.md). Ruled out: a search only after changes, which needs more state; store replies already drive the loads under way without a tick.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/control/OrderControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/control/OrderControl.java
@@ -33,6 +33,8 @@
     // Enough that one survives two failures; more would only read the lease more often.
     private static final int CANDIDATES = 3;
     private static final long ORDER_MILLIS = 2000;
+    // A tick searches all endpoints for the next load; replies of the store drive what is under way without it.
+    private static final long TICK_MILLIS = 250;
     private static final Map<String, String> JSON = Map.of("Content-Type", "application/json");
 
     private final String self;
@@ -46,6 +48,7 @@
     private final HostClock clock;
     private final EventRing<Sending> orders;
     private volatile long term;
+    private long nextTickAt;
 
     /**
      * Creates the controller.
@@ -108,6 +111,10 @@
 
     /** Lets time pass. */
     public void tick(long now) {
+        if (now < nextTickAt) {
+            return;
+        }
+        nextTickAt = now + TICK_MILLIS;
         carryOut(controller.onTick(now), now);
         if (term != controller.term()) {
             term = controller.term();
