Let the latency benchmark call a plain service too

A plain service needs no tokens, so the difference between the two ways tells waiting for tokens or for an engine apart from the cost of the host itself.

--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/AddedLatencyBenchmark.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/AddedLatencyBenchmark.java
@@ -25,13 +25,13 @@
 import org.gooseberryring.standins.EngineStandIn;
 
 /**
- * Measures the latency that a host adds to short completions.
+ * Measures the latency that a host adds to short completions, or to calls of a plain service.
  *
  * <p>Slices of direct requests to the engine stand-in alternate with slices of requests through the host at the same
  * rate. Each connection follows a fixed schedule, and latency counts from the scheduled time, so that a stall also
  * counts for the requests that wait behind it.
  *
- * <p>Optional arguments are the rates in requests per second.
+ * <p>Optional arguments are {@code engine} or {@code service} and the rates in requests per second.
  */
 public final class AddedLatencyBenchmark {
     private static final int CONNECTIONS = 16;
@@ -64,10 +64,16 @@
             EngineStandIn engine = fleet.engine("e1");
             Host host = fleet.host("h1", "d1", "{}");
             fleet.configure(host);
-            AddedLatencyBenchmark benchmark = new AddedLatencyBenchmark(
-                    URI.create("http://" + engine.address() + "/v1/completions"),
-                    TestFleet.uri(host.callerAddress(), "/v1/completions"));
-            benchmark.run(args.length == 0 ? List.of("500", "2000", "5000") : List.of(args));
+            boolean service = args.length > 0 && "service".equals(args[0]);
+            AddedLatencyBenchmark benchmark = service
+                    ? new AddedLatencyBenchmark(
+                            URI.create("http://" + fleet.desk().address() + "/status"),
+                            TestFleet.uri(host.callerAddress(), "/services/desk/status"))
+                    : new AddedLatencyBenchmark(
+                            URI.create("http://" + engine.address() + "/v1/completions"),
+                            TestFleet.uri(host.callerAddress(), "/v1/completions"));
+            List<String> rates = List.of(args).subList(Math.min(1, args.length), args.length);
+            benchmark.run(rates.isEmpty() ? List.of("500", "2000", "5000") : rates);
             benchmark.connections.shutdown();
         }
     }
