Ask for tokens at once after a round that was granted in full

A round that had asked every keeper counted as short when requests arrived while it ran, even if a keeper had granted all it was asked for. It then paused for 20 ms and held no tokens in advance for 200 ms, so that under steady load every request of the host waited for a round. Such a round now starts the next one at once; a round in which no keeper granted in full pauses as before.

Two thread dumps found the request and control threads waiting. Calls of a plain service, which need no tokens, kept up with 2,000 requests/s.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/TokenFetcher.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/TokenFetcher.java
@@ -43,6 +43,7 @@
     private Ask current;
     private int position;
     private boolean active;
+    private boolean grantedInFull;
     private long nextRoundAt = Long.MIN_VALUE;
     private long roundStart;
     private double fillPerMilli;
@@ -126,6 +127,7 @@
         serve();
         if (ask == current) {
             long missing = ask.tokens() - grant.tokens();
+            grantedInFull |= missing <= 0;
             if (missing > 0 && grant.retryAfterMillis() > 0) {
                 fillPerMilli += (double) missing / grant.retryAfterMillis();
             }
@@ -152,6 +154,7 @@
         }
         active = true;
         roundStart = sequence;
+        grantedInFull = false;
         position = 0;
         fillPerMilli = 0;
         suspects.values().removeIf(until -> until <= now);
@@ -191,7 +194,14 @@
             return;
         }
         if (position >= order.size()) {
-            finishShort(now);
+            if (grantedInFull) {
+                // What is missing was asked by requests that arrived meanwhile, which does not show that tokens are
+                // scarce; a pause here would hold up every request of a host under steady load.
+                active = false;
+                startRound(now);
+            } else {
+                finishShort(now);
+            }
             return;
         }
         String keeper = order.get(position++);
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/TokenWalletTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/TokenWalletTest.java
@@ -90,6 +90,23 @@
         assertThat(wallet.available("o")).isEqualTo(0);
     }
 
+    /** Guards against a pause in fetching that holds up requests although the keeper has all the tokens asked for. */
+    @Test
+    void requestThatArrivesDuringARoundIsAskedForAtOnce() {
+        TokenWallet wallet = new TokenWallet("w", 1, LimitSettings.defaults());
+        wallet.configure(Map.of("o", new Organisation("o", 1_000, 1_000, 1, null)), 0);
+        wallet.keepers("o", List.of("k"));
+        wallet.reserve("r1", "o", 100, 0);
+        String first = requestId(wallet);
+        wallet.reserve("r2", "o", 100, 0);
+        wallet.onGrant("k", new TokenMessage.Grant(first, "o", 100, 5_000, 0, "b1"), 1);
+
+        String second = requestId(wallet);
+        wallet.onGrant("k", new TokenMessage.Grant(second, "o", 100, 5_000, 0, "b2"), 2);
+
+        assertThat(wallet.drain()).contains(new LimitEffect.Decided("r2", Admission.admitted()));
+    }
+
     private static String requestId(TokenWallet wallet) {
         return wallet.drain().stream()
                 .filter(effect -> effect instanceof LimitEffect.Send)
