--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayHandler.java
@@ -1,5 +1,6 @@
 package org.gooseberryring.host.caller;
 
+import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.LongSupplier;
@@ -115,7 +116,7 @@
                 head.priorityClass(),
                 0,
                 0,
-                Digests.hex(owner, method + " " + path, java.util.HexFormat.of().formatHex(Digests.sha256(body))),
+                Digests.hex(owner, method + " " + path, HexFormat.of().formatHex(Digests.sha256(body))),
                 head.idempotent(),
                 null,
                 clock.getAsLong() + head.deadlineMillis());
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/HttpCall.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/HttpCall.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Consumer;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
@@ -138,7 +139,7 @@
         result.completeExceptionally(new HttpCallException(message, sent, cause));
     }
 
-    private ClientCallback<ClientExchange> callback(java.util.function.Consumer<ClientExchange> next) {
+    private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> next) {
         return new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/peer/PeerLinks.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/peer/PeerLinks.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.bootstrap.Bootstrap;
@@ -151,7 +152,7 @@
                 .addLast(new PeerReceiver(hostId, new FrameSigner(secret), replays, counters, listener));
     }
 
-    private static ChannelInitializer<SocketChannel> initializer(java.util.function.Consumer<SocketChannel> setup) {
+    private static ChannelInitializer<SocketChannel> initializer(Consumer<SocketChannel> setup) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
