Share the weight store's slots between failure domains that wait

Cause: a controller that gives back a slot takes it again in the same moment, and the others read the budget only once in a lease, so a failure domain without a slot never got one. Seen with the demonstration fleet: after 50 s the failure domains had 16, 26 and 1 loads though their placements are of the same size. Ruled out: placements (62, 62 and 66 artifacts) and a smaller rate for each domain, which would leave slots idle. Conclusion: a failure domain without a slot marks itself as waiting in the budget and reads it every 250 ms; who gives back a slot leaves it free for 600 ms while others wait. The mark is a hint and clears itself, so a failure domain that is gone holds nothing up.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/BudgetDocument.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/BudgetDocument.java
@@ -1,7 +1,10 @@
 package org.gooseberryring.coordination.order;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.SortedSet;
+import java.util.TreeSet;
 
 /**
  * Content of the store object {@code weights/budget}: the slots that divide the weight store.
@@ -11,10 +14,12 @@
  *
  * @param stamp identifier of the write
  * @param slots one slot for each concurrent load
+ * @param waiting failure domains that have a load to start and hold no slot; a hint that lets others leave one free
  */
-public record BudgetDocument(String stamp, List<Slot> slots) implements Stamped {
+public record BudgetDocument(String stamp, List<Slot> slots, SortedSet<String> waiting) implements Stamped {
     public BudgetDocument {
         slots = List.copyOf(slots);
+        waiting = Collections.unmodifiableSortedSet(waiting == null ? new TreeSet<>() : new TreeSet<>(waiting));
     }
 
     /**
@@ -40,13 +45,34 @@
         for (int i = 0; i < slots; i++) {
             list.add(Slot.FREE);
         }
-        return new BudgetDocument("", list);
+        return new BudgetDocument("", list, null);
     }
 
     /** Returns a copy with one slot replaced. */
     BudgetDocument with(String newStamp, int index, Slot slot) {
         List<Slot> copy = new ArrayList<>(slots);
         copy.set(index, slot);
-        return new BudgetDocument(newStamp, copy);
+        return new BudgetDocument(newStamp, copy, waiting);
+    }
+
+    /** Returns a copy in which a failure domain waits, or does so no more. */
+    BudgetDocument withWaiting(String newStamp, String failureDomain, boolean waits) {
+        SortedSet<String> copy = new TreeSet<>(waiting);
+        if (waits) {
+            copy.add(failureDomain);
+        } else {
+            copy.remove(failureDomain);
+        }
+        return new BudgetDocument(newStamp, slots, copy);
+    }
+
+    /** Returns a copy in which no failure domain waits. */
+    BudgetDocument withoutWaiting() {
+        return new BudgetDocument(stamp, slots, null);
+    }
+
+    /** Returns whether a failure domain other than the given one waits. */
+    boolean othersWait(String failureDomain) {
+        return waiting.stream().anyMatch(domain -> !domain.equals(failureDomain));
     }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/LoadTasks.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/LoadTasks.java
@@ -22,12 +22,17 @@
     static final String BUDGET_KEY = "weights/budget";
 
     private static final int URGENT = 1;
+    /** Time between two reads of the budget by a failure domain that waits for a slot. */
+    private static final long WAITING_READ_MILLIS = 250;
+    /** Time for which a slot that was given back is left to failure domains that wait; longer than their reads. */
+    private static final long YIELD_MILLIS = 600;
 
     private final ControllerTerm term;
     private final StoredObject<BudgetDocument> budget;
     private final List<LoadTask> tasks = new ArrayList<>();
     private LoadTask slotChange;
     private long nextBudgetReadAt;
+    private long yieldUntil;
 
     LoadTasks(ControllerTerm term) {
         this.term = term;
@@ -43,7 +48,8 @@
         List<OrderEffect> effects = new ArrayList<>(budget.onTick(now));
         if (budget.doc() == null || now >= nextBudgetReadAt && budget.ready() && slotChange == null) {
             // Also later, since a paused controller of an earlier term may have taken a slot in the meantime.
-            nextBudgetReadAt = now + term.settings().leaseMillis();
+            nextBudgetReadAt =
+                    now + (waits() ? WAITING_READ_MILLIS : term.settings().leaseMillis());
             effects.addAll(budget.read());
         }
         for (LoadTask task : new ArrayList<>(tasks)) {
@@ -75,6 +81,7 @@
                 advance(changed, now, effects);
             } else {
                 tasks.remove(changed);
+                yieldUntil = now + YIELD_MILLIS;
             }
         } else if (changed != null && changed.step() == LoadTask.Step.SLOT) {
             tasks.remove(changed);
@@ -122,34 +129,71 @@
         if (!budget.ready() || slotChange != null) {
             return;
         }
+        if (giveBackSlot(now, effects)) {
+            return;
+        }
+        List<Integer> free = freeSlots();
+        if (free.isEmpty()) {
+            waitForSlot(now, effects);
+            return;
+        }
+        boolean othersWait = budget.doc().othersWait(term.failureDomain());
+        if (othersWait && now < yieldUntil) {
+            return;
+        }
+        Candidate best = bestCandidate();
+        if (best == null || keptForUrgent(best, free.size())) {
+            return;
+        }
+        int index = free.get(term.random().nextInt(free.size()));
+        LoadTask task = LoadTask.started(best.track(), best.artifact(), best.bytes(), term.nextId(), index);
+        tasks.add(task);
+        slotChange = task;
+        Slot slot = new Slot(term.failureDomain(), best.track().endpoint(), task.firstOrder());
+        // Who did not take the slot that was left free for it may be gone; it waits again if it is not.
+        BudgetDocument known = othersWait && yieldUntil > 0 ? budget.doc().withoutWaiting() : budget.doc();
+        String stamp = term.nextStamp();
+        yieldUntil = 0;
+        effects.addAll(
+                budget.put(known.withWaiting(stamp, term.failureDomain(), false).with(stamp, index, slot), now));
+    }
+
+    /** Keeps the last slot for loads that restore reachability, unless there is only one. */
+    private boolean keptForUrgent(Candidate candidate, int freeSlots) {
+        return freeSlots == 1 && budget.doc().slots().size() > 1 && candidate.rank() > URGENT;
+    }
+
+    private boolean giveBackSlot(long now, List<OrderEffect> effects) {
         for (LoadTask task : tasks) {
             if (task.releasable(now, term.settings())) {
                 slotChange = task;
                 effects.addAll(budget.put(budget.doc().with(term.nextStamp(), task.slot(), Slot.FREE), now));
-                return;
+                return true;
             }
         }
+        return false;
+    }
+
+    private List<Integer> freeSlots() {
         List<Integer> free = new ArrayList<>();
         for (int i = 0; i < budget.doc().slots().size(); i++) {
             if (Slot.isFree(budget.doc().slots().get(i))) {
                 free.add(i);
             }
         }
-        if (free.isEmpty()) {
-            return;
-        }
-        Candidate best = bestCandidate(now);
-        // The last slot is kept for loads that restore reachability, unless there is only one.
-        boolean lastSlot = free.size() == 1 && budget.doc().slots().size() > 1;
-        if (best == null || lastSlot && best.rank() > URGENT) {
-            return;
+        return free;
+    }
+
+    /** Tells the other failure domains that this one has a load to start and holds no slot. */
+    private void waitForSlot(long now, List<OrderEffect> effects) {
+        if (tasks.isEmpty() && !waits() && bestCandidate() != null) {
+            nextBudgetReadAt = now + WAITING_READ_MILLIS;
+            effects.addAll(budget.put(budget.doc().withWaiting(term.nextStamp(), term.failureDomain(), true), now));
         }
-        int index = free.get(term.random().nextInt(free.size()));
-        LoadTask task = LoadTask.started(best.track(), best.artifact(), best.bytes(), term.nextId(), index);
-        tasks.add(task);
-        slotChange = task;
-        Slot slot = new Slot(term.failureDomain(), best.track().endpoint(), task.firstOrder());
-        effects.addAll(budget.put(budget.doc().with(term.nextStamp(), index, slot), now));
+    }
+
+    private boolean waits() {
+        return budget.doc() != null && budget.doc().waiting().contains(term.failureDomain());
     }
 
     private record Candidate(EndpointTracker track, Artifact artifact, long bytes, int rank) {}
@@ -160,7 +204,7 @@
         }
     }
 
-    private Candidate bestCandidate(long now) {
+    private Candidate bestCandidate() {
         Set<Unit> confirmed = new HashSet<>();
         Set<EndpointTracker> busy = new HashSet<>();
         for (EndpointTracker track : term.tracks().values()) {
