--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/settings/JsonSection.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/settings/JsonSection.java
@@ -14,6 +14,7 @@
 
 /** Reads the fields of one JSON object and collects every fault with its path. */
 final class JsonSection {
+    private static final String NOT_AN_ADDRESS = "must be an IP address and a port, as 10.0.0.1:8080";
     private static final Pattern ADDRESS = Pattern.compile("(\\d{1,3}(?:\\.\\d{1,3}){3}|\\[[0-9a-fA-F:]+]):(\\d{1,5})");
     private static final int MAX_PORT = 65_535;
 
@@ -69,9 +70,13 @@
     }
 
     InetSocketAddress address(String name) {
-        String text = text(name, ADDRESS);
-        Matcher matcher = ADDRESS.matcher(text);
+        JsonNode value = required(name);
+        if (value == null) {
+            return null;
+        }
+        Matcher matcher = ADDRESS.matcher(value.asText());
         if (!matcher.matches()) {
+            fault(name, NOT_AN_ADDRESS);
             return null;
         }
         int port = Integer.parseInt(matcher.group(2));
@@ -81,7 +86,7 @@
         }
         InetSocketAddress address = new InetSocketAddress(matcher.group(1), port);
         if (address.isUnresolved()) {
-            fault(name, "must be an IP address and a port");
+            fault(name, NOT_AN_ADDRESS);
         }
         return address;
     }
