Ask keepers again that did not answer before refusing a request

Cause: the first requests of a new host were refused as rate-limited, since its keepers had not answered yet (their links to it were not up) and a round without tokens counted as proof that the organisation is over its rate. Ruled out: the host list; the request failed with the entry in it too. Conclusion: a round in which a keeper did not answer is repeated up to five times before the refusal.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/TokenFetcher.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/TokenFetcher.java
@@ -21,6 +21,8 @@
  */
 final class TokenFetcher {
     // A keeper that did not answer is asked last for this long, so that it does not delay every round.
+    // A round takes at most one ask timeout for each keeper, so a request waits for less than a second or two.
+    private static final int MAX_ROUNDS_WITHOUT_ANSWER = 5;
     private static final long SUSPECT_MILLIS = 1_000;
     // Used where no keeper can tell when tokens will be there.
     private static final long UNKNOWN_RETRY_MILLIS = 1_000;
@@ -43,6 +45,8 @@
     private Ask current;
     private int position;
     private boolean active;
+    private boolean unanswered;
+    private int roundsWithoutAnswer;
     private boolean grantedInFull;
     private long nextRoundAt = Long.MIN_VALUE;
     private long roundStart;
@@ -141,6 +145,7 @@
         serve();
         if (current != null && now - current.sentAt() >= settings.askTimeoutMillis()) {
             suspects.put(current.keeper(), now + SUSPECT_MILLIS);
+            unanswered = true;
             askNext(now);
         }
         startRound(now);
@@ -155,6 +160,7 @@
         active = true;
         roundStart = sequence;
         grantedInFull = false;
+        unanswered = false;
         position = 0;
         fillPerMilli = 0;
         suspects.values().removeIf(until -> until <= now);
@@ -219,11 +225,14 @@
         nextRoundAt = now + settings.roundIntervalMillis();
         lastFillPerMilli = fillPerMilli;
         long shortage = -account.available();
+        // A keeper that did not answer, as one whose link is not up yet, does not show that the rate is exceeded.
+        roundsWithoutAnswer = unanswered ? roundsWithoutAnswer + 1 : 0;
+        boolean tryAgain = unanswered && roundsWithoutAnswer < MAX_ROUNDS_WITHOUT_ANSWER;
         ArrayDeque<PendingReservation> later = new ArrayDeque<>();
         while (!pending.isEmpty()) {
             PendingReservation waiting = pending.poll();
             pendingTokens -= waiting.tokens();
-            if (waiting.sequence() > roundStart) {
+            if (waiting.sequence() > roundStart || tryAgain) {
                 later.add(waiting);
             } else if (!admit.test(waiting)) {
                 shortage += waiting.tokens();
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/TokenWalletTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/TokenWalletTest.java
@@ -1,5 +1,6 @@
 package org.gooseberryring.coordination.limit;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.function.IntUnaryOperator;
@@ -107,6 +108,34 @@
         assertThat(wallet.drain()).contains(new LimitEffect.Decided("r2", Admission.admitted()));
     }
 
+    /** Guards against a refusal as over the rate because a keeper's link was not up yet, and against an endless wait. */
+    @Test
+    void keeperWithoutAnswerIsAskedAgainBeforeTheRefusal() {
+        TokenWallet wallet = new TokenWallet("w", 1, LimitSettings.defaults());
+        wallet.configure(Map.of("o", new Organisation("o", 1_000, 1_000, 1, null)), 0);
+        wallet.keepers("o", List.of("k"));
+        wallet.reserve("r1", "o", 100, 0);
+
+        List<LimitEffect> soon = tickUntil(wallet, 0, 300);
+        List<LimitEffect> later = tickUntil(wallet, 300, 2_000);
+
+        assertThat(soon.stream().filter(LimitEffect.Send.class::isInstance).count())
+                .isAtLeast(2);
+        assertThat(soon.stream().filter(LimitEffect.Decided.class::isInstance).count())
+                .isEqualTo(0);
+        assertThat(later.stream().filter(LimitEffect.Decided.class::isInstance).count())
+                .isEqualTo(1);
+    }
+
+    private static List<LimitEffect> tickUntil(TokenWallet wallet, long from, long to) {
+        List<LimitEffect> effects = new ArrayList<>();
+        for (long now = from; now < to; now += 10) {
+            wallet.tick(now);
+            effects.addAll(wallet.drain());
+        }
+        return effects;
+    }
+
     private static String requestId(TokenWallet wallet) {
         return wallet.drain().stream()
                 .filter(effect -> effect instanceof LimitEffect.Send)
