--- a/bin/launch.sh
+++ b/bin/launch.sh
@@ -6,8 +6,8 @@
 build_if_needed() {
   local module
   for module in ctl host standins; do
-    if ! compgen -G "$root/gooseberryring-$module/target/gooseberryring-$module-*.jar" >/dev/null \
-      || [ ! -d "$root/gooseberryring-$module/target/lib" ]; then
+    if ! compgen -G "$root/target/gooseberryring-$module/gooseberryring-$module-*.jar" >/dev/null \
+      || [ ! -d "$root/target/gooseberryring-$module/lib" ]; then
       echo "event=build module=gooseberryring-$module" >&2
       (cd "$root" && mvn -B -q -DskipTests package) >&2
       return
@@ -17,5 +17,5 @@
 
 # Prints the class path of a module.
 class_path() {
-  printf '%s' "$root/gooseberryring-$1/target/lib/*:$root/gooseberryring-$1/target/*"
+  printf '%s' "$root/target/gooseberryring-$1/lib/*:$root/target/gooseberryring-$1/*"
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/AttemptOutcome.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/AttemptOutcome.java
@@ -11,6 +11,7 @@
  * @param bytesReachedCaller whether any byte of the answer went to the caller
  * @param endpointLost whether the connection broke, as when the endpoint dies
  * @param firstTokenMillis milliseconds from dispatch to the first byte of the answer, -1 if there was none
+ * @param sent whether a byte of the request may have left this host
  */
 public record AttemptOutcome(
         Verdict verdict,
@@ -18,4 +19,16 @@
         long usedTokens,
         boolean bytesReachedCaller,
         boolean endpointLost,
-        long firstTokenMillis) {}
+        long firstTokenMillis,
+        boolean sent) {
+    /** Creates the outcome of an attempt that was sent. */
+    public AttemptOutcome(
+            Verdict verdict,
+            int status,
+            long usedTokens,
+            boolean bytesReachedCaller,
+            boolean endpointLost,
+            long firstTokenMillis) {
+        this(verdict, status, usedTokens, bytesReachedCaller, endpointLost, firstTokenMillis, true);
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/FleetRequests.java
@@ -0,0 +1,64 @@
+package org.gooseberryring.coordination.request;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.gooseberryring.coordination.route.ArtifactLoad;
+import org.gooseberryring.coordination.route.Router;
+import org.gooseberryring.state.Artifact;
+import org.gooseberryring.state.FleetConfiguration;
+
+/**
+ * Hands news of the fleet to the router of a failure domain and lets the engine act on them.
+ *
+ * <p>All methods are called on the thread of the engine and return the actions to take, in order.
+ */
+public final class FleetRequests {
+    private final RequestEngine engine;
+    private final Router router;
+    private final RequestQueue queue;
+
+    /** Creates the inputs of an engine that uses the given router and queue. */
+    public FleetRequests(RequestEngine engine, Router router, RequestQueue queue) {
+        this.engine = engine;
+        this.router = router;
+        this.queue = queue;
+    }
+
+    /** A configuration took effect. */
+    public List<RequestEffect> configured(FleetConfiguration configuration, long now) {
+        router.configured(configuration, now);
+        queue.configured(configuration);
+        return engine.changed(now);
+    }
+
+    /** An endpoint reported its load; see {@link Router#loadReported}. */
+    public List<RequestEffect> loadReported(
+            String endpoint,
+            long incarnation,
+            int running,
+            int waiting,
+            int capacity,
+            Collection<Artifact> loadedArtifacts,
+            long ageMillis,
+            long now) {
+        Set<Artifact> loaded = new HashSet<>(loadedArtifacts);
+        router.loadReported(endpoint, incarnation, running, waiting, capacity, loaded, ageMillis, now);
+        return engine.changed(now);
+    }
+
+    /** Another failure domain sent its summary. */
+    public List<RequestEffect> domainSummary(
+            String failureDomain, long sequence, List<ArtifactLoad> artifacts, long now) {
+        router.domainSummary(failureDomain, sequence, artifacts, now);
+        return engine.changed(now);
+    }
+
+    /** Credits of an endpoint arrived. */
+    public List<RequestEffect> creditsArrived(String endpoint, long now) {
+        router.creditsArrived(endpoint, now);
+        return engine.changed(now);
+    }
+}
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -1,7 +1,6 @@
 package org.gooseberryring.coordination.request;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -15,13 +14,10 @@
 import org.gooseberryring.coordination.queue.QueueItem;
 import org.gooseberryring.coordination.queue.QueueOffer;
 import org.gooseberryring.coordination.retry.CrashSuspects;
-import org.gooseberryring.coordination.retry.RetryPolicy;
-import org.gooseberryring.coordination.route.ArtifactLoad;
+import org.gooseberryring.coordination.retry.Retries;
+import org.gooseberryring.coordination.route.EndpointRouter;
 import org.gooseberryring.coordination.route.RouteChoice;
 import org.gooseberryring.coordination.route.RouteQuery;
-import org.gooseberryring.coordination.route.Router;
-import org.gooseberryring.state.Artifact;
-import org.gooseberryring.state.FleetConfiguration;
 import org.gooseberryring.state.Verdict;
 
 /**
@@ -45,8 +41,8 @@
 
     private final TokenAdmission admission;
     private final RequestQueue queue;
-    private final Router router;
-    private final RetryPolicy retryPolicy;
+    private final EndpointRouter router;
+    private final Retries retries;
     private final CrashSuspects suspects;
     private final long maxRunMillis;
     private final Map<String, Work> works = new LinkedHashMap<>();
@@ -61,21 +57,21 @@
      * @param admission token limiter
      * @param queue queue of requests that wait for an endpoint
      * @param router chooses endpoints
-     * @param retryPolicy decides on retries
+     * @param retries decides on retries
      * @param suspects requests that may crash endpoints
      * @param maxRunMillis longest time that an attempt may run before it is cancelled
      */
     public RequestEngine(
             TokenAdmission admission,
             RequestQueue queue,
-            Router router,
-            RetryPolicy retryPolicy,
+            EndpointRouter router,
+            Retries retries,
             CrashSuspects suspects,
             long maxRunMillis) {
         this.admission = admission;
         this.queue = queue;
         this.router = router;
-        this.retryPolicy = retryPolicy;
+        this.retries = retries;
         this.suspects = suspects;
         this.maxRunMillis = maxRunMillis;
     }
@@ -168,38 +164,8 @@
         return done(now);
     }
 
-    /** A configuration took effect. */
-    public List<RequestEffect> configured(FleetConfiguration configuration, long now) {
-        router.configured(configuration, now);
-        queue.configured(configuration);
-        return done(now);
-    }
-
-    /** An endpoint reported its load; see {@link Router#loadReported}. */
-    public List<RequestEffect> loadReported(
-            String endpoint,
-            long incarnation,
-            int running,
-            int waiting,
-            int capacity,
-            Collection<Artifact> loadedArtifacts,
-            long ageMillis,
-            long now) {
-        Set<Artifact> loaded = new HashSet<>(loadedArtifacts);
-        router.loadReported(endpoint, incarnation, running, waiting, capacity, loaded, ageMillis, now);
-        return done(now);
-    }
-
-    /** Another failure domain sent its summary. */
-    public List<RequestEffect> domainSummary(
-            String failureDomain, long sequence, List<ArtifactLoad> artifacts, long now) {
-        router.domainSummary(failureDomain, sequence, artifacts, now);
-        return done(now);
-    }
-
-    /** Credits of an endpoint arrived. */
-    public List<RequestEffect> creditsArrived(String endpoint, long now) {
-        router.creditsArrived(endpoint, now);
+    /** What the router or the queue knows has changed; what can be sent now is sent. */
+    public List<RequestEffect> changed(long now) {
         return done(now);
     }
 
@@ -358,7 +324,14 @@
     private RouteChoice choose(Work work, long now) {
         RequestSpec spec = work.spec();
         boolean alone = suspects.isSuspect(spec.digest());
-        RouteQuery query = new RouteQuery(spec.target(), spec.prefixHash(), alone, work.isRelayed());
+        RouteQuery query = new RouteQuery(
+                spec.target(),
+                spec.prefixHash(),
+                alone,
+                work.isRelayed(),
+                spec.handling().prompt(),
+                spec.deadline(),
+                work.failedAt());
         RouteChoice choice = router.choose(query, now);
         work.chosen(choice, query);
         return choice;
@@ -366,7 +339,7 @@
 
     private void dispatch(Work work, long now) {
         if (work.attempt() == 0) {
-            retryPolicy.firstAttempt();
+            retries.firstAttempt(work.spec(), now);
         }
         if (work.query().alone()) {
             runningSuspects.add(work.spec().digest());
@@ -402,7 +375,7 @@
                 suspects.completedAlone(digest);
             }
         } else if (!work.isCancelled()) {
-            router.failed(endpoint);
+            router.failed(endpoint, now);
         }
         router.ended(endpoint, work.query(), now);
     }
@@ -413,8 +386,7 @@
         work.step(Work.Step.QUEUE);
         if (suspects.isQuarantined(spec.digest())) {
             refuse(work, Reason.QUARANTINED, 0, now);
-        } else if (retryPolicy.retry(
-                outcome.verdict(), spec.idempotent(), bytes, work.attempt(), spec.deadline(), now)) {
+        } else if (retries.retry(spec, outcome.verdict(), bytes, work.sends(), now)) {
             enqueue(work, now);
         } else if (work.verdict() == Verdict.NOT_RUN) {
             refuse(work, Reason.NO_ENDPOINT, RETRY_AFTER_MILLIS, now);
@@ -426,7 +398,9 @@
     private void checkTime(Work work, long now) {
         boolean late = now >= work.spec().deadline();
         if (work.step() == Work.Step.RUNNING) {
-            if (late && !work.isAnswered() && !work.hasResponseStarted()) {
+            boolean cutOff =
+                    !work.hasResponseStarted() || work.spec().handling().endsAtDeadline();
+            if (late && !work.isAnswered() && cutOff) {
                 refuse(work, Reason.TIMEOUT, RETRY_AFTER_MILLIS, now);
                 cancelIfUseless(work);
             }
@@ -438,9 +412,9 @@
         }
     }
 
-    /** A running request that must not run twice is left to finish, so that its outcome can be recorded. */
+    /** A running request that must not run twice is left to finish if its outcome is to be recorded. */
     private void cancelIfUseless(Work work) {
-        if (work.spec().idempotent()) {
+        if (work.spec().idempotent() || work.spec().handling().cancelsUnused()) {
             cancel(work);
         }
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestSpec.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestSpec.java
@@ -15,6 +15,7 @@
  * @param idempotent whether it may be sent again after it may have run
  * @param idempotencyKey key that the caller gave, or null
  * @param deadline monotonic time in milliseconds after which the answer is of no use
+ * @param handling what the route of the request allows
  */
 public record RequestSpec(
         String id,
@@ -26,4 +27,31 @@
         String digest,
         boolean idempotent,
         String idempotencyKey,
-        long deadline) {}
+        long deadline,
+        Handling handling) {
+    /** Creates a request of the product's own caller interface. */
+    public RequestSpec(
+            String id,
+            String organisation,
+            Target target,
+            PriorityClass priorityClass,
+            long costTokens,
+            long prefixHash,
+            String digest,
+            boolean idempotent,
+            String idempotencyKey,
+            long deadline) {
+        this(
+                id,
+                organisation,
+                target,
+                priorityClass,
+                costTokens,
+                prefixHash,
+                digest,
+                idempotent,
+                idempotencyKey,
+                deadline,
+                Handling.STANDARD);
+    }
+}
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Work.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Work.java
@@ -1,5 +1,8 @@
 package org.gooseberryring.coordination.request;
 
+import java.util.HashSet;
+import java.util.Set;
+
 import org.gooseberryring.coordination.route.RouteChoice;
 import org.gooseberryring.coordination.route.RouteQuery;
 import org.gooseberryring.state.Verdict;
@@ -20,12 +23,14 @@
 
     private final RequestSpec spec;
     private final boolean relayed;
+    private final Set<String> failedAt = new HashSet<>();
     private Step step = Step.ADMISSION;
     private boolean tokensReserved;
     private boolean claimed;
     private RouteChoice choice;
     private RouteQuery query;
     private int attempt;
+    private int sends;
     private long dispatchedAt;
     private long lossEpoch;
     private boolean responseStarted;
@@ -153,7 +158,23 @@
         return answered;
     }
 
+    /** Returns how often the request was sent; an attempt that found no connection does not count. */
+    int sends() {
+        return sends;
+    }
+
+    /** Returns the endpoints at which an attempt failed. */
+    Set<String> failedAt() {
+        return failedAt;
+    }
+
     void attemptEnded(AttemptOutcome outcome) {
+        if (outcome.sent()) {
+            sends++;
+        }
+        if (outcome.verdict() != Verdict.COMPLETED && endpoint() != null) {
+            failedAt.add(endpoint());
+        }
         mayHaveRun |= outcome.verdict() != Verdict.NOT_RUN;
         usedTokens = Math.max(usedTokens, outcome.usedTokens());
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/retry/RetryPolicy.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/retry/RetryPolicy.java
@@ -1,9 +1,10 @@
 package org.gooseberryring.coordination.retry;
 
+import org.gooseberryring.coordination.request.RequestSpec;
 import org.gooseberryring.state.Verdict;
 
 /** Decides whether a failed attempt is followed by another one. */
-public final class RetryPolicy {
+public final class RetryPolicy implements Retries {
     /** More attempts than this only add load; a third endpoint that fails points at the request or the fleet. */
     private static final int MAX_ATTEMPTS = 3;
 
@@ -18,6 +19,16 @@
         budget.firstAttempt();
     }
 
+    @Override
+    public void firstAttempt(RequestSpec spec, long now) {
+        firstAttempt();
+    }
+
+    @Override
+    public boolean retry(RequestSpec spec, Verdict verdict, boolean bytesReachedCaller, int sends, long now) {
+        return retry(verdict, spec.idempotent(), bytesReachedCaller, sends, spec.deadline(), now);
+    }
+
     /**
      * Decides on a retry and takes it from the budget if it is allowed.
      *
@@ -27,7 +38,7 @@
      * @param verdict verdict on the attempt that ended
      * @param idempotent whether the request may run more than once
      * @param bytesReachedCaller whether a byte of an answer went to the caller
-     * @param attempts attempts made so far
+     * @param attempts attempts sent so far
      * @param deadline time in milliseconds after which the answer is of no use
      * @param now monotonic time in milliseconds
      */
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/RouteQuery.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/RouteQuery.java
@@ -1,6 +1,9 @@
 package org.gooseberryring.coordination.route;
 
+import java.util.Set;
+
 import org.gooseberryring.coordination.request.Target;
+import org.gooseberryring.state.PromptShape;
 
 /**
  * What the router needs to know of a request.
@@ -9,5 +12,20 @@
  * @param prefixHash hash of the salted prompt prefix, 0 if there is none
  * @param alone whether it must run alone on its endpoint because it may crash it
  * @param relayed whether it came from another failure domain and must not be relayed again
+ * @param prompt parts of the prompt, {@link PromptShape#NONE} if they are not known
+ * @param deadline monotonic time in milliseconds after which the answer is of no use
+ * @param failedAt endpoints at which an attempt of this request failed
  */
-public record RouteQuery(Target target, long prefixHash, boolean alone, boolean relayed) {}
+public record RouteQuery(
+        Target target,
+        long prefixHash,
+        boolean alone,
+        boolean relayed,
+        PromptShape prompt,
+        long deadline,
+        Set<String> failedAt) {
+    /** Creates a query for a request whose prompt parts are not known and that has not failed yet. */
+    public RouteQuery(Target target, long prefixHash, boolean alone, boolean relayed) {
+        this(target, prefixHash, alone, relayed, PromptShape.NONE, Long.MAX_VALUE, Set.of());
+    }
+}
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/Router.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/Router.java
@@ -22,7 +22,7 @@
  * <p>It knows every endpoint of its own failure domain and a summary of the others. All methods are called from one
  * thread.
  */
-public final class Router {
+public final class Router implements EndpointRouter {
     /** About 800 KB; at 50 requests/s a host meets its prefixes again within minutes or not at all. */
     private static final int AFFINITY_ENTRIES = 1 << 16;
 
@@ -130,6 +130,7 @@
     }
 
     /** Chooses where to send a request; it changes nothing but the demand for credits. */
+    @Override
     public RouteChoice choose(RouteQuery query, long now) {
         Replicas replicas = domainIn ? replicasOf(query.target()) : null;
         ReplicaSet set = replicas == null ? null : replicas.inService();
@@ -145,7 +146,7 @@
         return relay == null ? RouteChoice.UNREACHABLE : relay;
     }
 
-    /** Counts a request that is sent to an endpoint. */
+    @Override
     public void started(String endpoint, RouteQuery query, long now) {
         EndpointState state = endpoints.get(endpoint);
         if (state != null) {
@@ -154,7 +155,7 @@
         }
     }
 
-    /** Counts a request that ended at an endpoint, however it ended. */
+    @Override
     public void ended(String endpoint, RouteQuery query, long now) {
         EndpointState state = endpoints.get(endpoint);
         if (state != null) {
@@ -170,6 +171,7 @@
     }
 
     /** Counts a complete answer towards the slow start of an endpoint. */
+    @Override
     public void succeeded(String endpoint, long firstTokenMillis, long now) {
         EndpointState state = endpoints.get(endpoint);
         if (state != null) {
@@ -181,27 +183,22 @@
         }
     }
 
-    /** Counts an attempt that failed though the endpoint lives. */
-    public void failed(String endpoint) {
+    @Override
+    public void failed(String endpoint, long now) {
         EndpointState state = endpoints.get(endpoint);
         if (state != null) {
             state.failed();
         }
     }
 
-    /** Returns the number of losses of an endpoint so far, to be kept with each request sent to it. */
+    @Override
     public long lossEpoch(String endpoint) {
         EndpointState state = endpoints.get(endpoint);
         return state == null ? 0 : state.lossEpoch();
     }
 
-    /**
-     * Takes an endpoint out until it reports again, because its connection broke.
-     *
-     * @param endpoint endpoint that was lost
-     * @param epochAtDispatch loss epoch when the request that saw the loss was sent; the loss is ignored if it is known
-     * @param now monotonic time in milliseconds
-     */
+    /** Takes an endpoint out until it reports again, because its connection broke. */
+    @Override
     public void lost(String endpoint, long epochAtDispatch, long now) {
         EndpointState state = endpoints.get(endpoint);
         if (state != null) {
@@ -211,6 +208,7 @@
     }
 
     /** Lets lost plain services be tried again; returns whether any may be. */
+    @Override
     public boolean tick(long now) {
         boolean any = false;
         for (EndpointState state : endpoints.values()) {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EngineWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EngineWorld.java
@@ -45,6 +45,7 @@
 
     private final Random random;
     private final RequestEngine engine;
+    private final FleetRequests fleet;
     private final Map<String, RequestSpec> specs = new TreeMap<>();
     private final Map<String, Integer> dispatches = new HashMap<>();
     private final Map<String, Integer> answers = new HashMap<>();
@@ -69,13 +70,10 @@
     EngineWorld(long seed) {
         random = new Random(seed);
         Router router = new Router("d0", new Random(seed), new UnsharedCredits());
+        RequestQueue queue = new FairRequestQueue(new QueueSettings(8, 5, 50, Map.of()));
         engine = new RequestEngine(
-                this,
-                new FairRequestQueue(new QueueSettings(8, 5, 50, Map.of())),
-                router,
-                new RetryPolicy(new RetryBudget()),
-                new CrashSuspects(),
-                MAX_RUN_MILLIS);
+                this, queue, router, new RetryPolicy(new RetryBudget()), new CrashSuspects(), MAX_RUN_MILLIS);
+        fleet = new FleetRequests(engine, router, queue);
         configure();
     }
 
@@ -236,7 +234,7 @@
         int running = (int) inFlight.stream()
                 .filter(attempt -> endpoint.equals(attempt.endpoint()))
                 .count();
-        check(engine.loadReported(endpoint, incarnation, running, 0, CONCURRENCY, loaded, 0, now));
+        check(fleet.loadReported(endpoint, incarnation, running, 0, CONCURRENCY, loaded, 0, now));
     }
 
     private void changeConfiguration() {
@@ -261,7 +259,7 @@
         } else if (random.nextInt(4) == 0) {
             check(engine.quarantined("peer", "digest" + random.nextInt(20), 1 + random.nextInt(2), now));
         } else {
-            check(engine.domainSummary("d1", ++sequence, List.of(new ArtifactLoad(REMOTE, 1, 2)), now));
+            check(fleet.domainSummary("d1", ++sequence, List.of(new ArtifactLoad(REMOTE, 1, 2)), now));
         }
     }
 
@@ -276,7 +274,7 @@
         services.put("svc", new ServiceRoute("svc", SERVICE_ENDPOINTS, null, null));
         TreeMap<String, List<Artifact>> placements = new TreeMap<>();
         placements.put("e0", ARTIFACTS);
-        check(engine.configured(
+        check(fleet.configured(
                 new FleetConfiguration(++revision, null, null, null, services, domains, endpoints, null, placements),
                 now));
     }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/retry/CrashWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/retry/CrashWorld.java
@@ -14,8 +14,10 @@
 import org.gooseberryring.coordination.queue.QueueSettings;
 import org.gooseberryring.coordination.request.AttemptOutcome;
 import org.gooseberryring.coordination.request.FairRequestQueue;
+import org.gooseberryring.coordination.request.FleetRequests;
 import org.gooseberryring.coordination.request.RequestEffect;
 import org.gooseberryring.coordination.request.RequestEngine;
+import org.gooseberryring.coordination.request.RequestQueue;
 import org.gooseberryring.coordination.request.RequestSpec;
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.coordination.route.Router;
@@ -56,6 +58,7 @@
     private final boolean noticesArrive;
     private final boolean idempotent;
     private final List<RequestEngine> hosts = new ArrayList<>();
+    private final List<FleetRequests> fleets = new ArrayList<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>(
             (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
     private final Map<String, List<Running>> running = new TreeMap<>();
@@ -73,14 +76,12 @@
         this.idempotent = idempotent;
         FleetConfiguration configuration = configuration();
         for (int i = 0; i < hostCount; i++) {
+            RequestQueue queue = new FairRequestQueue(QueueSettings.defaults());
+            Router router = new Router("d", new Random(seed + i), new UnsharedCredits());
             hosts.add(new RequestEngine(
-                    new Unlimited(),
-                    new FairRequestQueue(QueueSettings.defaults()),
-                    new Router("d", new Random(seed + i), new UnsharedCredits()),
-                    new RetryPolicy(new RetryBudget()),
-                    new CrashSuspects(),
-                    60_000));
-            hosts.get(i).configured(configuration, now);
+                    new Unlimited(), queue, router, new RetryPolicy(new RetryBudget()), new CrashSuspects(), 60_000));
+            fleets.add(new FleetRequests(hosts.get(i), router, queue));
+            fleets.get(i).configured(configuration, now);
         }
     }
 
@@ -202,7 +203,7 @@
             int load = running.getOrDefault(endpoint, List.of()).size();
             for (int host = 0; host < hosts.size(); host++) {
                 long incarnation = incarnations.getOrDefault(endpoint, 0);
-                apply(host, hosts.get(host).loadReported(endpoint, incarnation, load, 0, 4, Set.of(ARTIFACT), 0, now));
+                apply(host, fleets.get(host).loadReported(endpoint, incarnation, load, 0, 4, Set.of(ARTIFACT), 0, now));
             }
         }
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/Host.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/Host.java
@@ -2,11 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -19,13 +16,6 @@
 import org.gooseberryring.coordination.limit.LimitSettings;
 import org.gooseberryring.coordination.limit.TokenWallet;
 import org.gooseberryring.coordination.placement.Planner;
-import org.gooseberryring.coordination.queue.QueueSettings;
-import org.gooseberryring.coordination.request.FairRequestQueue;
-import org.gooseberryring.coordination.request.RequestEngine;
-import org.gooseberryring.coordination.retry.CrashSuspects;
-import org.gooseberryring.coordination.retry.RetryBudget;
-import org.gooseberryring.coordination.retry.RetryPolicy;
-import org.gooseberryring.coordination.route.Router;
 import org.gooseberryring.host.admin.AdminHandler;
 import org.gooseberryring.host.admin.OperatorAuthenticator;
 import org.gooseberryring.host.caller.Authenticator;
@@ -62,7 +52,6 @@
 import org.gooseberryring.protocol.peer.MemberUpdate;
 import org.gooseberryring.protocol.peer.PeerMessage;
 import org.gooseberryring.protocol.peer.Probe;
-import org.gooseberryring.state.Artifact;
 import org.gooseberryring.state.ChangeRecord;
 import org.gooseberryring.state.FleetConfiguration;
 import org.gooseberryring.transport.endpoint.EndpointClient;
@@ -111,6 +100,7 @@
     private final PeerEffectLinks links;
     private final ClaimControl claims;
     private final HostCredits credits;
+    private final RequestPath path;
     private final RequestLoop loop;
     private final FeedControl feed;
     private final OrderControl orders;
@@ -142,8 +132,9 @@
         links = new PeerEffectLinks(caller, directory, this::sendToPeer, control);
         claims = new ClaimControl(settings.hostId(), incarnation, lanes, control, this::sendToPeer, links::answered);
         credits = new HostCredits(settings, incarnation, MAX_RUN_MILLIS, clock, this::sendToPeer, control, lanes);
-        loop = requestLoop(tokens);
-        credits.connect(loop);
+        path = requestPath(tokens);
+        loop = path.loop();
+        credits.connect();
         links.connect(claims, loop);
         feed = new FeedControl(settings, store, control, this::sendToPeer, holder, codec, incarnation, clock.now());
         summaries = summaryControl();
@@ -151,7 +142,7 @@
         // The peer address is final only now, because the settings may leave the port to the system.
         peerAddress = peers.listen(settings.peerAddress());
         limits = limitControl(tokens);
-        tokens.connect(loop, limits);
+        tokens.connect(path.wallet(), limits);
         holder.onAdopted(this::configured);
         orders = new OrderControl(settings, lanes, control, caller, holder::current, clock, incarnation);
         timer = Executors.newSingleThreadScheduledExecutor(Host::timerThread);
@@ -230,7 +221,7 @@
         try {
             closed.await(settings.timeouts().drainNoticeMillis(), TimeUnit.MILLISECONDS);
             boolean done = open.awaitNone(settings.timeouts().drainLimitMillis());
-            loop.releaseTokens();
+            path.wallet().releaseTokens();
             control.put(now -> {
                 limits.leave();
                 orders.leave();
@@ -296,40 +287,35 @@
                 holder::current,
                 loads::reports,
                 this::sendToPeer,
-                loop,
+                path.fleet(),
                 clock::wallMillis);
     }
 
-    private RequestLoop requestLoop(TokenRoutes tokens) {
-        TokenWallet wallet = new TokenWallet(settings.hostId(), incarnation, limitSettings());
-        RequestEngine engine = new RequestEngine(
-                wallet,
-                new FairRequestQueue(QueueSettings.defaults()),
-                new Router(
-                        settings.failureDomain(),
-                        new Random(incarnation),
-                        credits.holder().source()),
-                new RetryPolicy(new RetryBudget()),
-                new CrashSuspects(),
-                MAX_RUN_MILLIS);
+    private RequestPath requestPath(TokenRoutes tokens) {
         CallerEffects effects = new CallerEffects(
                 open,
-                holder,
+                id -> holder.current().endpoints().get(id),
                 new EndpointClient(worker, endpointLimits()),
                 metrics,
                 links,
                 new Relays(directory::live, settings.peerSecret(), incarnation, clock::now, clock::wallMillis),
                 credits.holder());
-        RequestLoop created =
-                new RequestLoop(settings.limits().requestRingSize(), engine, wallet, effects, tokens::send, clock::now);
-        effects.connect(created);
-        return created;
+        return new RequestPath(
+                settings.failureDomain(),
+                new TokenWallet(settings.hostId(), incarnation, limitSettings()),
+                tokens::send,
+                credits.holder(),
+                effects,
+                new RequestPath.Limits(settings.limits().requestRingSize(), MAX_RUN_MILLIS),
+                incarnation,
+                clock::now);
     }
 
     private LimitControl limitControl(TokenRoutes tokens) {
         KeeperIdentity self =
                 new KeeperIdentity(settings.hostId(), incarnation, settings.failureDomain(), text(peerAddress));
-        return new LimitControl(self, limitSettings(), new JsonAllotmentCodec(), lanes, control, loop, tokens::send);
+        return new LimitControl(
+                self, limitSettings(), new JsonAllotmentCodec(), lanes, control, path.wallet(), tokens::send);
     }
 
     private LimitSettings limitSettings() {
@@ -369,7 +355,7 @@
     }
 
     private void configured(FleetConfiguration configuration) {
-        loop.configured(configuration);
+        path.fleet().configured(configuration);
         control.put(now -> {
             limits.configured(configuration);
             credits.configured(configuration);
@@ -430,16 +416,7 @@
 
     private void loadReported(LoadReport report, long ageMillis) {
         control.offer(now -> orders.reported(report, ageMillis, now));
-        Set<Artifact> loaded = new HashSet<>(report.loaded());
-        loop.put((engine, now) -> engine.loadReported(
-                report.endpoint(),
-                report.incarnation(),
-                report.running(),
-                report.waiting(),
-                report.capacity(),
-                loaded,
-                ageMillis,
-                now));
+        path.fleet().loadReported(report, ageMillis);
     }
 
     private AdminHandler adminHandler(RequestIds ids) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/HostCredits.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/HostCredits.java
@@ -8,7 +8,6 @@
 import org.gooseberryring.host.control.CreditControl;
 import org.gooseberryring.host.control.StoreLanes;
 import org.gooseberryring.host.engine.RequestCredits;
-import org.gooseberryring.host.engine.RequestLoop;
 import org.gooseberryring.host.peer.CreditRoutes;
 import org.gooseberryring.host.peer.PeerSend;
 import org.gooseberryring.host.settings.HostSettings;
@@ -51,9 +50,8 @@
         control.onTick(this::tick);
     }
 
-    /** Names the loop of the request thread; must precede the first event. */
-    void connect(RequestLoop loop) {
-        holder.connect(loop);
+    /** Names the receivers of messages; must precede the first event. */
+    void connect() {
         routes.connect(holder, homes);
     }
 
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/RequestPath.java
@@ -0,0 +1,83 @@
+package org.gooseberryring.host;
+
+import java.util.Random;
+import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
+
+import org.gooseberryring.coordination.limit.TokenMessage;
+import org.gooseberryring.coordination.limit.TokenWallet;
+import org.gooseberryring.coordination.queue.QueueSettings;
+import org.gooseberryring.coordination.request.FairRequestQueue;
+import org.gooseberryring.coordination.request.FleetRequests;
+import org.gooseberryring.coordination.request.RequestEngine;
+import org.gooseberryring.coordination.request.RequestQueue;
+import org.gooseberryring.coordination.retry.CrashSuspects;
+import org.gooseberryring.coordination.retry.RetryBudget;
+import org.gooseberryring.coordination.retry.RetryPolicy;
+import org.gooseberryring.coordination.route.Router;
+import org.gooseberryring.host.caller.CallerEffects;
+import org.gooseberryring.host.engine.FleetInputs;
+import org.gooseberryring.host.engine.RequestCredits;
+import org.gooseberryring.host.engine.RequestLoop;
+import org.gooseberryring.host.engine.WalletInputs;
+
+/** Components of a host that take a request from its arrival to its answer. */
+final class RequestPath {
+    private final RequestLoop loop;
+    private final WalletInputs wallet;
+    private final FleetInputs fleet;
+
+    /**
+     * Creates the path; its loop is not started.
+     *
+     * @param failureDomain failure domain of the host
+     * @param wallet token wallet of the host
+     * @param messages sends a message of the wallet to the named host, which may be this one
+     * @param credits concurrency credits of the host
+     * @param effects carries out what the engine decides
+     * @param limits bounds of the request thread
+     * @param seed seed of the choice of endpoints
+     * @param clock monotonic milliseconds
+     */
+    RequestPath(
+            String failureDomain,
+            TokenWallet wallet,
+            BiConsumer<String, TokenMessage> messages,
+            RequestCredits credits,
+            CallerEffects effects,
+            Limits limits,
+            long seed,
+            LongSupplier clock) {
+        Router router = new Router(failureDomain, new Random(seed), credits.source());
+        RequestQueue queue = new FairRequestQueue(QueueSettings.defaults());
+        RequestEngine engine = new RequestEngine(
+                wallet, queue, router, new RetryPolicy(new RetryBudget()), new CrashSuspects(), limits.maxRunMillis());
+        FleetRequests requests = new FleetRequests(engine, router, queue);
+        this.wallet = new WalletInputs(wallet, messages);
+        this.loop = new RequestLoop(limits.ringSize(), engine, this.wallet, effects, clock);
+        this.fleet = new FleetInputs(loop, requests, this.wallet);
+        this.wallet.connect(loop);
+        effects.connect(loop);
+        credits.connect(loop, requests);
+    }
+
+    RequestLoop loop() {
+        return loop;
+    }
+
+    WalletInputs wallet() {
+        return wallet;
+    }
+
+    FleetInputs fleet() {
+        return fleet;
+    }
+
+    /**
+     * Bounds of the request thread.
+     *
+     * @param ringSize slots of its ring, a power of two
+     * @param maxRunMillis longest time that an attempt may run, in milliseconds
+     */
+    record Limits(int ringSize, long maxRunMillis) {}
+}
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -2,11 +2,11 @@
 
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 import org.gooseberryring.coordination.request.AttemptOutcome;
 import org.gooseberryring.coordination.request.RequestEffect;
 import org.gooseberryring.host.HostMetrics;
-import org.gooseberryring.host.config.ConfigurationHolder;
 import org.gooseberryring.host.engine.RequestCredits;
 import org.gooseberryring.host.engine.RequestLoop;
 import org.gooseberryring.host.log.LogLine;
@@ -23,30 +23,49 @@
     private static final Logger LOG = Logger.getLogger(CallerEffects.class);
 
     private final OpenRequests open;
-    private final ConfigurationHolder holder;
+    private final Function<String, Endpoint> endpoints;
     private final EndpointClient client;
     private final HostMetrics metrics;
     private final EffectLinks links;
     private final Relays relays;
     private final RequestCredits credits;
+    private final EndpointCalls calls;
     private RequestLoop loop;
 
-    /** Creates the effects; {@link #connect} must follow before the first effect. */
+    /**
+     * Creates the effects of the product's own interfaces; {@link #connect} must follow before the first effect.
+     *
+     * @param endpoints gives an endpoint by identifier, null if it is not known
+     */
     public CallerEffects(
             OpenRequests open,
-            ConfigurationHolder holder,
+            Function<String, Endpoint> endpoints,
             EndpointClient client,
             HostMetrics metrics,
             EffectLinks links,
             Relays relays,
             RequestCredits credits) {
+        this(open, endpoints, client, metrics, links, relays, credits, EndpointCalls::standard);
+    }
+
+    /** Creates the effects with another way to prepare requests to endpoints. */
+    public CallerEffects(
+            OpenRequests open,
+            Function<String, Endpoint> endpoints,
+            EndpointClient client,
+            HostMetrics metrics,
+            EffectLinks links,
+            Relays relays,
+            RequestCredits credits,
+            EndpointCalls calls) {
         this.open = open;
-        this.holder = holder;
+        this.endpoints = endpoints;
         this.client = client;
         this.metrics = metrics;
         this.links = links;
         this.relays = relays;
         this.credits = credits;
+        this.calls = calls;
     }
 
     /** Names the loop that hears of the outcomes. */
@@ -77,20 +96,12 @@
 
     private void dispatch(RequestEffect.Dispatch dispatch) {
         OpenRequest request = open.get(dispatch.requestId());
-        Endpoint endpoint = holder.current().endpoints().get(dispatch.endpoint());
+        Endpoint endpoint = endpoints.apply(dispatch.endpoint());
         if (request == null || endpoint == null) {
             loop.attemptEnded(dispatch.requestId(), dispatch.attempt(), notRun());
             return;
         }
-        Destination to = request.destination();
-        EndpointCall call = new EndpointCall(
-                dispatch.requestId(),
-                request.method(),
-                to.path(),
-                request.headers(),
-                to.body(),
-                to.kind(),
-                to.idempotent());
+        EndpointCall call = calls.call(request, endpoint);
         BooleanSupplier mayStart = credits.mayStart(endpoint.id());
         Progress progress = new Progress(request, dispatch.attempt(), endpoint.id());
         request.thread().execute(() -> send(progress, endpoint.address(), call, mayStart));
@@ -137,7 +148,7 @@
 
     private void cancel(RequestEffect.Cancel cancel) {
         OpenRequest request = open.get(cancel.requestId());
-        Endpoint endpoint = holder.current().endpoints().get(cancel.endpoint());
+        Endpoint endpoint = endpoints.apply(cancel.endpoint());
         if (request != null) {
             request.thread().execute(() -> request.cancelAttempt(cancel.attempt()));
             if (endpoint != null && request.destination().kind() == EndpointCall.Kind.MODEL_ENGINE) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/control/LimitControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/control/LimitControl.java
@@ -20,7 +20,7 @@
 import org.gooseberryring.coordination.limit.TokenKeeper;
 import org.gooseberryring.coordination.limit.TokenMessage;
 import org.gooseberryring.coordination.store.StoreOutcome;
-import org.gooseberryring.host.engine.RequestLoop;
+import org.gooseberryring.host.engine.WalletInputs;
 import org.gooseberryring.state.FleetConfiguration;
 
 /** Runs the token keeper and the allotment ledger on the control thread. */
@@ -35,7 +35,7 @@
     private final AllotmentLedger ledger;
     private final StoreLanes store;
     private final ControlLoop control;
-    private final RequestLoop requests;
+    private final WalletInputs requests;
     private final BiConsumer<String, TokenMessage> messages;
     private final Map<String, List<String>> knownKeepers = new HashMap<>();
     private final CountDownLatch handedOver = new CountDownLatch(1);
@@ -56,7 +56,7 @@
             AllotmentCodec codec,
             StoreLanes store,
             ControlLoop control,
-            RequestLoop requests,
+            WalletInputs requests,
             BiConsumer<String, TokenMessage> messages) {
         this.self = self.host();
         this.keepersPerDomain = settings.keepersPerDomain();
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/control/SummaryControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/control/SummaryControl.java
@@ -13,7 +13,7 @@
 import org.gooseberryring.coordination.membership.Rendezvous;
 import org.gooseberryring.coordination.route.ArtifactLoad;
 import org.gooseberryring.host.caller.ArtifactNames;
-import org.gooseberryring.host.engine.RequestLoop;
+import org.gooseberryring.host.engine.FleetInputs;
 import org.gooseberryring.host.fleet.HostDirectory;
 import org.gooseberryring.host.peer.PeerSend;
 import org.gooseberryring.protocol.HostEntry;
@@ -43,7 +43,7 @@
     private final Supplier<FleetConfiguration> configuration;
     private final Supplier<Map<String, LoadReport>> reports;
     private final PeerSend peers;
-    private final RequestLoop requests;
+    private final FleetInputs requests;
     private final LongSupplier wallClock;
     private long nextAt;
 
@@ -60,7 +60,7 @@
             Supplier<FleetConfiguration> configuration,
             Supplier<Map<String, LoadReport>> reports,
             PeerSend peers,
-            RequestLoop requests,
+            FleetInputs requests,
             LongSupplier wallClock) {
         this.self = self;
         this.failureDomain = failureDomain;
@@ -103,8 +103,7 @@
                 loads.add(new ArtifactLoad(artifact, load.getReplicas(), load.getFreeConcurrency()));
             }
         }
-        requests.put(
-                (engine, now) -> engine.domainSummary(summary.getFailureDomain(), summary.getSequence(), loads, now));
+        requests.domainSummary(summary.getFailureDomain(), summary.getSequence(), loads);
         HostEntry from = directory.others().get(sender);
         if (from != null && !from.failureDomain().equals(failureDomain)) {
             directory.live(failureDomain).forEach(host -> send(host.id(), summary));
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/FleetInputs.java
@@ -0,0 +1,51 @@
+package org.gooseberryring.host.engine;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.gooseberryring.coordination.request.FleetRequests;
+import org.gooseberryring.coordination.route.ArtifactLoad;
+import org.gooseberryring.protocol.LoadReport;
+import org.gooseberryring.state.Artifact;
+import org.gooseberryring.state.FleetConfiguration;
+
+/** Hands news of the fleet to the request thread. */
+public final class FleetInputs {
+    private final RequestLoop loop;
+    private final FleetRequests fleet;
+    private final WalletInputs wallet;
+
+    public FleetInputs(RequestLoop loop, FleetRequests fleet, WalletInputs wallet) {
+        this.loop = loop;
+        this.fleet = fleet;
+        this.wallet = wallet;
+    }
+
+    /** Takes over a configuration. */
+    public void configured(FleetConfiguration configuration) {
+        loop.put((engine, now) -> {
+            wallet.configured(configuration, now);
+            return fleet.configured(configuration, now);
+        });
+    }
+
+    /** Takes a load report whose figures have the given age in milliseconds. */
+    public void loadReported(LoadReport report, long ageMillis) {
+        Set<Artifact> loaded = new HashSet<>(report.loaded());
+        loop.put((engine, now) -> fleet.loadReported(
+                report.endpoint(),
+                report.incarnation(),
+                report.running(),
+                report.waiting(),
+                report.capacity(),
+                loaded,
+                ageMillis,
+                now));
+    }
+
+    /** Takes the summary of another failure domain. */
+    public void domainSummary(String failureDomain, long sequence, List<ArtifactLoad> loads) {
+        loop.put((engine, now) -> fleet.domainSummary(failureDomain, sequence, loads, now));
+    }
+}
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/RequestCredits.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/RequestCredits.java
@@ -6,6 +6,7 @@
 import java.util.function.LongSupplier;
 
 import org.gooseberryring.coordination.request.AttemptOutcome;
+import org.gooseberryring.coordination.request.FleetRequests;
 import org.gooseberryring.coordination.route.CreditHolder;
 import org.gooseberryring.coordination.route.CreditMessage;
 import org.gooseberryring.coordination.route.CreditSource;
@@ -23,6 +24,7 @@
     private final Consumer<CreditHolder.Outgoing> messages;
     private final LongSupplier clock;
     private RequestLoop loop;
+    private FleetRequests fleet;
 
     /**
      * Creates the credits of one host.
@@ -38,9 +40,10 @@
         this.clock = clock;
     }
 
-    /** Names the loop of the request thread; must precede the first event. */
-    public void connect(RequestLoop requestLoop) {
+    /** Names the loop of the request thread and its inputs; must precede the first event. */
+    public void connect(RequestLoop requestLoop, FleetRequests fleetRequests) {
         loop = requestLoop;
+        fleet = fleetRequests;
     }
 
     public CreditSource source() {
@@ -82,8 +85,7 @@
 
     /** Takes a grant for this process. */
     public void granted(CreditMessage.Grant grant) {
-        loop.put(
-                (engine, now) -> holder.granted(grant, now) ? engine.creditsArrived(grant.endpoint(), now) : List.of());
+        loop.put((engine, now) -> holder.granted(grant, now) ? fleet.creditsArrived(grant.endpoint(), now) : List.of());
     }
 
     /** Asks for the credits that are wanted and renews those held; left out when the ring is full. */
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/RequestLoop.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/RequestLoop.java
@@ -1,26 +1,20 @@
 package org.gooseberryring.host.engine;
 
 import java.util.List;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
-import org.gooseberryring.coordination.limit.LimitEffect;
-import org.gooseberryring.coordination.limit.TokenMessage;
-import org.gooseberryring.coordination.limit.TokenWallet;
 import org.gooseberryring.coordination.request.AttemptOutcome;
 import org.gooseberryring.coordination.request.RequestEffect;
 import org.gooseberryring.coordination.request.RequestEngine;
 import org.gooseberryring.coordination.request.RequestSpec;
 import org.gooseberryring.host.ring.EventRing;
-import org.gooseberryring.state.FleetConfiguration;
 
-/** Runs the request engine and the token wallet on the request thread and hands their effects on. */
+/** Runs the request engine and its limiter on the request thread and hands the effects on. */
 public final class RequestLoop implements AutoCloseable {
     private final RequestEngine engine;
-    private final TokenWallet wallet;
+    private final LimiterInputs limiter;
     private final Consumer<RequestEffect> effects;
-    private final BiConsumer<String, TokenMessage> tokenMessages;
     private final LongSupplier clock;
     private final EventRing<RequestInput> ring;
 
@@ -28,22 +22,20 @@
      * Creates a loop that is not started yet.
      *
      * @param ringSize slots, a power of two
-     * @param engine engine that admits requests from the wallet
+     * @param engine engine whose inputs the loop applies
+     * @param limiter limiter of the engine, which shares its thread
      * @param effects carries out effects, on the request thread, without blocking
-     * @param tokenMessages sends a message of the wallet to the named host, which may be this one
      * @param clock monotonic milliseconds
      */
     public RequestLoop(
             int ringSize,
             RequestEngine engine,
-            TokenWallet wallet,
+            LimiterInputs limiter,
             Consumer<RequestEffect> effects,
-            BiConsumer<String, TokenMessage> tokenMessages,
             LongSupplier clock) {
         this.engine = engine;
-        this.wallet = wallet;
+        this.limiter = limiter;
         this.effects = effects;
-        this.tokenMessages = tokenMessages;
         this.clock = clock;
         this.ring = new EventRing<>("requests", ringSize, this::apply);
     }
@@ -75,42 +67,10 @@
         ring.put((e, now) -> e.callerGone(requestId, now));
     }
 
-    /** Takes over a configuration. */
-    public void configured(FleetConfiguration configuration) {
-        ring.put((e, now) -> {
-            wallet.configure(configuration.organisations(), now);
-            return e.configured(configuration, now);
-        });
-    }
-
-    /** Takes over the keepers of an organisation, nearest first. */
-    public void keepers(String organisation, List<String> nearestFirst) {
-        ring.put((e, now) -> {
-            wallet.keepers(organisation, nearestFirst);
-            return List.of();
-        });
-    }
-
-    /** Takes a keeper's answer to a request for tokens. */
-    public void granted(String sender, TokenMessage.Grant grant) {
-        ring.put((e, now) -> {
-            wallet.onGrant(sender, grant, now);
-            return List.of();
-        });
-    }
-
-    /** Returns all token batches to their keepers, as for a graceful shutdown. */
-    public void releaseTokens() {
-        ring.put((e, now) -> {
-            wallet.release(now);
-            return List.of();
-        });
-    }
-
     /** Lets time pass; left out when the ring is full. */
     public void tick() {
         ring.offer((e, now) -> {
-            wallet.tick(now);
+            limiter.tick(now);
             return e.tick(now);
         });
     }
@@ -145,18 +105,6 @@
     private void apply(RequestInput input) {
         long now = clock.getAsLong();
         input.apply(engine, now).forEach(effects);
-        List<LimitEffect> limitEffects = wallet.drain();
-        while (!limitEffects.isEmpty()) {
-            limitEffects.forEach(effect -> carryOut(effect, now));
-            limitEffects = wallet.drain();
-        }
-    }
-
-    private void carryOut(LimitEffect effect, long now) {
-        if (effect instanceof LimitEffect.Send send) {
-            tokenMessages.accept(send.host(), send.message());
-        } else if (effect instanceof LimitEffect.Decided decided) {
-            engine.admitted(decided.requestId(), decided.admission(), now).forEach(effects);
-        }
+        limiter.settle(engine, effects, now);
     }
 }
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/WalletInputs.java
@@ -0,0 +1,86 @@
+package org.gooseberryring.host.engine;
+
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+
+import org.gooseberryring.coordination.limit.LimitEffect;
+import org.gooseberryring.coordination.limit.TokenMessage;
+import org.gooseberryring.coordination.limit.TokenWallet;
+import org.gooseberryring.coordination.request.RequestEffect;
+import org.gooseberryring.coordination.request.RequestEngine;
+import org.gooseberryring.state.FleetConfiguration;
+
+/** Token wallet of this host on the request thread. */
+public final class WalletInputs implements LimiterInputs {
+    private final TokenWallet wallet;
+    private final BiConsumer<String, TokenMessage> messages;
+    private RequestLoop loop;
+
+    /**
+     * Creates the inputs; {@link #connect} must follow before the first input.
+     *
+     * @param messages sends a message of the wallet to the named host, which may be this one
+     */
+    public WalletInputs(TokenWallet wallet, BiConsumer<String, TokenMessage> messages) {
+        this.wallet = wallet;
+        this.messages = messages;
+    }
+
+    /** Names the loop of the request thread. */
+    public void connect(RequestLoop requestLoop) {
+        loop = requestLoop;
+    }
+
+    /** Takes over the limits of a configuration; must be called on the request thread. */
+    public void configured(FleetConfiguration configuration, long now) {
+        wallet.configure(configuration.organisations(), now);
+    }
+
+    /** Takes over the keepers of an organisation, nearest first. */
+    public void keepers(String organisation, List<String> nearestFirst) {
+        put(now -> wallet.keepers(organisation, nearestFirst));
+    }
+
+    /** Takes a keeper's answer to a request for tokens. */
+    public void granted(String sender, TokenMessage.Grant grant) {
+        put(now -> wallet.onGrant(sender, grant, now));
+    }
+
+    /** Returns all token batches to their keepers, as for a graceful shutdown. */
+    public void releaseTokens() {
+        put(wallet::release);
+    }
+
+    @Override
+    public void tick(long now) {
+        wallet.tick(now);
+    }
+
+    @Override
+    public void settle(RequestEngine engine, Consumer<RequestEffect> effects, long now) {
+        List<LimitEffect> limitEffects = wallet.drain();
+        while (!limitEffects.isEmpty()) {
+            for (LimitEffect effect : limitEffects) {
+                carryOut(effect, engine, effects, now);
+            }
+            limitEffects = wallet.drain();
+        }
+    }
+
+    private void carryOut(LimitEffect effect, RequestEngine engine, Consumer<RequestEffect> effects, long now) {
+        if (effect instanceof LimitEffect.Send send) {
+            messages.accept(send.host(), send.message());
+        } else if (effect instanceof LimitEffect.Decided decided) {
+            engine.admitted(decided.requestId(), decided.admission(), now).forEach(effects);
+        }
+    }
+
+    private void put(LongConsumer input) {
+        loop.put((engine, now) -> {
+            input.accept(now);
+            return List.of();
+        });
+    }
+}
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/TokenRoutes.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/TokenRoutes.java
@@ -3,7 +3,7 @@
 import org.gooseberryring.coordination.limit.TokenMessage;
 import org.gooseberryring.host.control.ControlLoop;
 import org.gooseberryring.host.control.LimitControl;
-import org.gooseberryring.host.engine.RequestLoop;
+import org.gooseberryring.host.engine.WalletInputs;
 
 /** Carries token messages between the wallet and the keeper of this host and those of others. */
 public final class TokenRoutes {
@@ -13,7 +13,7 @@
     private final String self;
     private final PeerSend peers;
     private final ControlLoop control;
-    private RequestLoop requests;
+    private WalletInputs requests;
     private volatile LimitControl limits;
 
     public TokenRoutes(String self, PeerSend peers, ControlLoop control) {
@@ -23,8 +23,8 @@
     }
 
     /** Names the owners of the wallet and the keeper; must precede the first message. */
-    public void connect(RequestLoop requestLoop, LimitControl limitControl) {
-        requests = requestLoop;
+    public void connect(WalletInputs wallet, LimitControl limitControl) {
+        requests = wallet;
         limits = limitControl;
     }
 
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/AnswerCopier.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/AnswerCopier.java
@@ -12,10 +12,6 @@
 
 /** Copies an answer from the endpoint's connection to a sink, no faster than the sink takes it. */
 final class AnswerCopier {
-    private static final String EVENT_STREAM = "text/event-stream";
-    private static final int NO_CONTENT = 204;
-    private static final int NOT_MODIFIED = 304;
-
     private final EndpointAttempt attempt;
     private final EndpointCall call;
     private final ClientExchange exchange;
@@ -23,10 +19,13 @@
     private final StreamSourceChannel source;
     private final PooledByteBuffer pooled;
     private final ByteBuffer buffer;
+    private final EndpointProtocol protocol;
+    private final EventCursor events;
     private final AnswerTail tail = new AnswerTail();
     private final ByteArrayOutputStream recorded = new ByteArrayOutputStream();
     private final int maxRecordedBytes;
     private final long declaredLength;
+    private ByteBuffer pending;
     private long copied;
     private boolean started;
     private boolean closed;
@@ -44,9 +43,15 @@
         this.source = exchange.getResponseChannel();
         this.pooled = client.worker().buffers().allocate();
         this.buffer = pooled.getBuffer();
+        this.protocol = client.protocol();
+        this.events = protocol.carriesEvents(headers()) ? call.events() : null;
         this.maxRecordedBytes = call.idempotent() ? 0 : client.limits().maxRecordedBytes();
         this.declaredLength = length(headers());
         buffer.limit(0);
+        this.pending = buffer;
+        if (events != null) {
+            events.restart();
+        }
     }
 
     void start() {
@@ -92,9 +97,9 @@
     /** Writes the buffered bytes; returns false if the sink takes no more now or has gone. */
     private boolean drain() {
         try {
-            while (buffer.hasRemaining()) {
+            while (pending.hasRemaining()) {
                 open();
-                if (sink.write(buffer) == 0) {
+                if (sink.write(pending) == 0) {
                     sink.whenWritable(() -> {
                         attempt.active();
                         copy();
@@ -120,6 +125,7 @@
                 copied += count;
                 tail.add(buffer);
                 record();
+                pending = events == null ? buffer : events.take(buffer);
             } else if (count < 0) {
                 finish();
             }
@@ -155,24 +161,20 @@
     }
 
     private boolean complete() {
-        int status = exchange.getResponse().getResponseCode();
-        if ("HEAD".equals(call.method()) || status == NO_CONTENT || status == NOT_MODIFIED) {
-            return true;
-        }
-        String type = headers().getFirst(Headers.CONTENT_TYPE);
-        boolean events = type != null && type.startsWith(EVENT_STREAM);
-        if (events && call.kind().isModel()) {
-            return tail.endsWithFinalEvent();
-        }
-        // Without a length or chunks, a closed connection cannot be told from a complete answer.
-        return declaredLength >= 0 ? copied == declaredLength : headers().contains(Headers.TRANSFER_ENCODING);
+        AnswerEnd end = new AnswerEnd(
+                copied,
+                declaredLength,
+                headers().contains(Headers.TRANSFER_ENCODING),
+                tail.endsWithFinalEvent(),
+                events != null && events.inEvent());
+        return protocol.isComplete(call, exchange.getResponse().getResponseCode(), headers(), end);
     }
 
     private void open() {
         if (!started) {
             started = true;
             attempt.opened();
-            sink.start(exchange.getResponse().getResponseCode(), headers(), declaredLength);
+            sink.start(exchange.getResponse().getResponseCode(), headers(), events == null ? declaredLength : -1);
         }
     }
 
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -30,8 +30,6 @@
     public static final HttpString VERDICT = new HttpString("X-Request-Verdict");
 
     private static final Logger LOG = Logger.getLogger(EndpointAttempt.class);
-    private static final int FIRST_ERROR = 400;
-    private static final int FIRST_SERVER_ERROR = 500;
 
     private final EndpointClient client;
     private final String address;
@@ -85,7 +83,7 @@
             return;
         }
         timer = after(client.limits().connectMillis(), () -> end(unfinished(), true, null));
-        client.connector().acquire(thread, address, !call.idempotent(), this::connected);
+        client.connector().acquire(thread, address, !client.protocol().mayReuse(call), this::connected);
     }
 
     private void connected(ClientConnection opened, IOException failure) {
@@ -113,9 +111,9 @@
                 new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.path());
         HeaderMap headers = request.getRequestHeaders();
         call.headers().forEach(h -> headers.putAll(h.getHeaderName(), h));
-        headers.put(Headers.HOST, address);
+        headers.put(Headers.HOST, client.protocol().host(call, address));
         headers.put(Headers.CONTENT_LENGTH, call.body().length);
-        headers.put(REQUEST_ID, call.requestId());
+        headers.put(client.protocol().requestIdHeader(), call.requestId());
         return request;
     }
 
@@ -133,14 +131,15 @@
         }
         ClientResponse response = exchange.getResponse();
         HeaderMap headers = response.getResponseHeaders();
-        if (call.kind().echoesRequestId() && !call.requestId().equals(headers.getFirst(REQUEST_ID))) {
+        status = response.getResponseCode();
+        if (!client.protocol().belongsTo(call, status, headers)) {
             LOG.warnf(
                     "event=answer-dropped reason=wrong-request-id requestId=%s address=%s", call.requestId(), address);
             end(Verdict.MAY_HAVE_RUN, false, null);
             return;
         }
-        status = response.getResponseCode();
-        Verdict refusal = refusal(headers);
+        listener.loadStated(client.protocol().load(headers));
+        Verdict refusal = client.protocol().refusal(call, status, headers);
         if (refusal != null) {
             end(refusal, false, null);
             return;
@@ -149,15 +148,6 @@
         copier.start();
     }
 
-    /** Returns the verdict if the answer is a failure that must not go to the caller as it is, otherwise null. */
-    private Verdict refusal(HeaderMap headers) {
-        String verdict = headers.getFirst(VERDICT);
-        if (call.kind().isRelay() && verdict != null && status >= FIRST_ERROR) {
-            return Verdict.NOT_RUN.wireName().equals(verdict) ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
-        }
-        return call.kind().isModel() && status >= FIRST_SERVER_ERROR ? Verdict.MAY_HAVE_RUN : null;
-    }
-
     /** Notes that bytes moved, which restarts the idle timeout. */
     void active() {
         lastActivityNanos = System.nanoTime();
@@ -215,8 +205,11 @@
             copier.close();
         }
         long used = copier == null ? 0 : copier.usedTokens();
-        listener.ended(new AttemptOutcome(verdict, status, used, reached, endpointLost, firstTokenMillis), recorded);
-        if (verdict != Verdict.COMPLETED && reached) {
+        // A stream that may go on elsewhere is broken off only when the receiver of the outcome gives it up.
+        boolean goesOn = call.events() != null;
+        listener.ended(
+                new AttemptOutcome(verdict, status, used, reached, endpointLost, firstTokenMillis, sent), recorded);
+        if (verdict != Verdict.COMPLETED && reached && !goesOn) {
             sink.abort();
         }
     }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointCall.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointCall.java
@@ -12,9 +12,29 @@
  * @param body whole body, empty if there is none
  * @param kind what answers, which determines how its answer is verified
  * @param idempotent whether the request may be sent twice; if not, it never goes over a reused connection
+ * @param events events that reached the caller, if a broken stream may go on elsewhere; otherwise null
  */
 public record EndpointCall(
-        String requestId, String method, String path, HeaderMap headers, byte[] body, Kind kind, boolean idempotent) {
+        String requestId,
+        String method,
+        String path,
+        HeaderMap headers,
+        byte[] body,
+        Kind kind,
+        boolean idempotent,
+        EventCursor events) {
+    /** Creates a call whose answer cannot go on elsewhere. */
+    public EndpointCall(
+            String requestId,
+            String method,
+            String path,
+            HeaderMap headers,
+            byte[] body,
+            Kind kind,
+            boolean idempotent) {
+        this(requestId, method, path, headers, body, kind, idempotent, null);
+    }
+
     /** Kind of the answering process. */
     public enum Kind {
         /** Model engine: echoes the request id; streams end with a final event. */
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointClient.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointClient.java
@@ -16,12 +16,19 @@
     private final HttpWorker worker;
     private final ClientConnector connector;
     private final EndpointLimits limits;
+    private final EndpointProtocol protocol;
     private final Map<String, AtomicInteger> inFlight = new ConcurrentHashMap<>();
 
-    /** Creates a client that uses the I/O threads and buffers of the worker. */
+    /** Creates a client for the product's own endpoint interface; see the other constructor. */
     public EndpointClient(HttpWorker worker, EndpointLimits limits) {
+        this(worker, limits, new ModelEngineProtocol());
+    }
+
+    /** Creates a client that uses the I/O threads and buffers of the worker. */
+    public EndpointClient(HttpWorker worker, EndpointLimits limits, EndpointProtocol protocol) {
         this.worker = worker;
         this.limits = limits;
+        this.protocol = protocol;
         this.connector = new ClientConnector(worker, MAX_IDLE_PER_THREAD);
     }
 
@@ -68,6 +75,10 @@
         return limits;
     }
 
+    EndpointProtocol protocol() {
+        return protocol;
+    }
+
     boolean enter(String address) {
         AtomicInteger count = inFlight.computeIfAbsent(address, a -> new AtomicInteger());
         if (count.incrementAndGet() <= limits.maxConnections()) {
--- /dev/null
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ModelEngineProtocol.java
@@ -0,0 +1,57 @@
+package org.gooseberryring.transport.endpoint;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import org.gooseberryring.state.Verdict;
+
+/** Protocol of the product's own endpoint interface. */
+public final class ModelEngineProtocol implements EndpointProtocol {
+    private static final int FIRST_ERROR = 400;
+    private static final int FIRST_SERVER_ERROR = 500;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
+    private static final String EVENT_STREAM = "text/event-stream";
+
+    @Override
+    public HttpString requestIdHeader() {
+        return EndpointAttempt.REQUEST_ID;
+    }
+
+    @Override
+    public String host(EndpointCall call, String address) {
+        return address;
+    }
+
+    @Override
+    public boolean mayReuse(EndpointCall call) {
+        return call.idempotent();
+    }
+
+    @Override
+    public boolean belongsTo(EndpointCall call, int status, HeaderMap headers) {
+        return !call.kind().echoesRequestId() || call.requestId().equals(headers.getFirst(requestIdHeader()));
+    }
+
+    @Override
+    public Verdict refusal(EndpointCall call, int status, HeaderMap headers) {
+        String verdict = headers.getFirst(EndpointAttempt.VERDICT);
+        if (call.kind().isRelay() && verdict != null && status >= FIRST_ERROR) {
+            return Verdict.NOT_RUN.wireName().equals(verdict) ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
+        }
+        return call.kind().isModel() && status >= FIRST_SERVER_ERROR ? Verdict.MAY_HAVE_RUN : null;
+    }
+
+    @Override
+    public boolean isComplete(EndpointCall call, int status, HeaderMap headers, AnswerEnd end) {
+        if ("HEAD".equals(call.method()) || status == NO_CONTENT || status == NOT_MODIFIED) {
+            return true;
+        }
+        String type = headers.getFirst(Headers.CONTENT_TYPE);
+        if (type != null && type.startsWith(EVENT_STREAM) && call.kind().isModel()) {
+            return end.finalEvent();
+        }
+        // Without a length or chunks, a closed connection cannot be told from a complete answer.
+        return end.framedWhole();
+    }
+}
