--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
@@ -0,0 +1,200 @@
+package org.gooseberryring.coordination.direct;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.IdentityHashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.gooseberryring.coordination.request.Target;
+import org.gooseberryring.coordination.route.RouteChoice;
+import org.gooseberryring.coordination.route.RouteQuery;
+import org.gooseberryring.state.EndpointRegistration;
+import org.gooseberryring.state.PromptShape;
+import org.gooseberryring.state.ResidentModel;
+import org.gooseberryring.state.ServiceProfile;
+
+/** What this host knows of one endpoint. */
+final class DirectEndpoint {
+    /** Part of the memory for tokens that running requests may fill; the rest absorbs what other hosts send. */
+    private static final double MEMORY_SHARE = 0.9;
+
+    private final RouteChoice choice;
+    private final EndpointHealth health = new EndpointHealth();
+    private final ColdGate cold = new ColdGate();
+    private final PromptCache cache = new PromptCache(0);
+    private final Map<String, Set<String>> resident = new HashMap<>();
+    private final Map<String, EndpointUse> others = new HashMap<>();
+    // A request keeps its query from its dispatch to its end.
+    private final Map<RouteQuery, EndpointUse> running = new IdentityHashMap<>();
+    private EndpointRegistration registration;
+    private ServiceProfile profile;
+    private EndpointUse own = EndpointUse.NONE;
+    private EndpointUse othersSum = EndpointUse.NONE;
+    private boolean removed;
+
+    DirectEndpoint(EndpointRegistration registration, long now) {
+        this.choice = new RouteChoice(RouteChoice.Kind.ENDPOINT, registration.id());
+        registered(registration, now);
+    }
+
+    void registered(EndpointRegistration newer, long now) {
+        boolean restarted = registration != null && registration.bornMillis() != newer.bornMillis();
+        boolean modelsChanged = registration == null || !registration.models().equals(newer.models());
+        registration = newer;
+        removed = false;
+        if (restarted) {
+            cache.clear();
+        }
+        if (restarted || modelsChanged) {
+            holds(newer.models());
+        }
+        if (newer.coldMillis() > 0) {
+            cold.cold(newer.coldMillis(), now);
+        }
+    }
+
+    /** Replaces what the endpoint holds. */
+    void holds(Iterable<ResidentModel> models) {
+        resident.clear();
+        for (ResidentModel model : models) {
+            resident.put(model.model(), new HashSet<>(model.adapters()));
+        }
+    }
+
+    /** Notes that the endpoint stated that it does not hold an artifact. */
+    void lacks(String model, String adapter) {
+        if (adapter == null) {
+            resident.remove(model);
+        } else if (resident.containsKey(model)) {
+            resident.get(model).remove(adapter);
+        }
+    }
+
+    void profile(ServiceProfile newProfile) {
+        profile = newProfile;
+        if (newProfile != null && newProfile.engine() != null) {
+            cache.capacity(newProfile.engine().cacheTokens());
+        }
+    }
+
+    void removed() {
+        removed = true;
+    }
+
+    boolean isRemoved() {
+        return removed;
+    }
+
+    EndpointRegistration registration() {
+        return registration;
+    }
+
+    EndpointHealth health() {
+        return health;
+    }
+
+    RouteChoice choice() {
+        return choice;
+    }
+
+    EndpointUse own() {
+        return own;
+    }
+
+    /** Takes over what the requests of another host take, null once it is gone. */
+    void usedBy(String host, EndpointUse use) {
+        EndpointUse old = use == null ? others.remove(host) : others.put(host, use);
+        if (old != null) {
+            othersSum = othersSum.minus(old);
+        }
+        if (use != null) {
+            othersSum = othersSum.plus(use);
+        }
+    }
+
+    Set<String> othersKnown() {
+        return others.keySet();
+    }
+
+    /** Returns whether it may take work at all, whatever its load. */
+    boolean inService(Set<String> domainsOut) {
+        return !removed && !registration.leaving() && !domainsOut.contains(registration.failureDomain());
+    }
+
+    boolean holds(Target.RoutedTarget target) {
+        if (target.model() == null) {
+            return true;
+        }
+        Set<String> adapters = resident.get(target.model());
+        return adapters != null && (target.adapter() == null || adapters.contains(target.adapter()));
+    }
+
+    boolean hasRoom(RouteQuery query, int hosts, long now) {
+        EndpointUse all = own.plus(othersSum);
+        boolean free = all.inFlight() < registration.slots();
+        return free
+                && fitsMemory(all, query.prompt())
+                && health.usable(own.inFlight(), now)
+                && cold.open(coldRate(), hosts, now);
+    }
+
+    /** Returns prompt tokens that must be read before the request can start. */
+    long tokensAhead(RouteQuery query) {
+        return own.plus(othersSum).unreadTokens() + unread(query);
+    }
+
+    /** Returns the share of its slots that is taken. */
+    double utilisation() {
+        return (double) own.plus(othersSum).inFlight() / Math.max(1, registration.slots());
+    }
+
+    void started(RouteQuery query, int hosts, long now) {
+        EndpointUse use = new EndpointUse(1, unread(query), memory(query.prompt()));
+        running.put(query, use);
+        own = own.plus(use);
+        cache.add(salt(query), query.prompt());
+        cold.sent(coldRate(), hosts, now);
+    }
+
+    /** Notes that the endpoint has read the prompt of a request. */
+    void answering(RouteQuery query) {
+        EndpointUse use = running.get(query);
+        if (use != null) {
+            EndpointUse read = new EndpointUse(0, use.unreadTokens(), 0);
+            running.put(query, use.minus(read));
+            own = own.minus(read);
+        }
+    }
+
+    void ended(RouteQuery query) {
+        EndpointUse use = running.remove(query);
+        if (use != null) {
+            own = own.minus(use);
+        }
+    }
+
+    private long unread(RouteQuery query) {
+        return query.prompt().inputTokens() - cache.keptTokens(salt(query), query.prompt());
+    }
+
+    private boolean fitsMemory(EndpointUse all, PromptShape prompt) {
+        if (profile == null || profile.engine() == null) {
+            return true;
+        }
+        double limit = MEMORY_SHARE * profile.engine().cacheTokens();
+        return all.inFlight() == 0 || all.memoryTokens() + memory(prompt) <= limit;
+    }
+
+    private static long memory(PromptShape prompt) {
+        return (long) prompt.inputTokens() + prompt.outputTokens();
+    }
+
+    private double coldRate() {
+        return profile == null ? 0 : profile.coldRequestsPerSecond();
+    }
+
+    private static long salt(RouteQuery query) {
+        return query.target() instanceof Target.RoutedTarget target ? target.hashCode() : 0;
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -0,0 +1,308 @@
+package org.gooseberryring.coordination.direct;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+import org.gooseberryring.coordination.request.Target;
+import org.gooseberryring.coordination.route.EndpointRouter;
+import org.gooseberryring.coordination.route.RouteChoice;
+import org.gooseberryring.coordination.route.RouteQuery;
+import org.gooseberryring.state.EndpointRegistration;
+import org.gooseberryring.state.EngineProfile;
+import org.gooseberryring.state.ModelProfile;
+import org.gooseberryring.state.ResidentModel;
+import org.gooseberryring.state.ServiceProfile;
+import org.gooseberryring.state.ServingConfiguration;
+
+/**
+ * Chooses among all endpoints of an installation, each of which this host reaches itself.
+ *
+ * <p>A request goes where the fewest prompt tokens must be read before it starts; a plain request goes to the service's
+ * endpoint with the smallest share of its slots taken. All methods are called from one thread.
+ */
+public final class DirectRouter implements EndpointRouter {
+    /** Least number of hosts that share the rate of a cold endpoint, so that a new host does not take it alone. */
+    private static final int MIN_COLD_SHARES = 8;
+
+    /** Tokens that the way to another failure domain is worth; a body costs more there than within the domain. */
+    private static final double OTHER_DOMAIN_TOKENS = 60;
+
+    /** Tokens by which a fully taken endpoint slows down the request, since its requests share each step. */
+    private static final double FULL_SLOTS_TOKENS = 4_000;
+
+    /** Tokens by which an endpoint that fails all its requests is worse. */
+    private static final double FAILING_TOKENS = 50_000;
+
+    /** Tokens by which an endpoint at which the request has failed already is worse. */
+    private static final double FAILED_BEFORE_TOKENS = 200_000;
+
+    /** Artifacts that are wanted and not held; more are not loaded within the time of a request anyway. */
+    private static final int MAX_WANTED = 256;
+
+    private final String failureDomain;
+    private final Random random;
+    private final Map<String, DirectEndpoint> endpoints = new LinkedHashMap<>();
+    private final Map<String, List<DirectEndpoint>> byService = new HashMap<>();
+    private final Set<Target.RoutedTarget> wanted = new LinkedHashSet<>();
+    private ServingConfiguration configuration = ServingConfiguration.none();
+    private Set<String> domainsOut = Set.of();
+    private int hosts = 1;
+
+    /**
+     * Creates a router that knows no endpoint.
+     *
+     * @param failureDomain failure domain of this host
+     * @param random source of choices among equals, seeded by the caller
+     */
+    public DirectRouter(String failureDomain, Random random) {
+        this.failureDomain = failureDomain;
+        this.random = random;
+    }
+
+    /** Takes over a configuration. */
+    public void configured(ServingConfiguration newConfiguration) {
+        configuration = newConfiguration;
+        endpoints.values().forEach(this::configure);
+    }
+
+    /** Takes over what an endpoint registered. */
+    public void registered(EndpointRegistration registration, long now) {
+        DirectEndpoint endpoint = endpoints.get(registration.id());
+        if (endpoint == null) {
+            endpoint = new DirectEndpoint(registration, now);
+            endpoints.put(registration.id(), endpoint);
+            configure(endpoint);
+        } else {
+            endpoint.registered(registration, now);
+        }
+        index();
+    }
+
+    /** Takes an endpoint out for good; it is kept until its last request has ended. */
+    public void unregistered(String endpoint) {
+        DirectEndpoint known = endpoints.get(endpoint);
+        if (known != null) {
+            known.removed();
+            forgetIfUnused(known);
+            index();
+        }
+    }
+
+    /** Takes over the failure domains that get no new work. */
+    public void domainsOut(Set<String> domains) {
+        domainsOut = Set.copyOf(domains);
+    }
+
+    /** Takes over the number of hosts, this one included. */
+    public void hosts(int count) {
+        hosts = Math.max(1, count);
+    }
+
+    /** Takes over what the requests of another host take of each endpoint, empty once it is gone. */
+    public void usedBy(String host, Map<String, EndpointUse> uses) {
+        for (DirectEndpoint endpoint : endpoints.values()) {
+            EndpointUse use = uses.get(endpoint.registration().id());
+            if (use != null || endpoint.othersKnown().contains(host)) {
+                endpoint.usedBy(host, use);
+            }
+        }
+    }
+
+    /** Returns what the requests of this host take of each endpoint that serves any. */
+    public Map<String, EndpointUse> uses() {
+        Map<String, EndpointUse> uses = new HashMap<>();
+        endpoints.forEach((id, endpoint) -> {
+            if (endpoint.own().inFlight() > 0) {
+                uses.put(id, endpoint.own());
+            }
+        });
+        return uses;
+    }
+
+    /** Takes over what an endpoint holds, as its controller reports it. */
+    public void holds(String endpoint, List<ResidentModel> models) {
+        DirectEndpoint known = endpoints.get(endpoint);
+        if (known != null) {
+            known.holds(models);
+        }
+    }
+
+    /** Notes that an endpoint stated that it does not hold what a request needs. */
+    public void lacks(String endpoint, Target target) {
+        DirectEndpoint known = endpoints.get(endpoint);
+        if (known != null && target instanceof Target.RoutedTarget routed && routed.model() != null) {
+            known.lacks(routed.model(), routed.adapter());
+        }
+    }
+
+    /** Returns the targets that requests wait for although no endpoint holds them, and forgets them. */
+    public List<Target.RoutedTarget> takeWanted() {
+        List<Target.RoutedTarget> taken = new ArrayList<>(wanted);
+        wanted.clear();
+        return taken;
+    }
+
+    @Override
+    public RouteChoice choose(RouteQuery query, long now) {
+        if (!(query.target() instanceof Target.RoutedTarget target)) {
+            return RouteChoice.UNREACHABLE;
+        }
+        List<DirectEndpoint> inService = inService(target.service());
+        List<DirectEndpoint> holders = new ArrayList<>();
+        for (DirectEndpoint endpoint : inService) {
+            if (endpoint.holds(target)) {
+                holders.add(endpoint);
+            }
+        }
+        if (holders.isEmpty()) {
+            return missing(target, !inService.isEmpty());
+        }
+        DirectEndpoint best = cheapest(holders, query, now);
+        return best == null ? RouteChoice.WAIT : best.choice();
+    }
+
+    @Override
+    public void started(String endpoint, RouteQuery query, long now) {
+        DirectEndpoint known = endpoints.get(endpoint);
+        if (known != null) {
+            known.started(query, coldShares(), now);
+        }
+    }
+
+    @Override
+    public void answering(String endpoint, RouteQuery query, long now) {
+        DirectEndpoint known = endpoints.get(endpoint);
+        if (known != null) {
+            known.answering(query);
+        }
+    }
+
+    @Override
+    public void ended(String endpoint, RouteQuery query, long now) {
+        DirectEndpoint known = endpoints.get(endpoint);
+        if (known != null) {
+            known.ended(query);
+            forgetIfUnused(known);
+        }
+    }
+
+    @Override
+    public void succeeded(String endpoint, long firstTokenMillis, long now) {
+        DirectEndpoint known = endpoints.get(endpoint);
+        if (known != null) {
+            known.health().succeeded();
+        }
+    }
+
+    @Override
+    public void failed(String endpoint, long now) {
+        DirectEndpoint known = endpoints.get(endpoint);
+        if (known != null) {
+            known.health().failed();
+        }
+    }
+
+    @Override
+    public long lossEpoch(String endpoint) {
+        DirectEndpoint known = endpoints.get(endpoint);
+        return known == null ? 0 : known.health().lossEpoch();
+    }
+
+    @Override
+    public void lost(String endpoint, long epochAtDispatch, long now) {
+        DirectEndpoint known = endpoints.get(endpoint);
+        if (known != null) {
+            known.health().lost(epochAtDispatch, now);
+        }
+    }
+
+    @Override
+    public boolean tick(long now) {
+        return false;
+    }
+
+    private List<DirectEndpoint> inService(String service) {
+        List<DirectEndpoint> inService = new ArrayList<>();
+        for (DirectEndpoint endpoint : byService.getOrDefault(service, List.of())) {
+            if (endpoint.inService(domainsOut)) {
+                inService.add(endpoint);
+            }
+        }
+        return inService;
+    }
+
+    /** Returns the endpoint with room that costs the request least, or null if none has room. */
+    private DirectEndpoint cheapest(List<DirectEndpoint> holders, RouteQuery query, long now) {
+        DirectEndpoint best = null;
+        double bestCost = Double.MAX_VALUE;
+        for (DirectEndpoint endpoint : holders) {
+            if (!endpoint.hasRoom(query, coldShares(), now)) {
+                continue;
+            }
+            double cost = cost(endpoint, query);
+            if (cost < bestCost || cost == bestCost && random.nextBoolean()) {
+                best = endpoint;
+                bestCost = cost;
+            }
+        }
+        return best;
+    }
+
+    /** Lets a request wait for what no endpoint holds, if one may load it. */
+    private RouteChoice missing(Target.RoutedTarget target, boolean serviceRuns) {
+        if (!serviceRuns || !isLoadable(target)) {
+            return RouteChoice.UNREACHABLE;
+        }
+        if (wanted.size() < MAX_WANTED) {
+            wanted.add(target);
+        }
+        return RouteChoice.WAIT;
+    }
+
+    private double cost(DirectEndpoint endpoint, RouteQuery query) {
+        double cost = endpoint.tokensAhead(query) + FULL_SLOTS_TOKENS * endpoint.utilisation();
+        cost += FAILING_TOKENS * endpoint.health().failureShare();
+        if (!endpoint.registration().failureDomain().equals(failureDomain)) {
+            cost += OTHER_DOMAIN_TOKENS;
+        }
+        return query.failedAt().contains(endpoint.registration().id()) ? cost + FAILED_BEFORE_TOKENS : cost;
+    }
+
+    private boolean isLoadable(Target.RoutedTarget target) {
+        ServiceProfile service = configuration.services().get(target.service());
+        EngineProfile engine = service == null ? null : service.engine();
+        ModelProfile model = engine == null || target.model() == null
+                ? null
+                : engine.models().get(target.model());
+        return model != null && (target.adapter() == null || model.hasAdapter(target.adapter()));
+    }
+
+    private int coldShares() {
+        return Math.max(MIN_COLD_SHARES, hosts);
+    }
+
+    private void configure(DirectEndpoint endpoint) {
+        endpoint.profile(configuration.services().get(endpoint.registration().service()));
+    }
+
+    private void forgetIfUnused(DirectEndpoint endpoint) {
+        if (endpoint.isRemoved() && endpoint.own().inFlight() == 0) {
+            endpoints.remove(endpoint.registration().id(), endpoint);
+        }
+    }
+
+    private void index() {
+        byService.clear();
+        for (DirectEndpoint endpoint : endpoints.values()) {
+            byService
+                    .computeIfAbsent(endpoint.registration().service(), service -> new ArrayList<>())
+                    .add(endpoint);
+        }
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/CollectionFeed.java
@@ -0,0 +1,202 @@
+package org.gooseberryring.coordination.feed;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * Follows one collection of the platform's store.
+ *
+ * <p>It lists the collection, watches it from the revision of the list, and lists it again when the history that a watch
+ * needs is gone. An answer that is older than what is known changes nothing. After an outage, objects that are missing
+ * are kept for a grace time, because their owners may write them again.
+ *
+ * @param <T> type of the content
+ */
+public final class CollectionFeed<T> {
+    private final FeedTimes times;
+    private final FeedListener<T> listener;
+    private final RandomGenerator random;
+    private final Map<String, Long> revisions = new HashMap<>();
+    private final Map<String, Long> doubtful = new HashMap<>();
+    private final Map<String, FeedItem<T>> pages = new HashMap<>();
+    private long callId;
+    private boolean open;
+    private boolean listing = true;
+    private String after = "";
+    private long listRevision;
+    private long revision;
+    private long retryAt;
+    private int failures;
+    private long answeredAt;
+    private long graceUntil = Long.MIN_VALUE;
+    private boolean inContact = true;
+
+    /** Creates a feed that has read nothing yet; {@code now} is monotonic time in milliseconds. */
+    public CollectionFeed(FeedTimes times, FeedListener<T> listener, RandomGenerator random, long now) {
+        this.times = times;
+        this.listener = listener;
+        this.random = random;
+        this.answeredAt = now;
+    }
+
+    /** Returns the calls that are due; called several times a second. */
+    public List<FeedCall> onTick(long now) {
+        noteContact(now);
+        dropDoubtful(now);
+        return open || now < retryAt ? List.of() : next();
+    }
+
+    /** Handles a page of the list. */
+    public List<FeedCall> onPage(long id, FeedPage<T> page, long now) {
+        if (!answered(id, now)) {
+            return List.of();
+        }
+        if (after.isEmpty()) {
+            pages.clear();
+            listRevision = page.revision();
+        }
+        for (FeedItem<T> item : page.items()) {
+            pages.put(item.name(), item);
+            after = item.name();
+        }
+        if (page.more() && !page.items().isEmpty()) {
+            return next();
+        }
+        after = "";
+        if (listRevision < revision) {
+            // The list comes from an older state of the store than what is known.
+            return retryLater(now);
+        }
+        takeList(now);
+        return next();
+    }
+
+    /** Handles the answer to a watch. */
+    public List<FeedCall> onChanges(long id, FeedChanges<T> changes, long now) {
+        if (!answered(id, now)) {
+            return List.of();
+        }
+        for (FeedChanges.Change<T> change : changes.changes()) {
+            FeedItem<T> item = change.item();
+            if (change.removed()) {
+                removed(item.name(), now);
+            } else {
+                changed(item, now);
+            }
+        }
+        revision = Math.max(revision, changes.revision());
+        return next();
+    }
+
+    /** Handles the answer that the history which a watch needs is gone. */
+    public List<FeedCall> onHistoryGone(long id, long now) {
+        if (!answered(id, now)) {
+            return List.of();
+        }
+        listing = true;
+        return next();
+    }
+
+    /** Handles a call that failed or was refused. */
+    public List<FeedCall> onFailed(long id, long now) {
+        if (id != callId || !open) {
+            return List.of();
+        }
+        open = false;
+        after = "";
+        return retryLater(now);
+    }
+
+    private boolean answered(long id, long now) {
+        if (id != callId || !open) {
+            return false;
+        }
+        open = false;
+        if (!inContact || now - answeredAt - times.waitMillis() > times.outageMillis()) {
+            graceUntil = now + times.graceMillis();
+        }
+        failures = 0;
+        answeredAt = now;
+        noteContact(now);
+        return true;
+    }
+
+    private void takeList(long now) {
+        Set<String> missing = new HashSet<>(revisions.keySet());
+        for (FeedItem<T> item : pages.values()) {
+            missing.remove(item.name());
+            changed(item, now);
+        }
+        missing.forEach(name -> removed(name, now));
+        pages.clear();
+        revision = listRevision;
+        listing = false;
+        listener.listed(revision, now);
+    }
+
+    private void changed(FeedItem<T> item, long now) {
+        Long known = revisions.get(item.name());
+        boolean back = doubtful.remove(item.name()) != null;
+        if (known == null || item.revision() > known || back) {
+            revisions.put(item.name(), item.revision());
+            listener.changed(item.name(), item.value(), now);
+        }
+    }
+
+    private void removed(String name, long now) {
+        if (!revisions.containsKey(name)) {
+            return;
+        }
+        if (now < graceUntil) {
+            doubtful.putIfAbsent(name, graceUntil);
+        } else {
+            revisions.remove(name);
+            doubtful.remove(name);
+            listener.removed(name, now);
+        }
+    }
+
+    private void dropDoubtful(long now) {
+        if (doubtful.isEmpty() || !inContact) {
+            return;
+        }
+        Set<String> over = new HashSet<>();
+        doubtful.forEach((name, until) -> {
+            if (now >= until) {
+                over.add(name);
+            }
+        });
+        over.forEach(name -> {
+            doubtful.remove(name);
+            revisions.remove(name);
+            listener.removed(name, now);
+        });
+    }
+
+    private void noteContact(long now) {
+        boolean answers = now - answeredAt <= times.waitMillis() + times.outageMillis();
+        if (answers != inContact) {
+            inContact = answers;
+            listener.contact(answers, now);
+        }
+    }
+
+    private List<FeedCall> next() {
+        open = true;
+        callId++;
+        return List.of(
+                listing
+                        ? new FeedCall.ListPage(callId, after)
+                        : new FeedCall.Watch(callId, revision, times.waitMillis()));
+    }
+
+    private List<FeedCall> retryLater(long now) {
+        long limit = Math.min(times.maxRetryMillis(), times.minRetryMillis() << Math.min(failures++, 8));
+        retryAt = now + limit / 2 + random.nextLong(limit / 2 + 1);
+        return List.of();
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/FeedCall.java
@@ -0,0 +1,24 @@
+package org.gooseberryring.coordination.feed;
+
+/** Call to the store that a feed asks for; its answer is handed over with the same number. */
+public sealed interface FeedCall {
+    /** Returns the number of the call. */
+    long id();
+
+    /**
+     * Reads a page of the list.
+     *
+     * @param id number of the call
+     * @param after name after which the page begins, empty for the first page
+     */
+    record ListPage(long id, String after) implements FeedCall {}
+
+    /**
+     * Waits for changes.
+     *
+     * @param id number of the call
+     * @param revision revision after which changes are wanted
+     * @param waitMillis longest wait in milliseconds
+     */
+    record Watch(long id, long revision, long waitMillis) implements FeedCall {}
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/FeedListener.java
@@ -0,0 +1,20 @@
+package org.gooseberryring.coordination.feed;
+
+/**
+ * Hears of the objects of a collection.
+ *
+ * @param <T> type of the content
+ */
+public interface FeedListener<T> {
+    /** An object is new or has changed; {@code value} is null if it cannot be read. */
+    void changed(String name, T value, long now);
+
+    /** An object is gone. */
+    void removed(String name, long now);
+
+    /** The whole collection was read for the first time, or again after a gap. */
+    default void listed(long revision, long now) {}
+
+    /** The store did not answer any more, or answers again. */
+    default void contact(boolean inContact, long now) {}
+}
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -111,6 +111,9 @@
         Work work = works.get(requestId);
         if (work != null && work.isRunning(attempt)) {
             work.responseStarted();
+            if (work.endpoint() != null) {
+                router.answering(work.endpoint(), work.query(), now);
+            }
         }
         return done(now);
     }
@@ -386,7 +389,7 @@
         work.step(Work.Step.QUEUE);
         if (suspects.isQuarantined(spec.digest())) {
             refuse(work, Reason.QUARANTINED, 0, now);
-        } else if (retries.retry(spec, outcome.verdict(), bytes, work.sends(), now)) {
+        } else if (retries.retry(spec, outcome, bytes, work.sends(), now)) {
             enqueue(work, now);
         } else if (work.verdict() == Verdict.NOT_RUN) {
             refuse(work, Reason.NO_ENDPOINT, RETRY_AFTER_MILLIS, now);
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Target.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Target.java
@@ -17,4 +17,13 @@
      * @param service identifier of the service
      */
     record ServiceTarget(String service) implements Target {}
+
+    /**
+     * Service of an installation, or a model that its engines hold.
+     *
+     * @param service identifier of the service
+     * @param model model, null for a plain service
+     * @param adapter adapter of the model, null for the model itself
+     */
+    record RoutedTarget(String service, String model, String adapter) implements Target {}
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/retry/Retries.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/retry/Retries.java
@@ -1,7 +1,7 @@
 package org.gooseberryring.coordination.retry;
 
+import org.gooseberryring.coordination.request.AttemptOutcome;
 import org.gooseberryring.coordination.request.RequestSpec;
-import org.gooseberryring.state.Verdict;
 
 /** Decides which failed attempts are followed by another one. */
 public interface Retries {
@@ -11,10 +11,10 @@
     /**
      * Decides on a retry and takes it from the budget if it is allowed.
      *
-     * @param verdict verdict on the attempt that ended
+     * @param outcome how the attempt ended
      * @param bytesReachedCaller whether a byte of an answer went to the caller
      * @param sends how often the request was sent to an endpoint so far
      * @param now monotonic time in milliseconds
      */
-    boolean retry(RequestSpec spec, Verdict verdict, boolean bytesReachedCaller, int sends, long now);
+    boolean retry(RequestSpec spec, AttemptOutcome outcome, boolean bytesReachedCaller, int sends, long now);
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/retry/RetryPolicy.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/retry/RetryPolicy.java
@@ -1,5 +1,6 @@
 package org.gooseberryring.coordination.retry;
 
+import org.gooseberryring.coordination.request.AttemptOutcome;
 import org.gooseberryring.coordination.request.RequestSpec;
 import org.gooseberryring.state.Verdict;
 
@@ -25,8 +26,8 @@
     }
 
     @Override
-    public boolean retry(RequestSpec spec, Verdict verdict, boolean bytesReachedCaller, int sends, long now) {
-        return retry(verdict, spec.idempotent(), bytesReachedCaller, sends, spec.deadline(), now);
+    public boolean retry(RequestSpec spec, AttemptOutcome outcome, boolean bytesReachedCaller, int sends, long now) {
+        return retry(outcome.verdict(), spec.idempotent(), bytesReachedCaller, sends, spec.deadline(), now);
     }
 
     /**
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/retry/RouteRetries.java
@@ -0,0 +1,53 @@
+package org.gooseberryring.coordination.retry;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.gooseberryring.coordination.request.AttemptOutcome;
+import org.gooseberryring.coordination.request.Handling;
+import org.gooseberryring.coordination.request.RequestSpec;
+import org.gooseberryring.state.Verdict;
+
+/** Retries as the routes of the requests allow them, with a budget for each service that all hosts share. */
+public final class RouteRetries implements Retries {
+    private final RetryAllowance allowance;
+    private final Map<String, ServiceRetryBudget> budgets = new HashMap<>();
+    private int hosts = 1;
+
+    public RouteRetries(RetryAllowance allowance) {
+        this.allowance = allowance;
+    }
+
+    /** Takes over the number of hosts, this one included. */
+    public void hosts(int count) {
+        hosts = Math.max(1, count);
+    }
+
+    @Override
+    public void firstAttempt(RequestSpec spec, long now) {
+        budget(spec).firstAttempt(now);
+    }
+
+    @Override
+    public boolean retry(RequestSpec spec, AttemptOutcome outcome, boolean bytesReachedCaller, int sends, long now) {
+        Handling handling = spec.handling();
+        boolean open = now < spec.deadline() && sends < handling.maxSends();
+        if (!open || bytesReachedCaller && !handling.resumable() || !isHarmless(spec, outcome.verdict())) {
+            return false;
+        }
+        // An attempt that was not sent has added nothing to the load of the service.
+        return !outcome.sent() || budget(spec).take(hosts, now);
+    }
+
+    private static boolean isHarmless(RequestSpec spec, Verdict verdict) {
+        return switch (verdict) {
+            case NOT_RUN -> spec.idempotent() || spec.handling().retriesNotRun();
+            case MAY_HAVE_RUN -> spec.idempotent();
+            default -> false;
+        };
+    }
+
+    private ServiceRetryBudget budget(RequestSpec spec) {
+        return budgets.computeIfAbsent(spec.handling().service(), service -> new ServiceRetryBudget(allowance));
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/retry/ServiceRetryBudget.java
@@ -0,0 +1,70 @@
+package org.gooseberryring.coordination.retry;
+
+/**
+ * Part of one host in the retries that a service bears.
+ *
+ * <p>A host may retry the allowed ratio of its own requests and an equal part of the fixed sum. Counts are kept in short
+ * spans, and the oldest span counts in full, so that no window of the given length exceeds the allowance.
+ */
+final class ServiceRetryBudget {
+    private static final int SPANS = 20;
+
+    /** Least number of hosts that share the fixed sum, so that a host that knows no other does not use all of it. */
+    private static final int MIN_SHARES = 8;
+
+    /** Part of the allowance that is used; the rest covers what is counted later than it was sent. */
+    private static final double USED_SHARE = 0.9;
+
+    private final RetryAllowance allowance;
+    private final long spanMillis;
+    private final int[] firsts = new int[SPANS + 1];
+    private final int[] retries = new int[SPANS + 1];
+    private long span = Long.MIN_VALUE;
+
+    ServiceRetryBudget(RetryAllowance allowance) {
+        this.allowance = allowance;
+        this.spanMillis = Math.max(1, allowance.windowMillis() / SPANS);
+    }
+
+    void firstAttempt(long now) {
+        advance(now);
+        firsts[index(span)]++;
+    }
+
+    /** Takes a retry; returns false if the window has none left. */
+    boolean take(int hosts, long now) {
+        advance(now);
+        int shares = Math.max(MIN_SHARES, hosts);
+        double allowed = USED_SHARE * (allowance.ratio() * sum(firsts) + (double) allowance.extra() / shares);
+        if (sum(retries) + 1 > allowed) {
+            return false;
+        }
+        retries[index(span)]++;
+        return true;
+    }
+
+    private void advance(long now) {
+        long current = now / spanMillis;
+        if (span == Long.MIN_VALUE) {
+            span = current;
+        }
+        for (int i = 0; span < current && i <= SPANS; i++) {
+            span++;
+            firsts[index(span)] = 0;
+            retries[index(span)] = 0;
+        }
+        span = Math.max(span, current);
+    }
+
+    private static int index(long ofSpan) {
+        return Math.floorMod(ofSpan, SPANS + 1);
+    }
+
+    private static int sum(int[] counts) {
+        int sum = 0;
+        for (int count : counts) {
+            sum += count;
+        }
+        return sum;
+    }
+}
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/EndpointRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/EndpointRouter.java
@@ -8,6 +8,9 @@
     /** Counts a request that is sent to an endpoint. */
     void started(String endpoint, RouteQuery query, long now);
 
+    /** Notes that the first byte of an answer arrived. */
+    default void answering(String endpoint, RouteQuery query, long now) {}
+
     /** Counts a request that ended at an endpoint, however it ended. */
     void ended(String endpoint, RouteQuery query, long now);
 
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/RouteChoice.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/RouteChoice.java
@@ -19,6 +19,6 @@
         UNREACHABLE
     }
 
-    static final RouteChoice WAIT = new RouteChoice(Kind.WAIT, null);
-    static final RouteChoice UNREACHABLE = new RouteChoice(Kind.UNREACHABLE, null);
+    public static final RouteChoice WAIT = new RouteChoice(Kind.WAIT, null);
+    public static final RouteChoice UNREACHABLE = new RouteChoice(Kind.UNREACHABLE, null);
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/admin/PrometheusText.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/admin/PrometheusText.java
@@ -10,16 +10,17 @@
 import com.codahale.metrics.Timer;
 
 /** Renders metrics in the Prometheus text form. */
-final class PrometheusText {
+public final class PrometheusText {
     /** Media type of the text. */
-    static final String MEDIA_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+    public static final String MEDIA_TYPE = "text/plain; version=0.0.4; charset=utf-8";
 
     private static final String PREFIX = "gooseberryring_";
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
     private PrometheusText() {}
 
-    static String render(MetricRegistry registry) {
+    /** Renders all metrics of a registry. */
+    public static String render(MetricRegistry registry) {
         StringBuilder text = new StringBuilder();
         for (Map.Entry<String, Gauge> e : registry.getGauges().entrySet()) {
             metric(
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -1,5 +1,6 @@
 package org.gooseberryring.host.caller;
 
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -7,7 +8,7 @@
 import org.gooseberryring.coordination.request.AttemptOutcome;
 import org.gooseberryring.coordination.request.RequestEffect;
 import org.gooseberryring.host.HostMetrics;
-import org.gooseberryring.host.engine.RequestCredits;
+import org.gooseberryring.host.engine.AttemptGate;
 import org.gooseberryring.host.engine.RequestLoop;
 import org.gooseberryring.host.log.LogLine;
 import org.gooseberryring.state.Endpoint;
@@ -28,7 +29,7 @@
     private final HostMetrics metrics;
     private final EffectLinks links;
     private final Relays relays;
-    private final RequestCredits credits;
+    private final AttemptGate gate;
     private final EndpointCalls calls;
     private RequestLoop loop;
 
@@ -44,8 +45,8 @@
             HostMetrics metrics,
             EffectLinks links,
             Relays relays,
-            RequestCredits credits) {
-        this(open, endpoints, client, metrics, links, relays, credits, EndpointCalls::standard);
+            AttemptGate gate) {
+        this(open, endpoints, client, metrics, links, relays, gate, EndpointCalls::standard);
     }
 
     /** Creates the effects with another way to prepare requests to endpoints. */
@@ -56,7 +57,7 @@
             HostMetrics metrics,
             EffectLinks links,
             Relays relays,
-            RequestCredits credits,
+            AttemptGate gate,
             EndpointCalls calls) {
         this.open = open;
         this.endpoints = endpoints;
@@ -64,7 +65,7 @@
         this.metrics = metrics;
         this.links = links;
         this.relays = relays;
-        this.credits = credits;
+        this.gate = gate;
         this.calls = calls;
     }
 
@@ -102,7 +103,7 @@
             return;
         }
         EndpointCall call = calls.call(request, endpoint);
-        BooleanSupplier mayStart = credits.mayStart(endpoint.id());
+        BooleanSupplier mayStart = gate.mayStart(endpoint.id());
         Progress progress = new Progress(request, dispatch.attempt(), endpoint.id());
         request.thread().execute(() -> send(progress, endpoint.address(), call, mayStart));
     }
@@ -185,10 +186,24 @@
                 request.record(outcome.status(), recorded);
             }
             metrics.attemptEnded(outcome.verdict(), System.nanoTime() - startedNanos);
+            log(outcome);
             if (endpoint != null) {
-                credits.attemptEnded(endpoint, outcome);
+                gate.attemptEnded(request.spec(), endpoint, outcome);
             }
             loop.attemptEnded(request.spec().id(), number, outcome);
         }
+
+        private void log(AttemptOutcome outcome) {
+            LogLine.event("attempt-ended")
+                    .with("requestId", request.spec().id())
+                    .with("attempt", number)
+                    .with("endpoint", endpoint)
+                    .with("verdict", outcome.verdict().wireName())
+                    .with("status", outcome.status())
+                    .with("sent", outcome.sent())
+                    .with("firstByteMs", outcome.firstTokenMillis())
+                    .with("ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos))
+                    .debug(LOG);
+        }
     }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerSink.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerSink.java
@@ -2,50 +2,37 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.List;
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
-import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
-import io.undertow.util.HttpString;
 import org.gooseberryring.transport.endpoint.AnswerSink;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
 /** Writes an answer to the connection of its caller. */
 final class CallerSink implements AnswerSink {
-    private static final List<HttpString> TO_CALLER = List.of(
-            Headers.CONTENT_TYPE,
-            Headers.CACHE_CONTROL,
-            Headers.CONTENT_DISPOSITION,
-            Headers.CONTENT_ENCODING,
-            Headers.CONTENT_LANGUAGE,
-            Headers.ETAG,
-            Headers.LAST_MODIFIED,
-            Headers.LOCATION,
-            Headers.RETRY_AFTER);
-
     private final HttpServerExchange exchange;
+    private final AnswerHeaders answerHeaders;
     private StreamSinkChannel channel;
     private String contentType = "";
 
-    CallerSink(HttpServerExchange exchange) {
+    CallerSink(HttpServerExchange exchange, AnswerHeaders answerHeaders) {
         this.exchange = exchange;
+        this.answerHeaders = answerHeaders;
     }
 
     @Override
     public void start(int status, HeaderMap headers, long contentLength) {
+        if (channel != null) {
+            // Another endpoint goes on with a stream that keeps the head of its first endpoint.
+            return;
+        }
         exchange.setStatusCode(status);
         if (headers.contains(Headers.CONTENT_TYPE)) {
             contentType = headers.getFirst(Headers.CONTENT_TYPE);
         }
-        for (HttpString name : TO_CALLER) {
-            HeaderValues values = headers.get(name);
-            if (values != null) {
-                exchange.getResponseHeaders().putAll(name, values);
-            }
-        }
+        answerHeaders.copy(headers, exchange.getResponseHeaders());
         if (contentLength >= 0) {
             exchange.setResponseContentLength(contentLength);
         }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/Destination.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/Destination.java
@@ -14,7 +14,7 @@
  * @param costTokens prompt tokens plus the largest number of output tokens, 0 for a plain service
  * @param prefix beginning of the prompt, empty if there is none
  */
-record Destination(
+public record Destination(
         Target target,
         EndpointCall.Kind kind,
         String path,
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/HeaderRules.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/HeaderRules.java
@@ -13,7 +13,7 @@
 import org.gooseberryring.state.ErrorCode;
 
 /** Rules on the headers and the query of callers' requests. */
-final class HeaderRules {
+public final class HeaderRules {
     private static final List<HttpString> SINGLE =
             List.of(Headers.AUTHORIZATION, Headers.CONTENT_LENGTH, Headers.TRANSFER_ENCODING, Headers.HOST);
     private static final Set<String> KEY_PARAMETERS =
@@ -31,6 +31,16 @@
 
     /** Refuses header combinations that two servers could read differently, and keys in the query. */
     static void check(HeaderMap headers, Map<String, Deque<String>> query) {
+        checkFraming(headers);
+        for (String name : query.keySet()) {
+            if (KEY_PARAMETERS.contains(name.toLowerCase(Locale.ROOT).replaceAll("[_-]", ""))) {
+                throw refused("A key must be sent in the Authorization header, not in the query");
+            }
+        }
+    }
+
+    /** Refuses header combinations that two servers could read as different requests. */
+    public static void checkFraming(HeaderMap headers) {
         for (HttpString name : SINGLE) {
             HeaderValues values = headers.get(name);
             if (values != null && values.size() > 1) {
@@ -48,11 +58,6 @@
         if (encoding != null && !"chunked".equalsIgnoreCase(encoding)) {
             throw refused("Transfer-Encoding other than chunked is not supported");
         }
-        for (String name : query.keySet()) {
-            if (KEY_PARAMETERS.contains(name.toLowerCase(Locale.ROOT).replaceAll("[_-]", ""))) {
-                throw refused("A key must be sent in the Authorization header, not in the query");
-            }
-        }
     }
 
     /** Copies the headers that an endpoint may see. */
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequest.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequest.java
@@ -10,6 +10,7 @@
 import org.gooseberryring.state.ErrorCode;
 import org.gooseberryring.state.Verdict;
 import org.gooseberryring.transport.endpoint.EndpointAttempt;
+import org.gooseberryring.transport.endpoint.EventCursor;
 import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
 
@@ -22,17 +23,38 @@
     private final HttpServerExchange exchange;
     private final HeaderMap headers;
     private final CallerSink sink;
+    private final RefusalWriter refusals;
+    private final EventCursor events;
     private EndpointAttempt attempt;
     private int attemptNumber;
     private boolean ended;
     private volatile Recorded recorded;
 
     OpenRequest(RequestSpec spec, Destination destination, HttpServerExchange exchange, HeaderMap headers) {
+        this(spec, destination, exchange, headers, AnswerStyle.STANDARD, null);
+    }
+
+    /**
+     * Creates a request.
+     *
+     * @param headers headers to send to an endpoint
+     * @param style how its answers and refusals are written
+     * @param events place of a stream that may go on at another endpoint, otherwise null
+     */
+    public OpenRequest(
+            RequestSpec spec,
+            Destination destination,
+            HttpServerExchange exchange,
+            HeaderMap headers,
+            AnswerStyle style,
+            EventCursor events) {
         this.spec = spec;
         this.destination = destination;
         this.exchange = exchange;
         this.headers = headers;
-        this.sink = new CallerSink(exchange);
+        this.sink = new CallerSink(exchange, style.headers());
+        this.refusals = style.refusals();
+        this.events = events;
     }
 
     public RequestSpec spec() {
@@ -47,18 +69,23 @@
         return exchange.getIoThread();
     }
 
-    Destination destination() {
+    public Destination destination() {
         return destination;
     }
 
-    String method() {
+    public String method() {
         return exchange.getRequestMethod().toString();
     }
 
-    HeaderMap headers() {
+    public HeaderMap headers() {
         return headers;
     }
 
+    /** Returns the place that a stream which may go on elsewhere has reached, otherwise null. */
+    public EventCursor events() {
+        return events;
+    }
+
     CallerSink sink() {
         return sink;
     }
@@ -104,7 +131,7 @@
             exchange.endExchange();
             return;
         }
-        ProblemWriter.write(exchange, spec.id(), refusal);
+        refusals.write(exchange, spec.id(), refusal);
     }
 
     /** Answers with a recorded answer, on the I/O thread of the request. */
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequests.java
@@ -16,7 +16,7 @@
     }
 
     /** Takes a place for a request; returns false if none is free. */
-    boolean enter() {
+    public boolean enter() {
         if (count.incrementAndGet() <= max) {
             return true;
         }
@@ -25,7 +25,7 @@
     }
 
     /** Gives a place back. */
-    void leave() {
+    public void leave() {
         if (count.decrementAndGet() == 0) {
             synchronized (this) {
                 notifyAll();
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RefusedException.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RefusedException.java
@@ -1,18 +1,18 @@
 package org.gooseberryring.host.caller;
 
 /** Ends the examination of a request that is refused. */
-final class RefusedException extends RuntimeException {
+public final class RefusedException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
     private final transient Refusal refusal;
 
-    RefusedException(Refusal refusal) {
+    public RefusedException(Refusal refusal) {
         // Refusals are part of normal work under load, so no stack trace is collected.
         super(refusal.detail(), null, false, false);
         this.refusal = refusal;
     }
 
-    Refusal refusal() {
+    public Refusal refusal() {
         return refusal;
     }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RequestIntake.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RequestIntake.java
@@ -11,7 +11,7 @@
 /** Opens requests whose body has arrived and follows their exchange to its end. */
 public final class RequestIntake {
     /** Long enough for a burst to drain, short enough not to keep capacity idle. */
-    static final long BUSY_RETRY_MILLIS = 1000;
+    public static final long BUSY_RETRY_MILLIS = 1000;
 
     private final OpenRequests open;
     private final RequestLoop loop;
@@ -26,7 +26,7 @@
      *
      * @param offer hands its specification to the request thread; returns false if that has no room
      */
-    void take(HttpServerExchange exchange, OpenRequest request, Predicate<RequestSpec> offer) {
+    public void take(HttpServerExchange exchange, OpenRequest request, Predicate<RequestSpec> offer) {
         open.put(request);
         // Keeps the exchange open after this call, until the request thread has decided.
         exchange.dispatch();
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/AttemptGate.java
@@ -0,0 +1,18 @@
+package org.gooseberryring.host.engine;
+
+import java.util.function.BooleanSupplier;
+
+import org.gooseberryring.coordination.request.AttemptOutcome;
+import org.gooseberryring.coordination.request.RequestSpec;
+
+/** Guards the start of attempts at endpoints and hears of their end. */
+public interface AttemptGate {
+    /**
+     * Returns a check that the I/O thread makes right before it writes a request to an endpoint; call on the request
+     * thread when the request is dispatched.
+     */
+    BooleanSupplier mayStart(String endpoint);
+
+    /** Hears of an attempt that ended, on an I/O thread and before the engine does. */
+    void attemptEnded(RequestSpec spec, String endpoint, AttemptOutcome outcome);
+}
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/RequestCredits.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/RequestCredits.java
@@ -7,6 +7,7 @@
 
 import org.gooseberryring.coordination.request.AttemptOutcome;
 import org.gooseberryring.coordination.request.FleetRequests;
+import org.gooseberryring.coordination.request.RequestSpec;
 import org.gooseberryring.coordination.route.CreditHolder;
 import org.gooseberryring.coordination.route.CreditMessage;
 import org.gooseberryring.coordination.route.CreditSource;
@@ -15,7 +16,7 @@
 import org.gooseberryring.state.Verdict;
 
 /** Credits that this host holds; the holder is only used on the request thread. */
-public final class RequestCredits {
+public final class RequestCredits implements AttemptGate {
     private static final int FIRST_SERVER_ERROR = 500;
 
     private final boolean shared;
@@ -50,12 +51,8 @@
         return source;
     }
 
-    /**
-     * Returns a check that the I/O thread makes right before it writes a request to an endpoint; call on the request
-     * thread when the request is dispatched.
-     *
-     * <p>A host that was frozen in between must not start the request on an expired lease.
-     */
+    /** Returns a check of the lease: a host that was frozen in between must not start the request on an expired one. */
+    @Override
     public BooleanSupplier mayStart(String endpoint) {
         if (!shared) {
             return () -> true;
@@ -65,7 +62,8 @@
     }
 
     /** Counts an attempt that ended, for the slow start at the home. */
-    public void attemptEnded(String endpoint, AttemptOutcome outcome) {
+    @Override
+    public void attemptEnded(RequestSpec spec, String endpoint, AttemptOutcome outcome) {
         if (shared) {
             boolean success = outcome.verdict() == Verdict.COMPLETED && outcome.status() < FIRST_SERVER_ERROR;
             loop.put((engine, now) -> {
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/CollectionSource.java
@@ -0,0 +1,20 @@
+package org.gooseberryring.host.entry;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.gooseberryring.coordination.feed.FeedChanges;
+import org.gooseberryring.coordination.feed.FeedPage;
+
+/**
+ * Collection of the platform's store; the futures end on an I/O thread and fail if there is no answer.
+ *
+ * @param <T> type of the content
+ */
+public interface CollectionSource<T> {
+    /** Reads the page of the list that begins after a name, the first one if it is empty. */
+    CompletableFuture<FeedPage<T>> list(String after);
+
+    /** Waits for changes after a revision; empty if that history is gone. */
+    CompletableFuture<Optional<FeedChanges<T>>> watch(long revision, long waitMillis);
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/DomainExit.java
@@ -0,0 +1,8 @@
+package org.gooseberryring.host.entry;
+
+/**
+ * Wish of the operators that a failure domain gets no new work.
+ *
+ * @param failureDomain failure domain
+ */
+public record DomainExit(String failureDomain) {}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -0,0 +1,195 @@
+package org.gooseberryring.host.entry;
+
+import java.net.InetSocketAddress;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import org.gooseberryring.host.HostClock;
+import org.gooseberryring.host.HostMetrics;
+import org.gooseberryring.host.admin.PrometheusText;
+import org.gooseberryring.host.caller.CallerEffects;
+import org.gooseberryring.host.caller.OpenRequests;
+import org.gooseberryring.host.caller.RequestIntake;
+import org.gooseberryring.host.control.ControlLoop;
+import org.gooseberryring.host.log.LogLine;
+import org.gooseberryring.state.ServingConfiguration;
+import org.gooseberryring.transport.endpoint.EndpointClient;
+import org.gooseberryring.transport.endpoint.EndpointLimits;
+import org.gooseberryring.transport.http.HttpCaller;
+import org.gooseberryring.transport.http.HttpWorker;
+import org.jboss.logging.Logger;
+
+/** Entry host of an installation: its threads, clients and listeners. */
+public final class EntryHost implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger(EntryHost.class);
+    private static final int IO_THREADS = 1;
+    private static final int TASK_THREADS = 1;
+    private static final int CONTROL_RING_SIZE = 1_024;
+    private static final int MAX_OPEN_REQUESTS = 1_000;
+    private static final int SERVICE_CONNECTIONS = 64;
+    private static final long TICK_MILLIS = 20;
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    /** Connections to endpoints; a connection within a region opens in a few milliseconds. */
+    private static final EndpointLimits ENDPOINT_LIMITS = new EndpointLimits(1_000, 400, 600_000, 600_000, 0);
+
+    private final EntrySettings settings;
+    private final HostClock clock = new HostClock();
+    private final HostMetrics metrics = new HostMetrics();
+    private final InstallationView view = new InstallationView();
+    private final OpenRequests open = new OpenRequests(MAX_OPEN_REQUESTS);
+    private final CountDownLatch closed = new CountDownLatch(1);
+    private final HttpWorker worker;
+    private final ControlLoop control;
+    private final EntryRequests requests;
+    private final InstallationFeeds feeds;
+    private final ScheduledExecutorService timer;
+    private final FrontListener callers;
+    private final FrontListener ready;
+    private final FrontListener metricsListener;
+    private volatile boolean stopping;
+
+    private EntryHost(EntrySettings settings, Function<PlatformAccess, Installation> platform) {
+        this.settings = settings;
+        worker = HttpWorker.start(settings.hostId(), IO_THREADS, TASK_THREADS);
+        Installation installation = platform.apply(new PlatformAccess(new HttpCaller(worker), clock::now));
+        control = new ControlLoop(CONTROL_RING_SIZE, clock::now);
+        RequestDialect dialect = installation.requests();
+        requests = requests(installation, dialect);
+        SplittableRandom random =
+                new SplittableRandom(clock.wallMillis() ^ settings.hostId().hashCode());
+        feeds = new InstallationFeeds(installation, control, view, requests, this::configured, random, clock.now());
+        FrontHandler handler = new FrontHandler(
+                view,
+                dialect,
+                new RequestFactory(dialect, open, random.split()),
+                open,
+                new RequestIntake(open, requests.loop()),
+                requests.loop(),
+                metrics,
+                clock::now);
+        timer = Executors.newSingleThreadScheduledExecutor(EntryHost::timerThread);
+        control.onTick(feeds::tick);
+        registerGauges();
+        control.start();
+        requests.loop().start();
+        ServingConfiguration none = view.configuration();
+        callers =
+                new FrontListener(worker, settings.callerAddress(), settings.maxConnections(), none.limits(), handler);
+        ready = new FrontListener(
+                worker, settings.readyAddress(), SERVICE_CONNECTIONS, none.limits(), this::answerReadiness);
+        metricsListener = settings.metricsPort() == 0
+                ? null
+                : new FrontListener(worker, metricsAddress(), SERVICE_CONNECTIONS, none.limits(), this::answerMetrics);
+        timer.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        LogLine.event("host-started")
+                .with("host", settings.hostId())
+                .with("failureDomain", settings.failureDomain())
+                .with("callers", callers.address())
+                .info(LOG);
+    }
+
+    /**
+     * Starts a host.
+     *
+     * @param platform gives the installation, which uses the caller and the clock of the host
+     */
+    public static EntryHost start(EntrySettings settings, Function<PlatformAccess, Installation> platform) {
+        return new EntryHost(settings, platform);
+    }
+
+    /** Returns whether the host can serve: it knows the configuration and the endpoints, and is not stopping. */
+    public boolean ready() {
+        return !stopping && view.configuration().known() && feeds.endpointsListed();
+    }
+
+    /** Finishes the requests in flight and stops; blocks for as long as the settings allow. */
+    public void drain() {
+        new EntryDrain(settings, open, callers, closed, clock::now).run(() -> stopping = true);
+        close();
+    }
+
+    /** Stops at once. */
+    @Override
+    public synchronized void close() {
+        if (closed.getCount() == 0) {
+            return;
+        }
+        closed.countDown();
+        timer.shutdownNow();
+        callers.close();
+        ready.close();
+        if (metricsListener != null) {
+            metricsListener.close();
+        }
+        requests.loop().close();
+        control.close();
+        worker.close();
+        LogLine.event("host-stopped").with("host", settings.hostId()).info(LOG);
+    }
+
+    private EntryRequests requests(Installation installation, RequestDialect dialect) {
+        CallerEffects effects = new CallerEffects(
+                open,
+                view::endpoint,
+                new EndpointClient(worker, ENDPOINT_LIMITS, installation.endpointProtocol()),
+                metrics,
+                new EntryLinks(),
+                null,
+                new EntryGate((endpoint, target) -> requests().lacks(endpoint, target)),
+                dialect.calls());
+        return new EntryRequests(settings, effects, clock.wallMillis(), clock::now);
+    }
+
+    private EntryRequests requests() {
+        return requests;
+    }
+
+    private void configured(ServingConfiguration configuration) {
+        callers.limits(configuration.limits());
+    }
+
+    private void registerGauges() {
+        metrics.gauge("configuration.version", () -> view.configuration().version());
+        metrics.gauge("endpoints", view::endpointCount);
+        metrics.gauge("requests.open", open::count);
+        metrics.gauge("ring.requests.depth", () -> requests.loop().depth());
+        metrics.gauge("ring.control.depth", control::depth);
+    }
+
+    private void answerReadiness(HttpServerExchange exchange) {
+        exchange.setStatusCode(ready() ? OK : UNAVAILABLE);
+        exchange.endExchange();
+    }
+
+    private void answerMetrics(HttpServerExchange exchange) {
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, PrometheusText.MEDIA_TYPE);
+        exchange.getResponseSender().send(PrometheusText.render(metrics.registry()));
+    }
+
+    private InetSocketAddress metricsAddress() {
+        return new InetSocketAddress(settings.callerAddress().getAddress(), settings.metricsPort());
+    }
+
+    private void tick() {
+        try {
+            requests.loop().tick();
+            control.tick();
+        } catch (RuntimeException e) {
+            LogLine.event("timer-failure").error(LOG, e);
+        }
+    }
+
+    private static Thread timerThread(Runnable task) {
+        Thread thread = new Thread(task, "timer");
+        thread.setDaemon(true);
+        return thread;
+    }
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
@@ -0,0 +1,163 @@
+package org.gooseberryring.host.entry;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+import org.gooseberryring.coordination.direct.DirectRouter;
+import org.gooseberryring.coordination.direct.EndpointUse;
+import org.gooseberryring.coordination.limit.SharedLimits;
+import org.gooseberryring.coordination.queue.QueueSettings;
+import org.gooseberryring.coordination.request.FairRequestQueue;
+import org.gooseberryring.coordination.request.RequestEffect;
+import org.gooseberryring.coordination.request.RequestEngine;
+import org.gooseberryring.coordination.request.Target;
+import org.gooseberryring.coordination.retry.CrashSuspects;
+import org.gooseberryring.coordination.retry.RouteRetries;
+import org.gooseberryring.host.caller.CallerEffects;
+import org.gooseberryring.host.engine.LimiterInputs;
+import org.gooseberryring.host.engine.RequestLoop;
+import org.gooseberryring.state.EndpointRegistration;
+import org.gooseberryring.state.Organisation;
+import org.gooseberryring.state.OrganisationTerms;
+import org.gooseberryring.state.ResidentModel;
+import org.gooseberryring.state.ServingConfiguration;
+
+/** Request thread of an entry host with the components that decide on it. */
+final class EntryRequests {
+    private static final int RING_SIZE = 4_096;
+    private static final long MAX_RUN_MILLIS = 600_000;
+
+    private final DirectRouter router;
+    private final SharedLimits limits = new SharedLimits();
+    private final RouteRetries retries;
+    private final RequestLoop loop;
+
+    /**
+     * Creates the thread; it is not started.
+     *
+     * @param effects carries out what the engine decides
+     * @param seed seed of the choice among equal endpoints
+     * @param clock monotonic milliseconds
+     */
+    EntryRequests(EntrySettings settings, CallerEffects effects, long seed, LongSupplier clock) {
+        router = new DirectRouter(settings.failureDomain(), new Random(seed));
+        retries = new RouteRetries(settings.retries());
+        RequestEngine engine = new RequestEngine(
+                limits,
+                new FairRequestQueue(QueueSettings.defaults()),
+                router,
+                retries,
+                new CrashSuspects(),
+                MAX_RUN_MILLIS);
+        loop = new RequestLoop(RING_SIZE, engine, new LimitTicks(limits), effects, clock);
+        effects.connect(loop);
+    }
+
+    RequestLoop loop() {
+        return loop;
+    }
+
+    /** Takes over a configuration. */
+    void configured(ServingConfiguration configuration) {
+        List<Organisation> organisations = configuration.organisations().values().stream()
+                .map(OrganisationTerms::organisation)
+                .toList();
+        loop.put((engine, now) -> {
+            limits.configured(organisations, now);
+            router.configured(configuration);
+            return engine.changed(now);
+        });
+    }
+
+    /** Takes over what an endpoint registered. */
+    void registered(EndpointRegistration registration) {
+        loop.put((engine, now) -> {
+            router.registered(registration, now);
+            return engine.changed(now);
+        });
+    }
+
+    /** Takes an endpoint out for good. */
+    void unregistered(String endpoint) {
+        loop.put((engine, now) -> {
+            router.unregistered(endpoint);
+            return engine.changed(now);
+        });
+    }
+
+    /** Takes over the failure domains that get no new work. */
+    void domainsOut(Set<String> domains) {
+        loop.put((engine, now) -> {
+            router.domainsOut(domains);
+            return engine.changed(now);
+        });
+    }
+
+    /** Takes over what an endpoint holds, as its controller says. */
+    void holds(String endpoint, List<ResidentModel> models) {
+        loop.put((engine, now) -> {
+            router.holds(endpoint, models);
+            return engine.changed(now);
+        });
+    }
+
+    /** Notes that an endpoint stated that it does not hold what a request needs. */
+    void lacks(String endpoint, Target target) {
+        loop.put((engine, now) -> {
+            router.lacks(endpoint, target);
+            return List.of();
+        });
+    }
+
+    /** Takes over the number of hosts, this one included. */
+    void hosts(int count) {
+        loop.put((engine, now) -> {
+            router.hosts(count);
+            retries.hosts(count);
+            return List.of();
+        });
+    }
+
+    /** Takes over what another host serves and is asked for. */
+    void peer(String host, Map<String, EndpointUse> uses, Map<String, Double> tokensPerSecond) {
+        loop.offer((engine, now) -> {
+            router.usedBy(host, uses);
+            limits.demandOf(host, tokensPerSecond, now);
+            return engine.changed(now);
+        });
+    }
+
+    /** Hands what this host serves and is asked for to the receiver, on the request thread. */
+    void snapshot(Consumer<HostSnapshot> receiver) {
+        loop.offer((engine, now) -> {
+            receiver.accept(new HostSnapshot(router.uses(), limits.demands(now), router.takeWanted()));
+            return List.of();
+        });
+    }
+
+    /**
+     * State of the request thread that other hosts need.
+     *
+     * @param uses what its requests take of each endpoint
+     * @param tokensPerSecond tokens asked for by organisation
+     * @param wanted targets that no endpoint holds
+     */
+    record HostSnapshot(
+            Map<String, EndpointUse> uses, Map<String, Double> tokensPerSecond, List<Target.RoutedTarget> wanted) {}
+
+    private record LimitTicks(SharedLimits limits) implements LimiterInputs {
+        @Override
+        public void tick(long now) {
+            limits.tick(now);
+        }
+
+        @Override
+        public void settle(RequestEngine engine, Consumer<RequestEffect> effects, long now) {
+            // Shared limits decide at once, so no decision is ever pending.
+        }
+    }
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntrySettings.java
@@ -0,0 +1,31 @@
+package org.gooseberryring.host.entry;
+
+import java.net.InetSocketAddress;
+
+import org.gooseberryring.coordination.retry.RetryAllowance;
+
+/**
+ * Settings of an entry host.
+ *
+ * @param hostId identifier of this host
+ * @param failureDomain failure domain that it lies in
+ * @param callerAddress address that serves callers
+ * @param readyAddress address of the readiness check
+ * @param peerAddress address of the peer links
+ * @param metricsPort port of the metrics on the host's address, 0 for none
+ * @param shutdownMillis milliseconds from the request to stop until the process is ended
+ * @param maxConnections connections of callers
+ * @param retries retries that a service bears from all hosts
+ * @param orderLeaseMillis milliseconds that must lie between the orders of two controllers of an endpoint
+ */
+public record EntrySettings(
+        String hostId,
+        String failureDomain,
+        InetSocketAddress callerAddress,
+        InetSocketAddress readyAddress,
+        InetSocketAddress peerAddress,
+        int metricsPort,
+        long shutdownMillis,
+        int maxConnections,
+        RetryAllowance retries,
+        long orderLeaseMillis) {}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
@@ -0,0 +1,203 @@
+package org.gooseberryring.host.entry;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import io.undertow.io.Receiver;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import org.gooseberryring.host.HostMetrics;
+import org.gooseberryring.host.caller.Digests;
+import org.gooseberryring.host.caller.HeaderRules;
+import org.gooseberryring.host.caller.OpenRequest;
+import org.gooseberryring.host.caller.OpenRequests;
+import org.gooseberryring.host.caller.Refusal;
+import org.gooseberryring.host.caller.RefusedException;
+import org.gooseberryring.host.caller.RequestIntake;
+import org.gooseberryring.host.engine.RequestLoop;
+import org.gooseberryring.host.log.LogLine;
+import org.gooseberryring.state.ApiKey;
+import org.gooseberryring.state.ErrorCode;
+import org.gooseberryring.state.OrganisationTerms;
+import org.gooseberryring.state.Route;
+import org.gooseberryring.state.ServingConfiguration;
+import org.jboss.logging.Logger;
+import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
+
+/** Takes callers' requests, examines them against the configuration and hands them to the request thread. */
+final class FrontHandler implements HttpHandler {
+    private static final Logger LOG = Logger.getLogger(FrontHandler.class);
+    private static final String BUSY = "Too many requests are open on this host";
+    private static final String NOT_CONFIGURED = "This host does not know the configuration yet";
+    private static final String STOPPING = "This host is shutting down";
+    private static final String NO_ROUTE = "There is no such route";
+    private static final String NO_KEY = "The key is missing or unknown";
+
+    private final InstallationView view;
+    private final RequestDialect dialect;
+    private final RequestFactory factory;
+    private final OpenRequests open;
+    private final RequestIntake intake;
+    private final RequestLoop loop;
+    private final HostMetrics metrics;
+    private final LongSupplier clock;
+
+    /** Creates a handler; {@code clock} gives monotonic milliseconds. */
+    FrontHandler(
+            InstallationView view,
+            RequestDialect dialect,
+            RequestFactory factory,
+            OpenRequests open,
+            RequestIntake intake,
+            RequestLoop loop,
+            HostMetrics metrics,
+            LongSupplier clock) {
+        this.view = view;
+        this.dialect = dialect;
+        this.factory = factory;
+        this.open = open;
+        this.intake = intake;
+        this.loop = loop;
+        this.metrics = metrics;
+        this.clock = clock;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        Arrival arrival = null;
+        try {
+            HeaderRules.checkFraming(exchange.getRequestHeaders());
+            RequestHead head = dialect.head(exchange.getRequestHeaders());
+            arrival = new Arrival(head, clock.getAsLong());
+            accept(exchange, arrival);
+        } catch (RefusedException e) {
+            refuse(exchange, arrival, e.refusal());
+        }
+    }
+
+    private void accept(HttpServerExchange exchange, Arrival arrival) {
+        ServingConfiguration configuration = view.configuration();
+        if (!configuration.known()) {
+            throw refusal(ErrorCode.CONFIGURATION_STALE, NOT_CONFIGURED);
+        }
+        Admitted admitted = admit(exchange, arrival.head(), configuration);
+        if (open.draining()) {
+            throw refusal(ErrorCode.SHUTTING_DOWN, STOPPING);
+        }
+        if (!open.enter()) {
+            throw refusal(ErrorCode.OVERLOADED, BUSY);
+        }
+        exchange.addExchangeCompleteListener((done, next) -> {
+            open.leave();
+            logEnd(done, arrival, admitted);
+            next.proceed();
+        });
+        readBody(exchange, arrival, admitted, configuration);
+    }
+
+    private static Admitted admit(HttpServerExchange exchange, RequestHead head, ServingConfiguration configuration) {
+        Route route = configuration.routes().find(head.hostName(), RequestFactory.rawPath(exchange));
+        if (route == null) {
+            throw new RefusedException(Refusal.of(ErrorCode.NOT_FOUND, NO_ROUTE));
+        }
+        OrganisationTerms terms = null;
+        if (!route.open()) {
+            terms = organisation(head.key(), configuration);
+            if (terms == null) {
+                throw new RefusedException(Refusal.of(ErrorCode.UNAUTHENTICATED, NO_KEY));
+            }
+        }
+        return new Admitted(route, terms);
+    }
+
+    private static OrganisationTerms organisation(String key, ServingConfiguration configuration) {
+        if (key == null) {
+            return null;
+        }
+        String digest = HexFormat.of().formatHex(Digests.sha256(key.getBytes(StandardCharsets.UTF_8)));
+        ApiKey known = configuration.keys().get(digest);
+        return known == null ? null : configuration.organisations().get(known.organisation());
+    }
+
+    private void readBody(
+            HttpServerExchange exchange, Arrival arrival, Admitted admitted, ServingConfiguration configuration) {
+        Receiver receiver = exchange.getRequestReceiver();
+        receiver.setMaxBufferSize(configuration.limits().bodyBytes());
+        XnioExecutor.Key timer = exchange.getIoThread()
+                .executeAfter(
+                        () -> IoUtils.safeClose(exchange.getConnection()),
+                        admitted.route().timeoutMillis(),
+                        TimeUnit.MILLISECONDS);
+        receiver.receiveFullBytes(
+                (e, body) -> {
+                    timer.remove();
+                    OpenRequest request = factory.create(e, arrival, admitted, body);
+                    intake.take(e, request, loop::arrived);
+                },
+                (e, failure) -> {
+                    timer.remove();
+                    failed(e, arrival, failure, configuration);
+                });
+    }
+
+    private void failed(
+            HttpServerExchange exchange, Arrival arrival, IOException failure, ServingConfiguration configuration) {
+        if (failure instanceof Receiver.RequestToLargeException) {
+            String detail = "The body is larger than " + configuration.limits().bodyBytes() + " bytes";
+            refuse(exchange, arrival, Refusal.of(ErrorCode.BODY_TOO_LARGE, detail));
+            return;
+        }
+        metrics.refused("truncated-body");
+        IoUtils.safeClose(exchange.getConnection());
+        exchange.endExchange();
+    }
+
+    private void refuse(HttpServerExchange exchange, Arrival arrival, Refusal refusal) {
+        metrics.refused(refusal.code().wireName());
+        LogLine.event("request-rejected")
+                .with("requestId", arrival == null ? null : arrival.head().requestId())
+                .with("code", refusal.code().wireName())
+                .with("configuration", view.configuration().version())
+                .with("path", exchange.getRequestURI())
+                .info(LOG);
+        if (arrival == null) {
+            // What follows a malformed head cannot be told from a part of its body.
+            exchange.setPersistent(false);
+        }
+        String id = arrival == null ? "" : arrival.head().requestId();
+        dialect.answers().refusals().write(exchange, id, refusal);
+    }
+
+    private void logEnd(HttpServerExchange exchange, Arrival arrival, Admitted admitted) {
+        LogLine.event("request-ended")
+                .with("requestId", arrival.head().requestId())
+                .with("route", admitted.route().id())
+                .with("status", exchange.getStatusCode())
+                .with("ms", clock.getAsLong() - arrival.at())
+                .info(LOG);
+    }
+
+    private static RefusedException refusal(ErrorCode code, String detail) {
+        return new RefusedException(Refusal.retry(code, RequestIntake.BUSY_RETRY_MILLIS, detail));
+    }
+
+    /**
+     * Request whose head was read.
+     *
+     * @param head head of the request
+     * @param at arrival in monotonic milliseconds
+     */
+    record Arrival(RequestHead head, long at) {}
+
+    /**
+     * Request that the configuration allows.
+     *
+     * @param route route of the request
+     * @param terms organisation of the caller, null on an open route
+     */
+    record Admitted(Route route, OrganisationTerms terms) {}
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/Installation.java
@@ -0,0 +1,23 @@
+package org.gooseberryring.host.entry;
+
+import org.gooseberryring.state.EndpointRegistration;
+import org.gooseberryring.state.ServingConfiguration;
+import org.gooseberryring.transport.endpoint.EndpointProtocol;
+
+/** What an entry host needs to know of the platform that it runs on. */
+public interface Installation {
+    /** Returns the collection that holds the operators' configuration. */
+    CollectionSource<ServingConfiguration> configurations();
+
+    /** Returns the collection in which endpoints register. */
+    CollectionSource<EndpointRegistration> endpoints();
+
+    /** Returns the collection whose names are the failure domains that get no new work. */
+    CollectionSource<DomainExit> domainExits();
+
+    /** Returns how callers' requests are read and answered. */
+    RequestDialect requests();
+
+    /** Returns how endpoints are spoken to. */
+    EndpointProtocol endpointProtocol();
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationFeeds.java
@@ -0,0 +1,186 @@
+package org.gooseberryring.host.entry;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+
+import org.gooseberryring.coordination.feed.FeedListener;
+import org.gooseberryring.coordination.feed.FeedTimes;
+import org.gooseberryring.host.control.ControlLoop;
+import org.gooseberryring.host.log.LogLine;
+import org.gooseberryring.state.EndpointRegistration;
+import org.gooseberryring.state.ServingConfiguration;
+import org.jboss.logging.Logger;
+
+/** Follows the configuration, the endpoints and the failure domains out of service in the platform's store. */
+final class InstallationFeeds {
+    private static final Logger LOG = Logger.getLogger(InstallationFeeds.class);
+
+    /**
+     * Longest wait of a watch. Changes must be in force 2 s after their acknowledgement, and a connection that has gone
+     * silent 3 s before must be noticed by then.
+     */
+    private static final long WATCH_MILLIS = 2_000;
+
+    private static final long MIN_RETRY_MILLIS = 100;
+    private static final long MAX_RETRY_MILLIS = 800;
+
+    /** Time without an answer that counts as an outage of the store. */
+    private static final long OUTAGE_MILLIS = 700;
+
+    /** Endpoints that live register again within 2 s of the return of the store. */
+    private static final long REGISTRATION_GRACE_MILLIS = 1_900;
+
+    private final InstallationView view;
+    private final EntryRequests requests;
+    private final Consumer<ServingConfiguration> adopted;
+    private final Set<String> domainsOut = new HashSet<>();
+    private final FeedRunner<ServingConfiguration> configurations;
+    private final FeedRunner<EndpointRegistration> endpoints;
+    private final FeedRunner<DomainExit> exits;
+    private volatile boolean endpointsListed;
+
+    /** Creates the feeds; {@code adopted} hears of each configuration that takes effect. */
+    InstallationFeeds(
+            Installation installation,
+            ControlLoop control,
+            InstallationView view,
+            EntryRequests requests,
+            Consumer<ServingConfiguration> adopted,
+            SplittableRandom random,
+            long now) {
+        this.view = view;
+        this.requests = requests;
+        this.adopted = adopted;
+        configurations = new FeedRunner<>(
+                installation.configurations(), control, times(0), new Configurations(), random.split(), now);
+        endpoints = new FeedRunner<>(
+                installation.endpoints(),
+                control,
+                times(REGISTRATION_GRACE_MILLIS),
+                new Endpoints(),
+                random.split(),
+                now);
+        exits = new FeedRunner<>(installation.domainExits(), control, times(0), new Exits(), random.split(), now);
+    }
+
+    /** Lets time pass; must be called on the control thread. */
+    void tick(long now) {
+        configurations.tick(now);
+        endpoints.tick(now);
+        exits.tick(now);
+    }
+
+    /** Returns whether the endpoints were listed at least once. */
+    boolean endpointsListed() {
+        return endpointsListed;
+    }
+
+    private static FeedTimes times(long graceMillis) {
+        return new FeedTimes(WATCH_MILLIS, MIN_RETRY_MILLIS, MAX_RETRY_MILLIS, OUTAGE_MILLIS, graceMillis);
+    }
+
+    private static void logContact(String collection, boolean inContact) {
+        LogLine.event(inContact ? "store-regained" : "store-lost")
+                .with("collection", collection)
+                .info(LOG);
+    }
+
+    private final class Configurations implements FeedListener<ServingConfiguration> {
+        @Override
+        public void changed(String name, ServingConfiguration value, long now) {
+            if (value == null || !view.adopt(value)) {
+                LogLine.event("configuration-ignored")
+                        .with("name", name)
+                        .with("version", value == null ? "unreadable" : value.version())
+                        .with("inForce", view.configuration().version())
+                        .warn(LOG);
+                return;
+            }
+            LogLine.event("configuration-adopted")
+                    .with("version", value.version())
+                    .with("routes", value.routes().size())
+                    .with("organisations", value.organisations().size())
+                    .info(LOG);
+            requests.configured(value);
+            adopted.accept(value);
+        }
+
+        @Override
+        public void removed(String name, long now) {
+            LogLine.event("configuration-removed").with("name", name).warn(LOG);
+        }
+
+        @Override
+        public void contact(boolean inContact, long now) {
+            logContact("configuration", inContact);
+        }
+    }
+
+    private final class Endpoints implements FeedListener<EndpointRegistration> {
+        @Override
+        public void changed(String name, EndpointRegistration value, long now) {
+            if (value == null) {
+                removed(name, now);
+                return;
+            }
+            view.registered(value);
+            requests.registered(value);
+            LogLine.event("endpoint-registered")
+                    .with("endpoint", name)
+                    .with("service", value.service())
+                    .with("failureDomain", value.failureDomain())
+                    .with("leaving", value.leaving())
+                    .with("coldMs", value.coldMillis())
+                    .with("models", value.models().size())
+                    .info(LOG);
+        }
+
+        @Override
+        public void removed(String name, long now) {
+            if (view.registration(name) != null) {
+                view.unregistered(name);
+                requests.unregistered(name);
+                LogLine.event("endpoint-gone").with("endpoint", name).info(LOG);
+            }
+        }
+
+        @Override
+        public void listed(long revision, long now) {
+            endpointsListed = true;
+            LogLine.event("endpoints-listed")
+                    .with("revision", revision)
+                    .with("endpoints", view.endpointCount())
+                    .info(LOG);
+        }
+
+        @Override
+        public void contact(boolean inContact, long now) {
+            logContact("endpoints", inContact);
+        }
+    }
+
+    private final class Exits implements FeedListener<DomainExit> {
+        @Override
+        public void changed(String name, DomainExit value, long now) {
+            // An entry counts by its name, also if its content cannot be read.
+            domainsOut.add(name);
+            apply(name, true);
+        }
+
+        @Override
+        public void removed(String name, long now) {
+            domainsOut.remove(name);
+            apply(name, false);
+        }
+
+        private void apply(String domain, boolean out) {
+            requests.domainsOut(domainsOut);
+            LogLine.event("failure-domain")
+                    .with("failureDomain", domain)
+                    .with("out", out)
+                    .info(LOG);
+        }
+    }
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationView.java
@@ -0,0 +1,55 @@
+package org.gooseberryring.host.entry;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.gooseberryring.state.Endpoint;
+import org.gooseberryring.state.EndpointKind;
+import org.gooseberryring.state.EndpointRegistration;
+import org.gooseberryring.state.ServingConfiguration;
+
+/** What this host believes of the installation, readable from any thread. */
+public final class InstallationView {
+    private final Map<String, EndpointRegistration> endpoints = new ConcurrentHashMap<>();
+    private volatile ServingConfiguration configuration = ServingConfiguration.none();
+
+    public ServingConfiguration configuration() {
+        return configuration;
+    }
+
+    /** Takes over a configuration if it is newer than the present one; returns whether it is. */
+    synchronized boolean adopt(ServingConfiguration newer) {
+        if (newer.version() <= configuration.version()) {
+            return false;
+        }
+        configuration = newer;
+        return true;
+    }
+
+    void registered(EndpointRegistration registration) {
+        endpoints.put(registration.id(), registration);
+    }
+
+    void unregistered(String endpoint) {
+        endpoints.remove(endpoint);
+    }
+
+    /** Returns what an endpoint registered, or null. */
+    public EndpointRegistration registration(String endpoint) {
+        return endpoints.get(endpoint);
+    }
+
+    public int endpointCount() {
+        return endpoints.size();
+    }
+
+    /** Returns an endpoint as a request is sent to it, or null. */
+    Endpoint endpoint(String id) {
+        EndpointRegistration found = endpoints.get(id);
+        if (found == null) {
+            return null;
+        }
+        EndpointKind kind = found.models().isEmpty() ? EndpointKind.SERVICE : EndpointKind.MODEL;
+        return new Endpoint(id, kind, found.failureDomain(), found.address(), 0, found.slots(), false, found.leaving());
+    }
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RequestFactory.java
@@ -0,0 +1,122 @@
+package org.gooseberryring.host.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.random.RandomGenerator;
+
+import io.undertow.server.HttpServerExchange;
+import org.gooseberryring.coordination.request.Handling;
+import org.gooseberryring.coordination.request.RequestSpec;
+import org.gooseberryring.coordination.request.Target;
+import org.gooseberryring.host.caller.Destination;
+import org.gooseberryring.host.caller.Digests;
+import org.gooseberryring.host.caller.OpenRequest;
+import org.gooseberryring.host.caller.OpenRequests;
+import org.gooseberryring.state.OrganisationTerms;
+import org.gooseberryring.state.PriorityClass;
+import org.gooseberryring.state.RequestKind;
+import org.gooseberryring.state.Route;
+import org.gooseberryring.transport.endpoint.EndpointCall;
+import org.gooseberryring.transport.endpoint.EventCursor;
+
+/** Makes a request for the engine of what a caller sent and what its route says. */
+final class RequestFactory {
+    private static final int LAST_HIGH_RANK = 1;
+    private static final int LAST_NORMAL_RANK = 2;
+    private static final String NO_ORGANISATION = "";
+
+    private final RequestDialect dialect;
+    private final OpenRequests open;
+    private final RandomGenerator random;
+    private final AtomicLong repeats = new AtomicLong();
+
+    /** Creates a factory; {@code random} shares the requests of a route between its services. */
+    RequestFactory(RequestDialect dialect, OpenRequests open, RandomGenerator random) {
+        this.dialect = dialect;
+        this.open = open;
+        this.random = random;
+    }
+
+    /** Returns the path of a request as the caller wrote it, without the query. */
+    static String rawPath(HttpServerExchange exchange) {
+        // An absolute-form request target carries scheme and host before the path.
+        return exchange.isHostIncludedInRequestURI() ? exchange.getRequestPath() : exchange.getRequestURI();
+    }
+
+    OpenRequest create(
+            HttpServerExchange exchange, FrontHandler.Arrival arrival, FrontHandler.Admitted admitted, byte[] body) {
+        RequestHead head = arrival.head();
+        Route route = admitted.route();
+        Target target = new Target.RoutedTarget(route.service(random.nextDouble()), head.model(), head.adapter());
+        String query = exchange.getQueryString();
+        String path = rawPath(exchange) + (query.isEmpty() ? "" : "?" + query);
+        RequestSpec spec = spec(exchange, arrival, admitted, target, path, body);
+        EndpointCall.Kind kind =
+                head.model() == null ? EndpointCall.Kind.PLAIN_SERVICE : EndpointCall.Kind.MODEL_ENGINE;
+        Destination destination = new Destination(target, kind, path, body, route.repeatable(), spec.costTokens(), "");
+        EventCursor events =
+                route.kind() == RequestKind.STREAM && route.resumable() ? new EventCursor(head.lastEventId()) : null;
+        return new OpenRequest(
+                spec,
+                destination,
+                exchange,
+                dialect.toEndpoint(exchange.getRequestHeaders()),
+                dialect.answers(),
+                events);
+    }
+
+    private RequestSpec spec(
+            HttpServerExchange exchange,
+            FrontHandler.Arrival arrival,
+            FrontHandler.Admitted admitted,
+            Target target,
+            String path,
+            byte[] body) {
+        RequestHead head = arrival.head();
+        Route route = admitted.route();
+        OrganisationTerms terms = admitted.terms();
+        String organisation = terms == null ? null : terms.organisation().id();
+        int rank = terms == null ? route.rank() : terms.rank().orElse(route.rank());
+        long patience = Math.min(head.deadlineMillis().orElse(route.timeoutMillis()), route.timeoutMillis());
+        String digest = HexFormat.of()
+                .formatHex(Digests.sha256(
+                        (organisation == null ? NO_ORGANISATION : organisation).getBytes(StandardCharsets.UTF_8),
+                        (exchange.getRequestMethod() + " " + path).getBytes(StandardCharsets.UTF_8),
+                        body));
+        Handling handling = new Handling(
+                ((Target.RoutedTarget) target).service(),
+                Math.max(1, route.maxAttempts()),
+                true,
+                route.kind() == RequestKind.STREAM && route.resumable(),
+                true,
+                true,
+                rank,
+                arrival.at() + route.objectiveMillis(),
+                head.prompt());
+        return new RequestSpec(
+                uniqueId(head.requestId()),
+                organisation,
+                target,
+                priorityClass(rank),
+                terms == null ? 0 : head.sizeTokens().orElse(terms.plainRequestTokens()),
+                0,
+                digest,
+                route.repeatable(),
+                null,
+                arrival.at() + patience,
+                handling);
+    }
+
+    /** Returns the caller's identifier, made unique if a request with the same one is open. */
+    private String uniqueId(String requestId) {
+        return open.get(requestId) == null ? requestId : requestId + "." + repeats.incrementAndGet();
+    }
+
+    private static PriorityClass priorityClass(int rank) {
+        if (rank <= LAST_HIGH_RANK) {
+            return PriorityClass.HIGH;
+        }
+        return rank <= LAST_NORMAL_RANK ? PriorityClass.NORMAL : PriorityClass.BATCH;
+    }
+}
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/log/LogLine.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/log/LogLine.java
@@ -51,6 +51,21 @@
         log.error(NAME, text, failure);
     }
 
+    /** Returns the pairs that describe a failure: its type, its message and where it arose. */
+    static String failure(Throwable failure) {
+        StackTraceElement[] trace = failure.getStackTrace();
+        Throwable cause = failure.getCause();
+        LogLine line = new LogLine("")
+                .with("exception", failure.getClass().getName())
+                .with("message", failure.getMessage())
+                .with("cause", cause)
+                .with("source", trace.length == 0 ? null : trace[0])
+                .with(
+                        "causeSource",
+                        cause == null || cause.getStackTrace().length == 0 ? null : cause.getStackTrace()[0]);
+        return line.text.substring("event=".length());
+    }
+
     @Override
     public String toString() {
         return text.toString();
--- /dev/null
+++ b/gooseberryring-state/src/main/java/org/gooseberryring/state/ResidentModel.java
@@ -0,0 +1,15 @@
+package org.gooseberryring.state;
+
+import java.util.Set;
+
+/**
+ * Model that an endpoint holds.
+ *
+ * @param model identifier of the model
+ * @param adapters adapters of the model that the endpoint holds
+ */
+public record ResidentModel(String model, Set<String> adapters) {
+    public ResidentModel {
+        adapters = Set.copyOf(adapters);
+    }
+}
--- /dev/null
+++ b/gooseberryring-state/src/main/java/org/gooseberryring/state/WeightedService.java
@@ -0,0 +1,9 @@
+package org.gooseberryring.state;
+
+/**
+ * Service that takes a share of the requests of a route.
+ *
+ * @param service identifier of the service
+ * @param weight share relative to the other services of the route
+ */
+public record WeightedService(String service, int weight) {}
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventCursor.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventCursor.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
 
 /**
  * Place that a stream of server-sent events has reached at its caller, over all endpoints that sent a part of it.
@@ -16,9 +17,14 @@
     private static final int MAX_ID_CHARS = 18;
 
     private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
-    private long lastId = NONE;
+    private long lastId;
     private boolean lineEmpty;
 
+    /** Creates a cursor; {@code lastEventId} is the event after which the caller wants the stream to go on, if any. */
+    public EventCursor(OptionalLong lastEventId) {
+        this.lastId = lastEventId.orElse(NONE);
+    }
+
     /** Returns the id of the last event that was passed on, or null if there was none. */
     public String lastEventId() {
         return lastId == NONE ? null : Long.toString(lastId);
