--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
@@ -19,6 +19,9 @@
     /** Part of the memory for tokens that running requests may fill; the rest absorbs what other hosts send. */
     private static final double MEMORY_SHARE = 0.9;
 
+    /** While its controller is heard of, the registration is older than what the controller says. */
+    private static final long ANNOUNCED_MILLIS = 3_000;
+
     private final RouteChoice choice;
     private final EndpointHealth health = new EndpointHealth();
     private final ColdGate cold = new ColdGate();
@@ -32,6 +35,7 @@
     private EndpointUse own = EndpointUse.NONE;
     private EndpointUse othersSum = EndpointUse.NONE;
     private boolean removed;
+    private long announcedAt = Long.MIN_VALUE / 2;
 
     DirectEndpoint(EndpointRegistration registration, long now) {
         this.choice = new RouteChoice(RouteChoice.Kind.ENDPOINT, registration.id());
@@ -46,7 +50,8 @@
         if (restarted) {
             cache.clear();
         }
-        if (restarted || modelsChanged) {
+        boolean announced = now - announcedAt < ANNOUNCED_MILLIS;
+        if (restarted || modelsChanged && !announced) {
             holds(newer.models());
         }
         if (newer.coldMillis() > 0) {
@@ -54,8 +59,13 @@
         }
     }
 
-    /** Replaces what the endpoint holds. */
-    void holds(Iterable<ResidentModel> models) {
+    /** Takes over what its controller says that the endpoint holds. */
+    void announced(Iterable<ResidentModel> models, long now) {
+        announcedAt = now;
+        holds(models);
+    }
+
+    private void holds(Iterable<ResidentModel> models) {
         resident.clear();
         for (ResidentModel model : models) {
             resident.put(model.model(), new HashSet<>(model.adapters()));
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -16,6 +16,7 @@
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.EngineProfile;
 import org.gooseberryring.state.ModelProfile;
+import org.gooseberryring.state.PromptShape;
 import org.gooseberryring.state.ResidentModel;
 import org.gooseberryring.state.ServiceProfile;
 import org.gooseberryring.state.ServingConfiguration;
@@ -45,10 +46,14 @@
     /** Artifacts that are wanted and not held; more are not loaded within the time of a request anyway. */
     private static final int MAX_WANTED = 256;
 
+    /** Demand below which a target is forgotten, in tokens a second. */
+    private static final double MIN_DEMAND = 1;
+
     private final String failureDomain;
     private final Random random;
     private final Map<String, DirectEndpoint> endpoints = new LinkedHashMap<>();
     private final Map<String, List<DirectEndpoint>> byService = new HashMap<>();
+    private final Map<Target.RoutedTarget, RateMeter> demand = new HashMap<>();
     private final Set<Target.RoutedTarget> wanted = new LinkedHashSet<>();
     private ServingConfiguration configuration = ServingConfiguration.none();
     private Set<String> domainsOut = Set.of();
@@ -126,10 +131,10 @@
     }
 
     /** Takes over what an endpoint holds, as its controller reports it. */
-    public void holds(String endpoint, List<ResidentModel> models) {
+    public void holds(String endpoint, List<ResidentModel> models, long now) {
         DirectEndpoint known = endpoints.get(endpoint);
         if (known != null) {
-            known.holds(models);
+            known.announced(models, now);
         }
     }
 
@@ -141,6 +146,21 @@
         }
     }
 
+    /** Counts a request that arrived, however it ends. */
+    public void asked(Target target, PromptShape prompt, long now) {
+        if (target instanceof Target.RoutedTarget routed && routed.model() != null) {
+            demand.computeIfAbsent(routed, key -> new RateMeter()).add(prompt.inputTokens() + prompt.outputTokens(), now);
+        }
+    }
+
+    /** Returns what callers of this host ask for, in tokens a second; what is hardly asked for is left out. */
+    public Map<Target.RoutedTarget, Double> demands(long now) {
+        Map<Target.RoutedTarget, Double> rates = new HashMap<>();
+        demand.values().removeIf(meter -> meter.perSecond(now) < MIN_DEMAND);
+        demand.forEach((target, meter) -> rates.put(target, meter.perSecond(now)));
+        return rates;
+    }
+
     /** Returns the targets that requests wait for although no endpoint holds them, and forgets them. */
     public List<Target.RoutedTarget> takeWanted() {
         List<Target.RoutedTarget> taken = new ArrayList<>(wanted);
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedBucket.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedBucket.java
@@ -1,38 +1,44 @@
 package org.gooseberryring.coordination.limit;
 
+import java.util.HashMap;
+import java.util.Map;
+
 import org.gooseberryring.state.Organisation;
 
-/** Part of one host in the token rate and burst of an organisation. */
+/** Bucket of one organisation from which all hosts take. */
 final class SharedBucket {
     private static final double MILLIS_PER_SECOND = 1_000;
 
-    /** Demand is forgotten by half over this time. */
-    private static final double HALF_LIFE_MILLIS = 2_000;
-
-    /**
-     * Part of the rate that counts as asked for at each host, so that a host with new callers has a share before the
-     * others hear of them.
-     */
-    private static final double FLOOR_SHARE = 0.02;
+    /** Past use is forgotten by half over this time. */
+    private static final double HALF_LIFE_MILLIS = 4_000;
 
-    /** Least number of hosts that share a limit, so that a host that knows no other does not use all of it. */
-    private static final int MIN_HOSTS = 8;
+    /** Part of the burst that a new host assumes to be left, since it does not know what the others have admitted. */
+    private static final double START_SHARE = 0.125;
 
     private static final long MIN_RETRY_MILLIS = 50;
     private static final long MAX_RETRY_MILLIS = 10_000;
 
+    private final Map<String, HostUse> hosts = new HashMap<>();
     private double rate;
     private double burst;
-    private double share = 1.0 / MIN_HOSTS;
     private double level;
     private long filledAt;
-    private double asked;
-    private long askedAt;
+    private long ownUsed;
+    private double ownRecent;
+    private long ownRecentAt;
     private boolean filled;
 
+    private static final class HostUse {
+        private long total;
+        private double recent;
+        private long recentAt;
+        private double assumed;
+        private long assumedTo;
+    }
+
     SharedBucket(long now) {
         this.filledAt = now;
-        this.askedAt = now;
+        this.ownRecentAt = now;
     }
 
     void configured(Organisation organisation, long now) {
@@ -41,53 +47,88 @@
         burst = organisation.burstTokens();
         if (!filled) {
             filled = true;
-            level = burst * share;
+            level = burst * START_SHARE;
+        }
+        level = Math.min(level, burst);
+    }
+
+    long ownUsed() {
+        return ownUsed;
+    }
+
+    /** Takes over the total of another host in place of what was assumed of it. */
+    void usedBy(String host, long total, long now) {
+        fill(now);
+        HostUse use = hosts.get(host);
+        if (use == null) {
+            // What a host admitted before it was first heard of is not known in time.
+            use = new HostUse();
+            use.total = total;
+            hosts.put(host, use);
         }
-        level = Math.min(level, burst * share);
+        long delta = total - use.total;
+        level = Math.min(burst, level + use.assumed - delta);
+        use.total = total;
+        use.recent = decayed(use.recent, use.recentAt, now) + Math.max(0, delta);
+        use.recentAt = now;
+        use.assumed = 0;
+        use.assumedTo = now;
     }
 
-    /** Takes over what is asked of the other hosts, in tokens a second. */
-    void share(double othersDemand, int hosts, long now) {
+    /** Assumes that a silent host has gone on to use its part of the rate, at least an equal one. */
+    void assume(String host, int hostCount, long now) {
+        HostUse use = hosts.get(host);
+        if (use == null) {
+            return;
+        }
         fill(now);
-        double floor = FLOOR_SHARE * rate;
-        double own = demand(now) + floor;
-        double total = demand(now) + othersDemand + floor * Math.max(MIN_HOSTS, hosts);
-        share = total <= 0 ? 1.0 / MIN_HOSTS : own / total;
-        level = Math.min(level, burst * share);
+        double sum = ownRecent;
+        for (HostUse each : hosts.values()) {
+            sum += each.recent;
+        }
+        double share = Math.max(1.0 / hostCount, sum <= 0 ? 0 : use.recent / sum);
+        double more = share * rate * (now - use.assumedTo) / MILLIS_PER_SECOND;
+        use.assumed += more;
+        use.assumedTo = now;
+        level = Math.max(-burst, level - more);
     }
 
-    /** Returns what callers ask for, in tokens a second. */
-    double demand(long now) {
-        double decay = Math.pow(0.5, (now - askedAt) / HALF_LIFE_MILLIS);
-        return asked * decay;
+    void forget(String host) {
+        hosts.remove(host);
     }
 
     /** Takes tokens; a request may take more than there are, which the next ones wait for. */
     boolean take(long tokens, long now) {
         fill(now);
-        asked = demand(now) + tokens * MILLIS_PER_SECOND * Math.log(2) / HALF_LIFE_MILLIS;
-        askedAt = now;
         if (level <= 0) {
             return false;
         }
         level -= tokens;
+        ownUsed += tokens;
+        ownRecent = decayed(ownRecent, ownRecentAt, now) + tokens;
+        ownRecentAt = now;
         return true;
     }
 
     void giveBack(long tokens, long now) {
         fill(now);
-        level = Math.min(burst * share, level + tokens);
+        ownUsed -= tokens;
+        level = Math.min(burst, level + tokens);
     }
 
     /** Returns milliseconds until a request can be admitted again. */
     long millisToNext(long now) {
         fill(now);
-        double millis = -level / Math.max(1, rate * share) * MILLIS_PER_SECOND;
+        double millis = -level / Math.max(1, rate) * MILLIS_PER_SECOND;
         return Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, (long) millis));
     }
 
     private void fill(long now) {
-        level = Math.min(burst * share, level + (now - filledAt) * rate * share / MILLIS_PER_SECOND);
+        level = Math.min(burst, level + (now - filledAt) * rate / MILLIS_PER_SECOND);
         filledAt = now;
     }
+
+    private static double decayed(double amount, long at, long now) {
+        return amount * Math.pow(0.5, (now - at) / HALF_LIFE_MILLIS);
+    }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedLimits.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedLimits.java
@@ -7,27 +7,29 @@
 import org.gooseberryring.state.Organisation;
 
 /**
- * Token limits that the hosts share in proportion to what is asked of each.
+ * Token limits that hosts keep together by telling each other what they have admitted.
  *
- * <p>Every host tells the others what its callers ask for. A host fills its buckets at its part of the rate, up to its
- * part of the burst. While a host is not heard of, the part that it had is left to it for a time, so that hosts that are
- * cut off from each other stay within the limit together.
+ * <p>Every host keeps one bucket for each organisation and takes from it what any host admits. Between two messages the
+ * hosts can admit too much together; the bucket goes below zero then and must fill before the next request. A host that
+ * is silent is assumed to use its part of the rate, so that hosts that are cut off from each other stay within the limit
+ * together.
  */
 public final class SharedLimits implements TokenAdmission {
     /** Organisation without a rate is not limited. */
     private static final long UNLIMITED = 0;
 
+    /** Time without a message after which the use of a host is assumed; several messages are lost by then. */
+    private static final long ASSUME_MILLIS = 1_000;
+
     /** A host that is silent for this long is taken for gone. */
-    private static final long SILENT_MILLIS = 10_000;
+    private static final long GONE_MILLIS = 10_000;
 
     private final Map<String, SharedBucket> buckets = new HashMap<>();
     private final Map<String, Reservation> reservations = new HashMap<>();
-    private final Map<String, HostDemand> others = new HashMap<>();
+    private final Map<String, Long> heardAt = new HashMap<>();
 
     private record Reservation(String organisation, long tokens) {}
 
-    private record HostDemand(Map<String, Double> tokensPerSecond, long heardAt) {}
-
     /** Takes over the organisations of a configuration. */
     public void configured(Collection<Organisation> organisations, long now) {
         Map<String, Organisation> limited = new HashMap<>();
@@ -41,27 +43,38 @@
                 buckets.computeIfAbsent(id, key -> new SharedBucket(now)).configured(organisation, now));
     }
 
-    /** Takes over what the callers of another host ask for, in tokens a second for each organisation. */
-    public void demandOf(String host, Map<String, Double> tokensPerSecond, long now) {
-        others.put(host, new HostDemand(Map.copyOf(tokensPerSecond), now));
+    /**
+     * Takes over what another host has admitted.
+     *
+     * @param host host with its incarnation
+     * @param usedTokens tokens since the start of that process by organisation
+     */
+    public void usedBy(String host, Map<String, Long> usedTokens, long now) {
+        heardAt.put(host, now);
+        buckets.forEach((id, bucket) -> bucket.usedBy(host, usedTokens.getOrDefault(id, 0L), now));
     }
 
-    /** Returns what the callers of this host ask for, in tokens a second for each organisation. */
-    public Map<String, Double> demands(long now) {
-        Map<String, Double> demands = new HashMap<>();
-        buckets.forEach((id, bucket) -> demands.put(id, bucket.demand(now)));
-        return demands;
+    /** Returns the tokens that this host has admitted since its start by organisation. */
+    public Map<String, Long> used() {
+        Map<String, Long> used = new HashMap<>();
+        buckets.forEach((id, bucket) -> used.put(id, bucket.ownUsed()));
+        return used;
     }
 
-    /** Computes the parts of this host anew; called several times a second. */
+    /** Takes the assumed use of silent hosts into account; called several times a second. */
     public void tick(long now) {
-        others.values().removeIf(demand -> now - demand.heardAt() > SILENT_MILLIS);
-        buckets.forEach((id, bucket) -> {
-            double sum = 0;
-            for (HostDemand other : others.values()) {
-                sum += other.tokensPerSecond().getOrDefault(id, 0.0);
+        heardAt.entrySet().removeIf(entry -> {
+            boolean gone = now - entry.getValue() > GONE_MILLIS;
+            if (gone) {
+                buckets.values().forEach(bucket -> bucket.forget(entry.getKey()));
+            }
+            return gone;
+        });
+        int hosts = heardAt.size() + 1;
+        heardAt.forEach((host, at) -> {
+            if (now - at > ASSUME_MILLIS) {
+                buckets.values().forEach(bucket -> bucket.assume(host, hosts, now));
             }
-            bucket.share(sum, others.size() + 1, now);
         });
     }
 
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/DomainLease.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/DomainLease.java
@@ -12,7 +12,7 @@
  * <p>The lease only decides who should act; a holder that acts after it lost the lease does no harm, because every order
  * needs a conditional update of its ledger.
  */
-final class DomainLease {
+public final class DomainLease {
     private static final int RENEWALS_PER_LEASE = 3;
 
     private final String self;
@@ -27,7 +27,13 @@
     private boolean candidate = true;
     private long stamps;
 
-    DomainLease(String self, String failureDomain, long leaseMillis, OrderCodec codec, RandomGenerator random) {
+    /**
+     * Creates a host's part of a lease.
+     *
+     * @param self host, the same after a restart
+     * @param leaseMillis milliseconds without a renewal after which another host may take the lease
+     */
+    public DomainLease(String self, String failureDomain, long leaseMillis, OrderCodec codec, RandomGenerator random) {
         this.self = self;
         this.leaseMillis = leaseMillis;
         this.random = random;
@@ -35,26 +41,33 @@
                 key(failureDomain), LeaseDocument.class, () -> new LeaseDocument("", "", 0, 0), codec, random);
     }
 
-    static String key(String failureDomain) {
+    /** Returns the key of the lease in the store. */
+    public static String key(String failureDomain) {
         return "controllers/" + failureDomain;
     }
 
     /** Returns whether this host is the controller, as far as it knows. */
-    boolean leads(long now) {
+    public boolean leads(long now) {
         return leading && now - renewedAt < leaseMillis;
     }
 
+    /** Returns whether this host is the controller and renewed its lease within the given milliseconds. */
+    public boolean renewedWithin(long millis, long now) {
+        return leading && now - renewedAt < millis;
+    }
+
     /** Returns the fencing number; only meaningful while this host leads. */
-    long term() {
+    public long term() {
         return cell.doc().term();
     }
 
     /** Sets whether this host may take the lease; only a few hosts of a failure domain watch it. */
-    void candidate(boolean mayLead) {
+    public void candidate(boolean mayLead) {
         candidate = mayLead;
     }
 
-    List<OrderEffect> onTick(long now) {
+    /** Returns the calls to the store that are due. */
+    public List<OrderEffect> onTick(long now) {
         List<OrderEffect> effects = new ArrayList<>(cell.onTick(now));
         if (leading && now - renewedAt >= leaseMillis) {
             leading = false;
@@ -75,7 +88,8 @@
         return effects;
     }
 
-    List<OrderEffect> onReply(StoreReply reply, long now) {
+    /** Handles a reply of the store; returns further calls. */
+    public List<OrderEffect> onReply(StoreReply reply, long now) {
         List<OrderEffect> effects = new ArrayList<>();
         switch (cell.onReply(reply, now, effects)) {
             case WRITTEN:
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ArtifactDemand.java
@@ -0,0 +1,59 @@
+package org.gooseberryring.coordination.residency;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.gooseberryring.coordination.request.Target;
+
+/** Demand for models and adapters over all hosts, in tokens a second. */
+final class ArtifactDemand {
+    /** A host that is silent for this long no longer counts. */
+    private static final long SILENT_MILLIS = 5_000;
+
+    private final Map<String, HostDemand> hosts = new HashMap<>();
+    private final Map<Target.RoutedTarget, Long> usedAt = new HashMap<>();
+
+    private record HostDemand(Map<Target.RoutedTarget, Double> tokensPerSecond, long heardAt) {}
+
+    /** Takes over what the callers of a host ask for. */
+    void heard(String host, Map<Target.RoutedTarget, Double> tokensPerSecond, long now) {
+        hosts.put(host, new HostDemand(Map.copyOf(tokensPerSecond), now));
+        tokensPerSecond.keySet().forEach(target -> used(target, now));
+    }
+
+    /** Notes that a request needs a model or adapter. */
+    void used(Target.RoutedTarget target, long now) {
+        usedAt.put(target, now);
+        if (target.adapter() != null) {
+            usedAt.put(new Target.RoutedTarget(target.service(), target.model(), null), now);
+        }
+    }
+
+    /** Returns milliseconds since a model or adapter was last asked for, a very long time if it never was. */
+    long idleMillis(Target.RoutedTarget target, long now) {
+        Long at = usedAt.get(target);
+        return at == null ? Long.MAX_VALUE : now - at;
+    }
+
+    /** Returns the demand for a model with all its adapters. */
+    double ofModel(String service, String model, long now) {
+        double sum = 0;
+        for (HostDemand host : hosts.values()) {
+            if (now - host.heardAt() <= SILENT_MILLIS) {
+                sum += sum(host, service, model);
+            }
+        }
+        return sum;
+    }
+
+    private static double sum(HostDemand host, String service, String model) {
+        double sum = 0;
+        for (Map.Entry<Target.RoutedTarget, Double> entry : host.tokensPerSecond().entrySet()) {
+            Target.RoutedTarget target = entry.getKey();
+            if (target.service().equals(service) && model.equals(target.model())) {
+                sum += entry.getValue();
+            }
+        }
+        return sum;
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/Fleet.java
@@ -0,0 +1,110 @@
+package org.gooseberryring.coordination.residency;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.gooseberryring.state.EndpointRegistration;
+import org.gooseberryring.state.EngineProfile;
+import org.gooseberryring.state.ResidentModel;
+import org.gooseberryring.state.ServiceProfile;
+import org.gooseberryring.state.ServingConfiguration;
+
+/** Endpoints of all failure domains with the models that they hold, as far as this host knows. */
+final class Fleet {
+    private final Map<String, EndpointRegistration> registrations = new TreeMap<>();
+    private final Map<String, Set<String>> models = new HashMap<>();
+    private ServingConfiguration configuration = ServingConfiguration.none();
+    private Set<String> domainsOut = Set.of();
+
+    void configured(ServingConfiguration newConfiguration) {
+        configuration = newConfiguration;
+    }
+
+    void domainsOut(Set<String> domains) {
+        domainsOut = Set.copyOf(domains);
+    }
+
+    void registered(EndpointRegistration registration) {
+        EndpointRegistration old = registrations.put(registration.id(), registration);
+        if (old == null || !old.models().equals(registration.models()) || old.bornMillis() != registration.bornMillis()) {
+            holds(registration.id(), registration.models());
+        }
+    }
+
+    void unregistered(String endpoint) {
+        registrations.remove(endpoint);
+        models.remove(endpoint);
+    }
+
+    void holds(String endpoint, List<ResidentModel> held) {
+        Set<String> names = new HashSet<>();
+        held.forEach(model -> names.add(model.model()));
+        models.put(endpoint, names);
+    }
+
+    Collection<EndpointRegistration> registrations() {
+        return List.copyOf(registrations.values());
+    }
+
+    EngineProfile engine(String service) {
+        ServiceProfile profile = configuration.services().get(service);
+        return profile == null ? null : profile.engine();
+    }
+
+    /** Returns the services with model engines. */
+    List<String> engineServices() {
+        List<String> services = new ArrayList<>();
+        configuration.services().forEach((id, profile) -> {
+            if (profile.engine() != null) {
+                services.add(id);
+            }
+        });
+        return services;
+    }
+
+    /** Returns the endpoints of a service that may take work. */
+    List<EndpointRegistration> inService(String service) {
+        List<EndpointRegistration> found = new ArrayList<>();
+        for (EndpointRegistration registration : registrations.values()) {
+            boolean usable = registration.service().equals(service)
+                    && !registration.leaving()
+                    && !domainsOut.contains(registration.failureDomain());
+            if (usable) {
+                found.add(registration);
+            }
+        }
+        return found;
+    }
+
+    boolean holds(String endpoint, String model) {
+        return models.getOrDefault(endpoint, Set.of()).contains(model);
+    }
+
+    Set<String> models(String endpoint) {
+        return models.getOrDefault(endpoint, Set.of());
+    }
+
+    /** Returns how many endpoints in service hold a model. */
+    int replicas(String service, String model) {
+        int count = 0;
+        for (EndpointRegistration registration : inService(service)) {
+            if (holds(registration.id(), model)) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    /** Returns the number of failure domains with endpoints. */
+    int failureDomains() {
+        Set<String> domains = new HashSet<>();
+        registrations.values().forEach(registration -> domains.add(registration.failureDomain()));
+        return domains.size();
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ModelPlacer.java
@@ -0,0 +1,104 @@
+package org.gooseberryring.coordination.residency;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.ToDoubleFunction;
+
+import org.gooseberryring.state.EndpointRegistration;
+import org.gooseberryring.state.EngineProfile;
+
+/** Chooses the endpoint that a model is loaded to and the models that make room for it there. */
+final class ModelPlacer {
+    /** Cost of a load to an endpoint that must unload a model first, in tokens a second of demand. */
+    private static final double EVICTION_COST = 100;
+
+    /** Cost of unloading the last replica of a model, in tokens a second of demand. */
+    private static final double LAST_REPLICA_COST = 20_000;
+
+    private final Fleet fleet;
+
+    ModelPlacer(Fleet fleet) {
+        this.fleet = fleet;
+    }
+
+    /**
+     * Place for a model.
+     *
+     * @param endpoint endpoint to load it to
+     * @param evicted models to unload there before
+     * @param cost demand that the endpoint and the unloaded models have, in tokens a second
+     */
+    record Place(EndpointRegistration endpoint, List<String> evicted, double cost) {}
+
+    /**
+     * Returns the cheapest place for a model, or null if there is none.
+     *
+     * @param demand demand for a model of the service in tokens a second
+     * @param movable whether a model may be unloaded from an endpoint
+     */
+    Place cheapest(String service, String model, ToDoubleFunction<String> demand, Movable movable) {
+        EngineProfile engine = fleet.engine(service);
+        Place best = null;
+        for (EndpointRegistration endpoint : fleet.inService(service)) {
+            if (fleet.holds(endpoint.id(), model)) {
+                continue;
+            }
+            Place place = place(engine, endpoint, model, demand, movable);
+            if (place != null && (best == null || place.cost() < best.cost())) {
+                best = place;
+            }
+        }
+        return best;
+    }
+
+    /** Returns the demand that falls on an endpoint, in tokens a second. */
+    double load(EndpointRegistration endpoint, ToDoubleFunction<String> demand) {
+        double load = 0;
+        for (String model : fleet.models(endpoint.id())) {
+            load += demand.applyAsDouble(model) / Math.max(1, fleet.replicas(endpoint.service(), model));
+        }
+        return load;
+    }
+
+    private Place place(
+            EngineProfile engine,
+            EndpointRegistration endpoint,
+            String model,
+            ToDoubleFunction<String> demand,
+            Movable movable) {
+        long free = engine.memoryBytes();
+        for (String held : fleet.models(endpoint.id())) {
+            free -= EndpointLedger.bytes(engine, held, 0);
+        }
+        long needed = EndpointLedger.bytes(engine, model, 0);
+        double cost = load(endpoint, demand);
+        List<String> candidates = new ArrayList<>(fleet.models(endpoint.id()));
+        candidates.sort(Comparator.<String>comparingDouble(held -> lossOf(endpoint, held, demand))
+                .thenComparing(Comparator.naturalOrder()));
+        List<String> evicted = new ArrayList<>();
+        for (String held : candidates) {
+            if (free >= needed) {
+                break;
+            }
+            if (movable.mayUnload(endpoint.id(), held)) {
+                evicted.add(held);
+                free += EndpointLedger.bytes(engine, held, 0);
+                cost += EVICTION_COST + lossOf(endpoint, held, demand);
+            }
+        }
+        return free >= needed ? new Place(endpoint, evicted, cost) : null;
+    }
+
+    private double lossOf(EndpointRegistration endpoint, String held, ToDoubleFunction<String> demand) {
+        int replicas = Math.max(1, fleet.replicas(endpoint.service(), held));
+        double lost = demand.applyAsDouble(held) / replicas;
+        return replicas == 1 ? lost + LAST_REPLICA_COST : lost;
+    }
+
+    /** Decides whether a model may be unloaded from an endpoint. */
+    @FunctionalInterface
+    interface Movable {
+        boolean mayUnload(String endpoint, String model);
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
@@ -0,0 +1,342 @@
+package org.gooseberryring.coordination.residency;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import org.gooseberryring.coordination.request.Target;
+import org.gooseberryring.state.EndpointRegistration;
+import org.gooseberryring.state.EngineProfile;
+import org.gooseberryring.state.ModelProfile;
+import org.gooseberryring.state.ResidentModel;
+import org.gooseberryring.state.ServingConfiguration;
+
+/**
+ * Decides which models and adapters the endpoints of one failure domain hold.
+ *
+ * <p>Only the holder of the lease of the failure domain sends orders. Models that requests wait for come first, then
+ * further replicas of models in demand. The controllers of all failure domains choose from the same fleet, and each
+ * orders only the endpoints of its own.
+ */
+public final class ResidencyController {
+    /** A request waits no longer for an artifact than this. */
+    private static final long WANTED_MILLIS = 3_000;
+
+    /** A model that was asked for within this time is not unloaded if it has no other replica. */
+    private static final long IDLE_MODEL_MILLIS = 4_000;
+
+    /** An adapter that was asked for within this time is not unloaded. */
+    private static final long IDLE_ADAPTER_MILLIS = 700;
+
+    /** Time after which a model that is wanted and not loaded elsewhere is loaded to this failure domain. */
+    private static final long FOREIGN_PLACE_MILLIS = 1_500;
+
+    private static final long ANNOUNCE_MILLIS = 1_000;
+    private static final long REBALANCE_MILLIS = 1_000;
+
+    private final String failureDomain;
+    private final Fleet fleet = new Fleet();
+    private final ModelPlacer placer = new ModelPlacer(fleet);
+    private final ReplicaBalance balance = new ReplicaBalance(fleet, placer);
+    private final ArtifactDemand demand = new ArtifactDemand();
+    private final StoreLoadBudget loads = new StoreLoadBudget();
+    private final Map<String, EndpointLedger> ledgers = new TreeMap<>();
+    private final Map<Target.RoutedTarget, Wanted> wanted = new LinkedHashMap<>();
+    private long term;
+    private long announceAt;
+    private long rebalanceAt;
+
+    private record Wanted(long since, long last) {}
+
+    /** Creates the controller of a failure domain, which does not lead yet. */
+    public ResidencyController(String failureDomain) {
+        this.failureDomain = failureDomain;
+    }
+
+    /** Takes over a configuration. */
+    public void configured(ServingConfiguration configuration) {
+        fleet.configured(configuration);
+        fleet.registrations().forEach(this::keepLedger);
+    }
+
+    /** Takes over what an endpoint registered. */
+    public void registered(EndpointRegistration registration) {
+        fleet.registered(registration);
+        keepLedger(registration);
+    }
+
+    /** Takes an endpoint out for good. */
+    public void unregistered(String endpoint) {
+        fleet.unregistered(endpoint);
+        ledgers.remove(endpoint);
+    }
+
+    /** Takes over the failure domains that get no new work. */
+    public void domainsOut(Set<String> domains) {
+        fleet.domainsOut(domains);
+    }
+
+    /** Takes over what an endpoint holds, as the controller of its failure domain says. */
+    public void holds(String endpoint, List<ResidentModel> models) {
+        fleet.holds(endpoint, models);
+    }
+
+    /** Takes over what the callers of a host ask for, in tokens a second. */
+    public void demandOf(String host, Map<Target.RoutedTarget, Double> tokensPerSecond, long now) {
+        demand.heard(host, tokensPerSecond, now);
+    }
+
+    /** Notes that requests wait for artifacts. */
+    public void wanted(Collection<Target.RoutedTarget> targets, long now) {
+        for (Target.RoutedTarget target : targets) {
+            demand.used(target, now);
+            wanted.merge(target, new Wanted(now, now), (old, newer) -> new Wanted(old.since(), now));
+        }
+    }
+
+    /**
+     * Returns the failure domains whose controllers can provide an artifact.
+     *
+     * <p>An adapter goes where its model is, to this failure domain if it can; a model is placed by all together.
+     */
+    public List<String> providers(Target.RoutedTarget target) {
+        Set<String> holders = new TreeSet<>();
+        Set<String> all = new TreeSet<>();
+        for (EndpointRegistration endpoint : fleet.inService(target.service())) {
+            all.add(endpoint.failureDomain());
+            if (fleet.holds(endpoint.id(), target.model())) {
+                holders.add(endpoint.failureDomain());
+            }
+        }
+        if (holders.isEmpty()) {
+            return List.copyOf(all);
+        }
+        return holders.contains(failureDomain) ? List.of(failureDomain) : List.copyOf(holders).subList(0, 1);
+    }
+
+    /** Handles the status of an endpoint. */
+    public void status(EndpointStatus status, long now) {
+        EndpointLedger ledger = ledgers.get(status.endpoint());
+        if (ledger != null) {
+            ledger.status(status, now);
+        }
+    }
+
+    /** Handles a request for a status that was not answered. */
+    public void statusFailed(String endpoint) {
+        EndpointLedger ledger = ledgers.get(endpoint);
+        if (ledger != null) {
+            ledger.statusFailed();
+        }
+    }
+
+    /** Handles the answer to an order. */
+    public void answered(ArtifactOrder order, OrderAnswer answer, long now) {
+        EndpointLedger ledger = ledgers.get(order.endpoint());
+        if (ledger != null) {
+            ledger.answered(order, answer, now);
+        }
+    }
+
+    /**
+     * Returns what is due; called many times a second.
+     *
+     * @param leadingTerm fencing number while this host may send orders, 0 otherwise
+     */
+    public List<ResidencyEffect> onTick(long leadingTerm, long now) {
+        wanted.values().removeIf(want -> now - want.last() > WANTED_MILLIS);
+        if (leadingTerm == 0) {
+            return List.of();
+        }
+        if (leadingTerm != term) {
+            term = leadingTerm;
+            ledgers.values().forEach(EndpointLedger::forget);
+        }
+        List<ResidencyEffect> effects = new ArrayList<>();
+        for (EndpointLedger ledger : ledgers.values()) {
+            ledger.tick(now);
+            if (ledger.askNow(now)) {
+                effects.add(new ResidencyEffect.AskStatus(ledger.registration().id()));
+            }
+        }
+        serveWanted(effects, now);
+        rebalance(effects, now);
+        announce(effects, now);
+        return effects;
+    }
+
+    private void keepLedger(EndpointRegistration registration) {
+        boolean own = registration.failureDomain().equals(failureDomain)
+                && fleet.engine(registration.service()) != null;
+        if (own) {
+            ledgers.computeIfAbsent(registration.id(), id -> new EndpointLedger(registration))
+                    .registered(registration);
+        }
+    }
+
+    private void serveWanted(List<ResidencyEffect> effects, long now) {
+        Iterator<Map.Entry<Target.RoutedTarget, Wanted>> each = wanted.entrySet().iterator();
+        while (each.hasNext()) {
+            Map.Entry<Target.RoutedTarget, Wanted> entry = each.next();
+            Target.RoutedTarget target = entry.getKey();
+            boolean done = fleet.replicas(target.service(), target.model()) > 0
+                    ? target.adapter() == null || loadAdapter(target, effects, now)
+                    : loadWantedModel(target, entry.getValue().since(), effects, now);
+            if (done) {
+                each.remove();
+            }
+        }
+    }
+
+    /** Orders an adapter; returns whether nothing is left to do for it. */
+    private boolean loadAdapter(Target.RoutedTarget target, List<ResidencyEffect> effects, long now) {
+        EngineProfile engine = fleet.engine(target.service());
+        ModelProfile model = engine == null ? null : engine.models().get(target.model());
+        if (model == null) {
+            return true;
+        }
+        EndpointLedger best = null;
+        for (EndpointLedger ledger : ledgers.values()) {
+            if (ledger.holds(target.model(), target.adapter()) || ledger.expects(target.model(), target.adapter())) {
+                return true;
+            }
+            boolean usable = ledger.readyForAdapter() && ledger.holds(target.model()) && serves(ledger);
+            if (usable && (best == null || ledger.adapterCount() < best.adapterCount())) {
+                best = ledger;
+            }
+        }
+        if (best == null) {
+            return false;
+        }
+        boolean room = best.adapterCount() < engine.adapterSlots() && best.freeBytes(engine) >= model.adapterBytes();
+        if (room) {
+            send(best, ArtifactOrder.Action.LOAD, target.model(), target.adapter(), effects);
+            return true;
+        }
+        unloadIdleAdapter(best, target.service(), effects, now);
+        return false;
+    }
+
+    private void unloadIdleAdapter(EndpointLedger ledger, String service, List<ResidencyEffect> effects, long now) {
+        String oldestModel = null;
+        String oldestAdapter = null;
+        long longest = IDLE_ADAPTER_MILLIS;
+        for (String model : ledger.models()) {
+            for (String adapter : ledger.adapters(model)) {
+                long idle = demand.idleMillis(new Target.RoutedTarget(service, model, adapter), now);
+                if (idle > longest) {
+                    longest = idle;
+                    oldestModel = model;
+                    oldestAdapter = adapter;
+                }
+            }
+        }
+        if (oldestAdapter != null) {
+            send(ledger, ArtifactOrder.Action.UNLOAD, oldestModel, oldestAdapter, effects);
+        }
+    }
+
+    /** Orders a model that no endpoint holds; returns whether nothing is left to do for it. */
+    private boolean loadWantedModel(Target.RoutedTarget target, long since, List<ResidencyEffect> effects, long now) {
+        EngineProfile engine = fleet.engine(target.service());
+        if (engine == null || !engine.models().containsKey(target.model())) {
+            return true;
+        }
+        for (EndpointLedger ledger : ledgers.values()) {
+            if (ledger.expects(target.model())) {
+                return false;
+            }
+        }
+        boolean anywhere = now - since < FOREIGN_PLACE_MILLIS;
+        ModelPlacer.Place place = placer.cheapest(
+                target.service(),
+                target.model(),
+                model -> demand.ofModel(target.service(), model, now),
+                (endpoint, model) -> (anywhere || ledgers.containsKey(endpoint))
+                        && mayUnload(target.service(), model, now));
+        if (place != null && ledgers.containsKey(place.endpoint().id())) {
+            move(ledgers.get(place.endpoint().id()), target.model(), place.evicted(), engine, effects, now);
+        }
+        return false;
+    }
+
+    private boolean mayUnload(String service, String model, long now) {
+        boolean idle = demand.idleMillis(new Target.RoutedTarget(service, model, null), now) > IDLE_MODEL_MILLIS;
+        return idle || fleet.replicas(service, model) > 1;
+    }
+
+    private void rebalance(List<ResidencyEffect> effects, long now) {
+        if (now < rebalanceAt) {
+            return;
+        }
+        rebalanceAt = now + REBALANCE_MILLIS;
+        for (String service : fleet.engineServices()) {
+            ReplicaBalance.Move move = balance.next(service, model -> demand.ofModel(service, model, now));
+            EndpointLedger ledger = move == null
+                    ? null
+                    : ledgers.get(move.place().endpoint().id());
+            if (ledger != null) {
+                move(ledger, move.model(), move.place().evicted(), fleet.engine(service), effects, now);
+            }
+        }
+    }
+
+    /** Unloads what must make room or, once there is room, loads the model. */
+    private void move(
+            EndpointLedger ledger,
+            String model,
+            List<String> evicted,
+            EngineProfile engine,
+            List<ResidencyEffect> effects,
+            long now) {
+        if (!ledger.ready() || ledger.expects(model)) {
+            return;
+        }
+        if (ledger.freeBytes(engine) >= EndpointLedger.bytes(engine, model, 0)) {
+            boolean copied = ledger.hasCopy(model);
+            if (copied || loads.take(engine.storeLoadsPerSecond(), fleet.failureDomains(), now)) {
+                send(ledger, ArtifactOrder.Action.LOAD, model, null, effects);
+            }
+            return;
+        }
+        for (String old : evicted) {
+            if (ledger.holds(old)) {
+                send(ledger, ArtifactOrder.Action.UNLOAD, old, null, effects);
+                return;
+            }
+        }
+    }
+
+    private void send(
+            EndpointLedger ledger,
+            ArtifactOrder.Action action,
+            String model,
+            String adapter,
+            List<ResidencyEffect> effects) {
+        effects.add(new ResidencyEffect.Send(ledger.order(action, model, adapter, term)));
+    }
+
+    private boolean serves(EndpointLedger ledger) {
+        return fleet.inService(ledger.registration().service()).contains(ledger.registration());
+    }
+
+    private void announce(List<ResidencyEffect> effects, long now) {
+        boolean all = now >= announceAt;
+        if (all) {
+            announceAt = now + ANNOUNCE_MILLIS;
+        }
+        for (EndpointLedger ledger : ledgers.values()) {
+            if (ledger.takeChanged() || all && ledger.isKnown()) {
+                ResidencyEffect.Announce announcement = ledger.announcement();
+                fleet.holds(announcement.endpoint(), announcement.models());
+                effects.add(announcement);
+            }
+        }
+    }
+}
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -7,9 +7,11 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.random.RandomGenerator;
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import org.gooseberryring.coordination.residency.ResidencyController;
 import org.gooseberryring.host.HostClock;
 import org.gooseberryring.host.HostMetrics;
 import org.gooseberryring.host.admin.PrometheusText;
@@ -17,7 +19,9 @@
 import org.gooseberryring.host.caller.OpenRequests;
 import org.gooseberryring.host.caller.RequestIntake;
 import org.gooseberryring.host.control.ControlLoop;
+import org.gooseberryring.host.control.StoreLanes;
 import org.gooseberryring.host.log.LogLine;
+import org.gooseberryring.state.RequestLimits;
 import org.gooseberryring.state.ServingConfiguration;
 import org.gooseberryring.transport.endpoint.EndpointClient;
 import org.gooseberryring.transport.endpoint.EndpointLimits;
@@ -31,6 +35,7 @@
     private static final int IO_THREADS = 1;
     private static final int TASK_THREADS = 1;
     private static final int CONTROL_RING_SIZE = 1_024;
+    private static final int STORE_RING_SIZE = 64;
     private static final int MAX_OPEN_REQUESTS = 1_000;
     private static final int SERVICE_CONNECTIONS = 64;
     private static final long TICK_MILLIS = 20;
@@ -42,6 +47,8 @@
 
     private final EntrySettings settings;
     private final HostClock clock = new HostClock();
+    // A later process of the host has a higher number as long as the wall clock does not go back.
+    private final long incarnation = clock.wallMillis();
     private final HostMetrics metrics = new HostMetrics();
     private final InstallationView view = new InstallationView();
     private final OpenRequests open = new OpenRequests(MAX_OPEN_REQUESTS);
@@ -49,6 +56,10 @@
     private final HttpWorker worker;
     private final ControlLoop control;
     private final EntryRequests requests;
+    private final StoreLanes lanes;
+    private final PeerExchange exchange;
+    private final PeerMesh mesh;
+    private final ResidencyControl residency;
     private final InstallationFeeds feeds;
     private final ScheduledExecutorService timer;
     private final FrontListener callers;
@@ -61,33 +72,45 @@
         worker = HttpWorker.start(settings.hostId(), IO_THREADS, TASK_THREADS);
         Installation installation = platform.apply(new PlatformAccess(new HttpCaller(worker), clock::now));
         control = new ControlLoop(CONTROL_RING_SIZE, clock::now);
-        RequestDialect dialect = installation.requests();
-        requests = requests(installation, dialect);
-        SplittableRandom random =
-                new SplittableRandom(clock.wallMillis() ^ settings.hostId().hashCode());
-        feeds = new InstallationFeeds(installation, control, view, requests, this::configured, random, clock.now());
-        FrontHandler handler = new FrontHandler(
+        lanes = new StoreLanes(installation.objects(), STORE_RING_SIZE);
+        SplittableRandom random = new SplittableRandom(incarnation ^ settings.hostId().hashCode());
+        ResidencyController controller = new ResidencyController(settings.failureDomain());
+        requests = requests(installation);
+        exchange = new PeerExchange(settings, control, requests, controller);
+        mesh = new PeerMesh(settings, incarnation, lanes, control, metrics, exchange::received);
+        exchange.connect(mesh);
+        residency = new ResidencyControl(
+                settings,
+                controller,
+                lanes,
+                control,
+                installation.orders(settings.hostId()),
                 view,
-                dialect,
-                new RequestFactory(dialect, open, random.split()),
-                open,
-                new RequestIntake(open, requests.loop()),
-                requests.loop(),
-                metrics,
-                clock::now);
-        timer = Executors.newSingleThreadScheduledExecutor(EntryHost::timerThread);
+                exchange::announce,
+                clock::wallMillis,
+                random.split());
+        feeds = new InstallationFeeds(
+                installation, control, view, requests, controller, mesh, this::configured, random, clock.now());
         control.onTick(feeds::tick);
+        control.onTick(mesh::tick);
+        control.onTick(exchange::tick);
+        control.onTick(residency::tick);
         registerGauges();
         control.start();
         requests.loop().start();
-        ServingConfiguration none = view.configuration();
-        callers =
-                new FrontListener(worker, settings.callerAddress(), settings.maxConnections(), none.limits(), handler);
+        RequestLimits limits = view.configuration().limits();
+        callers = new FrontListener(
+                worker,
+                settings.callerAddress(),
+                settings.maxConnections(),
+                limits,
+                frontHandler(installation.requests(), random.split()));
         ready = new FrontListener(
-                worker, settings.readyAddress(), SERVICE_CONNECTIONS, none.limits(), this::answerReadiness);
+                worker, settings.readyAddress(), SERVICE_CONNECTIONS, limits, this::answerReadiness);
         metricsListener = settings.metricsPort() == 0
                 ? null
-                : new FrontListener(worker, metricsAddress(), SERVICE_CONNECTIONS, none.limits(), this::answerMetrics);
+                : new FrontListener(worker, metricsAddress(), SERVICE_CONNECTIONS, limits, this::answerMetrics);
+        timer = Executors.newSingleThreadScheduledExecutor(EntryHost::timerThread);
         timer.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
         LogLine.event("host-started")
                 .with("host", settings.hostId())
@@ -112,6 +135,7 @@
 
     /** Finishes the requests in flight and stops; blocks for as long as the settings allow. */
     public void drain() {
+        control.put(now -> residency.leave());
         new EntryDrain(settings, open, callers, closed, clock::now).run(() -> stopping = true);
         close();
     }
@@ -129,13 +153,15 @@
         if (metricsListener != null) {
             metricsListener.close();
         }
+        mesh.close();
         requests.loop().close();
         control.close();
+        lanes.close();
         worker.close();
         LogLine.event("host-stopped").with("host", settings.hostId()).info(LOG);
     }
 
-    private EntryRequests requests(Installation installation, RequestDialect dialect) {
+    private EntryRequests requests(Installation installation) {
         CallerEffects effects = new CallerEffects(
                 open,
                 view::endpoint,
@@ -144,14 +170,31 @@
                 new EntryLinks(),
                 null,
                 new EntryGate((endpoint, target) -> requests().lacks(endpoint, target)),
-                dialect.calls());
-        return new EntryRequests(settings, effects, clock.wallMillis(), clock::now);
+                installation.requests().calls());
+        return new EntryRequests(
+                settings, effects, targets -> exchange().wanted(targets), incarnation, clock::now);
     }
 
     private EntryRequests requests() {
         return requests;
     }
 
+    private PeerExchange exchange() {
+        return exchange;
+    }
+
+    private FrontHandler frontHandler(RequestDialect dialect, RandomGenerator random) {
+        return new FrontHandler(
+                view,
+                dialect,
+                new RequestFactory(dialect, open, random),
+                open,
+                new RequestIntake(open, requests.loop()),
+                requests::arrived,
+                metrics,
+                clock::now);
+    }
+
     private void configured(ServingConfiguration configuration) {
         callers.limits(configuration.limits());
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
@@ -14,6 +14,7 @@
 import org.gooseberryring.coordination.request.FairRequestQueue;
 import org.gooseberryring.coordination.request.RequestEffect;
 import org.gooseberryring.coordination.request.RequestEngine;
+import org.gooseberryring.coordination.request.RequestSpec;
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.coordination.retry.CrashSuspects;
 import org.gooseberryring.coordination.retry.RouteRetries;
@@ -40,10 +41,16 @@
      * Creates the thread; it is not started.
      *
      * @param effects carries out what the engine decides
+     * @param wanted hears which models and adapters requests wait for, on the request thread
      * @param seed seed of the choice among equal endpoints
      * @param clock monotonic milliseconds
      */
-    EntryRequests(EntrySettings settings, CallerEffects effects, long seed, LongSupplier clock) {
+    EntryRequests(
+            EntrySettings settings,
+            CallerEffects effects,
+            Consumer<List<Target.RoutedTarget>> wanted,
+            long seed,
+            LongSupplier clock) {
         router = new DirectRouter(settings.failureDomain(), new Random(seed));
         retries = new RouteRetries(settings.retries());
         RequestEngine engine = new RequestEngine(
@@ -53,7 +60,7 @@
                 retries,
                 new CrashSuspects(),
                 MAX_RUN_MILLIS);
-        loop = new RequestLoop(RING_SIZE, engine, new LimitTicks(limits), effects, clock);
+        loop = new RequestLoop(RING_SIZE, engine, new AfterInputs(limits, router, wanted), effects, clock);
         effects.connect(loop);
     }
 
@@ -61,6 +68,15 @@
         return loop;
     }
 
+    /** Hands a new request to the engine; returns false if there is no room for new work. */
+    boolean arrived(RequestSpec spec) {
+        loop.offer((engine, now) -> {
+            router.asked(spec.target(), spec.handling().prompt(), now);
+            return List.of();
+        });
+        return loop.arrived(spec);
+    }
+
     /** Takes over a configuration. */
     void configured(ServingConfiguration configuration) {
         List<Organisation> organisations = configuration.organisations().values().stream()
@@ -100,7 +116,7 @@
     /** Takes over what an endpoint holds, as its controller says. */
     void holds(String endpoint, List<ResidentModel> models) {
         loop.put((engine, now) -> {
-            router.holds(endpoint, models);
+            router.holds(endpoint, models, now);
             return engine.changed(now);
         });
     }
@@ -122,19 +138,19 @@
         });
     }
 
-    /** Takes over what another host serves and is asked for. */
-    void peer(String host, Map<String, EndpointUse> uses, Map<String, Double> tokensPerSecond) {
+    /** Takes over what another host serves and has admitted. */
+    void peer(String host, long incarnation, Map<String, EndpointUse> uses, Map<String, Long> usedTokens) {
         loop.offer((engine, now) -> {
             router.usedBy(host, uses);
-            limits.demandOf(host, tokensPerSecond, now);
+            limits.usedBy(host + "/" + incarnation, usedTokens, now);
             return engine.changed(now);
         });
     }
 
-    /** Hands what this host serves and is asked for to the receiver, on the request thread. */
+    /** Hands what this host serves, has admitted and is asked for to the receiver, on the request thread. */
     void snapshot(Consumer<HostSnapshot> receiver) {
         loop.offer((engine, now) -> {
-            receiver.accept(new HostSnapshot(router.uses(), limits.demands(now), router.takeWanted()));
+            receiver.accept(new HostSnapshot(router.uses(), limits.used(), router.demands(now)));
             return List.of();
         });
     }
@@ -143,21 +159,29 @@
      * State of the request thread that other hosts need.
      *
      * @param uses what its requests take of each endpoint
-     * @param tokensPerSecond tokens asked for by organisation
-     * @param wanted targets that no endpoint holds
+     * @param usedTokens tokens admitted since the start of this process by organisation
+     * @param artifacts tokens a second that are asked for by model and adapter
      */
     record HostSnapshot(
-            Map<String, EndpointUse> uses, Map<String, Double> tokensPerSecond, List<Target.RoutedTarget> wanted) {}
+            Map<String, EndpointUse> uses,
+            Map<String, Long> usedTokens,
+            Map<Target.RoutedTarget, Double> artifacts) {}
 
-    private record LimitTicks(SharedLimits limits) implements LimiterInputs {
+    private record AfterInputs(
+            SharedLimits limits, DirectRouter router, Consumer<List<Target.RoutedTarget>> wanted)
+            implements LimiterInputs {
         @Override
         public void tick(long now) {
             limits.tick(now);
         }
 
+        /** Shared limits decide at once, so no decision is pending; what requests lack is asked for. */
         @Override
         public void settle(RequestEngine engine, Consumer<RequestEffect> effects, long now) {
-            // Shared limits decide at once, so no decision is ever pending.
+            List<Target.RoutedTarget> lacking = router.takeWanted();
+            if (!lacking.isEmpty()) {
+                wanted.accept(lacking);
+            }
         }
     }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
@@ -5,10 +5,12 @@
 import java.util.HexFormat;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
 import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import org.gooseberryring.coordination.request.RequestSpec;
 import org.gooseberryring.host.HostMetrics;
 import org.gooseberryring.host.caller.Digests;
 import org.gooseberryring.host.caller.HeaderRules;
@@ -17,7 +19,6 @@
 import org.gooseberryring.host.caller.Refusal;
 import org.gooseberryring.host.caller.RefusedException;
 import org.gooseberryring.host.caller.RequestIntake;
-import org.gooseberryring.host.engine.RequestLoop;
 import org.gooseberryring.host.log.LogLine;
 import org.gooseberryring.state.ApiKey;
 import org.gooseberryring.state.ErrorCode;
@@ -42,18 +43,23 @@
     private final RequestFactory factory;
     private final OpenRequests open;
     private final RequestIntake intake;
-    private final RequestLoop loop;
+    private final Predicate<RequestSpec> requests;
     private final HostMetrics metrics;
     private final LongSupplier clock;
 
-    /** Creates a handler; {@code clock} gives monotonic milliseconds. */
+    /**
+     * Creates a handler.
+     *
+     * @param requests hands a request to the request thread; returns false if that has no room
+     * @param clock monotonic milliseconds
+     */
     FrontHandler(
             InstallationView view,
             RequestDialect dialect,
             RequestFactory factory,
             OpenRequests open,
             RequestIntake intake,
-            RequestLoop loop,
+            Predicate<RequestSpec> requests,
             HostMetrics metrics,
             LongSupplier clock) {
         this.view = view;
@@ -61,7 +67,7 @@
         this.factory = factory;
         this.open = open;
         this.intake = intake;
-        this.loop = loop;
+        this.requests = requests;
         this.metrics = metrics;
         this.clock = clock;
     }
@@ -136,7 +142,7 @@
                 (e, body) -> {
                     timer.remove();
                     OpenRequest request = factory.create(e, arrival, admitted, body);
-                    intake.take(e, request, loop::arrived);
+                    intake.take(e, request, requests);
                 },
                 (e, failure) -> {
                     timer.remove();
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/Installation.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/Installation.java
@@ -1,8 +1,10 @@
 package org.gooseberryring.host.entry;
 
+import org.gooseberryring.protocol.HostEntry;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.ServingConfiguration;
 import org.gooseberryring.transport.endpoint.EndpointProtocol;
+import org.gooseberryring.transport.store.ObjectStore;
 
 /** What an entry host needs to know of the platform that it runs on. */
 public interface Installation {
@@ -20,4 +22,13 @@
 
     /** Returns how endpoints are spoken to. */
     EndpointProtocol endpointProtocol();
+
+    /** Returns the collection in which the hosts register. */
+    CollectionSource<HostEntry> hosts();
+
+    /** Returns the store of what hosts must agree on. */
+    ObjectStore objects();
+
+    /** Returns how endpoints are ordered to load and unload, on behalf of the given host. */
+    EndpointOrders orders(String hostId);
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationFeeds.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationFeeds.java
@@ -7,8 +7,10 @@
 
 import org.gooseberryring.coordination.feed.FeedListener;
 import org.gooseberryring.coordination.feed.FeedTimes;
+import org.gooseberryring.coordination.residency.ResidencyController;
 import org.gooseberryring.host.control.ControlLoop;
 import org.gooseberryring.host.log.LogLine;
+import org.gooseberryring.protocol.HostEntry;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.ServingConfiguration;
 import org.jboss.logging.Logger;
@@ -23,6 +25,9 @@
      */
     private static final long WATCH_MILLIS = 2_000;
 
+    /** Longest wait of a watch of the hosts; a new host also tells the others its address. */
+    private static final long HOST_WATCH_MILLIS = 10_000;
+
     private static final long MIN_RETRY_MILLIS = 100;
     private static final long MAX_RETRY_MILLIS = 800;
 
@@ -34,24 +39,34 @@
 
     private final InstallationView view;
     private final EntryRequests requests;
+    private final ResidencyController controller;
     private final Consumer<ServingConfiguration> adopted;
     private final Set<String> domainsOut = new HashSet<>();
     private final FeedRunner<ServingConfiguration> configurations;
     private final FeedRunner<EndpointRegistration> endpoints;
     private final FeedRunner<DomainExit> exits;
+    private final FeedRunner<HostEntry> hosts;
     private volatile boolean endpointsListed;
 
-    /** Creates the feeds; {@code adopted} hears of each configuration that takes effect. */
+    /**
+     * Creates the feeds.
+     *
+     * @param hostListener hears of the other hosts
+     * @param adopted hears of each configuration that takes effect
+     */
     InstallationFeeds(
             Installation installation,
             ControlLoop control,
             InstallationView view,
             EntryRequests requests,
+            ResidencyController controller,
+            FeedListener<HostEntry> hostListener,
             Consumer<ServingConfiguration> adopted,
             SplittableRandom random,
             long now) {
         this.view = view;
         this.requests = requests;
+        this.controller = controller;
         this.adopted = adopted;
         configurations = new FeedRunner<>(
                 installation.configurations(), control, times(0), new Configurations(), random.split(), now);
@@ -63,6 +78,7 @@
                 random.split(),
                 now);
         exits = new FeedRunner<>(installation.domainExits(), control, times(0), new Exits(), random.split(), now);
+        hosts = new FeedRunner<>(installation.hosts(), control, hostTimes(), hostListener, random.split(), now);
     }
 
     /** Lets time pass; must be called on the control thread. */
@@ -70,6 +86,7 @@
         configurations.tick(now);
         endpoints.tick(now);
         exits.tick(now);
+        hosts.tick(now);
     }
 
     /** Returns whether the endpoints were listed at least once. */
@@ -81,6 +98,10 @@
         return new FeedTimes(WATCH_MILLIS, MIN_RETRY_MILLIS, MAX_RETRY_MILLIS, OUTAGE_MILLIS, graceMillis);
     }
 
+    private static FeedTimes hostTimes() {
+        return new FeedTimes(HOST_WATCH_MILLIS, MIN_RETRY_MILLIS, MAX_RETRY_MILLIS, OUTAGE_MILLIS, 0);
+    }
+
     private static void logContact(String collection, boolean inContact) {
         LogLine.event(inContact ? "store-regained" : "store-lost")
                 .with("collection", collection)
@@ -104,6 +125,7 @@
                     .with("organisations", value.organisations().size())
                     .info(LOG);
             requests.configured(value);
+            controller.configured(value);
             adopted.accept(value);
         }
 
@@ -127,6 +149,7 @@
             }
             view.registered(value);
             requests.registered(value);
+            controller.registered(value);
             LogLine.event("endpoint-registered")
                     .with("endpoint", name)
                     .with("service", value.service())
@@ -142,6 +165,7 @@
             if (view.registration(name) != null) {
                 view.unregistered(name);
                 requests.unregistered(name);
+                controller.unregistered(name);
                 LogLine.event("endpoint-gone").with("endpoint", name).info(LOG);
             }
         }
@@ -176,7 +200,8 @@
         }
 
         private void apply(String domain, boolean out) {
-            requests.domainsOut(domainsOut);
+            requests.domainsOut(Set.copyOf(domainsOut));
+            controller.domainsOut(domainsOut);
             LogLine.event("failure-domain")
                     .with("failureDomain", domain)
                     .with("out", out)
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -0,0 +1,156 @@
+package org.gooseberryring.host.entry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.gooseberryring.coordination.request.Target;
+import org.gooseberryring.coordination.residency.ResidencyController;
+import org.gooseberryring.coordination.residency.ResidencyEffect;
+import org.gooseberryring.host.control.ControlLoop;
+import org.gooseberryring.protocol.peer.EndpointHoldings;
+import org.gooseberryring.protocol.peer.HostState;
+import org.gooseberryring.protocol.peer.PeerHeard;
+import org.gooseberryring.protocol.peer.PeerMessage;
+
+/**
+ * Tells the other hosts what this one serves, is asked for and orders, and takes over what they say.
+ *
+ * <p>All methods are called on the control thread unless stated otherwise.
+ */
+final class PeerExchange {
+    private static final long STATE_MILLIS = 250;
+
+    /** Waiting requests ask for what they lack at most this often. */
+    private static final long WANTED_MILLIS = 100;
+
+    /** A controller that was not heard of for this long is not asked. */
+    private static final long SILENT_CONTROLLER_MILLIS = 4_000;
+
+    private static final long NEVER = -1;
+
+    private final String hostId;
+    private final String failureDomain;
+    private final ControlLoop control;
+    private final EntryRequests requests;
+    private final ResidencyController controller;
+    private final Map<String, Controller> controllers = new HashMap<>();
+    private final Map<Target.RoutedTarget, Long> askedAt = new HashMap<>();
+    private PeerMesh mesh;
+    private long stateAt;
+    private int hosts;
+
+    private record Controller(String host, long term, long heardAt) {}
+
+    PeerExchange(
+            EntrySettings settings, ControlLoop control, EntryRequests requests, ResidencyController controller) {
+        this.hostId = settings.hostId();
+        this.failureDomain = settings.failureDomain();
+        this.control = control;
+        this.requests = requests;
+        this.controller = controller;
+    }
+
+    /** Names the links to the other hosts; must precede the first message. */
+    void connect(PeerMesh peerMesh) {
+        mesh = peerMesh;
+    }
+
+    /** Lets time pass. */
+    void tick(long now) {
+        askedAt.values().removeIf(at -> now - at > WANTED_MILLIS);
+        if (now < stateAt) {
+            return;
+        }
+        stateAt = now + STATE_MILLIS;
+        int count = mesh.heard().size() + 1;
+        if (count != hosts) {
+            hosts = count;
+            requests.hosts(count);
+        }
+        requests.snapshot(snapshot -> control.offer(at -> tell(snapshot, at)));
+    }
+
+    /** Takes a message of another host; may be called on any thread. */
+    void received(String sender, PeerMessage message) {
+        switch (message.getBodyCase()) {
+            case HOST_STATE -> control.offer(now -> state(message, now));
+            case ARTIFACTS_WANTED -> control.offer(
+                    now -> controller.wanted(PeerCodec.targets(message.getArtifactsWanted()), now));
+            case ENDPOINT_HOLDINGS -> control.offer(now -> holdings(sender, message.getEndpointHoldings(), now));
+            default -> {
+                // A message of a later version of the program, or one that this host has no part in.
+            }
+        }
+    }
+
+    /** Asks the controllers for artifacts that requests of this host wait for; may be called on any thread. */
+    void wanted(List<Target.RoutedTarget> targets) {
+        control.offer(now -> ask(targets, now));
+    }
+
+    /** Tells all hosts what endpoints hold, on behalf of the controller of this failure domain. */
+    void announce(long term, List<ResidencyEffect.Announce> endpoints) {
+        controllers.put(failureDomain, new Controller(hostId, term, Long.MAX_VALUE));
+        endpoints.forEach(endpoint -> requests.holds(endpoint.endpoint(), endpoint.models()));
+        EndpointHoldings holdings = PeerCodec.encode(failureDomain, term, endpoints);
+        mesh.broadcast(PeerMessage.newBuilder().setEndpointHoldings(holdings).buildPartial());
+    }
+
+    private void tell(EntryRequests.HostSnapshot snapshot, long now) {
+        controller.demandOf(hostId, snapshot.artifacts(), now);
+        HostState state = PeerCodec.encode(snapshot, mesh.heardAges(now));
+        mesh.broadcast(PeerMessage.newBuilder().setHostState(state).buildPartial());
+    }
+
+    private void state(PeerMessage message, long now) {
+        String sender = message.getSender();
+        HostState state = message.getHostState();
+        long age = NEVER;
+        for (PeerHeard heard : state.getHeardList()) {
+            if (heard.getHost().equals(hostId)) {
+                age = heard.getAgeMillis();
+            }
+        }
+        mesh.heard(sender, age, now);
+        requests.peer(
+                sender, message.getSenderIncarnation(), PeerCodec.uses(state), PeerCodec.usedTokens(state));
+        controller.demandOf(sender, PeerCodec.artifacts(state), now);
+    }
+
+    private void holdings(String sender, EndpointHoldings holdings, long now) {
+        Controller known = controllers.get(holdings.getFailureDomain());
+        if (known != null && known.term() > holdings.getTerm()) {
+            return;
+        }
+        controllers.put(holdings.getFailureDomain(), new Controller(sender, holdings.getTerm(), now));
+        for (ResidencyEffect.Announce endpoint : PeerCodec.endpoints(holdings)) {
+            controller.holds(endpoint.endpoint(), endpoint.models());
+            requests.holds(endpoint.endpoint(), endpoint.models());
+        }
+    }
+
+    private void ask(List<Target.RoutedTarget> targets, long now) {
+        Map<String, List<Target.RoutedTarget>> byHost = new HashMap<>();
+        for (Target.RoutedTarget target : targets) {
+            if (askedAt.putIfAbsent(target, now) != null) {
+                continue;
+            }
+            for (String domain : controller.providers(target)) {
+                Controller provider = controllers.get(domain);
+                if (provider != null && now - provider.heardAt() <= SILENT_CONTROLLER_MILLIS) {
+                    byHost.computeIfAbsent(provider.host(), host -> new ArrayList<>())
+                            .add(target);
+                }
+            }
+        }
+        byHost.forEach((host, wanted) -> {
+            if (host.equals(hostId)) {
+                controller.wanted(wanted, now);
+            } else {
+                mesh.send(host, PeerMessage.newBuilder().setArtifactsWanted(PeerCodec.wanted(wanted)));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerMesh.java
@@ -0,0 +1,245 @@
+package org.gooseberryring.host.entry;
+
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BiConsumer;
+
+import org.gooseberryring.coordination.feed.FeedListener;
+import org.gooseberryring.coordination.store.StoreOutcome;
+import org.gooseberryring.coordination.store.StoreReply;
+import org.gooseberryring.coordination.store.StoreRequest;
+import org.gooseberryring.host.HostMetrics;
+import org.gooseberryring.host.control.ControlLoop;
+import org.gooseberryring.host.control.StoreLanes;
+import org.gooseberryring.host.fleet.HostDirectory;
+import org.gooseberryring.host.log.LogLine;
+import org.gooseberryring.protocol.HostEntry;
+import org.gooseberryring.protocol.Json;
+import org.gooseberryring.protocol.peer.PeerMessage;
+import org.gooseberryring.transport.peer.PeerLimits;
+import org.gooseberryring.transport.peer.PeerLinks;
+import org.jboss.logging.Logger;
+
+/**
+ * Links of this host to the others, which it finds in the platform's store.
+ *
+ * <p>The first host creates the secret that all share. Each host registers its address. A link whose other end has not
+ * heard of this host for a while is opened anew. All methods are called on the control thread unless stated otherwise.
+ */
+final class PeerMesh implements FeedListener<HostEntry>, AutoCloseable {
+    /** Collection of the hosts' addresses. */
+    static final String HOSTS = "hosts";
+
+    private static final Logger LOG = Logger.getLogger(PeerMesh.class);
+    private static final String SECRET_KEY = "secrets/peers";
+    private static final int SECRET_BYTES = 32;
+    private static final long RETRY_MILLIS = 500;
+    private static final long MESSAGE_MILLIS = 1_000;
+    private static final int MAX_QUEUED_FRAMES = 256;
+
+    /** A host that is silent for this long does not count any more. */
+    private static final long SILENT_MILLIS = 10_000;
+
+    /** Age of the last message at the other end after which a link is opened anew. */
+    private static final long STALE_LINK_MILLIS = 1_500;
+
+    private final EntrySettings settings;
+    private final long incarnation;
+    private final StoreLanes lanes;
+    private final ControlLoop control;
+    private final HostMetrics metrics;
+    private final BiConsumer<String, PeerMessage> receiver;
+    private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+    private final Map<String, Long> heardAt = new ConcurrentHashMap<>();
+    private final Map<String, Long> renewedAt = new HashMap<>();
+    private volatile PeerLinks links;
+    private boolean registered;
+    private boolean calling;
+    private long retryAt;
+
+    /** Creates a mesh; {@code receiver} takes the messages of other hosts, on a link's thread. */
+    PeerMesh(
+            EntrySettings settings,
+            long incarnation,
+            StoreLanes lanes,
+            ControlLoop control,
+            HostMetrics metrics,
+            BiConsumer<String, PeerMessage> receiver) {
+        this.settings = settings;
+        this.incarnation = incarnation;
+        this.lanes = lanes;
+        this.control = control;
+        this.metrics = metrics;
+        this.receiver = receiver;
+    }
+
+    /** Lets time pass. */
+    void tick(long now) {
+        heardAt.values().removeIf(at -> now - at > SILENT_MILLIS);
+        if (calling || now < retryAt) {
+            return;
+        }
+        if (links == null) {
+            read(SECRET_KEY, this::secretRead);
+        } else if (!registered) {
+            read(ownKey(), this::entryRead);
+        }
+    }
+
+    /** Returns the other hosts that were heard of lately. */
+    Set<String> heard() {
+        return new TreeSet<>(heardAt.keySet());
+    }
+
+    /** Returns how many milliseconds ago each other host was heard of. */
+    Map<String, Long> heardAges(long now) {
+        Map<String, Long> ages = new HashMap<>();
+        heardAt.forEach((host, at) -> ages.put(host, now - at));
+        return ages;
+    }
+
+    /** Notes a message of another host and how long ago that host heard of this one, -1 if never. */
+    void heard(String host, long ageAtOtherEnd, long now) {
+        heardAt.put(host, now);
+        long renewed = renewedAt.getOrDefault(host, Long.MIN_VALUE / 2);
+        boolean stale = ageAtOtherEnd > STALE_LINK_MILLIS && now - renewed > STALE_LINK_MILLIS;
+        if (stale && links != null && addresses.containsKey(host)) {
+            renewedAt.put(host, now);
+            links.forget(host);
+            links.peer(host, addresses.get(host));
+            LogLine.event("peer-link-renewed")
+                    .with("host", host)
+                    .with("ageMs", ageAtOtherEnd)
+                    .info(LOG);
+        }
+    }
+
+    /** Sends a message to a host; may be called on any thread. */
+    void send(String host, PeerMessage.Builder message) {
+        PeerLinks open = links;
+        if (open != null) {
+            open.send(host, message, MESSAGE_MILLIS);
+        }
+    }
+
+    /** Sends a message to all other hosts. */
+    void broadcast(PeerMessage message) {
+        for (String host : addresses.keySet()) {
+            send(host, message.toBuilder());
+        }
+    }
+
+    @Override
+    public void changed(String name, HostEntry entry, long now) {
+        InetSocketAddress address = entry == null ? null : HostDirectory.address(entry.peerAddress());
+        if (name.equals(settings.hostId()) || address == null) {
+            return;
+        }
+        addresses.put(name, address);
+        if (links != null) {
+            links.peer(name, address);
+        }
+    }
+
+    @Override
+    public void removed(String name, long now) {
+        addresses.remove(name);
+        if (links != null) {
+            links.forget(name);
+        }
+    }
+
+    @Override
+    public void close() {
+        if (links != null) {
+            links.close();
+        }
+    }
+
+    private void secretRead(StoreReply reply, long now) {
+        if (reply.outcome() == StoreOutcome.OK) {
+            open(Json.read(reply.value(), PeerSecret.class));
+        } else if (reply.outcome() == StoreOutcome.ABSENT) {
+            byte[] bytes = new byte[SECRET_BYTES];
+            new SecureRandom().nextBytes(bytes);
+            PeerSecret secret = new PeerSecret(Base64.getEncoder().encodeToString(bytes));
+            // The secret counts once it is read back, since another host may have created it.
+            write(SECRET_KEY, StoreRequest.Put.ABSENT, Json.write(secret), (written, at) -> retryAt = at);
+        } else {
+            retryAt = now + RETRY_MILLIS;
+        }
+    }
+
+    private void open(PeerSecret secret) {
+        PeerLinks opened = new PeerLinks(
+                settings.hostId(),
+                incarnation,
+                Base64.getDecoder().decode(secret.secret()),
+                PeerLimits.defaults(MAX_QUEUED_FRAMES),
+                message -> receiver.accept(message.getSender(), message),
+                metrics.registry());
+        opened.listen(settings.peerAddress());
+        addresses.forEach(opened::peer);
+        links = opened;
+    }
+
+    private void entryRead(StoreReply reply, long now) {
+        boolean absent = reply.outcome() == StoreOutcome.ABSENT;
+        if (!absent && reply.outcome() != StoreOutcome.OK) {
+            retryAt = now + RETRY_MILLIS;
+            return;
+        }
+        InetSocketAddress address = settings.peerAddress();
+        HostEntry entry = new HostEntry(
+                settings.hostId(),
+                settings.failureDomain(),
+                address.getAddress().getHostAddress() + ":" + address.getPort(),
+                "",
+                HostDirectory.LIVE);
+        long version = absent ? StoreRequest.Put.ABSENT : reply.version();
+        write(ownKey(), version, Json.write(entry), (written, at) -> {
+            registered = written.outcome() == StoreOutcome.OK;
+            retryAt = at + RETRY_MILLIS;
+        });
+    }
+
+    private String ownKey() {
+        return HOSTS + "/" + settings.hostId();
+    }
+
+    private void read(String key, ReplyHandler handler) {
+        call(new StoreRequest.Read(key), handler);
+    }
+
+    private void write(String key, long version, byte[] value, ReplyHandler handler) {
+        call(new StoreRequest.Put(key, version, value), handler);
+    }
+
+    private void call(StoreRequest request, ReplyHandler handler) {
+        calling = true;
+        lanes.submit(
+                request,
+                reply -> control.put(now -> {
+                    calling = false;
+                    handler.handle(reply, now);
+                }));
+    }
+
+    /**
+     * Secret that all hosts share, as it is stored.
+     *
+     * @param secret random bytes in Base64
+     */
+    record PeerSecret(String secret) {}
+
+    @FunctionalInterface
+    private interface ReplyHandler {
+        void handle(StoreReply reply, long now);
+    }
+}
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
@@ -0,0 +1,159 @@
+package org.gooseberryring.host.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+
+import org.gooseberryring.coordination.order.DomainLease;
+import org.gooseberryring.coordination.order.OrderEffect;
+import org.gooseberryring.coordination.residency.ArtifactOrder;
+import org.gooseberryring.coordination.residency.EndpointStatus;
+import org.gooseberryring.coordination.residency.OrderAnswer;
+import org.gooseberryring.coordination.residency.ResidencyController;
+import org.gooseberryring.coordination.residency.ResidencyEffect;
+import org.gooseberryring.host.control.ControlLoop;
+import org.gooseberryring.host.control.JsonOrderCodec;
+import org.gooseberryring.host.control.StoreLanes;
+import org.gooseberryring.host.log.LogLine;
+import org.gooseberryring.state.EndpointRegistration;
+import org.jboss.logging.Logger;
+
+/** Holds the lease of a failure domain and carries out what its residency controller decides. */
+final class ResidencyControl {
+    private static final Logger LOG = Logger.getLogger(ResidencyControl.class);
+
+    /** Milliseconds after the last renewal for which orders may be sent. */
+    private static final long ORDER_MILLIS = 1_900;
+
+    /** Time in which an order reaches its endpoint. */
+    private static final long TRANSIT_MILLIS = 200;
+
+    private final ResidencyController controller;
+    private final DomainLease lease;
+    private final StoreLanes lanes;
+    private final ControlLoop control;
+    private final EndpointOrders orders;
+    private final InstallationView view;
+    private final Announcer announcer;
+    private final SuspensionGuard guard;
+    private long leadingTerm;
+
+    /** Tells all hosts, this one included, what an endpoint holds. */
+    @FunctionalInterface
+    interface Announcer {
+        void announce(long term, List<ResidencyEffect.Announce> endpoints);
+    }
+
+    /** Creates the control; {@code wallClock} gives milliseconds since the Unix epoch. */
+    ResidencyControl(
+            EntrySettings settings,
+            ResidencyController controller,
+            StoreLanes lanes,
+            ControlLoop control,
+            EndpointOrders orders,
+            InstallationView view,
+            Announcer announcer,
+            LongSupplier wallClock,
+            RandomGenerator random) {
+        this.controller = controller;
+        this.lanes = lanes;
+        this.control = control;
+        this.orders = orders;
+        this.view = view;
+        this.announcer = announcer;
+        this.guard = new SuspensionGuard(wallClock);
+        // The next holder takes the lease when the last order of this one is as old as the installation demands.
+        long leaseMillis = ORDER_MILLIS + TRANSIT_MILLIS + settings.orderLeaseMillis();
+        this.lease = new DomainLease(
+                settings.hostId(), settings.failureDomain(), leaseMillis, new JsonOrderCodec(), random);
+    }
+
+    /** Lets time pass; must be called on the control thread. */
+    void tick(long now) {
+        call(lease.onTick(now));
+        boolean mayOrder = lease.renewedWithin(ORDER_MILLIS, now) && guard.holds(now);
+        long term = mayOrder ? lease.term() : 0;
+        if (term != leadingTerm && (term != 0 || !lease.leads(now))) {
+            leadingTerm = term;
+            LogLine.event("controller-term").with("term", term).info(LOG);
+        }
+        carryOut(controller.onTick(term, now));
+    }
+
+    /** Gives the lease up, as for a graceful stop; the next holder waits until it has run out. */
+    void leave() {
+        lease.candidate(false);
+    }
+
+    private void call(List<OrderEffect> effects) {
+        for (OrderEffect effect : effects) {
+            if (effect instanceof OrderEffect.Call call) {
+                lanes.submit(
+                        call.request(),
+                        reply -> control.put(now -> {
+                            boolean before = lease.renewedWithin(ORDER_MILLIS, now);
+                            call(lease.onReply(reply, now));
+                            if (!before || lease.renewedWithin(TRANSIT_MILLIS, now)) {
+                                guard.confirm(now);
+                            }
+                        }));
+            }
+        }
+    }
+
+    private void carryOut(List<ResidencyEffect> effects) {
+        List<ResidencyEffect.Announce> announcements = new ArrayList<>();
+        for (ResidencyEffect effect : effects) {
+            if (effect instanceof ResidencyEffect.Send send) {
+                send(send.order());
+            } else if (effect instanceof ResidencyEffect.AskStatus ask) {
+                askStatus(ask.endpoint());
+            } else if (effect instanceof ResidencyEffect.Announce announce) {
+                announcements.add(announce);
+            }
+        }
+        if (!announcements.isEmpty()) {
+            announcer.announce(lease.term(), announcements);
+        }
+    }
+
+    private void send(ArtifactOrder order) {
+        EndpointRegistration endpoint = view.registration(order.endpoint());
+        if (endpoint == null) {
+            controller.answered(order, OrderAnswer.REFUSED, 0);
+            return;
+        }
+        orders.send(endpoint, order).whenComplete((answer, failure) -> control.put(now -> {
+            OrderAnswer known = answer == null ? OrderAnswer.UNKNOWN : answer;
+            LogLine.event("order-answered")
+                    .with("endpoint", order.endpoint())
+                    .with("action", order.action())
+                    .with("model", order.model())
+                    .with("adapter", order.adapter())
+                    .with("sequence", order.expectedSequence())
+                    .with("term", order.term())
+                    .with("answer", known)
+                    .info(LOG);
+            controller.answered(order, known, now);
+        }));
+    }
+
+    private void askStatus(String id) {
+        EndpointRegistration endpoint = view.registration(id);
+        if (endpoint == null) {
+            controller.statusFailed(id);
+            return;
+        }
+        orders.status(endpoint).whenComplete((status, failure) -> control.put(now -> taken(id, status, now)));
+    }
+
+    /** Takes a status, null if there was no answer. */
+    private void taken(String id, EndpointStatus status, long now) {
+        if (status == null) {
+            controller.statusFailed(id);
+        } else {
+            controller.status(status, now);
+        }
+    }
+}
