--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -43,6 +43,9 @@
     /** Tokens by which an endpoint at which the request has failed already is worse. */
     private static final double FAILED_BEFORE_TOKENS = 200_000;
 
+    /** Time in which a controller loads an adapter to an endpoint that holds its model. */
+    private static final long ADAPTER_MILLIS = 150;
+
     /** Artifacts that are wanted and not held; more are not loaded within the time of a request anyway. */
     private static final int MAX_WANTED = 256;
 
@@ -54,6 +57,7 @@
     private final Map<String, DirectEndpoint> endpoints = new LinkedHashMap<>();
     private final Map<String, List<DirectEndpoint>> byService = new HashMap<>();
     private final Map<Target.RoutedTarget, RateMeter> demand = new HashMap<>();
+    private final ArrivalEstimate arrivals = new ArrivalEstimate();
     private final Set<Target.RoutedTarget> wanted = new LinkedHashSet<>();
     private ServingConfiguration configuration = ServingConfiguration.none();
     private Set<String> domainsOut = Set.of();
@@ -181,8 +185,9 @@
             }
         }
         if (holders.isEmpty()) {
-            return missing(target, !inService.isEmpty());
+            return missing(query, target, !inService.isEmpty(), now);
         }
+        arrivals.arrived(target);
         DirectEndpoint best = cheapest(holders, query, now);
         return best == null ? RouteChoice.WAIT : best.choice();
     }
@@ -274,15 +279,27 @@
         return best;
     }
 
-    /** Lets a request wait for what no endpoint holds, if one may load it. */
-    private RouteChoice missing(Target.RoutedTarget target, boolean serviceRuns) {
-        if (!serviceRuns || !isLoadable(target)) {
+    /** Lets a request wait for what no endpoint holds, if it can be loaded in time. */
+    private RouteChoice missing(RouteQuery query, Target.RoutedTarget target, boolean serviceRuns, long now) {
+        ModelProfile model = serviceRuns ? model(target) : null;
+        if (model == null) {
             return RouteChoice.UNREACHABLE;
         }
         if (wanted.size() < MAX_WANTED) {
             wanted.add(target);
         }
-        return RouteChoice.WAIT;
+        long available = arrivals.millisToArrival(target, loadMillis(target, model), now);
+        return now + available > query.startBy() ? RouteChoice.unreachableFor(available) : RouteChoice.WAIT;
+    }
+
+    private long loadMillis(Target.RoutedTarget target, ModelProfile model) {
+        Target.RoutedTarget base = new Target.RoutedTarget(target.service(), target.model(), null);
+        for (DirectEndpoint endpoint : inService(target.service())) {
+            if (endpoint.holds(base)) {
+                return ADAPTER_MILLIS;
+            }
+        }
+        return model.storeLoadMillis();
     }
 
     private double cost(DirectEndpoint endpoint, RouteQuery query) {
@@ -294,13 +311,13 @@
         return query.failedAt().contains(endpoint.registration().id()) ? cost + FAILED_BEFORE_TOKENS : cost;
     }
 
-    private boolean isLoadable(Target.RoutedTarget target) {
+    /** Returns the model of a target if the configuration has it and its adapter, otherwise null. */
+    private ModelProfile model(Target.RoutedTarget target) {
         ServiceProfile service = configuration.services().get(target.service());
         EngineProfile engine = service == null ? null : service.engine();
-        ModelProfile model = engine == null || target.model() == null
-                ? null
-                : engine.models().get(target.model());
-        return model != null && (target.adapter() == null || model.hasAdapter(target.adapter()));
+        ModelProfile model = engine == null || target.model() == null ? null : engine.models().get(target.model());
+        boolean known = model != null && (target.adapter() == null || model.hasAdapter(target.adapter()));
+        return known ? model : null;
     }
 
     private int coldShares() {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/FairRequestQueue.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/FairRequestQueue.java
@@ -37,7 +37,7 @@
                         spec.priorityClass(),
                         target,
                         spec.costTokens(),
-                        spec.deadline(),
+                        Math.min(spec.deadline(), spec.handling().startBy()),
                         spec),
                 now);
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Handling.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Handling.java
@@ -14,6 +14,7 @@
  * @param cancelsUnused whether a running request is cancelled when nobody waits for it, even if it must not repeat
  * @param rank urgency, 0 first
  * @param objective monotonic time in milliseconds by which the answer should start
+ * @param startBy monotonic time in milliseconds by which an answer must start, or its caller has left
  * @param prompt parts of the prompt
  */
 public record Handling(
@@ -25,6 +26,7 @@
         boolean cancelsUnused,
         int rank,
         long objective,
+        long startBy,
         PromptShape prompt) {
     private static final int STANDARD_SENDS = 3;
 
@@ -32,5 +34,5 @@
 
     /** Handling of the product's own caller interface, which has no routes. */
     public static final Handling STANDARD = new Handling(
-            "", STANDARD_SENDS, false, false, false, false, STANDARD_RANK, Long.MAX_VALUE, PromptShape.NONE);
+            "", STANDARD_SENDS, false, false, false, false, STANDARD_RANK, Long.MAX_VALUE, Long.MAX_VALUE, PromptShape.NONE);
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -205,7 +205,7 @@
         } else if (work.spec().deadline() <= now) {
             refuse(work, Reason.DEADLINE, RETRY_AFTER_MILLIS, now);
         } else if (choose(work, now).kind() == RouteChoice.Kind.UNREACHABLE) {
-            refuse(work, Reason.NO_ENDPOINT, RETRY_AFTER_MILLIS, now);
+            refuse(work, Reason.NO_ENDPOINT, availableMillis(work), now);
         } else {
             Admission decision = Admission.admitted();
             if (work.needsTokens()) {
@@ -305,7 +305,7 @@
             if (suspects.isQuarantined(spec.digest())) {
                 refuse(work, Reason.QUARANTINED, 0, now);
             } else if (work.choice().kind() == RouteChoice.Kind.UNREACHABLE) {
-                refuse(work, Reason.NO_ENDPOINT, RETRY_AFTER_MILLIS, now);
+                refuse(work, Reason.NO_ENDPOINT, availableMillis(work), now);
             } else {
                 dispatch(work, now);
             }
@@ -333,13 +333,18 @@
                 alone,
                 work.isRelayed(),
                 spec.handling().prompt(),
-                spec.deadline(),
+                Math.min(spec.deadline(), spec.handling().startBy()),
                 work.failedAt());
         RouteChoice choice = router.choose(query, now);
         work.chosen(choice, query);
         return choice;
     }
 
+    private static long availableMillis(Work work) {
+        long millis = work.choice().availableMillis();
+        return millis > 0 ? millis : RETRY_AFTER_MILLIS;
+    }
+
     private void dispatch(Work work, long now) {
         if (work.attempt() == 0) {
             retries.firstAttempt(work.spec(), now);
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ArtifactDemand.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ArtifactDemand.java
@@ -17,8 +17,13 @@
 
     /** Takes over what the callers of a host ask for. */
     void heard(String host, Map<Target.RoutedTarget, Double> tokensPerSecond, long now) {
-        hosts.put(host, new HostDemand(Map.copyOf(tokensPerSecond), now));
-        tokensPerSecond.keySet().forEach(target -> used(target, now));
+        HostDemand old = hosts.put(host, new HostDemand(Map.copyOf(tokensPerSecond), now));
+        tokensPerSecond.forEach((target, rate) -> {
+            // The rate of what is not asked for any more only falls.
+            if (old == null || rate > old.tokensPerSecond().getOrDefault(target, 0.0)) {
+                used(target, now);
+            }
+        });
     }
 
     /** Notes that a request needs a model or adapter. */
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ModelPlacer.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ModelPlacer.java
@@ -14,7 +14,7 @@
     private static final double EVICTION_COST = 100;
 
     /** Cost of unloading the last replica of a model, in tokens a second of demand. */
-    private static final double LAST_REPLICA_COST = 20_000;
+    private static final double LAST_REPLICA_COST = 1_500;
 
     private final Fleet fleet;
 
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ReplicaBalance.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ReplicaBalance.java
@@ -3,15 +3,14 @@
 import java.util.function.ToDoubleFunction;
 
 import org.gooseberryring.state.EndpointRegistration;
-import org.gooseberryring.state.EngineProfile;
 
 /** Finds the model whose next replica takes most load off the endpoints that hold it. */
 final class ReplicaBalance {
-    /** Demand on one replica from which another one is worth its load, in tokens a second. */
-    private static final double BUSY_TOKENS_PER_SECOND = 12_000;
+    /** Demand on an endpoint from which a further replica of one of its models is worth a load, in tokens a second. */
+    private static final double BUSY_TOKENS_PER_SECOND = 10_000;
 
-    /** Part of the demand on a replica that the place for another one may have at most. */
-    private static final double MAX_PLACE_SHARE = 0.5;
+    /** Part of the demand on the busiest endpoint that the new place may have at most once it takes its share. */
+    private static final double MAX_PLACE_SHARE = 0.8;
 
     private final Fleet fleet;
     private final ModelPlacer placer;
@@ -29,36 +28,41 @@
      */
     record Move(String model, ModelPlacer.Place place) {}
 
-    /** Returns the next replica to add for a service, or null if none is worth it. */
-    Move next(String service, ToDoubleFunction<String> demand) {
-        EngineProfile engine = fleet.engine(service);
-        String busiest = null;
-        double most = BUSY_TOKENS_PER_SECOND;
-        for (String model : engine.models().keySet()) {
-            int replicas = fleet.replicas(service, model);
-            double each = replicas == 0 ? 0 : leastLoadedHolder(service, model, demand);
-            if (each > most) {
-                most = each;
-                busiest = model;
-            }
-        }
+    /**
+     * Returns the next replica to add for a service, or null if none is worth it.
+     *
+     * @param demand demand for a model of the service in tokens a second
+     * @param movable whether a model may be unloaded from an endpoint
+     */
+    Move next(String service, ToDoubleFunction<String> demand, ModelPlacer.Movable movable) {
+        EndpointRegistration busiest = busiest(service, demand);
         if (busiest == null) {
             return null;
         }
-        ModelPlacer.Place place =
-                placer.cheapest(service, busiest, demand, (endpoint, model) -> fleet.replicas(service, model) > 1);
-        return place == null || place.cost() > MAX_PLACE_SHARE * most ? null : new Move(busiest, place);
+        double load = placer.load(busiest, demand);
+        Move best = null;
+        double bestLoad = MAX_PLACE_SHARE * load;
+        for (String model : fleet.models(busiest.id())) {
+            ModelPlacer.Place place = placer.cheapest(service, model, demand, movable);
+            double taken = demand.applyAsDouble(model) / (fleet.replicas(service, model) + 1);
+            if (place != null && taken > 0 && place.cost() + taken < bestLoad) {
+                best = new Move(model, place);
+                bestLoad = place.cost() + taken;
+            }
+        }
+        return best;
     }
 
-    /** Returns the demand on the least loaded endpoint that holds a model, which takes the model's next request. */
-    private double leastLoadedHolder(String service, String model, ToDoubleFunction<String> demand) {
-        double least = Double.MAX_VALUE;
+    private EndpointRegistration busiest(String service, ToDoubleFunction<String> demand) {
+        EndpointRegistration busiest = null;
+        double most = BUSY_TOKENS_PER_SECOND;
         for (EndpointRegistration endpoint : fleet.inService(service)) {
-            if (fleet.holds(endpoint.id(), model)) {
-                least = Math.min(least, placer.load(endpoint, demand));
+            double load = placer.load(endpoint, demand);
+            if (load > most) {
+                most = load;
+                busiest = endpoint;
             }
         }
-        boolean asked = demand.applyAsDouble(model) > 0;
-        return asked && least < Double.MAX_VALUE ? least : 0;
+        return busiest;
     }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
@@ -31,6 +31,12 @@
     /** A model that was asked for within this time is not unloaded if it has no other replica. */
     private static final long IDLE_MODEL_MILLIS = 4_000;
 
+    /** The last replica of a model that was asked for within this time does not make room for another replica. */
+    private static final long IDLE_REPLICA_MILLIS = 8_000;
+
+    /** A move that has not ended by then is given up. */
+    private static final long MOVE_MILLIS = 6_000;
+
     /** An adapter that was asked for within this time is not unloaded. */
     private static final long IDLE_ADAPTER_MILLIS = 700;
 
@@ -38,7 +44,7 @@
     private static final long FOREIGN_PLACE_MILLIS = 1_500;
 
     private static final long ANNOUNCE_MILLIS = 1_000;
-    private static final long REBALANCE_MILLIS = 1_000;
+    private static final long REBALANCE_MILLIS = 500;
 
     private final String failureDomain;
     private final Fleet fleet = new Fleet();
@@ -47,6 +53,7 @@
     private final ArtifactDemand demand = new ArtifactDemand();
     private final StoreLoadBudget loads = new StoreLoadBudget();
     private final Map<String, EndpointLedger> ledgers = new TreeMap<>();
+    private final Map<String, Move> moves = new TreeMap<>();
     private final Map<Target.RoutedTarget, Wanted> wanted = new LinkedHashMap<>();
     private long term;
     private long announceAt;
@@ -54,6 +61,8 @@
 
     private record Wanted(long since, long last) {}
 
+    private record Move(String model, List<String> evicted, long since) {}
+
     /** Creates the controller of a failure domain, which does not lead yet. */
     public ResidencyController(String failureDomain) {
         this.failureDomain = failureDomain;
@@ -157,6 +166,7 @@
         if (leadingTerm != term) {
             term = leadingTerm;
             ledgers.values().forEach(EndpointLedger::forget);
+            moves.clear();
         }
         List<ResidencyEffect> effects = new ArrayList<>();
         for (EndpointLedger ledger : ledgers.values()) {
@@ -166,7 +176,8 @@
             }
         }
         serveWanted(effects, now);
-        rebalance(effects, now);
+        rebalance(now);
+        advanceMoves(effects, now);
         announce(effects, now);
         return effects;
     }
@@ -187,7 +198,7 @@
             Target.RoutedTarget target = entry.getKey();
             boolean done = fleet.replicas(target.service(), target.model()) > 0
                     ? target.adapter() == null || loadAdapter(target, effects, now)
-                    : loadWantedModel(target, entry.getValue().since(), effects, now);
+                    : loadWantedModel(target, entry.getValue().since(), now);
             if (done) {
                 each.remove();
             }
@@ -243,15 +254,14 @@
     }
 
     /** Orders a model that no endpoint holds; returns whether nothing is left to do for it. */
-    private boolean loadWantedModel(Target.RoutedTarget target, long since, List<ResidencyEffect> effects, long now) {
+    private boolean loadWantedModel(Target.RoutedTarget target, long since, long now) {
         EngineProfile engine = fleet.engine(target.service());
         if (engine == null || !engine.models().containsKey(target.model())) {
             return true;
         }
-        for (EndpointLedger ledger : ledgers.values()) {
-            if (ledger.expects(target.model())) {
-                return false;
-            }
+        boolean underWay = moves.values().stream().anyMatch(move -> move.model().equals(target.model()));
+        if (underWay || ledgers.values().stream().anyMatch(ledger -> ledger.expects(target.model()))) {
+            return false;
         }
         boolean anywhere = now - since < FOREIGN_PLACE_MILLIS;
         ModelPlacer.Place place = placer.cheapest(
@@ -259,9 +269,10 @@
                 target.model(),
                 model -> demand.ofModel(target.service(), model, now),
                 (endpoint, model) -> (anywhere || ledgers.containsKey(endpoint))
+                        && !moves.containsKey(endpoint)
                         && mayUnload(target.service(), model, now));
-        if (place != null && ledgers.containsKey(place.endpoint().id())) {
-            move(ledgers.get(place.endpoint().id()), target.model(), place.evicted(), engine, effects, now);
+        if (place != null) {
+            begin(place, target.model(), now);
         }
         return false;
     }
@@ -271,41 +282,63 @@
         return idle || fleet.replicas(service, model) > 1;
     }
 
-    private void rebalance(List<ResidencyEffect> effects, long now) {
+    private boolean mayMove(String service, String model, long now) {
+        boolean idle = demand.idleMillis(new Target.RoutedTarget(service, model, null), now) > IDLE_REPLICA_MILLIS;
+        return idle || fleet.replicas(service, model) > 1;
+    }
+
+    private void rebalance(long now) {
         if (now < rebalanceAt) {
             return;
         }
         rebalanceAt = now + REBALANCE_MILLIS;
         for (String service : fleet.engineServices()) {
-            ReplicaBalance.Move move = balance.next(service, model -> demand.ofModel(service, model, now));
-            EndpointLedger ledger = move == null
-                    ? null
-                    : ledgers.get(move.place().endpoint().id());
-            if (ledger != null) {
-                move(ledger, move.model(), move.place().evicted(), fleet.engine(service), effects, now);
+            ReplicaBalance.Move move = balance.next(
+                    service,
+                    model -> demand.ofModel(service, model, now),
+                    (endpoint, model) -> !moves.containsKey(endpoint) && mayMove(service, model, now));
+            if (move != null) {
+                begin(move.place(), move.model(), now);
             }
         }
     }
 
-    /** Unloads what must make room or, once there is room, loads the model. */
-    private void move(
-            EndpointLedger ledger,
-            String model,
-            List<String> evicted,
-            EngineProfile engine,
-            List<ResidencyEffect> effects,
-            long now) {
-        if (!ledger.ready() || ledger.expects(model)) {
+    /** Begins a move if the endpoint is one of this failure domain and does not take part in another one. */
+    private void begin(ModelPlacer.Place place, String model, long now) {
+        EndpointLedger ledger = ledgers.get(place.endpoint().id());
+        if (ledger != null && ledger.ready() && !moves.containsKey(place.endpoint().id())) {
+            moves.put(place.endpoint().id(), new Move(model, place.evicted(), now));
+        }
+    }
+
+    /** Sends the next order of each move: the models that make room are unloaded first. */
+    private void advanceMoves(List<ResidencyEffect> effects, long now) {
+        Iterator<Map.Entry<String, Move>> each = moves.entrySet().iterator();
+        while (each.hasNext()) {
+            Map.Entry<String, Move> entry = each.next();
+            EndpointLedger ledger = ledgers.get(entry.getKey());
+            Move move = entry.getValue();
+            if (ledger == null || now - move.since() > MOVE_MILLIS || ledger.expects(move.model())) {
+                each.remove();
+            } else if (ledger.ready()) {
+                step(ledger, move, effects, now);
+            }
+        }
+    }
+
+    private void step(EndpointLedger ledger, Move move, List<ResidencyEffect> effects, long now) {
+        EngineProfile engine = fleet.engine(ledger.registration().service());
+        if (engine == null || !engine.models().containsKey(move.model())) {
             return;
         }
-        if (ledger.freeBytes(engine) >= EndpointLedger.bytes(engine, model, 0)) {
-            boolean copied = ledger.hasCopy(model);
+        if (ledger.freeBytes(engine) >= EndpointLedger.bytes(engine, move.model(), 0)) {
+            boolean copied = ledger.hasCopy(move.model());
             if (copied || loads.take(engine.storeLoadsPerSecond(), fleet.failureDomains(), now)) {
-                send(ledger, ArtifactOrder.Action.LOAD, model, null, effects);
+                send(ledger, ArtifactOrder.Action.LOAD, move.model(), null, effects);
             }
             return;
         }
-        for (String old : evicted) {
+        for (String old : move.evicted()) {
             if (ledger.holds(old)) {
                 send(ledger, ArtifactOrder.Action.UNLOAD, old, null, effects);
                 return;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/RouteQuery.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/RouteQuery.java
@@ -13,7 +13,7 @@
  * @param alone whether it must run alone on its endpoint because it may crash it
  * @param relayed whether it came from another failure domain and must not be relayed again
  * @param prompt parts of the prompt, {@link PromptShape#NONE} if they are not known
- * @param deadline monotonic time in milliseconds after which the answer is of no use
+ * @param startBy monotonic time in milliseconds by which the answer must start
  * @param failedAt endpoints at which an attempt of this request failed
  */
 public record RouteQuery(
@@ -22,7 +22,7 @@
         boolean alone,
         boolean relayed,
         PromptShape prompt,
-        long deadline,
+        long startBy,
         Set<String> failedAt) {
     /** Creates a query for a request whose prompt parts are not known and that has not failed yet. */
     public RouteQuery(Target target, long prefixHash, boolean alone, boolean relayed) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -9,10 +9,12 @@
 import org.gooseberryring.coordination.residency.ResidencyController;
 import org.gooseberryring.coordination.residency.ResidencyEffect;
 import org.gooseberryring.host.control.ControlLoop;
+import org.gooseberryring.host.log.LogLine;
 import org.gooseberryring.protocol.peer.EndpointHoldings;
 import org.gooseberryring.protocol.peer.HostState;
 import org.gooseberryring.protocol.peer.PeerHeard;
 import org.gooseberryring.protocol.peer.PeerMessage;
+import org.jboss.logging.Logger;
 
 /**
  * Tells the other hosts what this one serves, is asked for and orders, and takes over what they say.
@@ -20,6 +22,8 @@
  * <p>All methods are called on the control thread unless stated otherwise.
  */
 final class PeerExchange {
+    private static final Logger LOG = Logger.getLogger(PeerExchange.class);
+
     private static final long STATE_MILLIS = 250;
 
     /** Waiting requests ask for what they lack at most this often. */
@@ -137,7 +141,14 @@
             if (askedAt.putIfAbsent(target, now) != null) {
                 continue;
             }
-            for (String domain : controller.providers(target)) {
+            List<String> providers = controller.providers(target);
+            LogLine.event("artifact-wanted")
+                    .with("service", target.service())
+                    .with("model", target.model())
+                    .with("adapter", target.adapter())
+                    .with("providers", providers)
+                    .info(LOG);
+            for (String domain : providers) {
                 Controller provider = controllers.get(domain);
                 if (provider != null && now - provider.heardAt() <= SILENT_CONTROLLER_MILLIS) {
                     byHost.computeIfAbsent(provider.host(), host -> new ArrayList<>())
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RequestFactory.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RequestFactory.java
@@ -26,6 +26,15 @@
     private static final int LAST_NORMAL_RANK = 2;
     private static final String NO_ORGANISATION = "";
 
+    /** Callers of a stream leave after this time without an event, or after the multiples below if these are longer. */
+    private static final long MIN_PATIENCE_MILLIS = 2_000;
+
+    private static final long PATIENCE_OBJECTIVES = 4;
+    private static final long PATIENCE_GAPS = 8;
+
+    /** Time on the way to and from the caller. */
+    private static final long TRANSIT_MILLIS = 50;
+
     private final RequestDialect dialect;
     private final OpenRequests open;
     private final RandomGenerator random;
@@ -93,6 +102,7 @@
                 true,
                 rank,
                 arrival.at() + route.objectiveMillis(),
+                startBy(route, arrival.at()),
                 head.prompt());
         return new RequestSpec(
                 uniqueId(head.requestId()),
@@ -108,6 +118,17 @@
                 handling);
     }
 
+    /** Returns the time by which an answer must start; callers leave a stream that does not begin. */
+    private static long startBy(Route route, long arrivedAt) {
+        if (route.kind() != RequestKind.STREAM) {
+            return Long.MAX_VALUE;
+        }
+        long patience = Math.max(
+                MIN_PATIENCE_MILLIS,
+                Math.max(PATIENCE_OBJECTIVES * route.objectiveMillis(), PATIENCE_GAPS * route.maxGapMillis()));
+        return arrivedAt + patience - TRANSIT_MILLIS;
+    }
+
     /** Returns the caller's identifier, made unique if a request with the same one is open. */
     private String uniqueId(String requestId) {
         return open.get(requestId) == null ? requestId : requestId + "." + repeats.incrementAndGet();
--- a/gooseberryring-state/src/main/java/org/gooseberryring/state/Route.java
+++ b/gooseberryring-state/src/main/java/org/gooseberryring/state/Route.java
@@ -11,6 +11,7 @@
  * @param kind what may be repeated
  * @param timeoutMillis milliseconds after which a request gets its final answer
  * @param objectiveMillis milliseconds within which an answer should start
+ * @param maxGapMillis longest pause between the events of a stream that counts as on time, 0 if it is not a stream
  * @param rank urgency, 0 first
  * @param services services that share the requests
  * @param maxAttempts most endpoints that one request may be sent to
@@ -24,6 +25,7 @@
         RequestKind kind,
         long timeoutMillis,
         long objectiveMillis,
+        long maxGapMillis,
         int rank,
         List<WeightedService> services,
         int maxAttempts,
