--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -153,7 +153,8 @@
     /** Counts a request that arrived, however it ends. */
     public void asked(Target target, PromptShape prompt, long now) {
         if (target instanceof Target.RoutedTarget routed && routed.model() != null) {
-            demand.computeIfAbsent(routed, key -> new RateMeter()).add(prompt.inputTokens() + prompt.outputTokens(), now);
+            demand.computeIfAbsent(routed, key -> new RateMeter())
+                    .add(prompt.inputTokens() + prompt.outputTokens(), now);
         }
     }
 
@@ -315,7 +316,9 @@
     private ModelProfile model(Target.RoutedTarget target) {
         ServiceProfile service = configuration.services().get(target.service());
         EngineProfile engine = service == null ? null : service.engine();
-        ModelProfile model = engine == null || target.model() == null ? null : engine.models().get(target.model());
+        ModelProfile model = engine == null || target.model() == null
+                ? null
+                : engine.models().get(target.model());
         boolean known = model != null && (target.adapter() == null || model.hasAdapter(target.adapter()));
         return known ? model : null;
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Handling.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Handling.java
@@ -34,5 +34,14 @@
 
     /** Handling of the product's own caller interface, which has no routes. */
     public static final Handling STANDARD = new Handling(
-            "", STANDARD_SENDS, false, false, false, false, STANDARD_RANK, Long.MAX_VALUE, Long.MAX_VALUE, PromptShape.NONE);
+            "",
+            STANDARD_SENDS,
+            false,
+            false,
+            false,
+            false,
+            STANDARD_RANK,
+            Long.MAX_VALUE,
+            Long.MAX_VALUE,
+            PromptShape.NONE);
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ArtifactDemand.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ArtifactDemand.java
@@ -53,7 +53,8 @@
 
     private static double sum(HostDemand host, String service, String model) {
         double sum = 0;
-        for (Map.Entry<Target.RoutedTarget, Double> entry : host.tokensPerSecond().entrySet()) {
+        for (Map.Entry<Target.RoutedTarget, Double> entry :
+                host.tokensPerSecond().entrySet()) {
             Target.RoutedTarget target = entry.getKey();
             if (target.service().equals(service) && model.equals(target.model())) {
                 sum += entry.getValue();
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/EndpointLedger.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/EndpointLedger.java
@@ -79,11 +79,6 @@
         return known && open == null && !busy && !registration.leaving();
     }
 
-    /** Returns whether an order for an adapter can be decided on now. */
-    boolean readyForAdapter() {
-        return ready();
-    }
-
     boolean holds(String model) {
         return held.containsKey(model);
     }
@@ -175,7 +170,8 @@
         sequenceAt = now;
         if (order.adapter() != null) {
             if (order.action() == ArtifactOrder.Action.LOAD) {
-                arriving.computeIfAbsent(order.model(), model -> new HashSet<>()).add(order.adapter());
+                arriving.computeIfAbsent(order.model(), model -> new HashSet<>())
+                        .add(order.adapter());
                 arrivedAt = now + ADAPTER_MILLIS;
             }
             return;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/Fleet.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/Fleet.java
@@ -32,7 +32,9 @@
 
     void registered(EndpointRegistration registration) {
         EndpointRegistration old = registrations.put(registration.id(), registration);
-        if (old == null || !old.models().equals(registration.models()) || old.bornMillis() != registration.bornMillis()) {
+        if (old == null
+                || !old.models().equals(registration.models())
+                || old.bornMillis() != registration.bornMillis()) {
             holds(registration.id(), registration.models());
         }
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
@@ -13,7 +13,6 @@
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.EngineProfile;
-import org.gooseberryring.state.ModelProfile;
 import org.gooseberryring.state.ResidentModel;
 import org.gooseberryring.state.ServingConfiguration;
 
@@ -37,9 +36,6 @@
     /** A move that has not ended by then is given up. */
     private static final long MOVE_MILLIS = 6_000;
 
-    /** An adapter that was asked for within this time is not unloaded. */
-    private static final long IDLE_ADAPTER_MILLIS = 700;
-
     /** Time after which a model that is wanted and not loaded elsewhere is loaded to this failure domain. */
     private static final long FOREIGN_PLACE_MILLIS = 1_500;
 
@@ -51,6 +47,7 @@
     private final ModelPlacer placer = new ModelPlacer(fleet);
     private final ReplicaBalance balance = new ReplicaBalance(fleet, placer);
     private final ArtifactDemand demand = new ArtifactDemand();
+    private final AdapterPlacer adapters = new AdapterPlacer(fleet, demand);
     private final StoreLoadBudget loads = new StoreLoadBudget();
     private final Map<String, EndpointLedger> ledgers = new TreeMap<>();
     private final Map<String, Move> moves = new TreeMap<>();
@@ -126,7 +123,9 @@
         if (holders.isEmpty()) {
             return List.copyOf(all);
         }
-        return holders.contains(failureDomain) ? List.of(failureDomain) : List.copyOf(holders).subList(0, 1);
+        return holders.contains(failureDomain)
+                ? List.of(failureDomain)
+                : List.copyOf(holders).subList(0, 1);
     }
 
     /** Handles the status of an endpoint. */
@@ -183,8 +182,8 @@
     }
 
     private void keepLedger(EndpointRegistration registration) {
-        boolean own = registration.failureDomain().equals(failureDomain)
-                && fleet.engine(registration.service()) != null;
+        boolean own =
+                registration.failureDomain().equals(failureDomain) && fleet.engine(registration.service()) != null;
         if (own) {
             ledgers.computeIfAbsent(registration.id(), id -> new EndpointLedger(registration))
                     .registered(registration);
@@ -192,7 +191,8 @@
     }
 
     private void serveWanted(List<ResidencyEffect> effects, long now) {
-        Iterator<Map.Entry<Target.RoutedTarget, Wanted>> each = wanted.entrySet().iterator();
+        Iterator<Map.Entry<Target.RoutedTarget, Wanted>> each =
+                wanted.entrySet().iterator();
         while (each.hasNext()) {
             Map.Entry<Target.RoutedTarget, Wanted> entry = each.next();
             Target.RoutedTarget target = entry.getKey();
@@ -207,50 +207,11 @@
 
     /** Orders an adapter; returns whether nothing is left to do for it. */
     private boolean loadAdapter(Target.RoutedTarget target, List<ResidencyEffect> effects, long now) {
-        EngineProfile engine = fleet.engine(target.service());
-        ModelProfile model = engine == null ? null : engine.models().get(target.model());
-        if (model == null) {
-            return true;
-        }
-        EndpointLedger best = null;
-        for (EndpointLedger ledger : ledgers.values()) {
-            if (ledger.holds(target.model(), target.adapter()) || ledger.expects(target.model(), target.adapter())) {
-                return true;
-            }
-            boolean usable = ledger.readyForAdapter() && ledger.holds(target.model()) && serves(ledger);
-            if (usable && (best == null || ledger.adapterCount() < best.adapterCount())) {
-                best = ledger;
-            }
-        }
-        if (best == null) {
-            return false;
-        }
-        boolean room = best.adapterCount() < engine.adapterSlots() && best.freeBytes(engine) >= model.adapterBytes();
-        if (room) {
-            send(best, ArtifactOrder.Action.LOAD, target.model(), target.adapter(), effects);
-            return true;
-        }
-        unloadIdleAdapter(best, target.service(), effects, now);
-        return false;
-    }
-
-    private void unloadIdleAdapter(EndpointLedger ledger, String service, List<ResidencyEffect> effects, long now) {
-        String oldestModel = null;
-        String oldestAdapter = null;
-        long longest = IDLE_ADAPTER_MILLIS;
-        for (String model : ledger.models()) {
-            for (String adapter : ledger.adapters(model)) {
-                long idle = demand.idleMillis(new Target.RoutedTarget(service, model, adapter), now);
-                if (idle > longest) {
-                    longest = idle;
-                    oldestModel = model;
-                    oldestAdapter = adapter;
-                }
-            }
-        }
-        if (oldestAdapter != null) {
-            send(ledger, ArtifactOrder.Action.UNLOAD, oldestModel, oldestAdapter, effects);
+        AdapterPlacer.Step step = adapters.next(target, ledgers.values(), now);
+        if (step.ledger() != null) {
+            send(step.ledger(), step.action(), step.model(), step.adapter(), effects);
         }
+        return step.last();
     }
 
     /** Orders a model that no endpoint holds; returns whether nothing is left to do for it. */
@@ -306,7 +267,9 @@
     /** Begins a move if the endpoint is one of this failure domain and does not take part in another one. */
     private void begin(ModelPlacer.Place place, String model, long now) {
         EndpointLedger ledger = ledgers.get(place.endpoint().id());
-        if (ledger != null && ledger.ready() && !moves.containsKey(place.endpoint().id())) {
+        if (ledger != null
+                && ledger.ready()
+                && !moves.containsKey(place.endpoint().id())) {
             moves.put(place.endpoint().id(), new Move(model, place.evicted(), now));
         }
     }
@@ -355,10 +318,6 @@
         effects.add(new ResidencyEffect.Send(ledger.order(action, model, adapter, term)));
     }
 
-    private boolean serves(EndpointLedger ledger) {
-        return fleet.inService(ledger.registration().service()).contains(ledger.registration());
-    }
-
     private void announce(List<ResidencyEffect> effects, long now) {
         boolean all = now >= announceAt;
         if (all) {
--- /dev/null
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/SharedLimitsTest.java
@@ -0,0 +1,162 @@
+package org.gooseberryring.coordination.limit;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.gooseberryring.state.Organisation;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+class SharedLimitsTest {
+    private static final long RATE = 50_000;
+    private static final long BURST = 60_000;
+    private static final long WINDOW_MILLIS = 8_000;
+    private static final long MESSAGE_MILLIS = 250;
+
+    /** Part above the limit that the users tolerate, and the tokens that they tolerate besides. */
+    private static final double OVERAGE = 0.1;
+
+    private static final long SLACK = 110_000;
+
+    /** Guards against refusals within the limit although the callers of a few hosts ask for most of it. */
+    @Test
+    void refusesNothingWithinTheLimitWhenLoadIsUneven() {
+        Hosts hosts = new Hosts(7, 11);
+        int refused = 0;
+        for (long now = 0; now < 30_000; now += 10) {
+            hosts.tick(now, true);
+            // 60% of the rate: a request of 6,000 tokens every 200 ms, most of them at the same host.
+            if (now > 3_000 && now % 200 == 0) {
+                int host = now % 800 == 0 ? (int) (now / 800 % 7) : 0;
+                refused += hosts.ask(host, 6_000, now) ? 0 : 1;
+            }
+        }
+        assertThat(refused).isEqualTo(0);
+    }
+
+    /** Guards against hosts that admit more than the limit together, also while some are cut off from the others. */
+    @Property(tries = 40, seed = "4711", shrinking = ShrinkingMode.OFF)
+    void staysWithinTheLimitUnderCuts(@ForAll long seed) {
+        Random random = new Random(seed);
+        int count = 2 + random.nextInt(7);
+        Hosts hosts = new Hosts(count, seed);
+        long cutFrom = 5_000 + random.nextInt(10_000);
+        long cutTo = cutFrom + random.nextInt(8_000);
+        int factor = 1 + random.nextInt(8);
+        for (long now = 0; now < 35_000; now += 10) {
+            hosts.tick(now, now < cutFrom || now >= cutTo);
+            long asked = RATE * factor / 100;
+            int host = random.nextInt(count);
+            long tokens = 1_000 + random.nextInt(9_000);
+            if (random.nextInt((int) tokens) < asked) {
+                hosts.ask(host, tokens, now);
+            }
+        }
+        assertWithMessage("most tokens in a window")
+                .that((double) hosts.mostInWindow())
+                .isAtMost((RATE * WINDOW_MILLIS / 1_000 + BURST) * (1 + OVERAGE) + SLACK);
+    }
+
+    /** Guards against a limit that is lowered and not kept from then on. */
+    @Test
+    void keepsALoweredLimit() {
+        SharedLimits limits = new SharedLimits();
+        limits.configured(List.of(organisation(RATE, BURST)), 0);
+        limits.tick(10_000);
+        limits.configured(List.of(organisation(1_000, 2_000)), 10_000);
+        long admitted = 0;
+        for (int i = 0; i < 1_000; i++) {
+            long now = 10_000 + i * 10L;
+            admitted += limits.reserve("r" + i, "o", 500, now).kind() == Admission.Kind.ADMITTED ? 500 : 0;
+        }
+        assertThat(admitted).isAtMost(2_000 + 10 * 1_000 + 500);
+    }
+
+    /** Guards against tokens of requests that did not run and are not given back. */
+    @Test
+    void givesBackTokensOfRequestsThatDidNotRun() {
+        SharedLimits limits = new SharedLimits();
+        limits.configured(List.of(organisation(1, 8_000)), 0);
+        assertThat(limits.reserve("a", "o", 5_000, 0).kind()).isEqualTo(Admission.Kind.ADMITTED);
+        assertThat(limits.reserve("b", "o", 1, 0).kind()).isEqualTo(Admission.Kind.REFUSED);
+        limits.settle("a", 0, 0);
+        assertThat(limits.reserve("c", "o", 1, 0).kind()).isEqualTo(Admission.Kind.ADMITTED);
+    }
+
+    /** Guards against a refusal whose time to come back is too early to be admitted. */
+    @Test
+    void admitsAgainAfterTheTimeOfTheRefusal() {
+        SharedLimits limits = new SharedLimits();
+        limits.configured(List.of(organisation(1_000, 8_000)), 0);
+        limits.reserve("a", "o", 4_000, 0);
+        Admission refusal = limits.reserve("b", "o", 1, 0);
+        assertThat(refusal.kind()).isEqualTo(Admission.Kind.REFUSED);
+        assertThat(limits.reserve("c", "o", 1, refusal.retryAfterMillis() + 1).kind())
+                .isEqualTo(Admission.Kind.ADMITTED);
+    }
+
+    private static Organisation organisation(long rate, long burst) {
+        return new Organisation("o", rate, burst, 1, null);
+    }
+
+    /** Hosts that tell each other what they admit. */
+    private static final class Hosts {
+        private record Admitted(long at, long tokens) {}
+
+        private final List<SharedLimits> hosts = new ArrayList<>();
+        private final List<Admitted> admitted = new ArrayList<>();
+        private int requests;
+
+        Hosts(int count, long seed) {
+            for (int i = 0; i < count; i++) {
+                SharedLimits limits = new SharedLimits();
+                limits.configured(List.of(organisation(RATE, BURST)), 0);
+                hosts.add(limits);
+            }
+        }
+
+        /** Lets time pass; the first host is cut off from the others unless they are connected. */
+        void tick(long now, boolean connected) {
+            for (int i = 0; i < hosts.size(); i++) {
+                hosts.get(i).tick(now);
+                if (now % MESSAGE_MILLIS != i * 10 % MESSAGE_MILLIS) {
+                    continue;
+                }
+                for (int other = 0; other < hosts.size(); other++) {
+                    if (other != i && (connected || i != 0 && other != 0)) {
+                        hosts.get(other).usedBy("h" + i, hosts.get(i).used(), now);
+                    }
+                }
+            }
+        }
+
+        boolean ask(int host, long tokens, long now) {
+            boolean ok =
+                    hosts.get(host).reserve("r" + requests++, "o", tokens, now).kind() == Admission.Kind.ADMITTED;
+            if (ok) {
+                admitted.add(new Admitted(now, tokens));
+            }
+            return ok;
+        }
+
+        long mostInWindow() {
+            long most = 0;
+            long sum = 0;
+            int from = 0;
+            for (Admitted each : admitted) {
+                sum += each.tokens();
+                while (admitted.get(from).at() <= each.at() - WINDOW_MILLIS) {
+                    sum -= admitted.get(from++).tokens();
+                }
+                most = Math.max(most, sum);
+            }
+            return most;
+        }
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyControllerTest.java
@@ -0,0 +1,73 @@
+package org.gooseberryring.coordination.residency;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.gooseberryring.coordination.request.Target;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+class ResidencyControllerTest {
+    /** Guards against endpoints ordered to hold more than they can, whatever becomes of orders and answers. */
+    @Property(tries = 150, seed = "90210", shrinking = ShrinkingMode.OFF)
+    void endpointsNeverHoldMoreThanTheyCan(@ForAll long seed) {
+        ResidencyWorld world = new ResidencyWorld(seed, 0.3);
+        world.run(60_000);
+        assertWithMessage("orders carried out").that(world.carriedOut()).isAtLeast(5);
+    }
+
+    /** Guards against a model that is asked for and stays out of reach. */
+    @Property(tries = 40, seed = "1717", shrinking = ShrinkingMode.OFF)
+    void loadsAModelThatIsAskedFor(@ForAll long seed) {
+        ResidencyWorld world = new ResidencyWorld(seed, 0);
+        Target.RoutedTarget absent = new Target.RoutedTarget(ResidencyWorld.SERVICE, "m9", null);
+        for (int i = 0; i < 400 && !world.isHeld("m9"); i++) {
+            world.ask(absent);
+            world.run(20);
+        }
+        assertThat(world.isHeld("m9")).isTrue();
+    }
+
+    /** Guards against an adapter that is never loaded because all places are taken by adapters nobody uses. */
+    @Test
+    void anIdleAdapterMakesRoomForAnother() {
+        ResidencyWorld world = new ResidencyWorld(3, 0);
+        for (int i = 1; i <= ResidencyWorld.ADAPTERS; i++) {
+            Target.RoutedTarget adapter = new Target.RoutedTarget(ResidencyWorld.SERVICE, "m0", "a" + i);
+            int steps = 0;
+            while (!world.isHeld("m0", "a" + i) && steps++ < 300) {
+                world.ask(adapter);
+                world.run(20);
+            }
+            assertWithMessage("adapter a" + i).that(world.isHeld("m0", "a" + i)).isTrue();
+        }
+    }
+
+    /** Guards against a model in demand that stays on one endpoint while others are idle. */
+    @Test
+    void aModelInDemandGetsFurtherReplicas() {
+        ResidencyWorld world = new ResidencyWorld(5, 0);
+        world.demand(Map.of(new Target.RoutedTarget(ResidencyWorld.SERVICE, "m1", null), 60_000.0));
+        world.run(25_000);
+        assertThat(world.replicas("m1")).isAtLeast(2);
+        assertWithMessage("models that are still held").that(world.heldModels()).isAtLeast(ResidencyWorld.PLACED - 1);
+    }
+
+    /** Guards against orders of a host that does not hold the lease. */
+    @Test
+    void sendsNothingWithoutTheLease() {
+        ResidencyController controller = new ResidencyController("a");
+        controller.configured(ResidencyWorld.configuration());
+        controller.registered(ResidencyWorld.registration("e0", "a", List.of("m0")));
+        controller.wanted(Set.of(new Target.RoutedTarget(ResidencyWorld.SERVICE, "m9", null)), 0);
+        for (long now = 0; now < 5_000; now += 20) {
+            assertThat(controller.onTick(0, now)).isEmpty();
+        }
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyWorld.java
@@ -0,0 +1,298 @@
+package org.gooseberryring.coordination.residency;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.gooseberryring.coordination.request.Target;
+import org.gooseberryring.state.EndpointRegistration;
+import org.gooseberryring.state.EngineProfile;
+import org.gooseberryring.state.ModelProfile;
+import org.gooseberryring.state.RequestLimits;
+import org.gooseberryring.state.ResidentModel;
+import org.gooseberryring.state.RouteTable;
+import org.gooseberryring.state.ServiceProfile;
+import org.gooseberryring.state.ServingConfiguration;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/** Simulated model engines of two failure domains, each with a controller, whose orders and answers may be lost. */
+final class ResidencyWorld {
+    static final String SERVICE = "llm";
+    static final int ADAPTERS = 12;
+    static final int PLACED = 9;
+
+    private static final int ADAPTER_SLOTS = 3;
+    private static final long MODEL_BYTES = 70_000;
+    private static final long ADAPTER_BYTES = 100;
+    private static final long MEMORY_BYTES = 220_000;
+    private static final long LOAD_MILLIS = 4_000;
+    private static final long STEP_MILLIS = 20;
+    private static final List<String> DOMAINS = List.of("a", "b");
+
+    private record Event(long at, long order, Runnable action) {}
+
+    private final Random random;
+    private final double lossShare;
+    private final Map<String, Engine> engines = new TreeMap<>();
+    private final Map<String, ResidencyController> controllers = new TreeMap<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+    private Map<Target.RoutedTarget, Double> demand = Map.of();
+    private long now = 1_000;
+    private long order;
+    private int carriedOut;
+
+    private static final class Engine {
+        private final Map<String, Set<String>> held = new HashMap<>();
+        private final Set<String> copies = new HashSet<>();
+        private long sequence;
+        private long busyUntil;
+        private long born = 1;
+    }
+
+    ResidencyWorld(long seed, double lossShare) {
+        this.random = new Random(seed);
+        this.lossShare = lossShare;
+        for (String domain : DOMAINS) {
+            ResidencyController controller = new ResidencyController(domain);
+            controller.configured(configuration());
+            controllers.put(domain, controller);
+        }
+        int model = 0;
+        for (int i = 0; i < 4; i++) {
+            Engine engine = new Engine();
+            for (int j = 0; j < 3 && model < PLACED; j++) {
+                engine.held.put("m" + model, new HashSet<>());
+                engine.copies.add("m" + model++);
+            }
+            engines.put("e" + i, engine);
+            register("e" + i);
+        }
+    }
+
+    static ServingConfiguration configuration() {
+        TreeMap<String, ModelProfile> models = new TreeMap<>();
+        for (int i = 0; i < 10; i++) {
+            String id = "m" + i;
+            models.put(id, new ModelProfile(id, MODEL_BYTES, LOAD_MILLIS, 400, 800, ADAPTERS, ADAPTER_BYTES));
+        }
+        EngineProfile engine = new EngineProfile(64, 240_000, MEMORY_BYTES, ADAPTER_SLOTS, 1.4, models);
+        TreeMap<String, ServiceProfile> services = new TreeMap<>();
+        services.put(SERVICE, new ServiceProfile(SERVICE, "/h", 360, 0, 0, engine));
+        return new ServingConfiguration(
+                1,
+                new RouteTable(List.of()),
+                services,
+                new TreeMap<>(),
+                Map.of(),
+                new RequestLimits(16_384, 4_000_000, 3_000, 15_000));
+    }
+
+    static EndpointRegistration registration(String id, String domain, List<String> models) {
+        List<ResidentModel> resident = new ArrayList<>();
+        models.forEach(model -> resident.add(new ResidentModel(model, Set.of())));
+        return new EndpointRegistration(id, SERVICE, "10.0.0.1:80", domain, 64, false, 0, 0, 1, resident);
+    }
+
+    /** Lets requests ask for an artifact now. */
+    void ask(Target.RoutedTarget target) {
+        controllers.values().forEach(controller -> controller.wanted(Set.of(target), now));
+    }
+
+    /** Sets what callers ask for from now on, in tokens a second. */
+    void demand(Map<Target.RoutedTarget, Double> tokensPerSecond) {
+        demand = tokensPerSecond;
+    }
+
+    void run(long millis) {
+        long end = now + millis;
+        while (now < end) {
+            now += STEP_MILLIS;
+            while (!events.isEmpty() && events.peek().at() <= now) {
+                events.poll().action().run();
+            }
+            if (lossShare > 0) {
+                disturb();
+            }
+            for (Map.Entry<String, ResidencyController> entry : controllers.entrySet()) {
+                entry.getValue().demandOf("host", demand, now);
+                entry.getValue().onTick(1, now).forEach(effect -> carryOut(entry.getValue(), effect));
+            }
+        }
+    }
+
+    boolean isHeld(String model) {
+        return replicas(model) > 0;
+    }
+
+    boolean isHeld(String model, String adapter) {
+        return engines.values().stream()
+                .anyMatch(engine -> engine.held.getOrDefault(model, Set.of()).contains(adapter));
+    }
+
+    int replicas(String model) {
+        return (int) engines.values().stream()
+                .filter(engine -> engine.held.containsKey(model))
+                .count();
+    }
+
+    int heldModels() {
+        Set<String> models = new HashSet<>();
+        engines.values().forEach(engine -> models.addAll(engine.held.keySet()));
+        return models.size();
+    }
+
+    int carriedOut() {
+        return carriedOut;
+    }
+
+    private void disturb() {
+        if (random.nextInt(10) == 0) {
+            String adapter = random.nextBoolean() ? "a" + (1 + random.nextInt(ADAPTERS)) : null;
+            ask(new Target.RoutedTarget(SERVICE, "m" + random.nextInt(10), adapter));
+        }
+        if (random.nextInt(500) == 0) {
+            demand = Map.of(new Target.RoutedTarget(SERVICE, "m" + random.nextInt(10), null), 80_000.0);
+        }
+        if (random.nextInt(1_500) == 0) {
+            restart("e" + random.nextInt(engines.size()));
+        }
+    }
+
+    private void restart(String id) {
+        Engine engine = engines.get(id);
+        engine.held.clear();
+        engine.sequence = 0;
+        engine.busyUntil = 0;
+        engine.born++;
+        later(random.nextInt(1_500), () -> register(id));
+    }
+
+    private void register(String id) {
+        EndpointRegistration plain = registration(
+                id,
+                DOMAINS.get(id.charAt(1) % DOMAINS.size()),
+                List.copyOf(engines.get(id).held.keySet()));
+        EndpointRegistration registration = new EndpointRegistration(
+                id,
+                SERVICE,
+                plain.address(),
+                plain.failureDomain(),
+                64,
+                false,
+                0,
+                0,
+                engines.get(id).born,
+                plain.models());
+        controllers.values().forEach(controller -> controller.registered(registration));
+    }
+
+    private void carryOut(ResidencyController controller, ResidencyEffect effect) {
+        if (effect instanceof ResidencyEffect.Send send) {
+            send(controller, send.order());
+        } else if (effect instanceof ResidencyEffect.AskStatus ask) {
+            EndpointStatus status = status(ask.endpoint());
+            later(random.nextInt(120), () -> {
+                if (random.nextDouble() < lossShare) {
+                    controller.statusFailed(ask.endpoint());
+                } else {
+                    controller.status(status, now);
+                }
+            });
+        } else if (effect instanceof ResidencyEffect.Announce announce) {
+            controllers.values().forEach(each -> each.holds(announce.endpoint(), announce.models()));
+        }
+    }
+
+    private void send(ResidencyController controller, ArtifactOrder sent) {
+        double fate = random.nextDouble();
+        if (fate >= lossShare) {
+            OrderAnswer answer = accept(sent);
+            later(1 + random.nextInt(5), () -> controller.answered(sent, answer, now));
+            return;
+        }
+        // The answer is lost; the order is carried out at once, late or never.
+        if (fate < lossShare / 3) {
+            accept(sent);
+        } else if (fate < lossShare * 2 / 3) {
+            later(2_000 + random.nextInt(10_000), () -> accept(sent));
+        }
+        later(800, () -> controller.answered(sent, OrderAnswer.UNKNOWN, now));
+    }
+
+    private OrderAnswer accept(ArtifactOrder received) {
+        Engine engine = engines.get(received.endpoint());
+        if (received.expectedSequence() != engine.sequence || now < engine.busyUntil) {
+            return OrderAnswer.CONFLICT;
+        }
+        boolean load = received.action() == ArtifactOrder.Action.LOAD;
+        if (received.adapter() != null) {
+            return acceptAdapter(engine, received, load);
+        }
+        if (load == engine.held.containsKey(received.model())) {
+            return OrderAnswer.HOLDS;
+        }
+        engine.sequence++;
+        carriedOut++;
+        if (load) {
+            long millis = engine.copies.add(received.model()) ? LOAD_MILLIS : 800;
+            engine.busyUntil = now + millis;
+            checkMemory(engine, received.model());
+            long born = engine.born;
+            later(millis, () -> {
+                if (engine.born == born) {
+                    engine.held.put(received.model(), new HashSet<>());
+                }
+            });
+        } else {
+            engine.held.remove(received.model());
+            engine.busyUntil = now + 100;
+        }
+        return OrderAnswer.ACCEPTED;
+    }
+
+    private OrderAnswer acceptAdapter(Engine engine, ArtifactOrder received, boolean load) {
+        Set<String> adapters = engine.held.get(received.model());
+        if (adapters == null) {
+            return OrderAnswer.REFUSED;
+        }
+        engine.sequence++;
+        carriedOut++;
+        if (load) {
+            adapters.add(received.adapter());
+            int count = engine.held.values().stream().mapToInt(Set::size).sum();
+            assertWithMessage("adapters of an endpoint").that(count).isAtMost(ADAPTER_SLOTS);
+            checkMemory(engine, null);
+        } else {
+            adapters.remove(received.adapter());
+        }
+        return load ? OrderAnswer.ACCEPTED : OrderAnswer.HOLDS;
+    }
+
+    private static void checkMemory(Engine engine, String loading) {
+        long used = loading == null ? 0 : MODEL_BYTES;
+        for (Set<String> adapters : engine.held.values()) {
+            used += MODEL_BYTES + adapters.size() * ADAPTER_BYTES;
+        }
+        assertWithMessage("memory of an endpoint").that(used).isAtMost(MEMORY_BYTES);
+    }
+
+    private EndpointStatus status(String id) {
+        Engine engine = engines.get(id);
+        List<ResidentModel> models = new ArrayList<>();
+        engine.held.forEach((model, adapters) -> models.add(new ResidentModel(model, adapters)));
+        return new EndpointStatus(id, engine.sequence, now < engine.busyUntil, models, 0, engine.copies);
+    }
+
+    private void later(long millis, Runnable action) {
+        events.add(new Event(now + millis, order++, action));
+    }
+}
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -73,7 +73,8 @@
         Installation installation = platform.apply(new PlatformAccess(new HttpCaller(worker), clock::now));
         control = new ControlLoop(CONTROL_RING_SIZE, clock::now);
         lanes = new StoreLanes(installation.objects(), STORE_RING_SIZE);
-        SplittableRandom random = new SplittableRandom(incarnation ^ settings.hostId().hashCode());
+        SplittableRandom random =
+                new SplittableRandom(incarnation ^ settings.hostId().hashCode());
         ResidencyController controller = new ResidencyController(settings.failureDomain());
         requests = requests(installation);
         exchange = new PeerExchange(settings, control, requests, controller);
@@ -105,8 +106,7 @@
                 settings.maxConnections(),
                 limits,
                 frontHandler(installation.requests(), random.split()));
-        ready = new FrontListener(
-                worker, settings.readyAddress(), SERVICE_CONNECTIONS, limits, this::answerReadiness);
+        ready = new FrontListener(worker, settings.readyAddress(), SERVICE_CONNECTIONS, limits, this::answerReadiness);
         metricsListener = settings.metricsPort() == 0
                 ? null
                 : new FrontListener(worker, metricsAddress(), SERVICE_CONNECTIONS, limits, this::answerMetrics);
@@ -171,8 +171,7 @@
                 null,
                 new EntryGate((endpoint, target) -> requests().lacks(endpoint, target)),
                 installation.requests().calls());
-        return new EntryRequests(
-                settings, effects, targets -> exchange().wanted(targets), incarnation, clock::now);
+        return new EntryRequests(settings, effects, targets -> exchange().wanted(targets), incarnation, clock::now);
     }
 
     private EntryRequests requests() {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
@@ -163,12 +163,9 @@
      * @param artifacts tokens a second that are asked for by model and adapter
      */
     record HostSnapshot(
-            Map<String, EndpointUse> uses,
-            Map<String, Long> usedTokens,
-            Map<Target.RoutedTarget, Double> artifacts) {}
+            Map<String, EndpointUse> uses, Map<String, Long> usedTokens, Map<Target.RoutedTarget, Double> artifacts) {}
 
-    private record AfterInputs(
-            SharedLimits limits, DirectRouter router, Consumer<List<Target.RoutedTarget>> wanted)
+    private record AfterInputs(SharedLimits limits, DirectRouter router, Consumer<List<Target.RoutedTarget>> wanted)
             implements LimiterInputs {
         @Override
         public void tick(long now) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
@@ -27,13 +27,16 @@
 
     static HostState encode(EntryRequests.HostSnapshot snapshot, Map<String, Long> heardAges) {
         HostState.Builder state = HostState.newBuilder();
-        snapshot.uses().forEach((endpoint, use) -> state.addUsages(EndpointUsage.newBuilder()
-                .setEndpoint(endpoint)
-                .setInFlight(use.inFlight())
-                .setUnreadTokens(use.unreadTokens())
-                .setMemoryTokens(use.memoryTokens())));
-        snapshot.usedTokens().forEach((organisation, tokens) -> state.addOrganisations(
-                OrganisationUsage.newBuilder().setOrganisation(organisation).setUsedTokens(tokens)));
+        snapshot.uses()
+                .forEach((endpoint, use) -> state.addUsages(EndpointUsage.newBuilder()
+                        .setEndpoint(endpoint)
+                        .setInFlight(use.inFlight())
+                        .setUnreadTokens(use.unreadTokens())
+                        .setMemoryTokens(use.memoryTokens())));
+        snapshot.usedTokens()
+                .forEach((organisation, tokens) -> state.addOrganisations(OrganisationUsage.newBuilder()
+                        .setOrganisation(organisation)
+                        .setUsedTokens(tokens)));
         snapshot.artifacts().forEach((target, tokens) -> state.addArtifacts(encode(target, tokens)));
         heardAges.forEach((host, age) ->
                 state.addHeard(PeerHeard.newBuilder().setHost(host).setAgeMillis(age)));
@@ -79,8 +82,9 @@
             HeldEndpoint.Builder held = HeldEndpoint.newBuilder()
                     .setEndpoint(endpoint.endpoint())
                     .setOrderSequence(endpoint.orderSequence());
-            endpoint.models().forEach(model -> held.addModels(
-                    HeldModel.newBuilder().setModel(model.model()).addAllAdapters(model.adapters())));
+            endpoint.models()
+                    .forEach(model -> held.addModels(
+                            HeldModel.newBuilder().setModel(model.model()).addAllAdapters(model.adapters())));
             holdings.addEndpoints(held);
         }
         return holdings.build();
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -47,8 +47,7 @@
 
     private record Controller(String host, long term, long heardAt) {}
 
-    PeerExchange(
-            EntrySettings settings, ControlLoop control, EntryRequests requests, ResidencyController controller) {
+    PeerExchange(EntrySettings settings, ControlLoop control, EntryRequests requests, ResidencyController controller) {
         this.hostId = settings.hostId();
         this.failureDomain = settings.failureDomain();
         this.control = control;
@@ -80,8 +79,8 @@
     void received(String sender, PeerMessage message) {
         switch (message.getBodyCase()) {
             case HOST_STATE -> control.offer(now -> state(message, now));
-            case ARTIFACTS_WANTED -> control.offer(
-                    now -> controller.wanted(PeerCodec.targets(message.getArtifactsWanted()), now));
+            case ARTIFACTS_WANTED ->
+                control.offer(now -> controller.wanted(PeerCodec.targets(message.getArtifactsWanted()), now));
             case ENDPOINT_HOLDINGS -> control.offer(now -> holdings(sender, message.getEndpointHoldings(), now));
             default -> {
                 // A message of a later version of the program, or one that this host has no part in.
@@ -118,8 +117,7 @@
             }
         }
         mesh.heard(sender, age, now);
-        requests.peer(
-                sender, message.getSenderIncarnation(), PeerCodec.uses(state), PeerCodec.usedTokens(state));
+        requests.peer(sender, message.getSenderIncarnation(), PeerCodec.uses(state), PeerCodec.usedTokens(state));
         controller.demandOf(sender, PeerCodec.artifacts(state), now);
     }
 
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
@@ -65,8 +65,8 @@
         this.guard = new SuspensionGuard(wallClock);
         // The next holder takes the lease when the last order of this one is as old as the installation demands.
         long leaseMillis = ORDER_MILLIS + TRANSIT_MILLIS + settings.orderLeaseMillis();
-        this.lease = new DomainLease(
-                settings.hostId(), settings.failureDomain(), leaseMillis, new JsonOrderCodec(), random);
+        this.lease =
+                new DomainLease(settings.hostId(), settings.failureDomain(), leaseMillis, new JsonOrderCodec(), random);
     }
 
     /** Lets time pass; must be called on the control thread. */
@@ -124,19 +124,20 @@
             controller.answered(order, OrderAnswer.REFUSED, 0);
             return;
         }
-        orders.send(endpoint, order).whenComplete((answer, failure) -> control.put(now -> {
-            OrderAnswer known = answer == null ? OrderAnswer.UNKNOWN : answer;
-            LogLine.event("order-answered")
-                    .with("endpoint", order.endpoint())
-                    .with("action", order.action())
-                    .with("model", order.model())
-                    .with("adapter", order.adapter())
-                    .with("sequence", order.expectedSequence())
-                    .with("term", order.term())
-                    .with("answer", known)
-                    .info(LOG);
-            controller.answered(order, known, now);
-        }));
+        orders.send(endpoint, order)
+                .whenComplete((answer, failure) -> control.put(now -> {
+                    OrderAnswer known = answer == null ? OrderAnswer.UNKNOWN : answer;
+                    LogLine.event("order-answered")
+                            .with("endpoint", order.endpoint())
+                            .with("action", order.action())
+                            .with("model", order.model())
+                            .with("adapter", order.adapter())
+                            .with("sequence", order.expectedSequence())
+                            .with("term", order.term())
+                            .with("answer", known)
+                            .info(LOG);
+                    controller.answered(order, known, now);
+                }));
     }
 
     private void askStatus(String id) {
--- /dev/null
+++ b/gooseberryring-state/src/test/java/org/gooseberryring/state/RouteTableTest.java
@@ -0,0 +1,65 @@
+package org.gooseberryring.state;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class RouteTableTest {
+    private final RouteTable table =
+            new RouteTable(List.of(route("short", "/a/"), route("long", "/a/b/"), route("other", "/c/")));
+
+    /** Guards against a request that a shorter prefix takes from the route that is meant. */
+    @Test
+    void theLongestPrefixDecides() {
+        assertThat(table.find("x.example", "/a/b/c").id()).isEqualTo("long");
+        assertThat(table.find("x.example", "/a/c").id()).isEqualTo("short");
+    }
+
+    /** Guards against host names that differ in case or carry a port. */
+    @Test
+    void hostNamesMatchWithoutCaseAndPort() {
+        assertThat(table.find("X.example:8080", "/c/1").id()).isEqualTo("other");
+        assertThat(table.find("y.example", "/c/1")).isNull();
+        assertThat(table.find("x.example", "/c")).isNull();
+    }
+
+    /** Guards against a split whose shares do not follow the weights. */
+    @Test
+    void servicesShareRequestsByWeight() {
+        Route split = new Route(
+                "r",
+                "x.example",
+                "/",
+                RequestKind.STREAM,
+                1,
+                1,
+                1,
+                1,
+                List.of(new WeightedService("a", 90), new WeightedService("b", 10)),
+                1,
+                false,
+                false);
+        assertThat(split.service(0)).isEqualTo("a");
+        assertThat(split.service(0.899)).isEqualTo("a");
+        assertThat(split.service(0.901)).isEqualTo("b");
+        assertThat(split.service(0.9999)).isEqualTo("b");
+    }
+
+    private static Route route(String id, String prefix) {
+        return new Route(
+                id,
+                "x.example",
+                prefix,
+                RequestKind.IDEMPOTENT,
+                1_000,
+                100,
+                0,
+                1,
+                List.of(new WeightedService("s", 1)),
+                2,
+                false,
+                false);
+    }
+}
