Send requests only where they can start by their objective

The router now predicts the time to the first token from the prompt tokens ahead and a measured reading rate; what would start far too late is refused at once with a time to come back. Demand counts the tokens that must be read; a replica is added for the model that takes most load off the busiest endpoint, and a model on its way counts as held, so that controllers of two failure domains do not both load it.

A first rule that took the least demanded model of the busiest endpoint loaded models hardly anybody asked for; it is replaced.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
@@ -22,6 +22,9 @@
     /** While its controller is heard of, the registration is older than what the controller says. */
     private static final long ANNOUNCED_MILLIS = 3_000;
 
+    /** A request that has missed its objective starts where it starts within this time. */
+    private static final long LATE_START_MILLIS = 250;
+
     private final RouteChoice choice;
     private final EndpointHealth health = new EndpointHealth();
     private final ColdGate cold = new ColdGate();
@@ -29,7 +32,8 @@
     private final Map<String, Set<String>> resident = new HashMap<>();
     private final Map<String, EndpointUse> others = new HashMap<>();
     // A request keeps its query from its dispatch to its end.
-    private final Map<RouteQuery, EndpointUse> running = new IdentityHashMap<>();
+    private final Map<RouteQuery, Running> running = new IdentityHashMap<>();
+    private final ReadRate rate = new ReadRate();
     private EndpointRegistration registration;
     private ServiceProfile profile;
     private EndpointUse own = EndpointUse.NONE;
@@ -37,6 +41,8 @@
     private boolean removed;
     private long announcedAt = Long.MIN_VALUE / 2;
 
+    private record Running(EndpointUse use, long tokensAhead, long sentAt) {}
+
     DirectEndpoint(EndpointRegistration registration, long now) {
         this.choice = new RouteChoice(RouteChoice.Kind.ENDPOINT, registration.id());
         registered(registration, now);
@@ -145,10 +151,28 @@
         boolean free = all.inFlight() < registration.slots();
         return free
                 && fitsMemory(all, query.prompt())
+                && startsInTime(all, query, now)
                 && health.usable(own.inFlight(), now)
                 && cold.open(coldRate(), hosts, now);
     }
 
+    /** Returns the milliseconds after which a request would start here. */
+    long millisToStart(RouteQuery query) {
+        return rate.millisToRead(tokensAhead(query));
+    }
+
+    /**
+     * Returns whether a request would start by its objective. One that has missed it starts only where little waits, so
+     * that it delays no other.
+     */
+    private boolean startsInTime(EndpointUse all, RouteQuery query, long now) {
+        if (all.inFlight() == 0 || query.prompt().inputTokens() == 0) {
+            return true;
+        }
+        long left = query.objective() - now;
+        return millisToStart(query) <= Math.max(left, LATE_START_MILLIS);
+    }
+
     /** Returns prompt tokens that must be read before the request can start. */
     long tokensAhead(RouteQuery query) {
         return own.plus(othersSum).unreadTokens() + unread(query);
@@ -161,26 +185,27 @@
 
     void started(RouteQuery query, int hosts, long now) {
         EndpointUse use = new EndpointUse(1, unread(query), memory(query.prompt()));
-        running.put(query, use);
+        running.put(query, new Running(use, tokensAhead(query), now));
         own = own.plus(use);
         cache.add(salt(query), query.prompt());
         cold.sent(coldRate(), hosts, now);
     }
 
     /** Notes that the endpoint has read the prompt of a request. */
-    void answering(RouteQuery query) {
-        EndpointUse use = running.get(query);
-        if (use != null) {
-            EndpointUse read = new EndpointUse(0, use.unreadTokens(), 0);
-            running.put(query, use.minus(read));
+    void answering(RouteQuery query, long now) {
+        Running known = running.get(query);
+        if (known != null) {
+            rate.measured(known.tokensAhead(), now - known.sentAt());
+            EndpointUse read = new EndpointUse(0, known.use().unreadTokens(), 0);
+            running.put(query, new Running(known.use().minus(read), 0, known.sentAt()));
             own = own.minus(read);
         }
     }
 
     void ended(RouteQuery query) {
-        EndpointUse use = running.remove(query);
-        if (use != null) {
-            own = own.minus(use);
+        Running known = running.remove(query);
+        if (known != null) {
+            own = own.minus(known.use());
         }
     }
 
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -49,6 +49,18 @@
     /** Artifacts that are wanted and not held; more are not loaded within the time of a request anyway. */
     private static final int MAX_WANTED = 256;
 
+    /** A request that would start only after this multiple of the time to its objective is refused at once. */
+    private static final long HOPELESS_FACTOR = 2;
+
+    /** Time for which a request may wait in any case. */
+    private static final long MIN_PATIENCE_MILLIS = 200;
+
+    /** Part of the shared parts of prompts that endpoints have to read, since they do not keep them all. */
+    private static final double READ_SHARE = 0.25;
+
+    /** Work that each request is besides its prompt, in tokens read. */
+    private static final double REQUEST_TOKENS = 200;
+
     /** Demand below which a target is forgotten, in tokens a second. */
     private static final double MIN_DEMAND = 1;
 
@@ -153,8 +165,7 @@
     /** Counts a request that arrived, however it ends. */
     public void asked(Target target, PromptShape prompt, long now) {
         if (target instanceof Target.RoutedTarget routed && routed.model() != null) {
-            demand.computeIfAbsent(routed, key -> new RateMeter())
-                    .add(prompt.inputTokens() + prompt.outputTokens(), now);
+            demand.computeIfAbsent(routed, key -> new RateMeter()).add(work(prompt), now);
         }
     }
 
@@ -190,7 +201,7 @@
         }
         arrivals.arrived(target);
         DirectEndpoint best = cheapest(holders, query, now);
-        return best == null ? RouteChoice.WAIT : best.choice();
+        return best == null ? waiting(holders, query, now) : best.choice();
     }
 
     @Override
@@ -205,7 +216,7 @@
     public void answering(String endpoint, RouteQuery query, long now) {
         DirectEndpoint known = endpoints.get(endpoint);
         if (known != null) {
-            known.answering(query);
+            known.answering(query, now);
         }
     }
 
@@ -280,6 +291,17 @@
         return best;
     }
 
+    /** Lets a request wait for room, unless so much waits everywhere that it would start far too late. */
+    private static RouteChoice waiting(List<DirectEndpoint> holders, RouteQuery query, long now) {
+        long soonest = Long.MAX_VALUE;
+        for (DirectEndpoint endpoint : holders) {
+            soonest = Math.min(soonest, endpoint.millisToStart(query));
+        }
+        long patience = HOPELESS_FACTOR * Math.max(query.objective() - now, 0) + MIN_PATIENCE_MILLIS;
+        boolean hopeless = query.prompt().inputTokens() > 0 && soonest > patience;
+        return hopeless ? RouteChoice.unreachableFor(soonest) : RouteChoice.WAIT;
+    }
+
     /** Lets a request wait for what no endpoint holds, if it can be loaded in time. */
     private RouteChoice missing(RouteQuery query, Target.RoutedTarget target, boolean serviceRuns, long now) {
         ModelProfile model = serviceRuns ? model(target) : null;
@@ -303,6 +325,15 @@
         return model.storeLoadMillis();
     }
 
+    /** Returns the tokens that an endpoint has to read for a prompt, most of whose shared parts it keeps. */
+    private static double work(PromptShape prompt) {
+        List<PromptShape.Part> parts = prompt.parts();
+        int last = parts.isEmpty()
+                ? prompt.inputTokens()
+                : parts.get(parts.size() - 1).tokens();
+        return last + READ_SHARE * (prompt.inputTokens() - last) + REQUEST_TOKENS;
+    }
+
     private double cost(DirectEndpoint endpoint, RouteQuery query) {
         double cost = endpoint.tokensAhead(query) + FULL_SLOTS_TOKENS * endpoint.utilisation();
         cost += FAILING_TOKENS * endpoint.health().failureShare();
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -333,6 +333,7 @@
                 alone,
                 work.isRelayed(),
                 spec.handling().prompt(),
+                spec.handling().objective(),
                 Math.min(spec.deadline(), spec.handling().startBy()),
                 work.failedAt());
         RouteChoice choice = router.choose(query, now);
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/EndpointLedger.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/EndpointLedger.java
@@ -178,6 +178,7 @@
         }
         busy = true;
         loading = order.action() == ArtifactOrder.Action.LOAD ? order.model() : null;
+        changed = true;
         askAt = Math.min(askAt, now + BUSY_STATUS_MILLIS);
     }
 
@@ -248,6 +249,6 @@
     ResidencyEffect.Announce announcement() {
         List<ResidentModel> models = new ArrayList<>();
         held.forEach((model, adapters) -> models.add(new ResidentModel(model, adapters)));
-        return new ResidencyEffect.Announce(registration.id(), sequence, models);
+        return new ResidencyEffect.Announce(registration.id(), sequence, models, loading);
     }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/Fleet.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/Fleet.java
@@ -35,7 +35,7 @@
         if (old == null
                 || !old.models().equals(registration.models())
                 || old.bornMillis() != registration.bornMillis()) {
-            holds(registration.id(), registration.models());
+            holds(registration.id(), registration.models(), null);
         }
     }
 
@@ -44,9 +44,13 @@
         models.remove(endpoint);
     }
 
-    void holds(String endpoint, List<ResidentModel> held) {
+    /** Takes over what an endpoint holds and loads; a model that it loads counts as held. */
+    void holds(String endpoint, List<ResidentModel> held, String loading) {
         Set<String> names = new HashSet<>();
         held.forEach(model -> names.add(model.model()));
+        if (loading != null) {
+            names.add(loading);
+        }
         models.put(endpoint, names);
     }
 
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ReplicaBalance.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ReplicaBalance.java
@@ -7,11 +7,14 @@
 /** Finds the model whose next replica takes most load off the endpoints that hold it. */
 final class ReplicaBalance {
     /** Demand on an endpoint from which a further replica of one of its models is worth a load, in tokens a second. */
-    private static final double BUSY_TOKENS_PER_SECOND = 10_000;
+    private static final double BUSY_TOKENS_PER_SECOND = 6_000;
 
     /** Part of the demand on the busiest endpoint that the new place may have at most once it takes its share. */
     private static final double MAX_PLACE_SHARE = 0.8;
 
+    /** Part of the demand on the busiest endpoint that a replica must take off it to be worth a load. */
+    private static final double MIN_RELIEF_SHARE = 0.1;
+
     private final Fleet fleet;
     private final ModelPlacer placer;
 
@@ -41,13 +44,15 @@
         }
         double load = placer.load(busiest, demand);
         Move best = null;
-        double bestLoad = MAX_PLACE_SHARE * load;
+        double mostRelief = MIN_RELIEF_SHARE * load;
         for (String model : fleet.models(busiest.id())) {
             ModelPlacer.Place place = placer.cheapest(service, model, demand, movable);
-            double taken = demand.applyAsDouble(model) / (fleet.replicas(service, model) + 1);
-            if (place != null && taken > 0 && place.cost() + taken < bestLoad) {
+            int replicas = Math.max(1, fleet.replicas(service, model));
+            double taken = demand.applyAsDouble(model) / (replicas + 1);
+            double relief = demand.applyAsDouble(model) / replicas - taken;
+            if (place != null && relief > mostRelief && place.cost() + taken < MAX_PLACE_SHARE * load) {
                 best = new Move(model, place);
-                bestLoad = place.cost() + taken;
+                mostRelief = relief;
             }
         }
         return best;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
@@ -13,7 +13,6 @@
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.EngineProfile;
-import org.gooseberryring.state.ResidentModel;
 import org.gooseberryring.state.ServingConfiguration;
 
 /**
@@ -89,8 +88,8 @@
     }
 
     /** Takes over what an endpoint holds, as the controller of its failure domain says. */
-    public void holds(String endpoint, List<ResidentModel> models) {
-        fleet.holds(endpoint, models);
+    public void holds(ResidencyEffect.Announce holdings) {
+        fleet.holds(holdings.endpoint(), holdings.models(), holdings.loading());
     }
 
     /** Takes over what the callers of a host ask for, in tokens a second. */
@@ -326,7 +325,7 @@
         for (EndpointLedger ledger : ledgers.values()) {
             if (ledger.takeChanged() || all && ledger.isKnown()) {
                 ResidencyEffect.Announce announcement = ledger.announcement();
-                fleet.holds(announcement.endpoint(), announcement.models());
+                holds(announcement);
                 effects.add(announcement);
             }
         }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyEffect.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyEffect.java
@@ -26,6 +26,8 @@
      * @param endpoint endpoint
      * @param orderSequence orders that it had accepted
      * @param models models and adapters that requests may be sent for
+     * @param loading model that it loads, null if it loads none
      */
-    record Announce(String endpoint, long orderSequence, List<ResidentModel> models) implements ResidencyEffect {}
+    record Announce(String endpoint, long orderSequence, List<ResidentModel> models, String loading)
+            implements ResidencyEffect {}
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/RouteQuery.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/RouteQuery.java
@@ -13,6 +13,7 @@
  * @param alone whether it must run alone on its endpoint because it may crash it
  * @param relayed whether it came from another failure domain and must not be relayed again
  * @param prompt parts of the prompt, {@link PromptShape#NONE} if they are not known
+ * @param objective monotonic time in milliseconds by which the answer should start
  * @param startBy monotonic time in milliseconds by which the answer must start
  * @param failedAt endpoints at which an attempt of this request failed
  */
@@ -22,10 +23,11 @@
         boolean alone,
         boolean relayed,
         PromptShape prompt,
+        long objective,
         long startBy,
         Set<String> failedAt) {
     /** Creates a query for a request whose prompt parts are not known and that has not failed yet. */
     public RouteQuery(Target target, long prefixHash, boolean alone, boolean relayed) {
-        this(target, prefixHash, alone, relayed, PromptShape.NONE, Long.MAX_VALUE, Set.of());
+        this(target, prefixHash, alone, relayed, PromptShape.NONE, Long.MAX_VALUE, Long.MAX_VALUE, Set.of());
     }
 }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/DirectRouterTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/DirectRouterTest.java
@@ -118,12 +118,12 @@
     @Test
     void refusesAtOnceWhatCannotBeLoadedInTime() {
         Target.RoutedTarget absent = new Target.RoutedTarget("llm", "n", null);
-        RouteQuery impatient = new RouteQuery(absent, 0, false, false, PROMPT, 2_400, Set.of());
+        RouteQuery impatient = new RouteQuery(absent, 0, false, false, PROMPT, 400, 2_400, Set.of());
         RouteChoice refused = router.choose(impatient, 0);
         assertThat(refused.kind()).isEqualTo(RouteChoice.Kind.UNREACHABLE);
         assertThat(refused.availableMillis()).isEqualTo(4_000);
         assertThat(router.takeWanted()).containsExactly(absent);
-        RouteQuery patient = new RouteQuery(absent, 0, false, false, PROMPT, 16_000, Set.of());
+        RouteQuery patient = new RouteQuery(absent, 0, false, false, PROMPT, 4_000, 16_000, Set.of());
         assertThat(router.choose(patient, 0)).isEqualTo(RouteChoice.WAIT);
         Target.RoutedTarget unknown = new Target.RoutedTarget("llm", "x", null);
         assertThat(router.choose(query(unknown, PROMPT), 0)).isEqualTo(RouteChoice.UNREACHABLE);
@@ -156,7 +156,7 @@
     }
 
     private static RouteQuery query(Target.RoutedTarget target, PromptShape prompt) {
-        return new RouteQuery(target, 0, false, false, prompt, Long.MAX_VALUE, Set.of());
+        return new RouteQuery(target, 0, false, false, prompt, Long.MAX_VALUE, Long.MAX_VALUE, Set.of());
     }
 
     private static EndpointRegistration engine(String id, String domain, long coldMillis) {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyWorld.java
@@ -208,7 +208,7 @@
                 }
             });
         } else if (effect instanceof ResidencyEffect.Announce announce) {
-            controllers.values().forEach(each -> each.holds(announce.endpoint(), announce.models()));
+            controllers.values().forEach(each -> each.holds(announce));
         }
     }
 
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
@@ -81,7 +81,8 @@
         for (ResidencyEffect.Announce endpoint : endpoints) {
             HeldEndpoint.Builder held = HeldEndpoint.newBuilder()
                     .setEndpoint(endpoint.endpoint())
-                    .setOrderSequence(endpoint.orderSequence());
+                    .setOrderSequence(endpoint.orderSequence())
+                    .setLoading(endpoint.loading() == null ? "" : endpoint.loading());
             endpoint.models()
                     .forEach(model -> held.addModels(
                             HeldModel.newBuilder().setModel(model.model()).addAllAdapters(model.adapters())));
@@ -97,7 +98,8 @@
             for (HeldModel model : held.getModelsList()) {
                 models.add(new ResidentModel(model.getModel(), Set.copyOf(model.getAdaptersList())));
             }
-            endpoints.add(new ResidencyEffect.Announce(held.getEndpoint(), held.getOrderSequence(), models));
+            String loading = held.getLoading().isEmpty() ? null : held.getLoading();
+            endpoints.add(new ResidencyEffect.Announce(held.getEndpoint(), held.getOrderSequence(), models, loading));
         }
         return endpoints;
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -128,7 +128,7 @@
         }
         controllers.put(holdings.getFailureDomain(), new Controller(sender, holdings.getTerm(), now));
         for (ResidencyEffect.Announce endpoint : PeerCodec.endpoints(holdings)) {
-            controller.holds(endpoint.endpoint(), endpoint.models());
+            controller.holds(endpoint);
             requests.holds(endpoint.endpoint(), endpoint.models());
         }
     }
