Contain crashing requests, reload settings, and refuse what waits when a host stops

The host now refuses what waits once the balancer has noticed. A broken connection no longer takes its endpoint out: the endpoint is asked whether it lives, and a request that crashed three is refused by all hosts.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/AttemptOutcome.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/AttemptOutcome.java
@@ -31,4 +31,9 @@
             long firstTokenMillis) {
         this(verdict, status, usedTokens, bytesReachedCaller, endpointLost, firstTokenMillis, true);
     }
+
+    /** Returns this outcome of an attempt whose endpoint does not count as lost. */
+    public AttemptOutcome atLiveEndpoint() {
+        return new AttemptOutcome(verdict, status, usedTokens, bytesReachedCaller, false, firstTokenMillis, sent);
+    }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -33,9 +32,6 @@
     /** Time after which another endpoint or more room can be expected; load reports come within a second. */
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
-    /** Abandoned claims remembered so that a late grant is released; an owner answers within seconds. */
-    private static final int MAX_ABANDONED_CLAIMS = 10_000;
-
     /** Organisation under which the idempotency keys of open routes are claimed. */
     private static final String OPEN_ROUTE = "";
 
@@ -47,7 +43,7 @@
     private final long maxRunMillis;
     private final Map<String, Work> works = new LinkedHashMap<>();
     private final Set<String> runningSuspects = new HashSet<>();
-    private final Set<String> abandonedClaims = new LinkedHashSet<>();
+    private final AbandonedClaims abandonedClaims = new AbandonedClaims();
     private boolean shuttingDown;
     private List<RequestEffect> effects = new ArrayList<>();
 
@@ -182,12 +178,34 @@
         return done(now);
     }
 
+    /**
+     * An endpoint that ran a request is found to have crashed, after the attempt there has ended.
+     *
+     * @param digest digest of the request
+     * @param endpoint start of the endpoint that crashed
+     */
+    public List<RequestEffect> endpointCrashed(String digest, String endpoint, long now) {
+        router.lost(endpoint, router.lossEpoch(endpoint), now);
+        effects.add(new RequestEffect.SpreadQuarantine(digest, suspects.endpointLost(digest, endpoint, now)));
+        return done(now);
+    }
+
     /** The host shuts down: new requests are refused, the others run to their end. */
     public List<RequestEffect> shuttingDown(long now) {
         shuttingDown = true;
         return done(now);
     }
 
+    /** The host will not serve what still waits: requests that no endpoint runs are refused. */
+    public List<RequestEffect> refuseWaiting(long now) {
+        for (Work work : List.copyOf(works.values())) {
+            if (work.step() != Work.Step.RUNNING) {
+                refuse(work, Reason.SHUTDOWN, RETRY_AFTER_MILLIS, now);
+            }
+        }
+        return done(now);
+    }
+
     /** Returns the number of requests that have not ended. */
     public int size() {
         return works.size();
@@ -457,7 +475,7 @@
             queue.remove(work.spec());
         }
         if (work.step() == Work.Step.CLAIM) {
-            abandonClaim(work.id());
+            abandonedClaims.add(work.id());
         }
         if (work.isClaimed() && verdict != Verdict.MAY_HAVE_RUN) {
             effects.add(new RequestEffect.SettleClaim(work.id(), verdict));
@@ -467,13 +485,6 @@
         }
     }
 
-    private void abandonClaim(String requestId) {
-        abandonedClaims.add(requestId);
-        if (abandonedClaims.size() > MAX_ABANDONED_CLAIMS) {
-            abandonedClaims.remove(abandonedClaims.iterator().next());
-        }
-    }
-
     private List<RequestEffect> done(long now) {
         dispatchWaiting(now);
         List<RequestEffect> result = effects;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/retry/CrashSuspects.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/retry/CrashSuspects.java
@@ -17,7 +17,7 @@
  * notices are lost, each host stops it by itself, after two losses or as many as it ran copies at once.
  */
 public final class CrashSuspects {
-    /** Losses after which a request is refused on every host. */
+    /** Losses after which a request is refused on every host by default. */
     public static final int QUARANTINE_LOSSES = 2;
 
     /** Bounds memory to a few megabytes; the digest that was lost longest ago is forgotten first. */
@@ -51,6 +51,17 @@
     }
 
     private final LinkedHashMap<String, Suspect> suspects = new LinkedHashMap<>();
+    private final int quarantineLosses;
+
+    /** Creates an empty record that quarantines after {@link #QUARANTINE_LOSSES}. */
+    public CrashSuspects() {
+        this(QUARANTINE_LOSSES);
+    }
+
+    /** Creates an empty record that quarantines after the given number of losses. */
+    public CrashSuspects(int quarantineLosses) {
+        this.quarantineLosses = quarantineLosses;
+    }
 
     /**
      * Counts the loss of an endpoint that ran the request and returns the losses that this host saw.
@@ -86,7 +97,7 @@
     /** Forgets a suspect that ran alone and completed; a quarantined one stays. */
     public void completedAlone(String digest) {
         Suspect suspect = suspects.get(digest);
-        if (suspect != null && suspect.losses() < QUARANTINE_LOSSES) {
+        if (suspect != null && suspect.losses() < quarantineLosses) {
             suspects.remove(digest);
         }
     }
@@ -105,7 +116,7 @@
     /** Returns whether the request must be refused. */
     public boolean isQuarantined(String digest) {
         Suspect suspect = suspects.get(digest);
-        return suspect != null && suspect.losses() >= QUARANTINE_LOSSES;
+        return suspect != null && suspect.losses() >= quarantineLosses;
     }
 
     /** Forgets digests whose last loss is long ago. */
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/retry/RouteRetries.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/retry/RouteRetries.java
@@ -10,14 +10,22 @@
 
 /** Retries as the routes of the requests allow them, with a budget for each service that all hosts share. */
 public final class RouteRetries implements Retries {
-    private final RetryAllowance allowance;
     private final Map<String, ServiceRetryBudget> budgets = new HashMap<>();
+    private RetryAllowance allowance;
     private int hosts = 1;
 
     public RouteRetries(RetryAllowance allowance) {
         this.allowance = allowance;
     }
 
+    /** Takes over another allowance; what was counted under the present one is forgotten if the window differs. */
+    public void allowance(RetryAllowance changed) {
+        if (!changed.equals(allowance)) {
+            allowance = changed;
+            budgets.values().forEach(budget -> budget.allowance(changed));
+        }
+    }
+
     /** Takes over the number of hosts, this one included. */
     public void hosts(int count) {
         hosts = Math.max(1, count);
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/retry/ServiceRetryBudget.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/retry/ServiceRetryBudget.java
@@ -1,5 +1,7 @@
 package org.gooseberryring.coordination.retry;
 
+import java.util.Arrays;
+
 /**
  * Part of one host in the retries that a service bears.
  *
@@ -15,15 +17,25 @@
     /** Part of the allowance that is used; the rest covers what is counted later than it was sent. */
     private static final double USED_SHARE = 0.9;
 
-    private final RetryAllowance allowance;
-    private final long spanMillis;
     private final int[] firsts = new int[SPANS + 1];
     private final int[] retries = new int[SPANS + 1];
+    private RetryAllowance allowance;
+    private long spanMillis;
     private long span = Long.MIN_VALUE;
 
     ServiceRetryBudget(RetryAllowance allowance) {
-        this.allowance = allowance;
-        this.spanMillis = Math.max(1, allowance.windowMillis() / SPANS);
+        allowance(allowance);
+    }
+
+    void allowance(RetryAllowance changed) {
+        long changedSpan = Math.max(1, changed.windowMillis() / SPANS);
+        if (changedSpan != spanMillis) {
+            Arrays.fill(firsts, 0);
+            Arrays.fill(retries, 0);
+            span = Long.MIN_VALUE;
+        }
+        allowance = changed;
+        spanMillis = changedSpan;
     }
 
     void firstAttempt(long now) {
--- /dev/null
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
@@ -0,0 +1,113 @@
+package org.gooseberryring.coordination.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+
+import org.gooseberryring.coordination.direct.DirectRouter;
+import org.gooseberryring.coordination.limit.SharedLimits;
+import org.gooseberryring.coordination.queue.QueueSettings;
+import org.gooseberryring.coordination.retry.CrashSuspects;
+import org.gooseberryring.coordination.retry.RetryAllowance;
+import org.gooseberryring.coordination.retry.RouteRetries;
+import org.gooseberryring.state.EndpointRegistration;
+import org.gooseberryring.state.PriorityClass;
+import org.gooseberryring.state.PromptShape;
+import org.gooseberryring.state.RequestLimits;
+import org.gooseberryring.state.RouteTable;
+import org.gooseberryring.state.ServiceProfile;
+import org.gooseberryring.state.ServingConfiguration;
+import org.gooseberryring.state.Verdict;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Runs the engine with the router, limits and retries of an entry host. */
+class EntryEngineTest {
+    private static final Target TARGET = new Target.RoutedTarget("s", null, null);
+
+    private final DirectRouter router = new DirectRouter("a", new Random(1));
+    private final RequestEngine engine = new RequestEngine(
+            new SharedLimits(),
+            new FairRequestQueue(QueueSettings.defaults()),
+            router,
+            new RouteRetries(new RetryAllowance(10_000, 0.2, 54)),
+            new CrashSuspects(3),
+            600_000);
+
+    EntryEngineTest() {
+        TreeMap<String, ServiceProfile> services = new TreeMap<>();
+        services.put("s", new ServiceProfile("s", "/h", 100, 0, 0, null));
+        router.configured(new ServingConfiguration(
+                1,
+                new RouteTable(List.of()),
+                services,
+                new TreeMap<>(),
+                Map.of(),
+                new RequestLimits(16_384, 1_000_000, 3_000, 15_000)));
+    }
+
+    /** Guards against a request that waits when the process ends and gets no answer at all. */
+    @Test
+    void refusesWhatStillWaitsWhenTheHostStops() {
+        register("e1", 1);
+        List<RequestEffect> effects = new ArrayList<>(engine.arrived(spec("run", true, false), 0));
+        effects.addAll(engine.arrived(spec("wait", true, false), 0));
+        assertThat(effects).containsExactly(new RequestEffect.Dispatch("run", 1, "e1"));
+        engine.shuttingDown(10);
+        RequestEffect.Refuse refused =
+                (RequestEffect.Refuse) engine.refuseWaiting(20).get(0);
+        assertThat(refused.requestId()).isEqualTo("wait");
+        assertThat(refused.verdict()).isEqualTo(Verdict.NOT_RUN);
+        assertThat(engine.size()).isEqualTo(1);
+    }
+
+    /** Guards against a stream that is broken off although another endpoint could go on. */
+    @Test
+    void aBrokenStreamGoesToAnotherEndpoint() {
+        register("e1", 4);
+        register("e2", 4);
+        RequestEffect.Dispatch first = (RequestEffect.Dispatch)
+                engine.arrived(spec("q", true, true), 0).get(0);
+        engine.responseStarted("q", 1, 10);
+        RequestEffect.Dispatch second = (RequestEffect.Dispatch)
+                engine.attemptEnded("q", 1, new AttemptOutcome(Verdict.MAY_HAVE_RUN, 200, 0, true, false, 5), 20)
+                        .get(0);
+        assertThat(second.endpoint()).isNotEqualTo(first.endpoint());
+    }
+
+    /** Guards against a request that crashes endpoint after endpoint on all hosts. */
+    @Test
+    void refusesARequestThatHasCrashedThreeEndpoints() {
+        register("e1", 4);
+        for (int i = 0; i < 3; i++) {
+            engine.endpointCrashed("digest", "start-" + i, i);
+        }
+        RequestEffect.Refuse refused = (RequestEffect.Refuse)
+                engine.arrived(spec("q", true, false), 5_000).get(0);
+        assertThat(refused.verdict()).isEqualTo(Verdict.NOT_RUN);
+    }
+
+    /** Guards against an answer that goes on past the time at which its route ends it. */
+    @Test
+    void breaksOffAnAnswerAtItsDeadline() {
+        register("e1", 4);
+        engine.arrived(spec("q", true, true), 0);
+        engine.responseStarted("q", 1, 10);
+        List<RequestEffect> effects = engine.tick(9_000);
+        assertThat(effects.get(0)).isInstanceOf(RequestEffect.Refuse.class);
+        assertThat(effects).contains(new RequestEffect.Cancel("q", 1, "e1"));
+    }
+
+    private void register(String id, int slots) {
+        router.registered(new EndpointRegistration(id, "s", "10.0.0.1:80", "a", slots, false, 0, 0, 0, List.of()), 0);
+    }
+
+    private static RequestSpec spec(String id, boolean idempotent, boolean resumable) {
+        Handling handling = new Handling("s", 2, true, resumable, true, true, 1, 400, Long.MAX_VALUE, PromptShape.NONE);
+        return new RequestSpec(
+                id, null, TARGET, PriorityClass.NORMAL, 0, 0, "digest", idempotent, null, 8_000, handling);
+    }
+}
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -187,10 +187,8 @@
             }
             metrics.attemptEnded(outcome.verdict(), System.nanoTime() - startedNanos);
             log(outcome);
-            if (endpoint != null) {
-                gate.attemptEnded(request.spec(), endpoint, outcome);
-            }
-            loop.attemptEnded(request.spec().id(), number, outcome);
+            AttemptOutcome told = endpoint == null ? outcome : gate.attemptEnded(request.spec(), endpoint, outcome);
+            loop.attemptEnded(request.spec().id(), number, told);
         }
 
         private void log(AttemptOutcome outcome) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/AttemptGate.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/AttemptGate.java
@@ -13,6 +13,6 @@
      */
     BooleanSupplier mayStart(String endpoint);
 
-    /** Hears of an attempt that ended, on an I/O thread and before the engine does. */
-    void attemptEnded(RequestSpec spec, String endpoint, AttemptOutcome outcome);
+    /** Hears of an attempt that ended, on an I/O thread, and returns the outcome that the engine is told. */
+    AttemptOutcome attemptEnded(RequestSpec spec, String endpoint, AttemptOutcome outcome);
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/RequestCredits.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/RequestCredits.java
@@ -63,7 +63,7 @@
 
     /** Counts an attempt that ended, for the slow start at the home. */
     @Override
-    public void attemptEnded(RequestSpec spec, String endpoint, AttemptOutcome outcome) {
+    public AttemptOutcome attemptEnded(RequestSpec spec, String endpoint, AttemptOutcome outcome) {
         if (shared) {
             boolean success = outcome.verdict() == Verdict.COMPLETED && outcome.status() < FIRST_SERVER_ERROR;
             loop.put((engine, now) -> {
@@ -71,6 +71,7 @@
                 return List.of();
             });
         }
+        return outcome;
     }
 
     /** Takes over the home of an endpoint. */
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/CrashProbe.java
@@ -0,0 +1,50 @@
+package org.gooseberryring.host.entry;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+
+import org.gooseberryring.host.log.LogLine;
+import org.gooseberryring.state.EndpointRegistration;
+import org.jboss.logging.Logger;
+
+/** Asks an endpoint whose connection broke whether it still lives. */
+final class CrashProbe {
+    private static final Logger LOG = Logger.getLogger(CrashProbe.class);
+
+    private final InstallationView view;
+    private final Health health;
+    private final BiConsumer<String, String> crashed;
+
+    /** Checks whether a start of an endpoint lives; the future fails if nothing answers at its address. */
+    @FunctionalInterface
+    interface Health {
+        CompletableFuture<Boolean> lives(EndpointRegistration endpoint, String healthPath);
+    }
+
+    /** Creates a probe; {@code crashed} takes an endpoint that is gone and the digest of the request that it ran. */
+    CrashProbe(InstallationView view, Health health, BiConsumer<String, String> crashed) {
+        this.view = view;
+        this.health = health;
+        this.crashed = crashed;
+    }
+
+    /** Asks the endpoint; may be called on any thread. */
+    void ask(String endpoint, String digest) {
+        EndpointRegistration registration = view.registration(endpoint);
+        if (registration == null) {
+            crashed.accept(endpoint, digest);
+            return;
+        }
+        health.lives(registration, view.healthPath(registration.service())).whenComplete((lives, failure) -> {
+            boolean gone = failure != null || !lives;
+            LogLine.event("endpoint-probed")
+                    .with("endpoint", endpoint)
+                    .with("crashed", gone)
+                    .with("reason", failure == null ? null : failure.getMessage())
+                    .info(LOG);
+            if (gone) {
+                crashed.accept(endpoint, digest);
+            }
+        });
+    }
+}
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EndpointOrders.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EndpointOrders.java
@@ -7,11 +7,14 @@
 import org.gooseberryring.coordination.residency.OrderAnswer;
 import org.gooseberryring.state.EndpointRegistration;
 
-/** Orders to model engines and questions for their status; the futures end on an I/O thread. */
+/** Orders to endpoints and questions for their status; the futures end on an I/O thread. */
 public interface EndpointOrders {
     /** Sends an order; a missing answer is {@link OrderAnswer#UNKNOWN}. */
     CompletableFuture<OrderAnswer> send(EndpointRegistration endpoint, ArtifactOrder order);
 
     /** Asks for the status; the future fails if there is no answer. */
     CompletableFuture<EndpointStatus> status(EndpointRegistration endpoint);
+
+    /** Returns whether this start of an endpoint lives; the future fails if nothing answers at its address. */
+    CompletableFuture<Boolean> lives(EndpointRegistration endpoint, String healthPath);
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryDrain.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryDrain.java
@@ -38,8 +38,13 @@
         this.clock = clock;
     }
 
-    /** Drains the host; {@code unready} makes its readiness check fail from then on. */
-    void run(Runnable unready) {
+    /**
+     * Drains the host.
+     *
+     * @param unready makes its readiness check fail from then on
+     * @param refuseWaiting refuses the requests that no endpoint runs, so that their callers go to another host
+     */
+    void run(Runnable unready, Runnable refuseWaiting) {
         long end = clock.getAsLong() + settings.shutdownMillis() - RESERVE_MILLIS;
         LogLine.event("drain-started").with("open", open.count()).info(LOG);
         unready.run();
@@ -47,8 +52,10 @@
         try {
             closed.await(Math.min(NOTICE_MILLIS, settings.shutdownMillis() / 2), TimeUnit.MILLISECONDS);
             open.drain();
+            refuseWaiting.run();
             callers.closeIdle();
             boolean done = open.awaitNone(Math.max(1, end - clock.getAsLong()));
+            refuseWaiting.run();
             LogLine.event("drain-ended")
                     .with("complete", done)
                     .with("open", open.count())
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryGate.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryGate.java
@@ -8,16 +8,27 @@
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.host.engine.AttemptGate;
 
-/** Hears from attempts which endpoints do not hold what requests need. */
+/**
+ * Hears from attempts which endpoints do not hold what requests need and which may have crashed.
+ *
+ * <p>A connection that breaks does not show that its endpoint crashed, so the endpoint is asked before it counts as lost.
+ */
 final class EntryGate implements AttemptGate {
     /** Answer of an endpoint that is another one than expected or does not hold what the request needs. */
     private static final int MISDIRECTED = 421;
 
     private final BiConsumer<String, Target> lacks;
+    private final BiConsumer<String, String> broken;
 
-    /** Creates a gate; {@code lacks} takes the endpoint and what it does not hold. */
-    EntryGate(BiConsumer<String, Target> lacks) {
+    /**
+     * Creates a gate.
+     *
+     * @param lacks takes an endpoint and what it does not hold
+     * @param broken takes an endpoint and the digest of the request whose connection to it broke
+     */
+    EntryGate(BiConsumer<String, Target> lacks, BiConsumer<String, String> broken) {
         this.lacks = lacks;
+        this.broken = broken;
     }
 
     @Override
@@ -26,9 +37,14 @@
     }
 
     @Override
-    public void attemptEnded(RequestSpec spec, String endpoint, AttemptOutcome outcome) {
+    public AttemptOutcome attemptEnded(RequestSpec spec, String endpoint, AttemptOutcome outcome) {
         if (outcome.status() == MISDIRECTED) {
             lacks.accept(endpoint, spec.target());
         }
+        if (outcome.endpointLost() && outcome.sent()) {
+            broken.accept(endpoint, spec.digest());
+            return outcome.atLiveEndpoint();
+        }
+        return outcome;
     }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -45,7 +45,6 @@
     /** Connections to endpoints; a connection within a region opens in a few milliseconds. */
     private static final EndpointLimits ENDPOINT_LIMITS = new EndpointLimits(1_000, 400, 600_000, 600_000, 0);
 
-    private final EntrySettings settings;
     private final HostClock clock = new HostClock();
     // A later process of the host has a higher number as long as the wall clock does not go back.
     private final long incarnation = clock.wallMillis();
@@ -65,6 +64,7 @@
     private final FrontListener callers;
     private final FrontListener ready;
     private final FrontListener metricsListener;
+    private volatile EntrySettings settings;
     private volatile boolean stopping;
 
     private EntryHost(EntrySettings settings, Function<PlatformAccess, Installation> platform) {
@@ -76,7 +76,8 @@
         SplittableRandom random =
                 new SplittableRandom(incarnation ^ settings.hostId().hashCode());
         ResidencyController controller = new ResidencyController(settings.failureDomain());
-        requests = requests(installation);
+        EndpointOrders orders = installation.orders(settings.hostId());
+        requests = requests(installation, orders);
         exchange = new PeerExchange(settings, control, requests, controller);
         mesh = new PeerMesh(settings, incarnation, lanes, control, metrics, exchange::received);
         exchange.connect(mesh);
@@ -85,7 +86,7 @@
                 controller,
                 lanes,
                 control,
-                installation.orders(settings.hostId()),
+                orders,
                 view,
                 exchange::announce,
                 clock::wallMillis,
@@ -133,10 +134,16 @@
         return !stopping && view.configuration().known() && feeds.endpointsListed();
     }
 
+    /** Takes over settings that may change while the host runs: the time to stop and the retries that services bear. */
+    public void reconfigure(EntrySettings changed) {
+        requests.retries(changed.retries());
+        settings = changed;
+    }
+
     /** Finishes the requests in flight and stops; blocks for as long as the settings allow. */
     public void drain() {
         control.put(now -> residency.leave());
-        new EntryDrain(settings, open, callers, closed, clock::now).run(() -> stopping = true);
+        new EntryDrain(settings, open, callers, closed, clock::now).run(() -> stopping = true, requests::refuseWaiting);
         close();
     }
 
@@ -161,15 +168,17 @@
         LogLine.event("host-stopped").with("host", settings.hostId()).info(LOG);
     }
 
-    private EntryRequests requests(Installation installation) {
+    private EntryRequests requests(Installation installation, EndpointOrders orders) {
+        CrashProbe probe = new CrashProbe(
+                view, orders::lives, (endpoint, digest) -> requests().endpointCrashed(endpoint, digest));
         CallerEffects effects = new CallerEffects(
                 open,
                 view::endpoint,
                 new EndpointClient(worker, ENDPOINT_LIMITS, installation.endpointProtocol()),
                 metrics,
-                new EntryLinks(),
+                new EntryLinks(quarantine -> exchange().spread(quarantine)),
                 null,
-                new EntryGate((endpoint, target) -> requests().lacks(endpoint, target)),
+                new EntryGate((endpoint, target) -> requests().lacks(endpoint, target), probe::ask),
                 installation.requests().calls());
         return new EntryRequests(settings, effects, targets -> exchange().wanted(targets), incarnation, clock::now);
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryLinks.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryLinks.java
@@ -1,15 +1,24 @@
 package org.gooseberryring.host.entry;
 
+import java.util.function.Consumer;
+
 import org.gooseberryring.coordination.request.RequestEffect;
 import org.gooseberryring.host.caller.EffectLinks;
 import org.gooseberryring.host.caller.OpenRequest;
 
 /**
- * Effects of the engine that an entry host has no use for.
+ * Effects of the engine that need other hosts.
  *
  * <p>Its callers give no idempotency keys, and its endpoints stop a request when its connection closes.
  */
 final class EntryLinks implements EffectLinks {
+    private final Consumer<RequestEffect.SpreadQuarantine> notices;
+
+    /** Creates the links; {@code notices} tells the other hosts about a request that crashes endpoints. */
+    EntryLinks(Consumer<RequestEffect.SpreadQuarantine> notices) {
+        this.notices = notices;
+    }
+
     @Override
     public void claim(OpenRequest request, RequestEffect.Claim claim) {
         throw new IllegalStateException("no request of an entry host carries an idempotency key");
@@ -27,7 +36,7 @@
 
     @Override
     public void spread(RequestEffect.SpreadQuarantine quarantine) {
-        // Losses are counted by each host for itself until the peers exchange them.
+        notices.accept(quarantine);
     }
 
     @Override
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
@@ -17,6 +17,7 @@
 import org.gooseberryring.coordination.request.RequestSpec;
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.coordination.retry.CrashSuspects;
+import org.gooseberryring.coordination.retry.RetryAllowance;
 import org.gooseberryring.coordination.retry.RouteRetries;
 import org.gooseberryring.host.caller.CallerEffects;
 import org.gooseberryring.host.engine.LimiterInputs;
@@ -32,6 +33,9 @@
     private static final int RING_SIZE = 4_096;
     private static final long MAX_RUN_MILLIS = 600_000;
 
+    /** Endpoints that a request may crash before all hosts refuse it; two can crash for another reason. */
+    private static final int QUARANTINE_LOSSES = 3;
+
     private final DirectRouter router;
     private final SharedLimits limits = new SharedLimits();
     private final RouteRetries retries;
@@ -58,7 +62,7 @@
                 new FairRequestQueue(QueueSettings.defaults()),
                 router,
                 retries,
-                new CrashSuspects(),
+                new CrashSuspects(QUARANTINE_LOSSES),
                 MAX_RUN_MILLIS);
         loop = new RequestLoop(RING_SIZE, engine, new AfterInputs(limits, router, wanted), effects, clock);
         effects.connect(loop);
@@ -77,6 +81,12 @@
         return loop.arrived(spec);
     }
 
+    /** Refuses the requests that no endpoint runs, now and from now on. */
+    void refuseWaiting() {
+        loop.put((engine, now) -> engine.shuttingDown(now));
+        loop.put((engine, now) -> engine.refuseWaiting(now));
+    }
+
     /** Takes over a configuration. */
     void configured(ServingConfiguration configuration) {
         List<Organisation> organisations = configuration.organisations().values().stream()
@@ -129,6 +139,24 @@
         });
     }
 
+    /** Takes over the retries that services bear. */
+    void retries(RetryAllowance allowance) {
+        loop.put((engine, now) -> {
+            retries.allowance(allowance);
+            return List.of();
+        });
+    }
+
+    /** Notes that an endpoint crashed while it ran a request. */
+    void endpointCrashed(String endpoint, String digest) {
+        loop.put((engine, now) -> engine.endpointCrashed(digest, endpoint, now));
+    }
+
+    /** Takes over what another host counted of a request that crashes endpoints. */
+    void quarantined(String reporter, String digest, int losses) {
+        loop.put((engine, now) -> engine.quarantined(reporter, digest, losses, now));
+    }
+
     /** Takes over the number of hosts, this one included. */
     void hosts(int count) {
         loop.put((engine, now) -> {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationView.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationView.java
@@ -6,6 +6,7 @@
 import org.gooseberryring.state.Endpoint;
 import org.gooseberryring.state.EndpointKind;
 import org.gooseberryring.state.EndpointRegistration;
+import org.gooseberryring.state.ServiceProfile;
 import org.gooseberryring.state.ServingConfiguration;
 
 /** What this host believes of the installation, readable from any thread. */
@@ -39,6 +40,12 @@
         return endpoints.get(endpoint);
     }
 
+    /** Returns the path of the health check of a service's endpoints. */
+    String healthPath(String service) {
+        ServiceProfile profile = configuration.services().get(service);
+        return profile == null ? "/" : profile.healthPath();
+    }
+
     public int endpointCount() {
         return endpoints.size();
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.gooseberryring.coordination.request.RequestEffect;
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.coordination.residency.ResidencyController;
 import org.gooseberryring.coordination.residency.ResidencyEffect;
@@ -14,6 +15,8 @@
 import org.gooseberryring.protocol.peer.HostState;
 import org.gooseberryring.protocol.peer.PeerHeard;
 import org.gooseberryring.protocol.peer.PeerMessage;
+import org.gooseberryring.protocol.peer.QuarantineNotice;
+import org.gooseberryring.protocol.peer.QuarantinedDigest;
 import org.jboss.logging.Logger;
 
 /**
@@ -82,12 +85,24 @@
             case ARTIFACTS_WANTED ->
                 control.offer(now -> controller.wanted(PeerCodec.targets(message.getArtifactsWanted()), now));
             case ENDPOINT_HOLDINGS -> control.offer(now -> holdings(sender, message.getEndpointHoldings(), now));
+            case QUARANTINE_NOTICE -> quarantine(message);
             default -> {
                 // A message of a later version of the program, or one that this host has no part in.
             }
         }
     }
 
+    /** Tells the other hosts about a request that crashes endpoints; may be called on any thread. */
+    void spread(RequestEffect.SpreadQuarantine quarantine) {
+        QuarantineNotice notice = QuarantineNotice.newBuilder()
+                .addDigests(QuarantinedDigest.newBuilder()
+                        .setDigest(quarantine.digest())
+                        .setEndpointLosses(quarantine.endpointLosses()))
+                .build();
+        control.put(now -> mesh.broadcast(
+                PeerMessage.newBuilder().setQuarantineNotice(notice).buildPartial()));
+    }
+
     /** Asks the controllers for artifacts that requests of this host wait for; may be called on any thread. */
     void wanted(List<Target.RoutedTarget> targets) {
         control.offer(now -> ask(targets, now));
@@ -101,6 +116,13 @@
         mesh.broadcast(PeerMessage.newBuilder().setEndpointHoldings(holdings).buildPartial());
     }
 
+    private void quarantine(PeerMessage message) {
+        String reporter = message.getSender() + "/" + message.getSenderIncarnation();
+        for (QuarantinedDigest digest : message.getQuarantineNotice().getDigestsList()) {
+            requests.quarantined(reporter, digest.getDigest(), digest.getEndpointLosses());
+        }
+    }
+
     private void tell(EntryRequests.HostSnapshot snapshot, long now) {
         controller.demandOf(hostId, snapshot.artifacts(), now);
         HostState state = PeerCodec.encode(snapshot, mesh.heardAges(now));
