--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Target.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Target.java
@@ -25,5 +25,11 @@
      * @param model model, null for a plain service
      * @param adapter adapter of the model, null for the model itself
      */
-    record RoutedTarget(String service, String model, String adapter) implements Target {}
+    record RoutedTarget(String service, String model, String adapter) implements Target {
+        /** Returns {@code service[/model[/adapter]]}. */
+        @Override
+        public String toString() {
+            return service + (model == null ? "" : "/" + model) + (adapter == null ? "" : "/" + adapter);
+        }
+    }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -103,6 +103,15 @@
             return;
         }
         EndpointCall call = calls.call(request, endpoint);
+        LogLine.event("attempt-started")
+                .with("requestId", dispatch.requestId())
+                .with("attempt", dispatch.attempt())
+                .with("organisation", request.spec().organisation())
+                .with("target", request.spec().target())
+                .with("endpoint", dispatch.endpoint())
+                .with("address", endpoint.address())
+                .with("failureDomain", endpoint.failureDomain())
+                .debug(LOG);
         BooleanSupplier mayStart = gate.mayStart(endpoint.id());
         Progress progress = new Progress(request, dispatch.attempt(), endpoint.id());
         request.thread().execute(() -> send(progress, endpoint.address(), call, mayStart));
@@ -142,6 +151,8 @@
                 .with("organisation", request.spec().organisation())
                 .with("code", refuse.code().wireName())
                 .with("verdict", refuse.verdict().wireName())
+                .with("retryAfterMs", refuse.retryAfterMillis())
+                .with("detail", refuse.detail())
                 .debug(LOG);
         Refusal refusal = new Refusal(refuse.code(), refuse.verdict(), refuse.retryAfterMillis(), refuse.detail());
         request.thread().execute(() -> request.refuse(refusal));
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
@@ -182,7 +182,9 @@
         LogLine.event("request-ended")
                 .with("requestId", arrival.head().requestId())
                 .with("route", admitted.route().id())
+                .with("configuration", view.configuration().version())
                 .with("status", exchange.getStatusCode())
+                .with("whole", exchange.isResponseComplete())
                 .with("ms", clock.getAsLong() - arrival.at())
                 .info(LOG);
     }
