Let each failure domain add replicas itself, and refuse what missed its objective

Cause: the cheapest place for a replica often lay in a failure domain whose controller was frozen or cut off, so that nobody loaded it; and requests waited for room until their callers left. A controller now passes a better place elsewhere twice and then takes its own; a model that makes room is announced before its load.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -291,15 +291,16 @@
         return best;
     }
 
-    /** Lets a request wait for room, unless so much waits everywhere that it would start far too late. */
+    /** Lets a request wait for room, unless it has missed its objective or so much waits that it would start far too late. */
     private static RouteChoice waiting(List<DirectEndpoint> holders, RouteQuery query, long now) {
         long soonest = Long.MAX_VALUE;
         for (DirectEndpoint endpoint : holders) {
             soonest = Math.min(soonest, endpoint.millisToStart(query));
         }
         long patience = HOPELESS_FACTOR * Math.max(query.objective() - now, 0) + MIN_PATIENCE_MILLIS;
-        boolean hopeless = query.prompt().inputTokens() > 0 && soonest > patience;
-        return hopeless ? RouteChoice.unreachableFor(soonest) : RouteChoice.WAIT;
+        boolean late = now > query.objective() + MIN_PATIENCE_MILLIS;
+        boolean hopeless = query.prompt().inputTokens() > 0 && (late || soonest > patience);
+        return hopeless ? RouteChoice.unreachableFor(Math.max(soonest, MIN_PATIENCE_MILLIS)) : RouteChoice.WAIT;
     }
 
     /** Lets a request wait for what no endpoint holds, if it can be loaded in time. */
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/EndpointLedger.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/EndpointLedger.java
@@ -36,6 +36,7 @@
     private Set<String> copies = Set.of();
     private ArtifactOrder open;
     private String loading;
+    private String intended;
     private boolean known;
     private boolean busy;
     private boolean changed;
@@ -63,6 +64,7 @@
         busy = false;
         open = null;
         loading = null;
+        intended = null;
         arriving.clear();
         held.clear();
         sequence = 0;
@@ -242,6 +244,12 @@
         return result;
     }
 
+    /** Notes the model that will be loaded once there is room, null if none is. */
+    void intend(String model) {
+        intended = model;
+        changed = true;
+    }
+
     boolean isKnown() {
         return known;
     }
@@ -249,6 +257,6 @@
     ResidencyEffect.Announce announcement() {
         List<ResidentModel> models = new ArrayList<>();
         held.forEach((model, adapters) -> models.add(new ResidentModel(model, adapters)));
-        return new ResidencyEffect.Announce(registration.id(), sequence, models, loading);
+        return new ResidencyEffect.Announce(registration.id(), sequence, models, loading == null ? intended : loading);
     }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ModelPlacer.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ModelPlacer.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
 import org.gooseberryring.state.EndpointRegistration;
@@ -35,13 +36,15 @@
      * Returns the cheapest place for a model, or null if there is none.
      *
      * @param demand demand for a model of the service in tokens a second
+     * @param usable endpoints to choose from
      * @param movable whether a model may be unloaded from an endpoint
      */
-    Place cheapest(String service, String model, ToDoubleFunction<String> demand, Movable movable) {
+    Place cheapest(
+            String service, String model, ToDoubleFunction<String> demand, Predicate<String> usable, Movable movable) {
         EngineProfile engine = fleet.engine(service);
         Place best = null;
         for (EndpointRegistration endpoint : fleet.inService(service)) {
-            if (fleet.holds(endpoint.id(), model)) {
+            if (fleet.holds(endpoint.id(), model) || !usable.test(endpoint.id())) {
                 continue;
             }
             Place place = place(engine, endpoint, model, demand, movable);
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ReplicaBalance.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ReplicaBalance.java
@@ -1,5 +1,6 @@
 package org.gooseberryring.coordination.residency;
 
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
 import org.gooseberryring.state.EndpointRegistration;
@@ -35,9 +36,10 @@
      * Returns the next replica to add for a service, or null if none is worth it.
      *
      * @param demand demand for a model of the service in tokens a second
+     * @param usable endpoints that the replica may be placed on
      * @param movable whether a model may be unloaded from an endpoint
      */
-    Move next(String service, ToDoubleFunction<String> demand, ModelPlacer.Movable movable) {
+    Move next(String service, ToDoubleFunction<String> demand, Predicate<String> usable, ModelPlacer.Movable movable) {
         EndpointRegistration busiest = busiest(service, demand);
         if (busiest == null) {
             return null;
@@ -46,7 +48,7 @@
         Move best = null;
         double mostRelief = MIN_RELIEF_SHARE * load;
         for (String model : fleet.models(busiest.id())) {
-            ModelPlacer.Place place = placer.cheapest(service, model, demand, movable);
+            ModelPlacer.Place place = placer.cheapest(service, model, demand, usable, movable);
             int replicas = Math.max(1, fleet.replicas(service, model));
             double taken = demand.applyAsDouble(model) / (replicas + 1);
             double relief = demand.applyAsDouble(model) / replicas - taken;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.state.EndpointRegistration;
@@ -32,6 +33,12 @@
     /** The last replica of a model that was asked for within this time does not make room for another replica. */
     private static final long IDLE_REPLICA_MILLIS = 8_000;
 
+    /** A replica is left to another failure domain if it costs this much more here, for a few rounds. */
+    private static final double OWN_COST_FACTOR = 1.5;
+
+    private static final double OWN_COST_EXTRA = 1_000;
+    private static final int MAX_PASSES = 2;
+
     /** A move that has not ended by then is given up. */
     private static final long MOVE_MILLIS = 6_000;
 
@@ -54,6 +61,7 @@
     private long term;
     private long announceAt;
     private long rebalanceAt;
+    private int passes;
 
     private record Wanted(long since, long last) {}
 
@@ -228,9 +236,8 @@
                 target.service(),
                 target.model(),
                 model -> demand.ofModel(target.service(), model, now),
-                (endpoint, model) -> (anywhere || ledgers.containsKey(endpoint))
-                        && !moves.containsKey(endpoint)
-                        && mayUnload(target.service(), model, now));
+                endpoint -> anywhere || ledgers.containsKey(endpoint),
+                (endpoint, model) -> !moves.containsKey(endpoint) && mayUnload(target.service(), model, now));
         if (place != null) {
             begin(place, target.model(), now);
         }
@@ -253,16 +260,27 @@
         }
         rebalanceAt = now + REBALANCE_MILLIS;
         for (String service : fleet.engineServices()) {
-            ReplicaBalance.Move move = balance.next(
-                    service,
-                    model -> demand.ofModel(service, model, now),
-                    (endpoint, model) -> !moves.containsKey(endpoint) && mayMove(service, model, now));
-            if (move != null) {
-                begin(move.place(), move.model(), now);
+            ReplicaBalance.Move best = next(service, endpoint -> true, now);
+            ReplicaBalance.Move own = next(service, ledgers::containsKey, now);
+            boolean otherIsBetter = best != null
+                    && own != null
+                    && own.place().cost() > OWN_COST_FACTOR * best.place().cost() + OWN_COST_EXTRA;
+            passes = otherIsBetter ? passes + 1 : 0;
+            // The controller of the better place may be gone.
+            if (own != null && (!otherIsBetter || passes > MAX_PASSES)) {
+                begin(own.place(), own.model(), now);
             }
         }
     }
 
+    private ReplicaBalance.Move next(String service, Predicate<String> usable, long now) {
+        return balance.next(
+                service,
+                model -> demand.ofModel(service, model, now),
+                usable,
+                (endpoint, model) -> !moves.containsKey(endpoint) && mayMove(service, model, now));
+    }
+
     /** Begins a move if the endpoint is one of this failure domain and does not take part in another one. */
     private void begin(ModelPlacer.Place place, String model, long now) {
         EndpointLedger ledger = ledgers.get(place.endpoint().id());
@@ -270,6 +288,7 @@
                 && ledger.ready()
                 && !moves.containsKey(place.endpoint().id())) {
             moves.put(place.endpoint().id(), new Move(model, place.evicted(), now));
+            ledger.intend(model);
         }
     }
 
@@ -282,6 +301,9 @@
             Move move = entry.getValue();
             if (ledger == null || now - move.since() > MOVE_MILLIS || ledger.expects(move.model())) {
                 each.remove();
+                if (ledger != null) {
+                    ledger.intend(null);
+                }
             } else if (ledger.ready()) {
                 step(ledger, move, effects, now);
             }
