Avoid endpoints that do not answer, on all hosts

The hosts closed the connections in time; what they can do is send less. A request that has had no answer for four times its predicted start and 0.8 s marks its endpoint as stalled; all hosts leave it out, and it is tried again by one request at a time.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
@@ -25,6 +25,11 @@
     /** A request that has missed its objective starts where it starts within this time. */
     private static final long LATE_START_MILLIS = 250;
 
+    /** A request is overdue after this multiple of its predicted start, and the time below. */
+    private static final long STALL_FACTOR = 4;
+
+    private static final long STALL_MILLIS = 800;
+
     private final RouteChoice choice;
     private final EndpointHealth health = new EndpointHealth();
     private final ColdGate cold = new ColdGate();
@@ -39,9 +44,11 @@
     private EndpointUse own = EndpointUse.NONE;
     private EndpointUse othersSum = EndpointUse.NONE;
     private boolean removed;
+    private boolean othersStalled;
     private long announcedAt = Long.MIN_VALUE / 2;
 
-    private record Running(EndpointUse use, long tokensAhead, long sentAt) {}
+    /** Request in flight; {@code startsBy} is the time by which its answer is overdue, or never once it has begun. */
+    private record Running(EndpointUse use, long tokensAhead, long sentAt, long startsBy) {}
 
     DirectEndpoint(EndpointRegistration registration, long now) {
         this.choice = new RouteChoice(RouteChoice.Kind.ENDPOINT, registration.id());
@@ -127,6 +134,7 @@
         if (use != null) {
             othersSum = othersSum.plus(use);
         }
+        othersStalled = others.values().stream().anyMatch(EndpointUse::stalled);
     }
 
     Set<String> othersKnown() {
@@ -150,6 +158,8 @@
         EndpointUse all = own.plus(othersSum);
         boolean free = all.inFlight() < registration.slots();
         return free
+                && !isStalled(now)
+                && !othersStalled
                 && fitsMemory(all, query.prompt())
                 && startsInTime(all, query, now)
                 && health.usable(own.inFlight(), now)
@@ -185,7 +195,8 @@
 
     void started(RouteQuery query, int hosts, long now) {
         EndpointUse use = new EndpointUse(1, unread(query), memory(query.prompt()));
-        running.put(query, new Running(use, tokensAhead(query), now));
+        long overdue = now + STALL_FACTOR * millisToStart(query) + STALL_MILLIS;
+        running.put(query, new Running(use, tokensAhead(query), now, overdue));
         own = own.plus(use);
         cache.add(salt(query), query.prompt());
         cold.sent(coldRate(), hosts, now);
@@ -197,16 +208,29 @@
         if (known != null) {
             rate.measured(known.tokensAhead(), now - known.sentAt());
             EndpointUse read = new EndpointUse(0, known.use().unreadTokens(), 0);
-            running.put(query, new Running(known.use().minus(read), 0, known.sentAt()));
+            running.put(query, new Running(known.use().minus(read), 0, known.sentAt(), Long.MAX_VALUE));
             own = own.minus(read);
         }
     }
 
-    void ended(RouteQuery query) {
+    void ended(RouteQuery query, long now) {
         Running known = running.remove(query);
         if (known != null) {
             own = own.minus(known.use());
+            if (now >= known.startsBy()) {
+                health.lost(health.lossEpoch(), now);
+            }
+        }
+    }
+
+    /** Returns whether a request of this host has had no answer for far longer than predicted. */
+    boolean isStalled(long now) {
+        for (Running each : running.values()) {
+            if (now >= each.startsBy()) {
+                return true;
+            }
         }
+        return false;
     }
 
     private long unread(RouteQuery query) {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -136,11 +136,11 @@
     }
 
     /** Returns what the requests of this host take of each endpoint that serves any. */
-    public Map<String, EndpointUse> uses() {
+    public Map<String, EndpointUse> uses(long now) {
         Map<String, EndpointUse> uses = new HashMap<>();
         endpoints.forEach((id, endpoint) -> {
             if (endpoint.own().inFlight() > 0) {
-                uses.put(id, endpoint.own());
+                uses.put(id, endpoint.own().stalled(endpoint.isStalled(now)));
             }
         });
         return uses;
@@ -224,7 +224,7 @@
     public void ended(String endpoint, RouteQuery query, long now) {
         DirectEndpoint known = endpoints.get(endpoint);
         if (known != null) {
-            known.ended(query);
+            known.ended(query, now);
             forgetIfUnused(known);
         }
     }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/DirectRouterTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/DirectRouterTest.java
@@ -142,6 +142,24 @@
         assertThat(router.choose(query(MODEL, PromptShape.NONE), 310)).isEqualTo(RouteChoice.WAIT);
     }
 
+    /** Guards against an endpoint that hangs and takes request after request from all hosts. */
+    @Test
+    void avoidsAnEndpointThatDoesNotAnswer() {
+        router.domainsOut(Set.of("b"));
+        RouteQuery hung = query(MODEL, PROMPT);
+        router.started("e1", hung, 0);
+        router.domainsOut(Set.of());
+        assertThat(router.uses(1_000).get("e1").stalled()).isFalse();
+        assertThat(router.uses(3_000).get("e1").stalled()).isTrue();
+        assertThat(router.choose(query(MODEL, PromptShape.NONE), 3_000).id()).isEqualTo("e2");
+        router.ended("e1", hung, 3_100);
+        router.unregistered("e2");
+        assertThat(router.choose(query(MODEL, PromptShape.NONE), 3_110)).isEqualTo(RouteChoice.WAIT);
+        assertThat(router.choose(query(MODEL, PromptShape.NONE), 3_500).id()).isEqualTo("e1");
+        router.usedBy("other", Map.of("e1", new EndpointUse(1, 0, 0, true)));
+        assertThat(router.choose(query(MODEL, PromptShape.NONE), 3_500)).isEqualTo(RouteChoice.WAIT);
+    }
+
     /** Guards against plain requests that queue at one endpoint while others have room. */
     @Test
     void spreadsPlainRequestsByTheShareOfSlotsTaken() {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
@@ -178,7 +178,7 @@
     /** Hands what this host serves, has admitted and is asked for to the receiver, on the request thread. */
     void snapshot(Consumer<HostSnapshot> receiver) {
         loop.offer((engine, now) -> {
-            receiver.accept(new HostSnapshot(router.uses(), limits.used(), router.demands(now)));
+            receiver.accept(new HostSnapshot(router.uses(now), limits.used(), router.demands(now)));
             return List.of();
         });
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
@@ -32,7 +32,8 @@
                         .setEndpoint(endpoint)
                         .setInFlight(use.inFlight())
                         .setUnreadTokens(use.unreadTokens())
-                        .setMemoryTokens(use.memoryTokens())));
+                        .setMemoryTokens(use.memoryTokens())
+                        .setStalled(use.stalled())));
         snapshot.usedTokens()
                 .forEach((organisation, tokens) -> state.addOrganisations(OrganisationUsage.newBuilder()
                         .setOrganisation(organisation)
@@ -48,7 +49,8 @@
         for (EndpointUsage usage : state.getUsagesList()) {
             uses.put(
                     usage.getEndpoint(),
-                    new EndpointUse(usage.getInFlight(), usage.getUnreadTokens(), usage.getMemoryTokens()));
+                    new EndpointUse(
+                            usage.getInFlight(), usage.getUnreadTokens(), usage.getMemoryTokens(), usage.getStalled()));
         }
         return uses;
     }
