--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/LimitSettings.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/LimitSettings.java
@@ -4,7 +4,7 @@
  * Settings of the organisation limits.
  *
  * @param batchLifetimeMillis milliseconds for which a batch may be spent, from the time of its request
- * @param reclaimAfterMillis age of a keeper's confirmation after which its allotments may be given to others
+ * @param reclaimAfterMillis age of a keeper's confirmation after which its quotas may be given to others
  * @param keepersPerDomain keepers of an organisation in each failure domain
  * @param maxPendingRequests pending reservations of one organisation on one host
  * @param askTimeoutMillis milliseconds after which the next keeper is asked
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/AllotmentDocument.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/QuotaDocument.java
@@ -5,41 +5,41 @@
 import java.util.TreeMap;
 
 /**
- * Content of the store object {@code limits/allotments}.
+ * Content of the store object {@code limits/quotas}.
  *
  * <p>The organisation of a removed configuration entry stays without keepers, so that adding it again does not hand out
  * a second full burst.
  *
- * @param revision highest revision of the configuration that a writer followed; an older one must not raise allotments
+ * @param revision highest revision of the configuration that a writer followed; an older one must not raise quotas
  * @param keepers keepers by host
- * @param organisations allotments by organisation and host
+ * @param organisations quotas by organisation and host
  */
-public record AllotmentDocument(
+public record QuotaDocument(
         long revision,
         SortedMap<String, KeeperEntry> keepers,
-        SortedMap<String, SortedMap<String, Allotment>> organisations) {
-    public AllotmentDocument {
+        SortedMap<String, SortedMap<String, Quota>> organisations) {
+    public QuotaDocument {
         keepers = Collections.unmodifiableSortedMap(keepers == null ? new TreeMap<>() : new TreeMap<>(keepers));
-        SortedMap<String, SortedMap<String, Allotment>> copy = new TreeMap<>();
+        SortedMap<String, SortedMap<String, Quota>> copy = new TreeMap<>();
         if (organisations != null) {
-            organisations.forEach((organisation, allotments) ->
-                    copy.put(organisation, Collections.unmodifiableSortedMap(new TreeMap<>(allotments))));
+            organisations.forEach((organisation, quotas) ->
+                    copy.put(organisation, Collections.unmodifiableSortedMap(new TreeMap<>(quotas))));
         }
         organisations = Collections.unmodifiableSortedMap(copy);
     }
 
     /** Returns a document without keepers. */
-    public static AllotmentDocument empty() {
-        return new AllotmentDocument(0, null, null);
+    public static QuotaDocument empty() {
+        return new QuotaDocument(0, null, null);
     }
 
-    /** Returns the allotments of one host by organisation. */
-    public SortedMap<String, Allotment> of(String host) {
-        SortedMap<String, Allotment> result = new TreeMap<>();
-        organisations.forEach((organisation, allotments) -> {
-            Allotment allotment = allotments.get(host);
-            if (allotment != null) {
-                result.put(organisation, allotment);
+    /** Returns the quotas of one host by organisation. */
+    public SortedMap<String, Quota> of(String host) {
+        SortedMap<String, Quota> result = new TreeMap<>();
+        organisations.forEach((organisation, quotas) -> {
+            Quota quota = quotas.get(host);
+            if (quota != null) {
+                result.put(organisation, quota);
             }
         });
         return result;
@@ -48,14 +48,14 @@
     /** Returns the tokens per second that count against an organisation. */
     public long rateOf(String organisation) {
         return organisations.getOrDefault(organisation, Collections.emptySortedMap()).values().stream()
-                .mapToLong(Allotment::rate)
+                .mapToLong(Quota::rate)
                 .sum();
     }
 
     /** Returns the tokens that count against an organisation's burst. */
     public long burstOf(String organisation) {
         return organisations.getOrDefault(organisation, Collections.emptySortedMap()).values().stream()
-                .mapToLong(Allotment::burst)
+                .mapToLong(Quota::burst)
                 .sum();
     }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/AllotmentLedger.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/QuotaLedger.java
@@ -15,16 +15,16 @@
 import org.gooseberryring.state.Organisation;
 
 /**
- * Keeps this host's part of the store object {@code limits/allotments} up to date: registers the host as keeper where
- * rendezvous hashing chooses it, confirms reductions, renews its confirmation, and moves allotments towards equal
+ * Keeps this host's part of the store object {@code limits/quotas} up to date: registers the host as keeper where
+ * rendezvous hashing chooses it, confirms reductions, renews its confirmation, and moves quotas towards equal
  * shares.
  *
  * <p>At most one store call is in flight. The host passes every reply to {@link #onStore}. An unknown outcome is
  * resolved by reading the document, which carries the number of this keeper's confirmation.
  */
-public final class AllotmentLedger {
+public final class QuotaLedger {
     /** Key of the store object. */
-    public static final String KEY = "limits/allotments";
+    public static final String KEY = "limits/quotas";
 
     // Keepers see reductions and raises within this time.
     private static final long KEEPER_READ_MILLIS = 2_000;
@@ -44,7 +44,7 @@
 
     private final KeeperIdentity self;
     private final LimitSettings settings;
-    private final AllotmentCodec codec;
+    private final QuotaCodec codec;
     private final TokenKeeper keeper;
     private final Map<String, Sighting> sightings = new HashMap<>();
     private final Map<Long, Long> sentAtByConfirmation = new HashMap<>();
@@ -52,9 +52,9 @@
     private long limitsRevision;
     private Map<String, Organisation> organisations = Map.of();
     private Set<String> members = Set.of();
-    private AllotmentDocument document;
+    private QuotaDocument document;
     private long version;
-    private AllotmentDocument proposed;
+    private QuotaDocument proposed;
     private boolean inFlight;
     private boolean leaving;
     private long confirmation;
@@ -72,7 +72,7 @@
      * @param codec converts the document
      * @param keeper keeper of this host, which adopts each document
      */
-    public AllotmentLedger(KeeperIdentity self, LimitSettings settings, AllotmentCodec codec, TokenKeeper keeper) {
+    public QuotaLedger(KeeperIdentity self, LimitSettings settings, QuotaCodec codec, TokenKeeper keeper) {
         this.self = self;
         this.settings = settings;
         this.codec = codec;
@@ -94,7 +94,7 @@
         members = Set.copyOf(liveHosts);
     }
 
-    /** Begins the hand-over of this host's allotments; {@link #handedOver} tells when it is complete. */
+    /** Begins the hand-over of this host's quotas; {@link #handedOver} tells when it is complete. */
     public void leave() {
         leaving = true;
     }
@@ -113,9 +113,9 @@
     public List<String> keepers(String organisation) {
         Map<String, String> domains = new TreeMap<>();
         if (document != null) {
-            document.organisations().getOrDefault(organisation, new TreeMap<>()).forEach((host, allotment) -> {
+            document.organisations().getOrDefault(organisation, new TreeMap<>()).forEach((host, quota) -> {
                 KeeperEntry entry = document.keepers().get(host);
-                if (entry != null && !allotment.empty() && !AllotmentPlan.retired(host)) {
+                if (entry != null && !quota.empty() && !QuotaPlan.retired(host)) {
                     domains.put(host, entry.failureDomain());
                 }
             });
@@ -124,7 +124,7 @@
     }
 
     /** Returns the document read last, or null. */
-    public AllotmentDocument document() {
+    public QuotaDocument document() {
         return document;
     }
 
@@ -140,7 +140,7 @@
             return List.of();
         }
         nextPlanAt = now + PLAN_MILLIS;
-        AllotmentDocument next = next(now);
+        QuotaDocument next = next(now);
         if (next.equals(document)) {
             return List.of();
         }
@@ -153,7 +153,7 @@
             return;
         }
         inFlight = false;
-        AllotmentDocument written = proposed;
+        QuotaDocument written = proposed;
         proposed = null;
         switch (reply.outcome()) {
             case OK -> {
@@ -162,7 +162,7 @@
             }
             case ABSENT -> {
                 backoff = 0;
-                adopt(AllotmentDocument.empty(), StoreRequest.Put.ABSENT, now);
+                adopt(QuotaDocument.empty(), StoreRequest.Put.ABSENT, now);
             }
             case CONFLICT -> nextReadAt = now;
             default -> {
@@ -175,13 +175,13 @@
         }
     }
 
-    private List<LimitEffect> write(AllotmentDocument next, long now) {
+    private List<LimitEffect> write(QuotaDocument next, long now) {
         KeeperEntry entry = next.keepers().get(self.host());
-        AllotmentDocument stamped = next;
+        QuotaDocument stamped = next;
         if (isMine(entry)) {
             confirmation = Math.max(confirmation, entry.confirmation()) + 1;
             sentAtByConfirmation.put(confirmation, now);
-            stamped = AllotmentPlan.renew(next, self.host(), confirmation);
+            stamped = QuotaPlan.renew(next, self.host(), confirmation);
         }
         proposed = stamped;
         return call(new StoreRequest.Put(KEY, version, codec.encode(stamped)));
@@ -192,7 +192,7 @@
         return List.of(new LimitEffect.Store(request));
     }
 
-    private void adopt(AllotmentDocument read, long readVersion, long now) {
+    private void adopt(QuotaDocument read, long readVersion, long now) {
         document = read;
         version = readVersion;
         read.keepers().forEach((host, entry) -> {
@@ -220,12 +220,12 @@
         }
     }
 
-    private AllotmentDocument next(long now) {
+    private QuotaDocument next(long now) {
         KeeperEntry entry = document.keepers().get(self.host());
         if (entry != null && entry.incarnation() > self.incarnation()) {
             return document;
         }
-        AllotmentDocument next = memberships(document, isMine(entry));
+        QuotaDocument next = memberships(document, isMine(entry));
         next = confirmations(next, now);
         if (!isMine(entry)) {
             return next;
@@ -233,13 +233,13 @@
         next = plan(next, now);
         long renewAfter = settings.reclaimAfterMillis() / RENEWALS_PER_RECLAIM;
         if (next.equals(document) && now - renewedAt >= renewAfter) {
-            next = AllotmentPlan.renew(document, self.host(), entry.confirmation() + 1);
+            next = QuotaPlan.renew(document, self.host(), entry.confirmation() + 1);
         }
         return next;
     }
 
-    private AllotmentDocument memberships(AllotmentDocument read, boolean mine) {
-        AllotmentDocument next = read;
+    private QuotaDocument memberships(QuotaDocument read, boolean mine) {
+        QuotaDocument next = read;
         Set<String> names = new TreeSet<>(organisations.keySet());
         names.addAll(read.of(self.host()).keySet());
         for (String organisation : names) {
@@ -249,51 +249,51 @@
                 && read.keepers().values().stream()
                         .anyMatch(other -> other.address().equals(self.address()));
         if (next != read || inherits) {
-            next = AllotmentPlan.register(next, self.host(), self.entry(confirmation));
+            next = QuotaPlan.register(next, self.host(), self.entry(confirmation));
         }
         return next;
     }
 
-    private AllotmentDocument membership(AllotmentDocument read, String organisation, boolean mine) {
+    private QuotaDocument membership(QuotaDocument read, String organisation, boolean mine) {
         Organisation configured = leaving ? null : organisations.get(organisation);
         int rank = KeeperChoice.rank(organisation, members).indexOf(self.host());
         boolean chosen =
                 configured != null && revision >= read.revision() && rank >= 0 && rank < settings.keepersPerDomain();
         // A keeper that is only just not chosen stays, because members come and go more often than hosts die.
         boolean stays = configured != null && rank < 2 * settings.keepersPerDomain();
-        Allotment present = read.of(self.host()).get(organisation);
+        Quota present = read.of(self.host()).get(organisation);
         boolean active = present != null && !present.withdrawn();
         if (chosen && !active) {
-            return AllotmentPlan.found(read, limitsRevision, configured, self.host());
+            return QuotaPlan.found(read, limitsRevision, configured, self.host());
         }
         if (active && !stays && mine) {
-            return AllotmentPlan.withdraw(read, organisation, self.host());
+            return QuotaPlan.withdraw(read, organisation, self.host());
         }
         return read;
     }
 
-    private AllotmentDocument confirmations(AllotmentDocument read, long now) {
-        AllotmentDocument next = read;
-        for (Map.Entry<String, Allotment> mine : read.of(self.host()).entrySet()) {
+    private QuotaDocument confirmations(QuotaDocument read, long now) {
+        QuotaDocument next = read;
+        for (Map.Entry<String, Quota> mine : read.of(self.host()).entrySet()) {
             boolean adopted = Objects.equals(document.of(self.host()).get(mine.getKey()), mine.getValue());
             if (adopted && !mine.getValue().confirmed() && keeper.mayConfirm(mine.getKey(), now)) {
-                next = AllotmentPlan.confirm(next, mine.getKey(), self.host());
+                next = QuotaPlan.confirm(next, mine.getKey(), self.host());
             }
         }
         return next;
     }
 
-    private AllotmentDocument plan(AllotmentDocument read, long now) {
-        AllotmentDocument next = read;
+    private QuotaDocument plan(QuotaDocument read, long now) {
+        QuotaDocument next = read;
         for (Map.Entry<String, Sighting> sighting : sightings.entrySet()) {
             if (now - sighting.getValue().seenAt() >= settings.reclaimAfterMillis()
                     && !sighting.getKey().equals(self.host())) {
-                next = AllotmentPlan.reclaim(next, sighting.getKey());
+                next = QuotaPlan.reclaim(next, sighting.getKey());
             }
         }
-        // A host that is behind must not raise allotments that a later revision lowered.
+        // A host that is behind must not raise quotas that a later revision lowered.
         if (revision >= document.revision()) {
-            next = AllotmentPlan.rebalance(next, limitsRevision, organisations);
+            next = QuotaPlan.rebalance(next, limitsRevision, organisations);
         }
         if (next.equals(read)) {
             imbalanceSince = Long.MAX_VALUE;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/AllotmentPlan.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/QuotaPlan.java
@@ -11,24 +11,24 @@
 import org.gooseberryring.state.Organisation;
 
 /**
- * Transitions of the allotment document. Each returns a new document, which takes effect by a conditional update.
+ * Transitions of the quota document. Each returns a new document, which takes effect by a conditional update.
  *
  * <p>The sum over the keepers never exceeds an organisation's rate and burst, except where the configuration lowered
- * them below what keepers still hold. An allotment counts in full until its keeper has confirmed a reduction.
+ * them below what keepers still hold. A quota counts in full until its keeper has confirmed a reduction.
  */
-public final class AllotmentPlan {
-    // Separates a host from the incarnation under which allotments of a process at another address are kept.
+public final class QuotaPlan {
+    // Separates a host from the incarnation under which quotas of a process at another address are kept.
     private static final String RETIRED = "@";
 
-    private AllotmentPlan() {}
+    private QuotaPlan() {}
 
     /**
-     * Registers a host as keeper. A process that starts at the address of an earlier one takes over its allotments,
+     * Registers a host as keeper. A process that starts at the address of an earlier one takes over its quotas,
      * because the earlier process has certainly ended.
      *
      * @return the new document, or the same one if a later incarnation of the host is registered
      */
-    public static AllotmentDocument register(AllotmentDocument document, String host, KeeperEntry entry) {
+    public static QuotaDocument register(QuotaDocument document, String host, KeeperEntry entry) {
         KeeperEntry present = document.keepers().get(host);
         if (present != null && present.incarnation() > entry.incarnation()) {
             return document;
@@ -36,7 +36,7 @@
         Draft draft = new Draft(document);
         boolean sameAddress = present == null || present.address().equals(entry.address());
         if (present != null && present.incarnation() < entry.incarnation() && !sameAddress) {
-            // The earlier process may still run at its old address, so its allotments wait under another name.
+            // The earlier process may still run at its old address, so its quotas wait under another name.
             draft.rename(host, host + RETIRED + present.incarnation());
         }
         for (Map.Entry<String, KeeperEntry> other : document.keepers().entrySet()) {
@@ -51,30 +51,30 @@
     }
 
     /** Makes a registered host a keeper of an organisation, or takes back its withdrawal. */
-    public static AllotmentDocument join(AllotmentDocument document, String organisation, String host) {
+    public static QuotaDocument join(QuotaDocument document, String organisation, String host) {
         Draft draft = new Draft(document);
-        draft.allotments(organisation).merge(host, Allotment.none(), (present, none) -> present.withdraw(false));
+        draft.quotas(organisation).merge(host, Quota.none(), (present, none) -> present.withdraw(false));
         return draft.build();
     }
 
-    /** Marks a keeper's allotment as given up, so that it is lowered to nothing and removed. */
-    public static AllotmentDocument withdraw(AllotmentDocument document, String organisation, String host) {
+    /** Marks a keeper's quota as given up, so that it is lowered to nothing and removed. */
+    public static QuotaDocument withdraw(QuotaDocument document, String organisation, String host) {
         Draft draft = new Draft(document);
-        draft.allotments(organisation)
+        draft.quotas(organisation)
                 .computeIfPresent(
                         host, (name, present) -> present.withdraw(true).lowered(0, 0));
         return draft.build();
     }
 
-    /** Confirms the reduction of a keeper's allotment; only the keeper itself may do so. */
-    public static AllotmentDocument confirm(AllotmentDocument document, String organisation, String host) {
+    /** Confirms the reduction of a keeper's quota; only the keeper itself may do so. */
+    public static QuotaDocument confirm(QuotaDocument document, String organisation, String host) {
         Draft draft = new Draft(document);
-        draft.allotments(organisation).computeIfPresent(host, (name, present) -> present.confirm());
+        draft.quotas(organisation).computeIfPresent(host, (name, present) -> present.confirm());
         return draft.build();
     }
 
     /** Renews a keeper's confirmation. */
-    public static AllotmentDocument renew(AllotmentDocument document, String host, long confirmation) {
+    public static QuotaDocument renew(QuotaDocument document, String host, long confirmation) {
         Draft draft = new Draft(document);
         draft.keepers.computeIfPresent(
                 host,
@@ -83,30 +83,30 @@
         return draft.build();
     }
 
-    /** Returns whether a name stands for the allotments of an earlier process at another address. */
+    /** Returns whether a name stands for the quotas of an earlier process at another address. */
     static boolean retired(String host) {
         return host.contains(RETIRED);
     }
 
-    /** Removes a keeper whose confirmation is older than the reclaim time, with all its allotments. */
-    public static AllotmentDocument reclaim(AllotmentDocument document, String host) {
+    /** Removes a keeper whose confirmation is older than the reclaim time, with all its quotas. */
+    public static QuotaDocument reclaim(QuotaDocument document, String host) {
         Draft draft = new Draft(document);
-        draft.organisations.values().forEach(allotments -> allotments.remove(host));
+        draft.organisations.values().forEach(quotas -> quotas.remove(host));
         draft.keepers.remove(host);
         return draft.build();
     }
 
     /**
-     * Moves allotments towards equal shares: lowers targets first, and raises only within what is free.
+     * Moves quotas towards equal shares: lowers targets first, and raises only within what is free.
      *
      * @param revision revision of the configuration that brought the present rates and bursts
      * @param organisations configured organisations by identifier
      */
-    public static AllotmentDocument rebalance(
-            AllotmentDocument document, long revision, Map<String, Organisation> organisations) {
+    public static QuotaDocument rebalance(
+            QuotaDocument document, long revision, Map<String, Organisation> organisations) {
         Draft draft = new Draft(document);
         draft.revision = Math.max(draft.revision, revision);
-        for (Map.Entry<String, TreeMap<String, Allotment>> entry : draft.organisations.entrySet()) {
+        for (Map.Entry<String, TreeMap<String, Quota>> entry : draft.organisations.entrySet()) {
             Organisation organisation = organisations.get(entry.getKey());
             long rate = organisation == null ? 0 : Math.max(0, organisation.rateTokensPerSecond());
             long burst = organisation == null ? 0 : Math.max(0, organisation.burstTokens());
@@ -117,17 +117,16 @@
     }
 
     /** Joins an organisation that the document does not know yet, whose first keeper starts with a full burst. */
-    public static AllotmentDocument found(
-            AllotmentDocument document, long revision, Organisation organisation, String host) {
+    public static QuotaDocument found(QuotaDocument document, long revision, Organisation organisation, String host) {
         if (document.organisations().containsKey(organisation.id())) {
             return join(document, organisation.id(), host);
         }
         Draft draft = new Draft(document);
         draft.revision = Math.max(draft.revision, revision);
-        draft.allotments(organisation.id())
+        draft.quotas(organisation.id())
                 .put(
                         host,
-                        Allotment.none()
+                        Quota.none()
                                 .raised(
                                         Math.max(0, organisation.rateTokensPerSecond()),
                                         Math.max(0, organisation.burstTokens()),
@@ -135,16 +134,16 @@
         return draft.build();
     }
 
-    private static void balance(TreeMap<String, Allotment> allotments, long rate, long burst) {
+    private static void balance(TreeMap<String, Quota> quotas, long rate, long burst) {
         List<String> keepers = new ArrayList<>();
-        allotments.forEach((host, allotment) -> {
-            if (!allotment.withdrawn()) {
+        quotas.forEach((host, quota) -> {
+            if (!quota.withdrawn()) {
                 keepers.add(host);
             }
         });
         long freeRate = rate;
         long freeBurst = burst;
-        for (Map.Entry<String, Allotment> entry : allotments.entrySet()) {
+        for (Map.Entry<String, Quota> entry : quotas.entrySet()) {
             int index = keepers.indexOf(entry.getKey());
             entry.setValue(
                     entry.getValue().lowered(share(rate, keepers.size(), index), share(burst, keepers.size(), index)));
@@ -152,16 +151,16 @@
             freeBurst -= entry.getValue().burst();
         }
         for (int i = 0; i < keepers.size(); i++) {
-            Allotment allotment = allotments.get(keepers.get(i));
-            if (allotment.confirmed()) {
-                long byRate = within(share(rate, keepers.size(), i) - allotment.rate(), freeRate);
-                long byBurst = within(share(burst, keepers.size(), i) - allotment.burst(), freeBurst);
+            Quota quota = quotas.get(keepers.get(i));
+            if (quota.confirmed()) {
+                long byRate = within(share(rate, keepers.size(), i) - quota.rate(), freeRate);
+                long byBurst = within(share(burst, keepers.size(), i) - quota.burst(), freeBurst);
                 freeRate -= byRate;
                 freeBurst -= byBurst;
-                allotments.put(keepers.get(i), allotment.raised(byRate, byBurst, false));
+                quotas.put(keepers.get(i), quota.raised(byRate, byBurst, false));
             }
         }
-        allotments.values().removeIf(allotment -> allotment.withdrawn() && allotment.empty());
+        quotas.values().removeIf(quota -> quota.withdrawn() && quota.empty());
     }
 
     private static long share(long total, int keepers, int index) {
@@ -172,8 +171,8 @@
         return Math.max(0, Math.min(wanted, free));
     }
 
-    private static Allotment sum(Allotment a, Allotment b) {
-        return new Allotment(
+    private static Quota sum(Quota a, Quota b) {
+        return new Quota(
                 a.rate() + b.rate(),
                 a.burst() + b.burst(),
                 a.targetRate() + b.targetRate(),
@@ -186,16 +185,16 @@
     private static final class Draft {
         private final TreeMap<String, KeeperEntry> keepers;
         private long revision;
-        private final TreeMap<String, TreeMap<String, Allotment>> organisations = new TreeMap<>();
+        private final TreeMap<String, TreeMap<String, Quota>> organisations = new TreeMap<>();
 
-        private Draft(AllotmentDocument document) {
+        private Draft(QuotaDocument document) {
             revision = document.revision();
             keepers = new TreeMap<>(document.keepers());
             document.organisations()
-                    .forEach((organisation, allotments) -> organisations.put(organisation, new TreeMap<>(allotments)));
+                    .forEach((organisation, quotas) -> organisations.put(organisation, new TreeMap<>(quotas)));
         }
 
-        private TreeMap<String, Allotment> allotments(String organisation) {
+        private TreeMap<String, Quota> quotas(String organisation) {
             return organisations.computeIfAbsent(organisation, name -> new TreeMap<>());
         }
 
@@ -204,24 +203,23 @@
             if (entry != null && !from.equals(to)) {
                 keepers.put(to, entry);
             }
-            for (TreeMap<String, Allotment> allotments : organisations.values()) {
-                Allotment moved = allotments.remove(from);
+            for (TreeMap<String, Quota> quotas : organisations.values()) {
+                Quota moved = quotas.remove(from);
                 if (moved != null) {
-                    Allotment inherited =
-                            to.contains(RETIRED) ? moved.inherited().withdraw(true) : moved.inherited();
-                    allotments.merge(to, inherited, AllotmentPlan::sum);
+                    Quota inherited = to.contains(RETIRED) ? moved.inherited().withdraw(true) : moved.inherited();
+                    quotas.merge(to, inherited, QuotaPlan::sum);
                 }
             }
         }
 
-        private AllotmentDocument build() {
-            SortedMap<String, SortedMap<String, Allotment>> result = new TreeMap<>(organisations);
-            return new AllotmentDocument(revision, keepers, result);
+        private QuotaDocument build() {
+            SortedMap<String, SortedMap<String, Quota>> result = new TreeMap<>(organisations);
+            return new QuotaDocument(revision, keepers, result);
         }
 
         private void dropIdleKeepers() {
             Set<String> hosts = new HashSet<>();
-            organisations.values().forEach(allotments -> hosts.addAll(allotments.keySet()));
+            organisations.values().forEach(quotas -> hosts.addAll(quotas.keySet()));
             keepers.keySet().retainAll(hosts);
         }
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/TokenKeeper.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/TokenKeeper.java
@@ -13,7 +13,7 @@
  *
  * <p>It deducts a batch before the receiver adds it, and counts the batch against the burst until it is returned or has
  * expired. A lost message therefore loses tokens for at most the batch's lifetime and never creates them. The keeper
- * stops filling and granting when its own confirmation in the store becomes too old, because its allotments may then be
+ * stops filling and granting when its own confirmation in the store becomes too old, because its quotas may then be
  * given to others.
  */
 public final class TokenKeeper {
@@ -56,7 +56,7 @@
     }
 
     /**
-     * Creates a keeper without allotments.
+     * Creates a keeper without quotas.
      *
      * @param host identifier of this host
      * @param incarnation incarnation of this process
@@ -69,24 +69,24 @@
     }
 
     /**
-     * Adopts this host's allotments from the store. A bucket that is new here but holds an allotment already fills only
+     * Adopts this host's quotas from the store. A bucket that is new here but holds a quota already fills only
      * after one batch lifetime, because batches of an earlier incarnation may still be spent.
      *
-     * @param allotments allotments of this host by organisation
+     * @param quotas quotas of this host by organisation
      * @param now monotonic time in milliseconds
      */
-    public void adopt(Map<String, Allotment> allotments, long now) {
-        accounts.keySet().retainAll(allotments.keySet());
-        allotments.forEach((organisation, allotment) -> {
+    public void adopt(Map<String, Quota> quotas, long now) {
+        accounts.keySet().retainAll(quotas.keySet());
+        quotas.forEach((organisation, quota) -> {
             Account account = accounts.get(organisation);
             boolean isNew = account == null;
             if (isNew) {
-                boolean inherited = !allotment.full() && !allotment.empty();
+                boolean inherited = !quota.full() && !quota.empty();
                 account = new Account(new KeeperBucket(inherited ? now + settings.batchLifetimeMillis() : now));
                 accounts.put(organisation, account);
             }
-            account.bucket.allot(allotment.targetRate(), allotment.targetBurst(), now, fillUntil());
-            if (allotment.full() && startedFull.add(organisation)) {
+            account.bucket.allot(quota.targetRate(), quota.targetBurst(), now, fillUntil());
+            if (quota.full() && startedFull.add(organisation)) {
                 account.bucket.fillUp();
             }
         });
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/FakeAllotmentStore.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/FakeQuotaStore.java
@@ -9,7 +9,7 @@
 import org.gooseberryring.coordination.store.StoreRequest;
 
 /** Object store for one document with conditional updates, outages and lost answers. */
-final class FakeAllotmentStore implements AllotmentCodec {
+final class FakeQuotaStore implements QuotaCodec {
     /** How the store treats a call. */
     enum Mode {
         UP,
@@ -18,12 +18,12 @@
         ANSWER_LOST_WITHOUT_EFFECT
     }
 
-    private final List<AllotmentDocument> encoded = new ArrayList<>();
-    private AllotmentDocument document;
+    private final List<QuotaDocument> encoded = new ArrayList<>();
+    private QuotaDocument document;
     private long version;
 
-    AllotmentDocument document() {
-        return document == null ? AllotmentDocument.empty() : document;
+    QuotaDocument document() {
+        return document == null ? QuotaDocument.empty() : document;
     }
 
     StoreReply call(StoreRequest request, Mode mode) {
@@ -38,13 +38,13 @@
     }
 
     @Override
-    public byte[] encode(AllotmentDocument value) {
+    public byte[] encode(QuotaDocument value) {
         encoded.add(value);
         return Integer.toString(encoded.size() - 1).getBytes(StandardCharsets.US_ASCII);
     }
 
     @Override
-    public AllotmentDocument decode(byte[] bytes) {
+    public QuotaDocument decode(byte[] bytes) {
         return encoded.get(Integer.parseInt(new String(bytes, StandardCharsets.US_ASCII)));
     }
 
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/LimitSimulation.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/LimitSimulation.java
@@ -38,8 +38,8 @@
         private List<Runnable> inbox = new ArrayList<>();
         private TokenKeeper keeper;
         private TokenWallet wallet;
-        private AllotmentLedger ledger;
-        private AllotmentDocument known;
+        private QuotaLedger ledger;
+        private QuotaDocument known;
         private final Map<String, Integer> running = new HashMap<>();
         private final Map<String, Long> waiting = new HashMap<>();
 
@@ -59,8 +59,7 @@
             waiting.clear();
             keeper = new TokenKeeper(name, incarnation, settings);
             wallet = new TokenWallet(name, incarnation, settings);
-            ledger = new AllotmentLedger(
-                    new KeeperIdentity(name, incarnation, domain, address), settings, store, keeper);
+            ledger = new QuotaLedger(new KeeperIdentity(name, incarnation, domain, address), settings, store, keeper);
             known = null;
             configure(organisation, revision);
         }
@@ -182,13 +181,13 @@
             long own = incarnation;
             long applyAfter = 1 + random.nextInt(20);
             at(applyAfter, () -> {
-                FakeAllotmentStore.Mode mode = storeMode;
-                if (mode == FakeAllotmentStore.Mode.UP && random.nextDouble() < faults.answerLost) {
+                FakeQuotaStore.Mode mode = storeMode;
+                if (mode == FakeQuotaStore.Mode.UP && random.nextDouble() < faults.answerLost) {
                     mode = random.nextBoolean()
-                            ? FakeAllotmentStore.Mode.ANSWER_LOST_AFTER_EFFECT
-                            : FakeAllotmentStore.Mode.ANSWER_LOST_WITHOUT_EFFECT;
+                            ? FakeQuotaStore.Mode.ANSWER_LOST_AFTER_EFFECT
+                            : FakeQuotaStore.Mode.ANSWER_LOST_WITHOUT_EFFECT;
                 }
-                AllotmentDocument before = store.document();
+                QuotaDocument before = store.document();
                 StoreReply reply = store.call(call.request(), mode);
                 checkDocument(before, store.document());
                 noteLimit();
@@ -222,14 +221,14 @@
     private final Random random;
     private final LimitSettings settings;
     private final Faults faults;
-    private final FakeAllotmentStore store = new FakeAllotmentStore();
+    private final FakeQuotaStore store = new FakeQuotaStore();
     private final AdmissionLog log = new AdmissionLog();
     private final List<Host> hosts = new ArrayList<>();
     private final Map<String, Long> runTimes = new HashMap<>();
     private final Map<Long, Organisation> revisions = new HashMap<>();
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::sequence));
-    private FakeAllotmentStore.Mode storeMode = FakeAllotmentStore.Mode.UP;
+    private FakeQuotaStore.Mode storeMode = FakeQuotaStore.Mode.UP;
     private String separated;
     private Organisation organisation;
     private long revision;
@@ -276,12 +275,12 @@
         return lastRetryAfter;
     }
 
-    void store(FakeAllotmentStore.Mode mode) {
+    void store(FakeQuotaStore.Mode mode) {
         storeMode = mode;
     }
 
-    /** Returns a host's allotment in the store, or null. */
-    Allotment allotted(String host) {
+    /** Returns a host's quota in the store, or null. */
+    Quota allotted(String host) {
         return store.document().of(host).get(ORGANISATION);
     }
 
@@ -330,14 +329,14 @@
     }
 
     private void noteLimit() {
-        AllotmentDocument document = store.document();
+        QuotaDocument document = store.document();
         log.limit(
                 now,
                 Math.max(organisation.rateTokensPerSecond(), document.rateOf(ORGANISATION)),
                 Math.max(organisation.burstTokens(), document.burstOf(ORGANISATION)));
     }
 
-    private void checkDocument(AllotmentDocument before, AllotmentDocument after) {
+    private void checkDocument(QuotaDocument before, QuotaDocument after) {
         Organisation followed = revisions.getOrDefault(after.revision(), organisation);
         assertWithMessage("rate allotted at %s: %s", now, after)
                 .that(after.rateOf(ORGANISATION))
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/AllotmentLedgerTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/QuotaLedgerTest.java
@@ -4,7 +4,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-class AllotmentLedgerTest {
+class QuotaLedgerTest {
     private static final LimitSettings SETTINGS = new LimitSettings(3_000, 40_000, 2, 200, 100, 20, 100);
 
     private final LimitSimulation simulation =
@@ -12,7 +12,7 @@
 
     /** Guards against a leaving keeper whose part of the rate is lost until the reclaim time. */
     @Test
-    void leavingKeeperHandsOverItsAllotments() {
+    void leavingKeeperHandsOverItsQuotas() {
         simulation.run(15_000);
         assertThat(simulation.allotted("host-1").rate()).isEqualTo(1_000);
         simulation.hosts().get(1).request(500, 500, 10_000);
@@ -25,7 +25,7 @@
         assertThat(simulation.totalRate()).isEqualTo(6_000);
     }
 
-    /** Guards against a dead keeper's allotment that is given away too early or never. */
+    /** Guards against a dead keeper's quota that is given away too early or never. */
     @Test
     void deadKeeperIsReclaimedAfterItsConfirmationIsOld() {
         simulation.run(15_000);
@@ -40,9 +40,9 @@
 
     /** Guards against limits that stop admitting, or stop lending, while the store is down. */
     @Test
-    void storeOutageKeepsAllotmentsAndAdmission() {
+    void storeOutageKeepsQuotasAndAdmission() {
         simulation.run(15_000);
-        simulation.store(FakeAllotmentStore.Mode.DOWN);
+        simulation.store(FakeQuotaStore.Mode.DOWN);
         for (int i = 0; i < 100; i++) {
             // 5,000 tokens per second at one host, of which its own keeper has 1,000.
             simulation.hosts().get(6).request(500, 500, 100);
@@ -50,7 +50,7 @@
         }
         assertThat(simulation.refused()).isEqualTo(0);
 
-        simulation.store(FakeAllotmentStore.Mode.UP);
+        simulation.store(FakeQuotaStore.Mode.UP);
         simulation.reconfigure(3_000, 12_000);
         simulation.run(20_000);
         assertThat(simulation.totalRate()).isEqualTo(3_000);
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/AllotmentPlanTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/QuotaPlanTest.java
@@ -7,41 +7,40 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-class AllotmentPlanTest {
+class QuotaPlanTest {
     private static final Organisation ORGANISATION = new Organisation("o", 900, 300, 1, null);
     private static final Map<String, Organisation> ORGANISATIONS = Map.of("o", ORGANISATION);
 
     /** Guards against a raise that comes before the reductions it relies on are confirmed. */
     @Test
     void raisesFollowConfirmedReductions() {
-        AllotmentDocument founded = founded();
-        AllotmentDocument joined =
-                AllotmentPlan.rebalance(register(AllotmentPlan.join(founded, "o", "b"), "b", 1), 1, ORGANISATIONS);
-        assertThat(joined.of("a").get("o")).isEqualTo(new Allotment(900, 300, 450, 150, true, false));
+        QuotaDocument founded = founded();
+        QuotaDocument joined =
+                QuotaPlan.rebalance(register(QuotaPlan.join(founded, "o", "b"), "b", 1), 1, ORGANISATIONS);
+        assertThat(joined.of("a").get("o")).isEqualTo(new Quota(900, 300, 450, 150, true, false));
         assertThat(joined.of("b").get("o").empty()).isTrue();
 
-        AllotmentDocument confirmed =
-                AllotmentPlan.rebalance(AllotmentPlan.confirm(joined, "o", "a"), 1, ORGANISATIONS);
+        QuotaDocument confirmed = QuotaPlan.rebalance(QuotaPlan.confirm(joined, "o", "a"), 1, ORGANISATIONS);
         assertThat(confirmed.of("b").get("o").rate()).isEqualTo(450);
         assertThat(confirmed.of("b").get("o").full()).isFalse();
         assertThat(confirmed.rateOf("o")).isEqualTo(900);
         assertThat(confirmed.burstOf("o")).isEqualTo(300);
     }
 
-    /** Guards against an allotment that is given away while a process at another address may still use it. */
+    /** Guards against a quota that is given away while a process at another address may still use it. */
     @Test
     void onlyAProcessAtTheSameAddressTakesOver() {
-        AllotmentDocument sameAddress = register(founded(), "a", 2);
-        assertThat(sameAddress.of("a").get("o")).isEqualTo(new Allotment(900, 300, 900, 300, false, false));
+        QuotaDocument sameAddress = register(founded(), "a", 2);
+        assertThat(sameAddress.of("a").get("o")).isEqualTo(new Quota(900, 300, 900, 300, false, false));
         assertThat(sameAddress.keepers().get("a").incarnation()).isEqualTo(2);
 
         KeeperEntry moved = new KeeperEntry(2, "d", "10.0.0.9:1", 0);
-        AllotmentDocument elsewhere = AllotmentPlan.register(AllotmentPlan.join(founded(), "o", "a"), "a", moved);
+        QuotaDocument elsewhere = QuotaPlan.register(QuotaPlan.join(founded(), "o", "a"), "a", moved);
         assertThat(elsewhere.of("a")).isEmpty();
         assertThat(elsewhere.rateOf("o")).isEqualTo(900);
 
         KeeperEntry renamed = new KeeperEntry(1, "d", "a:1", 0);
-        AllotmentDocument successor = AllotmentPlan.register(founded(), "c", renamed);
+        QuotaDocument successor = QuotaPlan.register(founded(), "c", renamed);
         assertThat(successor.of("c").get("o").rate()).isEqualTo(900);
         assertThat(successor.keepers().keySet()).containsExactly("c");
 
@@ -51,20 +50,20 @@
     /** Guards against a second full burst for an organisation that is removed and added again. */
     @Test
     void removedOrganisationDoesNotStartFullAgain() {
-        AllotmentDocument removed = AllotmentPlan.rebalance(founded(), 2, Map.of());
-        AllotmentDocument withdrawn = AllotmentPlan.withdraw(AllotmentPlan.confirm(removed, "o", "a"), "o", "a");
-        AllotmentDocument empty = AllotmentPlan.rebalance(withdrawn, 2, Map.of());
+        QuotaDocument removed = QuotaPlan.rebalance(founded(), 2, Map.of());
+        QuotaDocument withdrawn = QuotaPlan.withdraw(QuotaPlan.confirm(removed, "o", "a"), "o", "a");
+        QuotaDocument empty = QuotaPlan.rebalance(withdrawn, 2, Map.of());
         assertThat(empty.of("a")).isEmpty();
 
-        AllotmentDocument again = AllotmentPlan.found(empty, 3, ORGANISATION, "a");
+        QuotaDocument again = QuotaPlan.found(empty, 3, ORGANISATION, "a");
         assertThat(again.of("a").get("o").full()).isFalse();
     }
 
-    private static AllotmentDocument founded() {
-        return register(AllotmentPlan.found(AllotmentDocument.empty(), 1, ORGANISATION, "a"), "a", 1);
+    private static QuotaDocument founded() {
+        return register(QuotaPlan.found(QuotaDocument.empty(), 1, ORGANISATION, "a"), "a", 1);
     }
 
-    private static AllotmentDocument register(AllotmentDocument document, String host, long incarnation) {
-        return AllotmentPlan.register(document, host, new KeeperEntry(incarnation, "d", host + ":1", 0));
+    private static QuotaDocument register(QuotaDocument document, String host, long incarnation) {
+        return QuotaPlan.register(document, host, new KeeperEntry(incarnation, "d", host + ":1", 0));
     }
 }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/TokenKeeperTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/TokenKeeperTest.java
@@ -56,7 +56,7 @@
     @Test
     void inheritedBucketFillsOnlyAfterOneBatchLifetime() {
         TokenKeeper keeper = new TokenKeeper("h", 2, SETTINGS);
-        Allotment inherited = new Allotment(1_000, 1_000, 1_000, 500, false, false);
+        Quota inherited = new Quota(1_000, 1_000, 1_000, 500, false, false);
         keeper.confirmed(10_000);
         keeper.adopt(Map.of("o", inherited), 10_000);
 
@@ -68,7 +68,7 @@
 
     /** Guards against a paused or cut-off keeper that grants what was given to others after the reclaim time. */
     @Test
-    void keeperWithoutConfirmationStopsBeforeItsAllotmentIsReclaimed() {
+    void keeperWithoutConfirmationStopsBeforeItsQuotaIsReclaimed() {
         // 40,000 ms less 10% and one batch lifetime of 3,000 ms.
         assertThat(granted(fullKeeper(), "r", 32_999)).isEqualTo(1_000);
         assertThat(granted(fullKeeper(), "r", 33_000)).isEqualTo(0);
@@ -80,7 +80,7 @@
 
     private static TokenKeeper fullKeeper() {
         TokenKeeper keeper = new TokenKeeper("h", 1, SETTINGS);
-        keeper.adopt(Map.of("o", Allotment.none().raised(1_000, 1_000, true)), 0);
+        keeper.adopt(Map.of("o", Quota.none().raised(1_000, 1_000, true)), 0);
         assertThat(granted(keeper, "early", 0)).isEqualTo(0);
         keeper.confirmed(0);
         return keeper;
@@ -110,8 +110,8 @@
                 simulation.at(random.nextInt(20_000), () -> simulation.separate(null));
             }
             case 5 -> {
-                simulation.store(FakeAllotmentStore.Mode.DOWN);
-                simulation.at(random.nextInt(30_000), () -> simulation.store(FakeAllotmentStore.Mode.UP));
+                simulation.store(FakeQuotaStore.Mode.DOWN);
+                simulation.at(random.nextInt(30_000), () -> simulation.store(FakeQuotaStore.Mode.UP));
             }
             default -> simulation.reconfigure(1_000 + random.nextInt(5_000), 2_000 + random.nextInt(10_000));
         }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/TokenWalletBenchmark.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/TokenWalletBenchmark.java
@@ -44,15 +44,15 @@
         wallet = new TokenWallet("h", 1, LimitSettings.defaults());
         keeper = new TokenKeeper("h", 1, LimitSettings.defaults());
         Map<String, Organisation> configured = new HashMap<>();
-        Map<String, Allotment> allotments = new HashMap<>();
+        Map<String, Quota> quotas = new HashMap<>();
         for (int i = 0; i < ORGANISATIONS; i++) {
             organisations[i] = "organisation-" + i;
             configured.put(organisations[i], new Organisation(organisations[i], 1L << 40, 1L << 40, 1, null));
-            allotments.put(organisations[i], Allotment.none().raised(1L << 40, 1L << 40, true));
+            quotas.put(organisations[i], Quota.none().raised(1L << 40, 1L << 40, true));
         }
         wallet.configure(configured, now);
         keeper.confirmed(now);
-        keeper.adopt(allotments, now);
+        keeper.adopt(quotas, now);
         for (String organisation : organisations) {
             wallet.keepers(organisation, List.of("h"));
         }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/Host.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/Host.java
@@ -33,7 +33,7 @@
 import org.gooseberryring.host.control.ClaimControl;
 import org.gooseberryring.host.control.ControlLoop;
 import org.gooseberryring.host.control.FeedControl;
-import org.gooseberryring.host.control.JsonAllotmentCodec;
+import org.gooseberryring.host.control.JsonQuotaCodec;
 import org.gooseberryring.host.control.LimitControl;
 import org.gooseberryring.host.control.OrderControl;
 import org.gooseberryring.host.control.StoreLanes;
@@ -315,7 +315,7 @@
         KeeperIdentity self =
                 new KeeperIdentity(settings.hostId(), incarnation, settings.failureDomain(), text(peerAddress));
         return new LimitControl(
-                self, limitSettings(), new JsonAllotmentCodec(), lanes, control, path.wallet(), tokens::send);
+                self, limitSettings(), new JsonQuotaCodec(), lanes, control, path.wallet(), tokens::send);
     }
 
     private LimitSettings limitSettings() {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/control/LimitControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/control/LimitControl.java
@@ -11,19 +11,19 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 
-import org.gooseberryring.coordination.limit.AllotmentCodec;
-import org.gooseberryring.coordination.limit.AllotmentLedger;
 import org.gooseberryring.coordination.limit.KeeperChoice;
 import org.gooseberryring.coordination.limit.KeeperIdentity;
 import org.gooseberryring.coordination.limit.LimitEffect;
 import org.gooseberryring.coordination.limit.LimitSettings;
+import org.gooseberryring.coordination.limit.QuotaCodec;
+import org.gooseberryring.coordination.limit.QuotaLedger;
 import org.gooseberryring.coordination.limit.TokenKeeper;
 import org.gooseberryring.coordination.limit.TokenMessage;
 import org.gooseberryring.coordination.store.StoreOutcome;
 import org.gooseberryring.host.engine.WalletInputs;
 import org.gooseberryring.state.FleetConfiguration;
 
-/** Runs the token keeper and the allotment ledger on the control thread. */
+/** Runs the token keeper and the quota ledger on the control thread. */
 public final class LimitControl {
     // The wallet numbers its requests in the same way; the suffix keeps the two apart in answers.
     private static final String KEEPER_SUFFIX = "#keeper";
@@ -32,7 +32,7 @@
     private final int keepersPerDomain;
     private final String keeperPrefix;
     private final TokenKeeper keeper;
-    private final AllotmentLedger ledger;
+    private final QuotaLedger ledger;
     private final StoreLanes store;
     private final ControlLoop control;
     private final WalletInputs requests;
@@ -53,7 +53,7 @@
     public LimitControl(
             KeeperIdentity self,
             LimitSettings settings,
-            AllotmentCodec codec,
+            QuotaCodec codec,
             StoreLanes store,
             ControlLoop control,
             WalletInputs requests,
@@ -62,7 +62,7 @@
         this.keepersPerDomain = settings.keepersPerDomain();
         this.keeperPrefix = self.host() + KEEPER_SUFFIX + "/";
         this.keeper = new TokenKeeper(self.host() + KEEPER_SUFFIX, self.incarnation(), settings);
-        this.ledger = new AllotmentLedger(self, settings, codec, keeper);
+        this.ledger = new QuotaLedger(self, settings, codec, keeper);
         this.store = store;
         this.control = control;
         this.requests = requests;
@@ -109,7 +109,7 @@
         }
     }
 
-    /** Begins the hand-over of this host's allotments. */
+    /** Begins the hand-over of this host's quotas. */
     public void leave() {
         leaving = true;
         ledger.leave();
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/settings/HostSettings.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/settings/HostSettings.java
@@ -23,7 +23,7 @@
  * @param limits bounds on what the host holds at once
  * @param timeouts times after which the host gives up waiting
  * @param keyGraceSeconds seconds for which known keys are served without a confirmed configuration
- * @param reclaimAfterSeconds age in seconds at which an unconfirmed allotment may be reclaimed
+ * @param reclaimAfterSeconds age in seconds at which an unconfirmed quota may be reclaimed
  * @param sharedCredits whether the hosts of a failure domain share the concurrency of its endpoints; equal on all hosts
  */
 public record HostSettings(
--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/capacity/LimitSlopeBenchmark.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/capacity/LimitSlopeBenchmark.java
@@ -8,21 +8,21 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 
-import org.gooseberryring.coordination.limit.Allotment;
-import org.gooseberryring.coordination.limit.AllotmentDocument;
 import org.gooseberryring.coordination.limit.KeeperEntry;
 import org.gooseberryring.coordination.limit.LimitEffect;
 import org.gooseberryring.coordination.limit.LimitSettings;
+import org.gooseberryring.coordination.limit.Quota;
+import org.gooseberryring.coordination.limit.QuotaDocument;
 import org.gooseberryring.coordination.limit.TokenKeeper;
 import org.gooseberryring.coordination.limit.TokenMessage;
 import org.gooseberryring.coordination.limit.TokenWallet;
-import org.gooseberryring.host.control.JsonAllotmentCodec;
+import org.gooseberryring.host.control.JsonQuotaCodec;
 import org.gooseberryring.protocol.peer.PeerMessage;
 import org.gooseberryring.protocol.peer.TokenGrant;
 import org.gooseberryring.protocol.peer.TokenRequest;
 import org.gooseberryring.state.Organisation;
 
-/** Measures keeper, wallet and allotment document by organisations and by keepers of each organisation. */
+/** Measures keeper, wallet and quota document by organisations and by keepers of each organisation. */
 public final class LimitSlopeBenchmark {
     private static final int[] ORGANISATIONS = {10, 100, 1_000};
     private static final int[] KEEPERS = {2, 6, 14};
@@ -107,9 +107,9 @@
     }
 
     private static void documents() {
-        JsonAllotmentCodec codec = new JsonAllotmentCodec();
-        Slope bytes = new Slope("limits/allotments by organisations, 14 keepers each", "bytes");
-        Slope parse = new Slope("parse of limits/allotments by organisations", "CPU ms");
+        JsonQuotaCodec codec = new JsonQuotaCodec();
+        Slope bytes = new Slope("limits/quotas by organisations, 14 keepers each", "bytes");
+        Slope parse = new Slope("parse of limits/quotas by organisations", "CPU ms");
         for (int n : ORGANISATIONS) {
             byte[] encoded = codec.encode(document(n, 14));
             bytes.add(n, encoded.length);
@@ -117,7 +117,7 @@
         }
         bytes.print();
         parse.print();
-        Slope byKeeper = new Slope("limits/allotments by keepers of each of 100 organisations", "bytes");
+        Slope byKeeper = new Slope("limits/quotas by keepers of each of 100 organisations", "bytes");
         for (int k : KEEPERS) {
             byKeeper.add(k, codec.encode(document(100, k)).length);
         }
@@ -163,12 +163,12 @@
 
     private static TokenKeeper keeper(int organisations) {
         TokenKeeper keeper = new TokenKeeper("h", 1, LimitSettings.defaults());
-        Map<String, Allotment> allotments = new HashMap<>();
+        Map<String, Quota> quotas = new HashMap<>();
         for (int i = 0; i < organisations; i++) {
-            allotments.put("organisation-" + i, new Allotment(1L << 40, 1L << 40, 1L << 40, 1L << 40, true, false));
+            quotas.put("organisation-" + i, new Quota(1L << 40, 1L << 40, 1L << 40, 1L << 40, true, false));
         }
         keeper.confirmed(0);
-        keeper.adopt(allotments, 0);
+        keeper.adopt(quotas, 0);
         return keeper;
     }
 
@@ -185,22 +185,22 @@
     }
 
     /** Spreads the keepers over all hosts, as rendezvous hashing does. */
-    private static AllotmentDocument document(int organisations, int keepers) {
+    private static QuotaDocument document(int organisations, int keepers) {
         TreeMap<String, KeeperEntry> entries = new TreeMap<>();
-        TreeMap<String, SortedMap<String, Allotment>> allotments = new TreeMap<>();
+        TreeMap<String, SortedMap<String, Quota>> quotas = new TreeMap<>();
         List<String> hosts = new ArrayList<>();
         for (int i = 0; i < HOSTS; i++) {
             hosts.add(String.format("host-%04d", i));
         }
         for (int i = 0; i < organisations; i++) {
-            TreeMap<String, Allotment> of = new TreeMap<>();
+            TreeMap<String, Quota> of = new TreeMap<>();
             for (int k = 0; k < keepers; k++) {
                 String host = hosts.get((i * keepers + k) % HOSTS);
                 entries.put(host, new KeeperEntry(1_790_000_000_000L, "d" + k % 7, "10.0.0.1:7000", 1_000));
-                of.put(host, new Allotment(71_428, 714_285, 71_428, 714_285, true, false));
+                of.put(host, new Quota(71_428, 714_285, 71_428, 714_285, true, false));
             }
-            allotments.put("organisation-" + i, of);
+            quotas.put("organisation-" + i, of);
         }
-        return new AllotmentDocument(100_000, entries, allotments);
+        return new QuotaDocument(100_000, entries, quotas);
     }
 }
