Answer streams that do not begin before their callers leave

A caller leaves a stream that has not begun after a known time; it is now told before that the request may have run, and a request that may repeat goes to another endpoint once it is overdue.

Also mended: a keeper without a quota in force counted as a proof that the rate is exceeded (TokenWalletTest, failing first).

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
@@ -223,6 +223,12 @@
         }
     }
 
+    /** Returns whether a request has had no answer for far longer than predicted. */
+    boolean isStalled(RouteQuery query, long now) {
+        Running known = running.get(query);
+        return known != null && now >= known.startsBy();
+    }
+
     /** Returns whether a request of this host has had no answer for far longer than predicted. */
     boolean isStalled(long now) {
         for (Running each : running.values()) {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -229,6 +229,12 @@
         }
     }
 
+    @Override
+    public boolean isStalled(String endpoint, RouteQuery query, long now) {
+        DirectEndpoint known = endpoints.get(endpoint);
+        return known != null && known.isStalled(query, now);
+    }
+
     @Override
     public void succeeded(String endpoint, long firstTokenMillis, long now) {
         DirectEndpoint known = endpoints.get(endpoint);
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/TokenFetcher.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/TokenFetcher.java
@@ -132,6 +132,8 @@
         if (ask == current) {
             long missing = ask.tokens() - grant.tokens();
             grantedInFull |= missing <= 0;
+            // A keeper without a time to come back has no quota in force yet, which says nothing about the rate.
+            unanswered |= grant.tokens() <= 0 && grant.retryAfterMillis() <= 0;
             if (missing > 0 && grant.retryAfterMillis() > 0) {
                 fillPerMilli += (double) missing / grant.retryAfterMillis();
             }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Reason.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Reason.java
@@ -1,6 +1,7 @@
 package org.gooseberryring.coordination.request;
 
 import org.gooseberryring.state.ErrorCode;
+import org.gooseberryring.state.Verdict;
 
 /** Reason for which a request is refused. */
 enum Reason {
@@ -24,12 +25,8 @@
         this.detail = detail;
     }
 
-    ErrorCode code() {
-        return code;
-    }
-
-    /** Returns the explanation for the caller. */
-    String detail() {
-        return detail;
+    /** Returns the refusal of a request for this reason. */
+    RequestEffect.Refuse refusal(String requestId, Verdict verdict, long retryAfterMillis) {
+        return new RequestEffect.Refuse(requestId, code, verdict, retryAfterMillis, detail);
     }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -223,7 +223,7 @@
         } else if (work.spec().deadline() <= now) {
             refuse(work, Reason.DEADLINE, RETRY_AFTER_MILLIS, now);
         } else if (choose(work, now).kind() == RouteChoice.Kind.UNREACHABLE) {
-            refuse(work, Reason.NO_ENDPOINT, availableMillis(work), now);
+            refuse(work, Reason.NO_ENDPOINT, work.availableMillis(RETRY_AFTER_MILLIS), now);
         } else {
             Admission decision = Admission.admitted();
             if (work.needsTokens()) {
@@ -271,16 +271,16 @@
                 leaveClaim(work, now);
             }
             case MAY_HAVE_RUN -> {
-                effects.add(refusal(work, Reason.ALREADY_CLAIMED, Verdict.MAY_HAVE_RUN, 0));
+                effects.add(Reason.ALREADY_CLAIMED.refusal(work.id(), Verdict.MAY_HAVE_RUN, 0));
                 leaveClaim(work, now);
             }
             case KEY_REUSED -> {
-                effects.add(refusal(work, Reason.KEY_REUSED, Verdict.NOT_RUN, 0));
+                effects.add(Reason.KEY_REUSED.refusal(work.id(), Verdict.NOT_RUN, 0));
                 leaveClaim(work, now);
             }
             default -> {
                 long after = Math.max(RETRY_AFTER_MILLIS, answer.retryAfterMillis());
-                effects.add(refusal(work, Reason.CLAIM_UNAVAILABLE, Verdict.NOT_RUN, after));
+                effects.add(Reason.CLAIM_UNAVAILABLE.refusal(work.id(), Verdict.NOT_RUN, after));
                 leaveClaim(work, now);
             }
         }
@@ -323,7 +323,7 @@
             if (suspects.isQuarantined(spec.digest())) {
                 refuse(work, Reason.QUARANTINED, 0, now);
             } else if (work.choice().kind() == RouteChoice.Kind.UNREACHABLE) {
-                refuse(work, Reason.NO_ENDPOINT, availableMillis(work), now);
+                refuse(work, Reason.NO_ENDPOINT, work.availableMillis(RETRY_AFTER_MILLIS), now);
             } else {
                 dispatch(work, now);
             }
@@ -359,11 +359,6 @@
         return choice;
     }
 
-    private static long availableMillis(Work work) {
-        long millis = work.choice().availableMillis();
-        return millis > 0 ? millis : RETRY_AFTER_MILLIS;
-    }
-
     private void dispatch(Work work, long now) {
         if (work.attempt() == 0) {
             retries.firstAttempt(work.spec(), now);
@@ -423,7 +418,10 @@
     }
 
     private void checkTime(Work work, long now) {
-        boolean late = now >= work.spec().deadline();
+        // Callers leave a stream that does not begin; an answer before that tells them what became of it.
+        boolean unstarted =
+                !work.hasResponseStarted() && now >= work.spec().handling().startBy();
+        boolean late = unstarted || now >= work.spec().deadline();
         if (work.step() == Work.Step.RUNNING) {
             boolean cutOff =
                     !work.hasResponseStarted() || work.spec().handling().endsAtDeadline();
@@ -431,7 +429,7 @@
                 refuse(work, Reason.TIMEOUT, RETRY_AFTER_MILLIS, now);
                 cancelIfUseless(work);
             }
-            if (now - work.dispatchedAt() >= maxRunMillis) {
+            if (now - work.dispatchedAt() >= maxRunMillis || servedFasterElsewhere(work, now)) {
                 cancel(work);
             }
         } else if (late && work.step() != Work.Step.QUEUE) {
@@ -439,6 +437,18 @@
         }
     }
 
+    /** Returns whether a request that may repeat waits in vain at its endpoint while another one has room. */
+    private boolean servedFasterElsewhere(Work work, long now) {
+        RequestSpec spec = work.spec();
+        boolean waits = !work.isAnswered() && !work.hasAnswerBegun() && work.endpoint() != null;
+        boolean repeats =
+                spec.idempotent() && work.sends() + 1 < spec.handling().maxSends();
+        return waits
+                && repeats
+                && router.isStalled(work.endpoint(), work.query(), now)
+                && router.choose(work.query(), now).kind() == RouteChoice.Kind.ENDPOINT;
+    }
+
     /** A running request that must not run twice is left to finish if its outcome is to be recorded. */
     private void cancelIfUseless(Work work) {
         if (work.spec().idempotent() || work.spec().handling().cancelsUnused()) {
@@ -457,17 +467,13 @@
 
     /** Gives the final answer at once; a running attempt is followed to its end. */
     private void refuse(Work work, Reason reason, long retryAfterMillis, long now) {
-        effects.add(refusal(work, reason, work.verdict(), retryAfterMillis));
+        effects.add(reason.refusal(work.id(), work.verdict(), retryAfterMillis));
         work.answered();
         if (work.step() != Work.Step.RUNNING) {
             end(work, work.verdict(), now);
         }
     }
 
-    private static RequestEffect.Refuse refusal(Work work, Reason reason, Verdict verdict, long retryAfterMillis) {
-        return new RequestEffect.Refuse(work.id(), reason.code(), verdict, retryAfterMillis, reason.detail());
-    }
-
     /** Forgets a request and gives back what it holds. */
     private void end(Work work, Verdict verdict, long now) {
         works.remove(work.id());
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Work.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Work.java
@@ -34,6 +34,7 @@
     private long dispatchedAt;
     private long lossEpoch;
     private boolean responseStarted;
+    private boolean answerBegun;
     private boolean cancelled;
     private boolean answered;
     private boolean mayHaveRun;
@@ -99,6 +100,11 @@
         return choice;
     }
 
+    /** Returns the milliseconds after which an endpoint can be expected, the given ones if the router knows none. */
+    long availableMillis(long otherwise) {
+        return choice.availableMillis() > 0 ? choice.availableMillis() : otherwise;
+    }
+
     RouteQuery query() {
         return query;
     }
@@ -135,12 +141,18 @@
 
     void responseStarted() {
         responseStarted = true;
+        answerBegun = true;
     }
 
     boolean hasResponseStarted() {
         return responseStarted;
     }
 
+    /** Returns whether an answer has begun, at this attempt or an earlier one that it goes on from. */
+    boolean hasAnswerBegun() {
+        return answerBegun;
+    }
+
     void cancelled() {
         cancelled = true;
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/EndpointRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/EndpointRouter.java
@@ -27,6 +27,11 @@
     /** Returns the number of losses of an endpoint so far, to be kept with each request sent to it. */
     long lossEpoch(String endpoint);
 
+    /** Returns whether a request has had no answer from its endpoint for far longer than predicted. */
+    default boolean isStalled(String endpoint, RouteQuery query, long now) {
+        return false;
+    }
+
     /**
      * Takes an endpoint out because its connection broke.
      *
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/TokenWalletTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/TokenWalletTest.java
@@ -127,6 +127,23 @@
                 .isEqualTo(1);
     }
 
+    /** Guards against a refusal because a keeper that may not grant yet, as after its start, has no tokens. */
+    @Test
+    void keeperThatMayNotGrantYetIsAskedAgainBeforeTheRefusal() {
+        TokenWallet wallet = new TokenWallet("w", 1, LimitSettings.defaults());
+        wallet.configure(Map.of("o", new Organisation("o", 1_000, 1_000, 1, null)), 0);
+        wallet.keepers("o", List.of("k"));
+        wallet.reserve("r1", "o", 100, 0);
+
+        wallet.onGrant("k", new TokenMessage.Grant(requestId(wallet), "o", 0, 0, 0, ""), 5);
+        List<LimitEffect> soon = tickUntil(wallet, 10, 300);
+
+        assertThat(soon.stream().filter(LimitEffect.Decided.class::isInstance).count())
+                .isEqualTo(0);
+        assertThat(soon.stream().filter(LimitEffect.Send.class::isInstance).count())
+                .isAtLeast(1);
+    }
+
     private static List<LimitEffect> tickUntil(TokenWallet wallet, long from, long to) {
         List<LimitEffect> effects = new ArrayList<>();
         for (long now = from; now < to; now += 10) {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
@@ -76,6 +76,36 @@
                 engine.attemptEnded("q", 1, new AttemptOutcome(Verdict.MAY_HAVE_RUN, 200, 0, true, false, 5), 20)
                         .get(0);
         assertThat(second.endpoint()).isNotEqualTo(first.endpoint());
+        // The stream has begun, so it is not ended as one that its caller would leave.
+        assertThat(engine.tick(5_000)).isEmpty();
+    }
+
+    /** Guards against a request that may repeat and waits at an endpoint that hangs until its caller leaves. */
+    @Test
+    void aRequestLeavesAnEndpointThatHangs() {
+        register("e1", 4);
+        engine.arrived(spec("q", true, false), 0);
+        register("e2", 4);
+        assertThat(engine.tick(500)).isEmpty();
+        assertThat(engine.tick(1_500)).containsExactly(new RequestEffect.Cancel("q", 1, "e1"));
+        AttemptOutcome cancelled = new AttemptOutcome(Verdict.MAY_HAVE_RUN, 0, 0, false, false, -1);
+        assertThat(engine.attemptEnded("q", 1, cancelled, 1_510))
+                .containsExactly(new RequestEffect.Dispatch("q", 2, "e2"));
+        engine.arrived(spec("once", false, false), 1_600);
+        assertThat(engine.tick(4_000)).isEmpty();
+    }
+
+    /** Guards against a caller that leaves a stream which never began, and whose run then goes on for nobody. */
+    @Test
+    void answersAStreamThatDoesNotBeginBeforeItsCallerLeaves() {
+        register("e1", 4);
+        Handling handling = new Handling("s", 1, true, false, true, true, 1, 400, 2_350, PromptShape.NONE);
+        engine.arrived(
+                new RequestSpec("q", null, TARGET, PriorityClass.NORMAL, 0, 0, "d", false, null, 9_000, handling), 0);
+        assertThat(engine.tick(2_340)).isEmpty();
+        List<RequestEffect> effects = engine.tick(2_360);
+        assertThat(((RequestEffect.Refuse) effects.get(0)).verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+        assertThat(effects).contains(new RequestEffect.Cancel("q", 1, "e1"));
     }
 
     /** Guards against a request that crashes endpoint after endpoint on all hosts. */
