--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/EndpointHealth.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/EndpointHealth.java
@@ -13,9 +13,6 @@
     /** Weight of the newest attempt in the share of failures. */
     private static final double NEWEST_WEIGHT = 0.2;
 
-    /** Share of failures from which an endpoint is only used while no other can be. */
-    private static final double BAD_SHARE = 0.5;
-
     private long lossEpoch;
     private long outUntil = Long.MIN_VALUE;
     private long outMillis = MIN_OUT_MILLIS;
@@ -31,11 +28,6 @@
         return now >= outUntil && (!trial || inFlight == 0);
     }
 
-    /** Returns whether the endpoint fails so often that another one is to be preferred. */
-    boolean isBad() {
-        return failureShare >= BAD_SHARE;
-    }
-
     /** Returns the share of recent attempts that failed, from 0 to 1. */
     double failureShare() {
         return failureShare;
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
@@ -32,6 +32,7 @@
 /** Takes callers' requests, examines them against the configuration and hands them to the request thread. */
 final class FrontHandler implements HttpHandler {
     private static final Logger LOG = Logger.getLogger(FrontHandler.class);
+    private static final String DURATION = "request.duration";
     private static final String BUSY = "Too many requests are open on this host";
     private static final String NOT_CONFIGURED = "This host does not know the configuration yet";
     private static final String STOPPING = "This host is shutting down";
@@ -179,13 +180,15 @@
     }
 
     private void logEnd(HttpServerExchange exchange, Arrival arrival, Admitted admitted) {
+        long millis = clock.getAsLong() - arrival.at();
+        metrics.timer(DURATION).update(millis, TimeUnit.MILLISECONDS);
         LogLine.event("request-ended")
                 .with("requestId", arrival.head().requestId())
                 .with("route", admitted.route().id())
                 .with("configuration", view.configuration().version())
                 .with("status", exchange.getStatusCode())
                 .with("whole", exchange.isResponseComplete())
-                .with("ms", clock.getAsLong() - arrival.at())
+                .with("ms", millis)
                 .info(LOG);
     }
 
