--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -183,10 +183,12 @@
         return new EntryRequests(settings, effects, targets -> exchange().wanted(targets), incarnation, clock::now);
     }
 
+    /** Returns the request thread to callbacks that are made before it is. */
     private EntryRequests requests() {
         return requests;
     }
 
+    /** Returns the exchange to callbacks that are made before it is. */
     private PeerExchange exchange() {
         return exchange;
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
@@ -81,7 +81,10 @@
         carryOut(controller.onTick(term, now));
     }
 
-    /** Gives the lease up, as for a graceful stop; the next holder waits until it has run out. */
+    /**
+     * Takes the lease no more, as for a graceful stop. A lease that is held is renewed until the process ends, and the next
+     * holder waits until it has run out.
+     */
     void leave() {
         lease.candidate(false);
     }
