Compare the clocks with those at the sending of a lease renewal

Cause (found by reading): the guard against a suspended machine took the clocks as they were when the answer to a renewal arrived. A machine that was suspended while the renewal was on its way could order endpoints until its next renewal, although another host may have taken the lease.

Change: OrderRight asks that no suspension was noticed since the renewal in force was sent. SuspensionGuard only keeps when the clocks last moved apart.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/DomainLease.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/DomainLease.java
@@ -56,6 +56,11 @@
         return leading && now - renewedAt < millis;
     }
 
+    /** Returns the time at which the renewal in force was sent. */
+    public long renewedAt() {
+        return renewedAt;
+    }
+
     /** Returns the fencing number; only meaningful while this host leads. */
     public long term() {
         return cell.doc().term();
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
@@ -23,9 +23,6 @@
 final class ResidencyControl {
     private static final Logger LOG = Logger.getLogger(ResidencyControl.class);
 
-    /** Milliseconds after the last renewal for which orders may be sent. */
-    private static final long ORDER_MILLIS = 1_900;
-
     /** Time in which an order reaches its endpoint. */
     private static final long TRANSIT_MILLIS = 200;
 
@@ -36,7 +33,7 @@
     private final EndpointOrders orders;
     private final InstallationView view;
     private final Announcer announcer;
-    private final SuspensionGuard guard;
+    private final OrderRight right;
     private long leadingTerm;
 
     /** Tells all hosts, this one included, what an endpoint holds. */
@@ -62,17 +59,17 @@
         this.orders = orders;
         this.view = view;
         this.announcer = announcer;
-        this.guard = new SuspensionGuard(wallClock);
         // The next holder takes the lease when the last order of this one is as old as the installation demands.
-        long leaseMillis = ORDER_MILLIS + TRANSIT_MILLIS + settings.orderLeaseMillis();
+        long leaseMillis = OrderRight.ORDER_MILLIS + TRANSIT_MILLIS + settings.orderLeaseMillis();
         this.lease =
                 new DomainLease(settings.hostId(), settings.failureDomain(), leaseMillis, new JsonOrderCodec(), random);
+        this.right = new OrderRight(lease, wallClock);
     }
 
     /** Lets time pass; must be called on the control thread. */
     void tick(long now) {
+        boolean mayOrder = right.holds(now);
         call(lease.onTick(now));
-        boolean mayOrder = lease.renewedWithin(ORDER_MILLIS, now) && guard.holds(now);
         long term = mayOrder ? lease.term() : 0;
         if (term != leadingTerm && (term != 0 || !lease.leads(now))) {
             leadingTerm = term;
@@ -92,15 +89,7 @@
     private void call(List<OrderEffect> effects) {
         for (OrderEffect effect : effects) {
             if (effect instanceof OrderEffect.Call call) {
-                lanes.submit(
-                        call.request(),
-                        reply -> control.put(now -> {
-                            boolean before = lease.renewedWithin(ORDER_MILLIS, now);
-                            call(lease.onReply(reply, now));
-                            if (!before || lease.renewedWithin(TRANSIT_MILLIS, now)) {
-                                guard.confirm(now);
-                            }
-                        }));
+                lanes.submit(call.request(), reply -> control.put(now -> call(lease.onReply(reply, now))));
             }
         }
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/SuspensionGuard.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/SuspensionGuard.java
@@ -5,27 +5,27 @@
 /**
  * Notices that the machine was suspended, during which the monotonic clock stands still.
  *
- * <p>The wall clock goes on meanwhile. A step of the wall clock looks the same, which only delays what is guarded until
- * the next confirmation.
+ * <p>The wall clock goes on meanwhile. A step of the wall clock looks the same and is treated alike.
  */
 final class SuspensionGuard {
     private static final long MAX_DRIFT_MILLIS = 250;
 
     private final LongSupplier wallClock;
     private long offset;
+    private long lastShiftAt = Long.MIN_VALUE;
 
     /** Creates a guard; {@code wallClock} gives milliseconds since the Unix epoch. */
     SuspensionGuard(LongSupplier wallClock) {
         this.wallClock = wallClock;
     }
 
-    /** Takes the present relation of the clocks as the one to compare with. */
-    void confirm(long now) {
-        offset = wallClock.getAsLong() - now;
-    }
-
-    /** Returns whether the clocks moved alike since they were last confirmed. */
-    boolean holds(long now) {
-        return Math.abs(wallClock.getAsLong() - now - offset) <= MAX_DRIFT_MILLIS;
+    /** Returns whether the clocks have moved alike from an earlier time, at which this was called too, until now. */
+    boolean steadySince(long time, long now) {
+        long present = wallClock.getAsLong() - now;
+        if (lastShiftAt == Long.MIN_VALUE || Math.abs(present - offset) > MAX_DRIFT_MILLIS) {
+            offset = present;
+            lastShiftAt = now;
+        }
+        return time >= lastShiftAt;
     }
 }
