End a stand-in's request before the last byte of its answer leaves

Cause: the stand-in of an engine counted a request as running until the write of its whole answer had been confirmed. A host that had read the answer already sent the next request, so the record showed 5 requests at a concurrency of 4, and at times 39 completed requests of 40.

Ruled out: a host that releases a place early; it does so after the last byte.

Change: all bytes but the last are written, the request ends, then the last byte follows. EngineStandInTest states the rule; it did not fail on the former writer on a quiet machine.

--- a/gooseberryring-standins/src/main/java/org/gooseberryring/standins/CompletionWriter.java
+++ b/gooseberryring-standins/src/main/java/org/gooseberryring/standins/CompletionWriter.java
@@ -112,9 +112,15 @@
             run.call().write(json.substring(0, 1).getBytes(StandardCharsets.UTF_8), () -> {});
             return;
         }
-        write(json, () -> {
+        int last = json.length() - 1;
+        if (written + json.getBytes(StandardCharsets.UTF_8).length > cutAfter) {
+            write(json, () -> {});
+            return;
+        }
+        // The request ends before its last byte leaves: whoever has read that byte may send the next request.
+        write(json.substring(0, last), () -> {
             ended.accept(run, !run.cancelled());
-            run.call().end();
+            write(json.substring(last), run.call()::end);
         });
     }
 
--- a/gooseberryring-standins/src/test/java/org/gooseberryring/standins/EngineStandInTest.java
+++ b/gooseberryring-standins/src/test/java/org/gooseberryring/standins/EngineStandInTest.java
@@ -46,6 +46,16 @@
         assertThat(engine.record().completed()).containsExactly("r1", 1, "r2", 1);
     }
 
+    /** Guards against a record that counts a request as running, or not as completed, after its answer was read. */
+    @Test
+    void aRequestHasEndedWhenItsAnswerIsWhole() {
+        for (int i = 0; i < 300; i++) {
+            complete("r" + i, "hello", false);
+
+            assertThat(engine.record().completed()).containsKey("r" + i);
+        }
+    }
+
     /** Guards against an account of memory that misses a load in progress. */
     @Test
     void memoryAccountNotesOvercommitment() {
