Share a new organisation's quota from its founding

Cause: the host that founded the quotas of a new organisation took all of its rate and burst; the others got theirs seconds later, after its reduction was confirmed. HostTest.otherHostsServeWhenOneIsLostUnderLoad ends that host within the first second.

A second fault showed with it: a host that read the record before the organisation was founded, and keeps none of its quotas, read it again only after 30 s and refused everything until then.

Change: the first keeper takes its share; the rest is held in reserve for the keepers that are expected, which start full, and is freed after 5 s. A host that knows no keeper of an organisation reads as often as a keeper.

QuotaLedgerTest's two new cases failed before.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/QuotaLedger.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/QuotaLedger.java
@@ -28,7 +28,7 @@
 
     // Keepers see reductions and raises within this time.
     private static final long KEEPER_READ_MILLIS = 2_000;
-    // Other hosts only need to know the keepers.
+    // Other hosts only need to know the keepers, and read as often as a keeper until they do.
     private static final long OTHER_READ_MILLIS = 30_000;
     // Planning copies the document, which would cost too much at each tick.
     private static final long PLAN_MILLIS = 100;
@@ -38,6 +38,8 @@
     private static final int RENEWALS_PER_RECLAIM = 8;
     // Keepers rebalance in order of rank, so that usually one of them writes.
     private static final long RANK_DELAY_MILLIS = 1_000;
+    // Keepers that are expected at a new organisation join within a second unless they or the store are down.
+    private static final long RESERVE_MILLIS = 5_000;
 
     /** Last seen confirmation of a keeper, and when this host first saw it. */
     private record Sighting(long incarnation, long confirmation, long seenAt) {}
@@ -63,6 +65,7 @@
     private long nextPlanAt = Long.MIN_VALUE;
     private long backoff;
     private long imbalanceSince = Long.MAX_VALUE;
+    private long reserveSince = Long.MAX_VALUE;
 
     /**
      * Creates a ledger that has not read the document yet.
@@ -264,7 +267,8 @@
         Quota present = read.of(self.host()).get(organisation);
         boolean active = present != null && !present.withdrawn();
         if (chosen && !active) {
-            return QuotaPlan.found(read, limitsRevision, configured, self.host());
+            int expected = Math.min(settings.keepersPerDomain(), members.size());
+            return QuotaPlan.found(read, limitsRevision, configured, self.host(), expected);
         }
         if (active && !stays && mine) {
             return QuotaPlan.withdraw(read, organisation, self.host());
@@ -291,6 +295,7 @@
                 next = QuotaPlan.reclaim(next, sighting.getKey());
             }
         }
+        next = reserve(next, now);
         // A host that is behind must not raise quotas that a later revision lowered.
         if (revision >= document.revision()) {
             next = QuotaPlan.rebalance(next, limitsRevision, organisations);
@@ -304,6 +309,15 @@
         return now - imbalanceSince >= rank * RANK_DELAY_MILLIS ? next : read;
     }
 
+    private QuotaDocument reserve(QuotaDocument read, long now) {
+        if (!QuotaPlan.hasReserve(read)) {
+            reserveSince = Long.MAX_VALUE;
+            return read;
+        }
+        reserveSince = Math.min(reserveSince, now);
+        return now - reserveSince >= RESERVE_MILLIS ? QuotaPlan.releaseReserve(read) : read;
+    }
+
     private boolean isMine(KeeperEntry entry) {
         return entry != null
                 && entry.incarnation() == self.incarnation()
@@ -311,7 +325,10 @@
     }
 
     private long readInterval() {
-        return document != null && !document.of(self.host()).isEmpty() ? KEEPER_READ_MILLIS : OTHER_READ_MILLIS;
+        boolean keeps = document != null && !document.of(self.host()).isEmpty();
+        boolean lacksKeepers = organisations.keySet().stream()
+                .anyMatch(organisation -> keepers(organisation).isEmpty());
+        return keeps || lacksKeepers ? KEEPER_READ_MILLIS : OTHER_READ_MILLIS;
     }
 
     private long jitter(long bound, long now) {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/QuotaPlan.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/QuotaPlan.java
@@ -20,6 +20,9 @@
     // Separates a host from the incarnation under which quotas of a process at another address are kept.
     private static final String RETIRED = "@";
 
+    // Name under which the part of a new organisation is kept that keepers have not claimed yet.
+    private static final String RESERVE = RETIRED + "reserve";
+
     private QuotaPlan() {}
 
     /**
@@ -116,37 +119,64 @@
         return draft.build();
     }
 
-    /** Joins an organisation that the document does not know yet, whose first keeper starts with a full burst. */
-    public static QuotaDocument found(QuotaDocument document, long revision, Organisation organisation, String host) {
-        if (document.organisations().containsKey(organisation.id())) {
+    /**
+     * Joins an organisation. A new one is founded with the first keeper's share; what is left is held in reserve for the
+     * keepers that are expected, each of which starts with a full share. The loss of the first keeper therefore leaves
+     * the others their parts.
+     *
+     * @param expected number of keepers, this one included, that are expected
+     */
+    public static QuotaDocument found(
+            QuotaDocument document, long revision, Organisation organisation, String host, int expected) {
+        long rate = Math.max(0, organisation.rateTokensPerSecond());
+        long burst = Math.max(0, organisation.burstTokens());
+        Draft draft = new Draft(document);
+        TreeMap<String, Quota> quotas = draft.quotas(organisation.id());
+        if (!document.organisations().containsKey(organisation.id())) {
+            draft.revision = Math.max(draft.revision, revision);
+            quotas.put(RESERVE, Quota.none().raised(rate, burst, true));
+        }
+        Quota reserve = quotas.get(RESERVE);
+        if (reserve == null || quotas.containsKey(host)) {
             return join(document, organisation.id(), host);
         }
+        long byRate = Math.min(reserve.rate(), share(rate, expected, 0));
+        long byBurst = Math.min(reserve.burst(), share(burst, expected, 0));
+        quotas.put(host, Quota.none().raised(byRate, byBurst, true));
+        quotas.put(RESERVE, Quota.none().raised(reserve.rate() - byRate, reserve.burst() - byBurst, true));
+        if (quotas.get(RESERVE).empty()) {
+            quotas.remove(RESERVE);
+        }
+        return draft.build();
+    }
+
+    /** Returns whether a part of an organisation is held in reserve for keepers that have not joined yet. */
+    static boolean hasReserve(QuotaDocument document) {
+        return document.organisations().values().stream().anyMatch(quotas -> quotas.containsKey(RESERVE));
+    }
+
+    /** Frees what is held in reserve, so that the present keepers share it. */
+    static QuotaDocument releaseReserve(QuotaDocument document) {
         Draft draft = new Draft(document);
-        draft.revision = Math.max(draft.revision, revision);
-        draft.quotas(organisation.id())
-                .put(
-                        host,
-                        Quota.none()
-                                .raised(
-                                        Math.max(0, organisation.rateTokensPerSecond()),
-                                        Math.max(0, organisation.burstTokens()),
-                                        true));
+        draft.organisations.values().forEach(quotas -> quotas.remove(RESERVE));
         return draft.build();
     }
 
     private static void balance(TreeMap<String, Quota> quotas, long rate, long burst) {
         List<String> keepers = new ArrayList<>();
         quotas.forEach((host, quota) -> {
-            if (!quota.withdrawn()) {
+            if (!quota.withdrawn() && !host.equals(RESERVE)) {
                 keepers.add(host);
             }
         });
         long freeRate = rate;
         long freeBurst = burst;
         for (Map.Entry<String, Quota> entry : quotas.entrySet()) {
-            int index = keepers.indexOf(entry.getKey());
-            entry.setValue(
-                    entry.getValue().lowered(share(rate, keepers.size(), index), share(burst, keepers.size(), index)));
+            if (!entry.getKey().equals(RESERVE)) {
+                int index = keepers.indexOf(entry.getKey());
+                entry.setValue(entry.getValue()
+                        .lowered(share(rate, keepers.size(), index), share(burst, keepers.size(), index)));
+            }
             freeRate -= entry.getValue().rate();
             freeBurst -= entry.getValue().burst();
         }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/LimitSimulation.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/LimitSimulation.java
@@ -64,6 +64,14 @@
             configure(organisation, revision);
         }
 
+        List<String> keepers() {
+            return ledger.keepers(ORGANISATION);
+        }
+
+        String name() {
+            return name;
+        }
+
         void kill() {
             alive = false;
         }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/QuotaLedgerTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/QuotaLedgerTest.java
@@ -38,6 +38,36 @@
         assertThat(simulation.totalRate()).isEqualTo(6_000);
     }
 
+    /** Guards against a new organisation that nobody can use since the host that founded its quotas is lost. */
+    @Test
+    void aNewOrganisationIsServedAlthoughItsFirstKeeperIsLost() {
+        while (simulation.totalRate() == 0) {
+            simulation.run(10);
+        }
+        LimitSimulation.Host founder = simulation.hosts().stream()
+                .filter(host -> simulation.allotted(host.name()) != null)
+                .findFirst()
+                .orElseThrow();
+        simulation.run(2_000);
+
+        founder.kill();
+        simulation.run(100);
+        simulation.hosts().stream()
+                .filter(host -> host != founder && !host.keepers().isEmpty())
+                .forEach(host -> host.request(100, 100, 100));
+        simulation.run(2_000);
+
+        assertThat(simulation.refused()).isEqualTo(0);
+    }
+
+    /** Guards against a host that refuses everything for long since it read the quotas before there were any. */
+    @Test
+    void eachHostLearnsTheKeepersOfANewOrganisationSoon() {
+        simulation.run(8_000);
+
+        simulation.hosts().forEach(host -> assertThat(host.keepers()).isNotEmpty());
+    }
+
     /** Guards against limits that stop admitting, or stop lending, while the store is down. */
     @Test
     void storeOutageKeepsQuotasAndAdmission() {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/QuotaPlanTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/QuotaPlanTest.java
@@ -55,12 +55,37 @@
         QuotaDocument empty = QuotaPlan.rebalance(withdrawn, 2, Map.of());
         assertThat(empty.of("a")).isEmpty();
 
-        QuotaDocument again = QuotaPlan.found(empty, 3, ORGANISATION, "a");
+        QuotaDocument again = QuotaPlan.found(empty, 3, ORGANISATION, "a", 1);
         assertThat(again.of("a").get("o").full()).isFalse();
     }
 
+    /** Guards against a new organisation whose whole rate and burst are lost with its first keeper. */
+    @Test
+    void aNewOrganisationIsSharedByTheKeepersThatAreExpected() {
+        QuotaDocument first = register(QuotaPlan.found(QuotaDocument.empty(), 1, ORGANISATION, "a", 2), "a", 1);
+        QuotaDocument alone = QuotaPlan.rebalance(first, 1, ORGANISATIONS);
+        assertThat(alone.of("a").get("o")).isEqualTo(new Quota(450, 150, 450, 150, true, false));
+        assertThat(alone.rateOf("o")).isEqualTo(900);
+
+        QuotaDocument both = register(QuotaPlan.found(alone, 1, ORGANISATION, "b", 2), "b", 1);
+        assertThat(both.of("b").get("o")).isEqualTo(new Quota(450, 150, 450, 150, true, false));
+        assertThat(QuotaPlan.hasReserve(both)).isFalse();
+        assertThat(both.rateOf("o")).isEqualTo(900);
+    }
+
+    /** Guards against a part of the rate that waits for a keeper which never comes. */
+    @Test
+    void whatIsHeldInReserveGoesToThePresentKeepersInTheEnd() {
+        QuotaDocument first = register(QuotaPlan.found(QuotaDocument.empty(), 1, ORGANISATION, "a", 2), "a", 1);
+
+        QuotaDocument released = QuotaPlan.rebalance(QuotaPlan.releaseReserve(first), 1, ORGANISATIONS);
+
+        assertThat(released.of("a").get("o").rate()).isEqualTo(900);
+        assertThat(released.burstOf("o")).isEqualTo(300);
+    }
+
     private static QuotaDocument founded() {
-        return register(QuotaPlan.found(QuotaDocument.empty(), 1, ORGANISATION, "a"), "a", 1);
+        return register(QuotaPlan.found(QuotaDocument.empty(), 1, ORGANISATION, "a", 1), "a", 1);
     }
 
     private static QuotaDocument register(QuotaDocument document, String host, long incarnation) {
