Distrust a renewal sent in the millisecond in which a suspension is noticed

Cause: the monotonic clock stands still during a suspension, so a renewal that was sent just before it and the tick after it can bear the same time. The guard took the renewal for one sent after the suspension.

Change: the time of the renewal must be later than that of the suspension.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/SuspensionGuard.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/SuspensionGuard.java
@@ -19,13 +19,13 @@
         this.wallClock = wallClock;
     }
 
-    /** Returns whether the clocks have moved alike from an earlier time, at which this was called too, until now. */
+    /** Returns whether the clocks have moved alike since an earlier time, at which this was called too. */
     boolean steadySince(long time, long now) {
         long present = wallClock.getAsLong() - now;
         if (lastShiftAt == Long.MIN_VALUE || Math.abs(present - offset) > MAX_DRIFT_MILLIS) {
             offset = present;
             lastShiftAt = now;
         }
-        return time >= lastShiftAt;
+        return time > lastShiftAt;
     }
 }
--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/entry/OrderRightTest.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/entry/OrderRightTest.java
@@ -29,6 +29,7 @@
         lease = new DomainLease("host-1", "domain-a", LEASE_MILLIS, new JsonOrderCodec(), new Random(1));
         right = new OrderRight(lease, () -> wall);
         right.holds(now);
+        pass(50);
         String key = DomainLease.key("domain-a");
         lease.onTick(now);
         lease.onReply(new StoreReply(key, StoreOutcome.ABSENT, 0, null), now);
