Swap adapters and count models as loaded without waiting for a status

An unload of an adapter was answered with 200, after which the controller read the status of the endpoint; the status is some hundred milliseconds old, so the same unload was sent again, refused as a conflict, and the load followed 350 ms later. The announcement of the loaded adapter waited for the status as well. Models were used 380 ms after their endpoint had registered them.

Change: a 200 to the unload of an adapter counts as carried out; a registration that shows the last order ends it; after a refused order any status is taken.

Tests: ResidencyControllerTest, two cases that failed before; the simulated endpoints now report a state of up to 300 ms ago.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/EndpointLedger.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/EndpointLedger.java
@@ -36,6 +36,7 @@
     private Set<String> copies = Set.of();
     private ArtifactOrder open;
     private String loading;
+    private String unloading;
     private String intended;
     private boolean known;
     private boolean busy;
@@ -50,12 +51,28 @@
         this.registration = registration;
     }
 
-    /** Takes over a newer registration; what was known of an earlier start is forgotten. */
+    /**
+     * Takes over a newer registration; what was known of an earlier start is forgotten.
+     *
+     * <p>An endpoint registers anew as soon as it has loaded or unloaded a model, while a status lags behind.
+     */
     void registered(EndpointRegistration newer) {
         if (newer.bornMillis() != registration.bornMillis()) {
             forget();
         }
         registration = newer;
+        if (known && busy && open == null && showsLastOrder(newer)) {
+            busy = false;
+            loading = null;
+            unloading = null;
+            hold(newer.models());
+        }
+    }
+
+    private boolean showsLastOrder(EndpointRegistration newer) {
+        Set<String> models = new HashSet<>();
+        newer.models().forEach(model -> models.add(model.model()));
+        return loading != null ? models.contains(loading) : unloading != null && !models.contains(unloading);
     }
 
     /** Forgets all that must be read again, as when another host may have ordered meanwhile. */
@@ -64,6 +81,7 @@
         busy = false;
         open = null;
         loading = null;
+        unloading = null;
         intended = null;
         arriving.clear();
         held.clear();
@@ -158,13 +176,20 @@
             return;
         }
         open = null;
-        if (answer == OrderAnswer.ACCEPTED) {
+        if (answer == OrderAnswer.ACCEPTED || answer == OrderAnswer.HOLDS && dropsAdapter(order)) {
             accepted(order, now);
-        } else {
-            // What the endpoint holds is read again before the next order.
-            known = false;
-            askAt = Math.min(askAt, now + SOON_MILLIS);
+            return;
         }
+        // What the endpoint holds is read again before the next order. A status that is too old does no harm, since the
+        // order decided on it names a number of orders that has passed.
+        known = false;
+        sequenceAt = now - STALE_STATUS_MILLIS;
+        askAt = Math.min(askAt, now + SOON_MILLIS);
+    }
+
+    /** Returns whether an order drops an adapter, which is done when it is answered unless a request uses the adapter. */
+    private static boolean dropsAdapter(ArtifactOrder order) {
+        return order.adapter() != null && order.action() == ArtifactOrder.Action.UNLOAD;
     }
 
     private void accepted(ArtifactOrder order, long now) {
@@ -180,6 +205,7 @@
         }
         busy = true;
         loading = order.action() == ArtifactOrder.Action.LOAD ? order.model() : null;
+        unloading = loading == null ? order.model() : null;
         changed = true;
         askAt = Math.min(askAt, now + BUSY_STATUS_MILLIS);
     }
@@ -224,15 +250,20 @@
         copies = status.copies();
         if (!busy) {
             loading = null;
+            unloading = null;
         }
+        hold(status.models());
+        known = true;
+    }
+
+    private void hold(List<ResidentModel> models) {
         Map<String, Set<String>> reported = new TreeMap<>();
-        for (ResidentModel model : status.models()) {
+        for (ResidentModel model : models) {
             reported.put(model.model(), new HashSet<>(model.adapters()));
         }
         changed |= !known || !reported.equals(held);
         held.clear();
         held.putAll(reported);
-        known = true;
     }
 
     /** Returns whether what it holds has changed since the last call. */
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/DirectRouterTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/DirectRouterTest.java
@@ -76,8 +76,7 @@
         assertThat(router.choose(query(MODEL, PROMPT), 0).id()).isEqualTo("e1");
         EndpointRegistration e1 = engine("e1", "a", 0);
         router.registered(
-                new EndpointRegistration(
-                        e1.id(), e1.service(), e1.address(), "a", e1.slots(), true, 0, 0, 0, e1.models()),
+                new EndpointRegistration(e1.id(), e1.service(), e1.address(), "a", e1.slots(), true, 0, 0, e1.models()),
                 1);
         assertThat(router.choose(query(MODEL, PROMPT), 1)).isEqualTo(RouteChoice.UNREACHABLE);
     }
@@ -179,11 +178,11 @@
 
     private static EndpointRegistration engine(String id, String domain, long coldMillis) {
         List<ResidentModel> models = List.of(new ResidentModel("m", Set.of()));
-        return new EndpointRegistration(id, "llm", "10.0.0.1:80", domain, 64, false, coldMillis, 0, 0, models);
+        return new EndpointRegistration(id, "llm", "10.0.0.1:80", domain, 64, false, coldMillis, 0, models);
     }
 
     private static EndpointRegistration service(String id) {
-        return new EndpointRegistration(id, "orders", "10.0.0.2:80", "a", 6, false, 0, 0, 0, List.of());
+        return new EndpointRegistration(id, "orders", "10.0.0.2:80", "a", 6, false, 0, 0, List.of());
     }
 
     private static ServingConfiguration configuration() {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyControllerTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyControllerTest.java
@@ -49,6 +49,42 @@
         }
     }
 
+    /** Guards against a request that waits for a status between two orders, which is some hundred milliseconds old. */
+    @Test
+    void anAdapterTakesThePlaceOfAnIdleOneAtOnce() {
+        ResidencyWorld world = new ResidencyWorld(3, 0);
+        for (int i = 1; i <= ResidencyWorld.ADAPTERS; i++) {
+            world.run(1_500);
+            String adapter = "a" + i;
+            long asked = world.now();
+            while (!world.isAnnounced("m0", adapter) && world.now() - asked < 5_000) {
+                world.ask(new Target.RoutedTarget(ResidencyWorld.SERVICE, "m0", adapter));
+                world.run(20);
+            }
+            assertWithMessage("milliseconds until hosts know of adapter %s", adapter)
+                    .that(world.now() - asked)
+                    .isAtMost(200);
+        }
+    }
+
+    /** Guards against a model that is loaded and not used until the next status shows it. */
+    @Test
+    void aModelIsAnnouncedAsSoonAsItsEndpointRegistersIt() {
+        for (int seed = 0; seed < 20; seed++) {
+            ResidencyWorld world = new ResidencyWorld(seed, 0);
+            world.run(10_000 + 20 * seed);
+            Target.RoutedTarget absent = new Target.RoutedTarget(ResidencyWorld.SERVICE, "m9", null);
+            long asked = world.now();
+            while (!world.isAnnounced("m9", null) && world.now() - asked < 10_000) {
+                world.ask(absent);
+                world.run(20);
+            }
+            assertWithMessage("milliseconds from the first request to the announcement, seed %s", seed)
+                    .that(world.now() - asked)
+                    .isAtMost(ResidencyWorld.LOAD_MILLIS + 100);
+        }
+    }
+
     /** Guards against a model in demand that stays on one endpoint while others are idle. */
     @Test
     void aModelInDemandGetsFurtherReplicas() {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyWorld.java
@@ -33,8 +33,13 @@
     private static final long MODEL_BYTES = 70_000;
     private static final long ADAPTER_BYTES = 100;
     private static final long MEMORY_BYTES = 220_000;
-    private static final long LOAD_MILLIS = 4_000;
+    static final long LOAD_MILLIS = 4_000;
+    private static final long UNLOAD_MILLIS = 100;
     private static final long STEP_MILLIS = 20;
+
+    /** A status shows the endpoint as it was up to this time ago. */
+    private static final long STATUS_AGE_MILLIS = 300;
+
     private static final List<String> DOMAINS = List.of("a", "b");
 
     private record Event(long at, long order, Runnable action) {}
@@ -43,6 +48,8 @@
     private final double lossShare;
     private final Map<String, Engine> engines = new TreeMap<>();
     private final Map<String, ResidencyController> controllers = new TreeMap<>();
+    private final Map<String, EndpointStatus> reports = new HashMap<>();
+    private final Map<String, ResidencyEffect.Announce> announced = new HashMap<>();
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
     private Map<Target.RoutedTarget, Double> demand = Map.of();
@@ -99,7 +106,7 @@
     static EndpointRegistration registration(String id, String domain, List<String> models) {
         List<ResidentModel> resident = new ArrayList<>();
         models.forEach(model -> resident.add(new ResidentModel(model, Set.of())));
-        return new EndpointRegistration(id, SERVICE, "10.0.0.1:80", domain, 64, false, 0, 0, 1, resident);
+        return new EndpointRegistration(id, SERVICE, "10.0.0.1:80", domain, 64, false, 0, 1, resident);
     }
 
     /** Lets requests ask for an artifact now. */
@@ -122,6 +129,9 @@
             if (lossShare > 0) {
                 disturb();
             }
+            if (now % STATUS_AGE_MILLIS < STEP_MILLIS) {
+                reports.clear();
+            }
             for (Map.Entry<String, ResidencyController> entry : controllers.entrySet()) {
                 entry.getValue().demandOf("host", demand, now);
                 entry.getValue().onTick(1, now).forEach(effect -> carryOut(entry.getValue(), effect));
@@ -138,6 +148,18 @@
                 .anyMatch(engine -> engine.held.getOrDefault(model, Set.of()).contains(adapter));
     }
 
+    /** Returns whether hosts have been told of an endpoint that holds an artifact, the model itself if there is no adapter. */
+    boolean isAnnounced(String model, String adapter) {
+        return announced.values().stream()
+                .flatMap(announcement -> announcement.models().stream())
+                .anyMatch(held -> held.model().equals(model)
+                        && (adapter == null || held.adapters().contains(adapter)));
+    }
+
+    long now() {
+        return now;
+    }
+
     int replicas(String model) {
         return (int) engines.values().stream()
                 .filter(engine -> engine.held.containsKey(model))
@@ -177,21 +199,11 @@
     }
 
     private void register(String id) {
-        EndpointRegistration plain = registration(
-                id,
-                DOMAINS.get(id.charAt(1) % DOMAINS.size()),
-                List.copyOf(engines.get(id).held.keySet()));
+        EndpointRegistration plain = registration(id, DOMAINS.get(id.charAt(1) % DOMAINS.size()), List.of());
+        List<ResidentModel> models = new ArrayList<>();
+        engines.get(id).held.forEach((model, adapters) -> models.add(new ResidentModel(model, adapters)));
         EndpointRegistration registration = new EndpointRegistration(
-                id,
-                SERVICE,
-                plain.address(),
-                plain.failureDomain(),
-                64,
-                false,
-                0,
-                0,
-                engines.get(id).born,
-                plain.models());
+                id, SERVICE, plain.address(), plain.failureDomain(), 64, false, 0, engines.get(id).born, models);
         controllers.values().forEach(controller -> controller.registered(registration));
     }
 
@@ -208,6 +220,7 @@
                 }
             });
         } else if (effect instanceof ResidencyEffect.Announce announce) {
+            announced.put(announce.endpoint(), announce);
             controllers.values().forEach(each -> each.holds(announce));
         }
     }
@@ -250,11 +263,13 @@
             later(millis, () -> {
                 if (engine.born == born) {
                     engine.held.put(received.model(), new HashSet<>());
+                    register(received.endpoint());
                 }
             });
         } else {
             engine.held.remove(received.model());
-            engine.busyUntil = now + 100;
+            engine.busyUntil = now + UNLOAD_MILLIS;
+            later(UNLOAD_MILLIS, () -> register(received.endpoint()));
         }
         return OrderAnswer.ACCEPTED;
     }
@@ -286,6 +301,10 @@
     }
 
     private EndpointStatus status(String id) {
+        return reports.computeIfAbsent(id, this::report);
+    }
+
+    private EndpointStatus report(String id) {
         Engine engine = engines.get(id);
         List<ResidentModel> models = new ArrayList<>();
         engine.held.forEach((model, adapters) -> models.add(new ResidentModel(model, adapters)));
--- a/gooseberryring-state/src/main/java/org/gooseberryring/state/EndpointRegistration.java
+++ b/gooseberryring-state/src/main/java/org/gooseberryring/state/EndpointRegistration.java
@@ -12,7 +12,6 @@
  * @param slots requests that it runs at once
  * @param leaving whether it takes no new work
  * @param coldMillis milliseconds for which it stays cold, as of the registration
- * @param orderSequence number of orders that it had accepted
  * @param bornMillis start of the endpoint in milliseconds since the Unix epoch, 0 if unknown
  * @param models models that it holds
  */
@@ -24,7 +23,6 @@
         int slots,
         boolean leaving,
         long coldMillis,
-        long orderSequence,
         long bornMillis,
         List<ResidentModel> models) {
     public EndpointRegistration {
