Keep a host that was stopped from refusing organisations within their limits

Change: assumed use and filling are applied in one step, all silent hosts together are assumed to use no more than the rate, and a host that was stopped itself does not take the others for silent.

Test: SharedLimitsTest.refusesNothingWithinTheLimitAfterAStop failed before.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedBucket.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedBucket.java
@@ -1,5 +1,6 @@
 package org.gooseberryring.coordination.limit;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -34,6 +35,14 @@
         private long recentAt;
         private double assumed;
         private long assumedTo;
+
+        /** Assumes a use at a rate since the last message or assumption; returns its tokens. */
+        private double assume(double perSecond, long now) {
+            double more = perSecond * (now - assumedTo) / MILLIS_PER_SECOND;
+            assumed += more;
+            assumedTo = now;
+            return more;
+        }
     }
 
     SharedBucket(long now) {
@@ -75,22 +84,33 @@
         use.assumedTo = now;
     }
 
-    /** Assumes that a silent host has gone on to use its part of the rate, at least an equal one. */
-    void assume(String host, int hostCount, long now) {
-        HostUse use = hosts.get(host);
-        if (use == null) {
-            return;
-        }
-        fill(now);
+    /**
+     * Assumes that silent hosts have gone on to use their parts of the rate, each at least an equal one, all together no
+     * more than the rate.
+     */
+    void assume(Collection<String> silent, int hostCount, long now) {
         double sum = ownRecent;
         for (HostUse each : hosts.values()) {
             sum += each.recent;
         }
-        double share = Math.max(1.0 / hostCount, sum <= 0 ? 0 : use.recent / sum);
-        double more = share * rate * (now - use.assumedTo) / MILLIS_PER_SECOND;
-        use.assumed += more;
-        use.assumedTo = now;
-        level = Math.max(-burst, level - more);
+        Map<HostUse, Double> shares = new HashMap<>();
+        double all = 0;
+        for (String host : silent) {
+            HostUse use = hosts.get(host);
+            if (use != null) {
+                double share = Math.max(1.0 / hostCount, sum <= 0 ? 0 : use.recent / sum);
+                shares.put(use, share);
+                all += share;
+            }
+        }
+        double part = 1 / Math.max(1, all);
+        double used = 0;
+        for (Map.Entry<HostUse, Double> entry : shares.entrySet()) {
+            used += entry.getKey().assume(entry.getValue() * part * rate, now);
+        }
+        // Filled and used in one step: a bucket that is filled to its burst first would lose the rate of a long step.
+        level = Math.max(-burst, Math.min(burst, level + filled(now) - used));
+        filledAt = now;
     }
 
     void forget(String host) {
@@ -124,10 +144,14 @@
     }
 
     private void fill(long now) {
-        level = Math.min(burst, level + (now - filledAt) * rate / MILLIS_PER_SECOND);
+        level = Math.min(burst, level + filled(now));
         filledAt = now;
     }
 
+    private double filled(long now) {
+        return (now - filledAt) * rate / MILLIS_PER_SECOND;
+    }
+
     private static double decayed(double amount, long at, long now) {
         return amount * Math.pow(0.5, (now - at) / HALF_LIFE_MILLIS);
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedLimits.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedLimits.java
@@ -2,7 +2,9 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 import org.gooseberryring.state.Organisation;
 
@@ -27,11 +29,13 @@
     private final Map<String, SharedBucket> buckets = new HashMap<>();
     private final Map<String, Reservation> reservations = new HashMap<>();
     private final Map<String, Long> heardAt = new HashMap<>();
+    private long tickedAt = Long.MIN_VALUE;
 
     private record Reservation(String organisation, long tokens) {}
 
     /** Takes over the organisations of a configuration. */
     public void configured(Collection<Organisation> organisations, long now) {
+        catchUp(now);
         Map<String, Organisation> limited = new HashMap<>();
         for (Organisation organisation : organisations) {
             if (organisation.rateTokensPerSecond() > UNLIMITED) {
@@ -50,6 +54,7 @@
      * @param usedTokens tokens since the start of that process by organisation
      */
     public void usedBy(String host, Map<String, Long> usedTokens, long now) {
+        catchUp(now);
         heardAt.put(host, now);
         buckets.forEach((id, bucket) -> bucket.usedBy(host, usedTokens.getOrDefault(id, 0L), now));
     }
@@ -63,6 +68,8 @@
 
     /** Takes the assumed use of silent hosts into account; called several times a second. */
     public void tick(long now) {
+        catchUp(now);
+        tickedAt = now;
         heardAt.entrySet().removeIf(entry -> {
             boolean gone = now - entry.getValue() > GONE_MILLIS;
             if (gone) {
@@ -70,16 +77,39 @@
             }
             return gone;
         });
-        int hosts = heardAt.size() + 1;
+        Set<String> silent = new HashSet<>();
         heardAt.forEach((host, at) -> {
             if (now - at > ASSUME_MILLIS) {
-                buckets.values().forEach(bucket -> bucket.assume(host, hosts, now));
+                silent.add(host);
             }
         });
+        assume(silent, now);
+    }
+
+    /**
+     * Notices that this host itself was stopped. The others have used their parts meanwhile, although none of them was
+     * heard; that none was heard does not show that they were silent.
+     */
+    private void catchUp(long now) {
+        if (tickedAt == Long.MIN_VALUE || now - tickedAt <= ASSUME_MILLIS) {
+            return;
+        }
+        long stopped = now - tickedAt;
+        tickedAt = now;
+        assume(heardAt.keySet(), now);
+        heardAt.replaceAll((host, at) -> Math.min(now, at + stopped));
+    }
+
+    private void assume(Set<String> silent, long now) {
+        if (!silent.isEmpty()) {
+            int hosts = heardAt.size() + 1;
+            buckets.values().forEach(bucket -> bucket.assume(silent, hosts, now));
+        }
     }
 
     @Override
     public Admission reserve(String requestId, String organisation, long tokens, long now) {
+        catchUp(now);
         SharedBucket bucket = buckets.get(organisation);
         if (bucket == null) {
             return Admission.admitted();
@@ -93,6 +123,7 @@
 
     @Override
     public void settle(String requestId, long usedTokens, long now) {
+        catchUp(now);
         Reservation reservation = reservations.remove(requestId);
         SharedBucket bucket = reservation == null ? null : buckets.get(reservation.organisation());
         if (bucket != null && usedTokens < reservation.tokens()) {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/SharedLimitsTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/SharedLimitsTest.java
@@ -40,6 +40,29 @@
         assertThat(refused).isEqualTo(0);
     }
 
+    /** Guards against a host that refuses everything after it was stopped, since it takes all others for silent. */
+    @Test
+    void refusesNothingWithinTheLimitAfterAStop() {
+        Hosts hosts = new Hosts(7, 11);
+        int refused = 0;
+        for (long now = 0; now < 10_000; now += 10) {
+            hosts.tick(now, true);
+            if (now > 3_000 && now % 200 == 0) {
+                refused += hosts.ask((int) (now / 200 % 7), 6_000, now) ? 0 : 1;
+            }
+        }
+        SharedLimits stopped = hosts.host(0);
+        long woken = 13_000;
+
+        for (int i = 0; i < 5; i++) {
+            Admission admission = stopped.reserve("late" + i, "o", 2_000, woken + i);
+            refused += admission.kind() == Admission.Kind.ADMITTED ? 0 : 1;
+            stopped.tick(woken + i);
+        }
+
+        assertThat(refused).isEqualTo(0);
+    }
+
     /** Guards against hosts that admit more than the limit together, also while some are cut off from the others. */
     @Property(tries = 40, seed = "4711", shrinking = ShrinkingMode.OFF)
     void staysWithinTheLimitUnderCuts(@ForAll long seed) {
@@ -136,6 +159,10 @@
             }
         }
 
+        SharedLimits host(int index) {
+            return hosts.get(index);
+        }
+
         boolean ask(int host, long tokens, long now) {
             boolean ok =
                     hosts.get(host).reserve("r" + requests++, "o", tokens, now).kind() == Admission.Kind.ADMITTED;
