Let a restarted host take its own controller lease at once

Change: a host that finds itself named as holder and does not lead takes the lease with the next term. The holder is named by host and address, so that a replacement of the same name at another address waits.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/DomainLease.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/DomainLease.java
@@ -30,7 +30,7 @@
     /**
      * Creates a host's part of a lease.
      *
-     * @param self host, the same after a restart
+     * @param self host, the same after a restart; no two processes that run at once may have the same
      * @param leaseMillis milliseconds without a renewal after which another host may take the lease
      */
     public DomainLease(String self, String failureDomain, long leaseMillis, OrderCodec codec, RandomGenerator random) {
@@ -109,10 +109,12 @@
                 return effects;
         }
         if (!cell.doc().equals(seen)) {
-            // A free lease may be taken at once.
-            seenSince = cell.doc().holder().isEmpty() ? now - leaseMillis : now;
+            // A lease of an earlier process of this host is as free as one without a holder: that process has ended.
+            boolean free = cell.doc().holder().isEmpty()
+                    || !leading && cell.doc().holder().equals(self);
+            seenSince = free ? now - leaseMillis : now;
             seen = cell.doc();
-            nextCallAt = cell.doc().holder().isEmpty() ? now : nextCallAt;
+            nextCallAt = free ? now : nextCallAt;
         }
         return effects;
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
@@ -61,8 +61,9 @@
         this.announcer = announcer;
         // The next holder takes the lease when the last order of this one is as old as the installation demands.
         long leaseMillis = OrderRight.ORDER_MILLIS + TRANSIT_MILLIS + settings.orderLeaseMillis();
-        this.lease =
-                new DomainLease(settings.hostId(), settings.failureDomain(), leaseMillis, new JsonOrderCodec(), random);
+        // The address belongs to one machine only, also if a host that was replaced by another of its name still runs.
+        String holder = settings.hostId() + '@' + settings.callerAddress().getHostString();
+        this.lease = new DomainLease(holder, settings.failureDomain(), leaseMillis, new JsonOrderCodec(), random);
         this.right = new OrderRight(lease, wallClock);
     }
 
