Log what was expected of an attempt and what decided it

The line attempt-started bears the requests in flight, the prompt tokens to be read first and the predicted time to the start of the answer, so that it can be compared with firstByteMs of attempt-ended.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
@@ -8,6 +8,7 @@
 
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.coordination.route.RouteChoice;
+import org.gooseberryring.coordination.route.RouteForecast;
 import org.gooseberryring.coordination.route.RouteQuery;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.PromptShape;
@@ -193,13 +194,16 @@
         return (double) own.plus(othersSum).inFlight() / Math.max(1, registration.slots());
     }
 
-    void started(RouteQuery query, int hosts, long now) {
+    RouteForecast started(RouteQuery query, int hosts, long now) {
+        RouteForecast forecast =
+                new RouteForecast(millisToStart(query), own.plus(othersSum).inFlight(), tokensAhead(query));
         EndpointUse use = new EndpointUse(1, unread(query), memory(query.prompt()));
-        long overdue = now + STALL_FACTOR * millisToStart(query) + STALL_MILLIS;
-        running.put(query, new Running(use, tokensAhead(query), now, overdue));
+        long overdue = now + STALL_FACTOR * forecast.startMillis() + STALL_MILLIS;
+        running.put(query, new Running(use, forecast.unreadTokens(), now, overdue));
         own = own.plus(use);
         cache.add(salt(query), query.prompt());
         cold.sent(coldRate(), hosts, now);
+        return forecast;
     }
 
     /** Notes that the endpoint has read the prompt of a request. */
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -12,6 +12,7 @@
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.coordination.route.EndpointRouter;
 import org.gooseberryring.coordination.route.RouteChoice;
+import org.gooseberryring.coordination.route.RouteForecast;
 import org.gooseberryring.coordination.route.RouteQuery;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.EngineProfile;
@@ -205,11 +206,9 @@
     }
 
     @Override
-    public void started(String endpoint, RouteQuery query, long now) {
+    public RouteForecast started(String endpoint, RouteQuery query, long now) {
         DirectEndpoint known = endpoints.get(endpoint);
-        if (known != null) {
-            known.started(query, coldShares(), now);
-        }
+        return known == null ? RouteForecast.NONE : known.started(query, coldShares(), now);
     }
 
     @Override
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEffect.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEffect.java
@@ -1,5 +1,6 @@
 package org.gooseberryring.coordination.request;
 
+import org.gooseberryring.coordination.route.RouteForecast;
 import org.gooseberryring.state.ErrorCode;
 import org.gooseberryring.state.Verdict;
 
@@ -11,8 +12,9 @@
      * @param requestId request to send
      * @param attempt number of the attempt, from 1
      * @param endpoint identifier of the endpoint
+     * @param forecast what is expected of the attempt
      */
-    record Dispatch(String requestId, int attempt, String endpoint) implements RequestEffect {}
+    record Dispatch(String requestId, int attempt, String endpoint, RouteForecast forecast) implements RequestEffect {}
 
     /**
      * Sends the request to a host of another failure domain, which dispatches it there.
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -373,8 +373,8 @@
                     work.id(), work.attempt(), work.choice().id()));
         } else {
             work.dispatched(router.lossEpoch(endpoint), now);
-            router.started(endpoint, work.query(), now);
-            effects.add(new RequestEffect.Dispatch(work.id(), work.attempt(), endpoint));
+            effects.add(new RequestEffect.Dispatch(
+                    work.id(), work.attempt(), endpoint, router.started(endpoint, work.query(), now)));
         }
     }
 
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/EndpointRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/EndpointRouter.java
@@ -5,8 +5,8 @@
     /** Chooses where to send a request; it starts nothing. */
     RouteChoice choose(RouteQuery query, long now);
 
-    /** Counts a request that is sent to an endpoint. */
-    void started(String endpoint, RouteQuery query, long now);
+    /** Counts a request that is sent to an endpoint; returns what is expected of it. */
+    RouteForecast started(String endpoint, RouteQuery query, long now);
 
     /** Notes that the first byte of an answer arrived. */
     default void answering(String endpoint, RouteQuery query, long now) {}
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/Router.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/Router.java
@@ -147,12 +147,13 @@
     }
 
     @Override
-    public void started(String endpoint, RouteQuery query, long now) {
+    public RouteForecast started(String endpoint, RouteQuery query, long now) {
         EndpointState state = endpoints.get(endpoint);
         if (state != null) {
             state.started(query.alone(), now);
             affinity.remember(query.prefixHash(), endpoint);
         }
+        return RouteForecast.NONE;
     }
 
     @Override
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
@@ -12,6 +12,7 @@
 import org.gooseberryring.coordination.retry.CrashSuspects;
 import org.gooseberryring.coordination.retry.RetryAllowance;
 import org.gooseberryring.coordination.retry.RouteRetries;
+import org.gooseberryring.coordination.route.RouteForecast;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.PriorityClass;
 import org.gooseberryring.state.PromptShape;
@@ -55,7 +56,7 @@
         register("e1", 1);
         List<RequestEffect> effects = new ArrayList<>(engine.arrived(spec("run", true, false), 0));
         effects.addAll(engine.arrived(spec("wait", true, false), 0));
-        assertThat(effects).containsExactly(new RequestEffect.Dispatch("run", 1, "e1"));
+        assertThat(effects).containsExactly(new RequestEffect.Dispatch("run", 1, "e1", new RouteForecast(20, 0, 0)));
         engine.shuttingDown(10);
         RequestEffect.Refuse refused =
                 (RequestEffect.Refuse) engine.refuseWaiting(20).get(0);
@@ -90,7 +91,7 @@
         assertThat(engine.tick(1_500)).containsExactly(new RequestEffect.Cancel("q", 1, "e1"));
         AttemptOutcome cancelled = new AttemptOutcome(Verdict.MAY_HAVE_RUN, 0, 0, false, false, -1);
         assertThat(engine.attemptEnded("q", 1, cancelled, 1_510))
-                .containsExactly(new RequestEffect.Dispatch("q", 2, "e2"));
+                .containsExactly(new RequestEffect.Dispatch("q", 2, "e2", new RouteForecast(20, 0, 0)));
         engine.arrived(spec("once", false, false), 1_600);
         assertThat(engine.tick(4_000)).isEmpty();
     }
@@ -132,7 +133,7 @@
     }
 
     private void register(String id, int slots) {
-        router.registered(new EndpointRegistration(id, "s", "10.0.0.1:80", "a", slots, false, 0, 0, 0, List.of()), 0);
+        router.registered(new EndpointRegistration(id, "s", "10.0.0.1:80", "a", slots, false, 0, 0, List.of()), 0);
     }
 
     private static RequestSpec spec(String id, boolean idempotent, boolean resumable) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -111,6 +111,9 @@
                 .with("endpoint", dispatch.endpoint())
                 .with("address", endpoint.address())
                 .with("failureDomain", endpoint.failureDomain())
+                .with("inFlight", dispatch.forecast().inFlight())
+                .with("unreadTokens", dispatch.forecast().unreadTokens())
+                .with("expectedStartMs", dispatch.forecast().startMillis())
                 .debug(LOG);
         BooleanSupplier mayStart = gate.mayStart(endpoint.id());
         Progress progress = new Progress(request, dispatch.attempt(), endpoint.id());
