Add gooseberryctl explain

It reads the log files of hosts and prints the lines of one request in order, what its hosts believed at their first line and how old that was, orders and events that concern its endpoints and model, and what is missing from the logs.

--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/CommandLine.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/command/CommandLine.java
@@ -13,6 +13,7 @@
 import org.gooseberryring.ctl.demo.DemoPrepareCommand;
 import org.gooseberryring.ctl.demo.DemoTryCommand;
 import org.gooseberryring.ctl.demo.DemoWaitCommand;
+import org.gooseberryring.ctl.explain.ExplainCommand;
 import org.gooseberryring.ctl.replay.ReplayCommand;
 import org.gooseberryring.ctl.replay.TraceGenerateCommand;
 
@@ -106,6 +107,7 @@
         commander.addCommand("apply", new ApplyCommand());
         commander.addCommand("status", new StatusCommand());
         commander.addCommand("audit", new AuditCommand());
+        commander.addCommand("explain", new ExplainCommand());
         commander.addCommand("replay", new ReplayCommand());
         commander.addCommand("trace", new Group());
         commander.getCommands().get("trace").addCommand("generate", new TraceGenerateCommand());
--- /dev/null
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/explain/ExplainCommand.java
@@ -0,0 +1,46 @@
+package org.gooseberryring.ctl.explain;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import org.gooseberryring.ctl.CtlException;
+import org.gooseberryring.ctl.ExitCode;
+import org.gooseberryring.ctl.command.Command;
+import org.gooseberryring.ctl.command.Context;
+
+/** Prints what the log files of hosts tell of one request. */
+@Parameters(commandDescription = "Prints the story of a request from the log files of hosts")
+public final class ExplainCommand implements Command {
+    private static final String USAGE = "Name the identifier of a request and at least one log file";
+    private static final String NOT_FOUND = "No line of request %s in these files";
+
+    @Parameter(description = "REQUEST-ID FILE...")
+    private List<String> arguments = new ArrayList<>();
+
+    @Parameter(names = "--help", help = true, description = "Prints the usage")
+    private boolean help;
+
+    @Override
+    public ExitCode run(Context context) {
+        if (arguments.size() < 2) {
+            throw new CtlException(ExitCode.BAD_INPUT, USAGE);
+        }
+        String requestId = arguments.get(0);
+        List<Path> files =
+                arguments.subList(1, arguments.size()).stream().map(Path::of).toList();
+        RequestStory story = new StoryBuilder(new LogFiles(files)).build(requestId);
+        if (story.lines().isEmpty()) {
+            throw new CtlException(ExitCode.BAD_INPUT, String.format(NOT_FOUND, requestId));
+        }
+        context.console().print(StoryText.of(story));
+        return ExitCode.DONE;
+    }
+
+    @Override
+    public boolean help() {
+        return help;
+    }
+}
--- /dev/null
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/explain/StoryText.java
@@ -0,0 +1,46 @@
+package org.gooseberryring.ctl.explain;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** Writes the story of a request as lines for a reader. */
+final class StoryText {
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private StoryText() {}
+
+    static String of(RequestStory story) {
+        StringBuilder text =
+                new StringBuilder("request ").append(story.requestId()).append('\n');
+        events(text, "its lines", story.lines());
+        if (!story.beliefs().isEmpty()) {
+            text.append("what its hosts believed at their first line:\n");
+            for (RequestStory.Belief belief : story.beliefs()) {
+                text.append(String.format(
+                        "  %s  %s  (%.1f s old)%n",
+                        belief.event().host(), belief.event().text(""), belief.ageMillis() / MILLIS_PER_SECOND));
+            }
+        }
+        events(text, "what happened to its endpoints and its model", story.around());
+        String gaps = story.gaps().stream().map(gap -> "  " + gap).collect(Collectors.joining("\n"));
+        text.append(gaps.isEmpty() ? "no line is known to be missing" : "missing:\n" + gaps);
+        return text.toString();
+    }
+
+    private static void events(StringBuilder text, String title, List<LogEvent> events) {
+        if (events.isEmpty()) {
+            return;
+        }
+        text.append(title).append(":\n");
+        for (LogEvent event : events) {
+            text.append("  ")
+                    .append(Instant.ofEpochMilli(event.at()))
+                    .append("  ")
+                    .append(event.host())
+                    .append("  ")
+                    .append(event.text("requestId"))
+                    .append('\n');
+        }
+    }
+}
--- /dev/null
+++ b/gooseberryring-ctl/src/test/java/org/gooseberryring/ctl/explain/StoryBuilderTest.java
@@ -0,0 +1,101 @@
+package org.gooseberryring.ctl.explain;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class StoryBuilderTest {
+    private static final List<String> FIRST = List.of(
+            "at=1000 level=info event=host-started host=h1",
+            "at=2000 level=info event=configuration-adopted version=3 routes=2",
+            "at=2500 level=info event=configuration-adopted version=4 routes=2",
+            "at=3000 level=info event=endpoint-registered endpoint=e1 leaving=false",
+            "at=3100 level=info event=endpoint-registered endpoint=e9 leaving=false",
+            "at=9000 level=debug event=attempt-started requestId=r1 attempt=1 target=llm/m/a1 endpoint=e1",
+            "at=9100 level=debug event=attempt-started requestId=r2 attempt=1 target=llm/n endpoint=e9",
+            "at=9400 level=debug event=attempt-ended requestId=r1 attempt=1 endpoint=e1 verdict=may-have-run status=0",
+            "at=9410 level=debug event=request-refused requestId=r1 code=incomplete-answer verdict=may-have-run",
+            "at=9420 level=info event=request-ended requestId=r1 status=502 whole=true",
+            "at=9500 level=info event=endpoint-probed endpoint=e1 crashed=true");
+    private static final List<String> SECOND = List.of(
+            "at=8000 level=info event=order-answered endpoint=e1 action=LOAD model=m adapter=a1 answer=ACCEPTED",
+            "at=8100 level=info event=order-answered endpoint=e1 action=LOAD model=n adapter= answer=ACCEPTED",
+            "at=9500 level=info event=endpoint-gone endpoint=e1");
+
+    /** Guards against a story that leaves out what decided the request, or adds what does not concern it. */
+    @Test
+    void tellsTheLinesBeliefsAndSurroundingsOfARequest() {
+        RequestStory story = builder(FIRST, SECOND).build("r1");
+
+        assertThat(names(story.lines()))
+                .containsExactly("attempt-started", "attempt-ended", "request-refused", "request-ended")
+                .inOrder();
+        assertThat(story.beliefs().stream().map(belief -> belief.event().text("") + " " + belief.ageMillis()))
+                .containsExactly(
+                        "host-started host=h1 8000",
+                        "configuration-adopted version=4 routes=2 6500",
+                        "endpoint-registered endpoint=e1 leaving=false 6000");
+        assertThat(names(story.around()))
+                .containsExactly("order-answered", "endpoint-probed", "endpoint-gone")
+                .inOrder();
+        assertThat(story.gaps()).isEmpty();
+    }
+
+    /** Guards against a story that looks whole although lines were left out or never written. */
+    @Test
+    void saysWhatIsMissing() {
+        List<String> cut = List.of(
+                "at=9000 level=debug event=attempt-started requestId=r1 attempt=1 endpoint=e1",
+                "at=9300 level=warning event=log-lines-left-out count=12");
+
+        RequestStory story = builder(cut, List.of()).build("r1");
+
+        assertThat(story.gaps()).hasSize(3);
+        assertThat(story.gaps().get(0)).contains("12");
+        assertThat(story.gaps().get(1)).contains("attempt 1 at e1");
+        assertThat(builder(cut, List.of()).build("r7").gaps()).hasSize(1);
+    }
+
+    /** Guards against beliefs of an earlier process of a host. */
+    @Test
+    void forgetsWhatAHostBelievedBeforeItsStart() {
+        List<String> restarted = List.of(
+                "at=1000 level=info event=configuration-adopted version=9",
+                "at=5000 level=info event=host-started host=h1",
+                "at=6000 level=debug event=request-refused requestId=r1 code=no-endpoint");
+
+        RequestStory story = builder(restarted, List.of()).build("r1");
+
+        assertThat(story.beliefs().stream().map(belief -> belief.event().name()))
+                .containsExactly("host-started");
+    }
+
+    /** Guards against lines that cannot be read since a collector of logs put the host before them. */
+    @Test
+    void readsLinesWithAndWithoutANameBeforeThem() {
+        LogEvent plain = LogEvent.parse("at=5 level=info event=e key=a=b", "h1").orElseThrow();
+        assertThat(plain.host()).isEqualTo("h1");
+        assertThat(plain.field("key")).isEqualTo("a=b");
+
+        LogEvent prefixed =
+                LogEvent.parse("  12.5 h7 at=5 level=info event=e", "h1").orElseThrow();
+        assertThat(prefixed.host()).isEqualTo("h7");
+
+        assertThat(LogEvent.parse("look at=5", "h1")).isEqualTo(Optional.empty());
+        assertThat(LogEvent.parse("", "h1")).isEqualTo(Optional.empty());
+    }
+
+    private static StoryBuilder builder(List<String> first, List<String> second) {
+        return new StoryBuilder(receiver -> {
+            first.forEach(line -> receiver.accept(LogEvent.parse(line, "h1").orElseThrow()));
+            second.forEach(line -> receiver.accept(LogEvent.parse(line, "h2").orElseThrow()));
+        });
+    }
+
+    private static List<String> names(List<LogEvent> events) {
+        return events.stream().map(LogEvent::name).toList();
+    }
+}
