Share the prompt parts that endpoints keep, and name the cause of refusals

Cause: each host knew only of the prompts that it had sent itself.

Change: the message of every 250 ms bears the keys of the parts that endpoints have read for the sender. Parts are forgotten with their model. The line request-refused says whether a model was missing or its endpoints were busy, and names the target.

Tests: DirectRouterTest, two new cases.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
@@ -84,6 +84,19 @@
         for (ResidentModel model : models) {
             resident.put(model.model(), new HashSet<>(model.adapters()));
         }
+        cache.retainModels(resident.keySet());
+    }
+
+    /** Returns the prompt parts read for requests of this host since the last call by model. */
+    Map<String, Map<Long, Integer>> takeReadParts() {
+        return cache.takeFresh();
+    }
+
+    /** Takes over prompt parts that the endpoint has read for requests of another host. */
+    void readForOthers(PromptPlacement placement) {
+        if (resident.containsKey(placement.model())) {
+            cache.addAll(placement.model(), placement.tokens());
+        }
     }
 
     /** Notes that the endpoint stated that it does not hold an artifact. */
@@ -201,7 +214,9 @@
         long overdue = now + STALL_FACTOR * forecast.startMillis() + STALL_MILLIS;
         running.put(query, new Running(use, forecast.unreadTokens(), now, overdue));
         own = own.plus(use);
-        cache.add(salt(query), query.prompt());
+        if (query.target() instanceof Target.RoutedTarget target) {
+            cache.add(target, query.prompt());
+        }
         cold.sent(coldRate(), hosts, now);
         return forecast;
     }
@@ -244,7 +259,8 @@
     }
 
     private long unread(RouteQuery query) {
-        return query.prompt().inputTokens() - cache.keptTokens(salt(query), query.prompt());
+        int kept = query.target() instanceof Target.RoutedTarget target ? cache.keptTokens(target, query.prompt()) : 0;
+        return query.prompt().inputTokens() - kept;
     }
 
     private boolean fitsMemory(EndpointUse all, PromptShape prompt) {
@@ -262,8 +278,4 @@
     private double coldRate() {
         return profile == null ? 0 : profile.coldRequestsPerSecond();
     }
-
-    private static long salt(RouteQuery query) {
-        return query.target() instanceof Target.RoutedTarget target ? target.hashCode() : 0;
-    }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -147,6 +147,24 @@
         return uses;
     }
 
+    /** Returns the prompt parts that endpoints have read for requests of this host since the last call. */
+    public List<PromptPlacement> takePlacements() {
+        List<PromptPlacement> placements = new ArrayList<>();
+        endpoints.forEach((id, endpoint) -> endpoint.takeReadParts()
+                .forEach((model, tokens) -> placements.add(new PromptPlacement(id, model, tokens))));
+        return placements;
+    }
+
+    /** Takes over the prompt parts that endpoints have read for requests of another host. */
+    public void placedBy(List<PromptPlacement> placements) {
+        for (PromptPlacement placement : placements) {
+            DirectEndpoint endpoint = endpoints.get(placement.endpoint());
+            if (endpoint != null) {
+                endpoint.readForOthers(placement);
+            }
+        }
+    }
+
     /** Takes over what an endpoint holds, as its controller reports it. */
     public void holds(String endpoint, List<ResidentModel> models, long now) {
         DirectEndpoint known = endpoints.get(endpoint);
@@ -305,7 +323,9 @@
         long patience = HOPELESS_FACTOR * Math.max(query.objective() - now, 0) + MIN_PATIENCE_MILLIS;
         boolean late = now > query.objective() + MIN_PATIENCE_MILLIS;
         boolean hopeless = query.prompt().inputTokens() > 0 && (late || soonest > patience);
-        return hopeless ? RouteChoice.unreachableFor(Math.max(soonest, MIN_PATIENCE_MILLIS)) : RouteChoice.WAIT;
+        return hopeless
+                ? RouteChoice.unreachable(RouteChoice.Cause.BUSY, Math.max(soonest, MIN_PATIENCE_MILLIS))
+                : RouteChoice.WAIT;
     }
 
     /** Lets a request wait for what no endpoint holds, if it can be loaded in time. */
@@ -318,7 +338,9 @@
             wanted.add(target);
         }
         long available = arrivals.millisToArrival(target, loadMillis(target, model), now);
-        return now + available > query.startBy() ? RouteChoice.unreachableFor(available) : RouteChoice.WAIT;
+        return now + available > query.startBy()
+                ? RouteChoice.unreachable(RouteChoice.Cause.NOT_HELD, available)
+                : RouteChoice.WAIT;
     }
 
     private long loadMillis(Target.RoutedTarget target, ModelProfile model) {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Reason.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Reason.java
@@ -6,6 +6,8 @@
 /** Reason for which a request is refused. */
 enum Reason {
     NO_ENDPOINT(ErrorCode.NO_ENDPOINT, "no endpoint can serve the request now"),
+    NOT_HELD(ErrorCode.NO_ENDPOINT, "no endpoint holds the model or adapter, and it cannot be loaded in time"),
+    BUSY(ErrorCode.NO_ENDPOINT, "the endpoints that hold the model or adapter would start the request too late"),
     DEADLINE(ErrorCode.DEADLINE_UNREACHABLE, "the request cannot be answered before its deadline"),
     QUEUE_FULL(ErrorCode.OVERLOADED, "the queue of this host is full"),
     SHUTDOWN(ErrorCode.SHUTTING_DOWN, "this host is shutting down"),
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -223,7 +223,7 @@
         } else if (work.spec().deadline() <= now) {
             refuse(work, Reason.DEADLINE, RETRY_AFTER_MILLIS, now);
         } else if (choose(work, now).kind() == RouteChoice.Kind.UNREACHABLE) {
-            refuse(work, Reason.NO_ENDPOINT, work.availableMillis(RETRY_AFTER_MILLIS), now);
+            refuse(work, work.unreachableReason(), work.availableMillis(RETRY_AFTER_MILLIS), now);
         } else {
             Admission decision = Admission.admitted();
             if (work.needsTokens()) {
@@ -323,7 +323,7 @@
             if (suspects.isQuarantined(spec.digest())) {
                 refuse(work, Reason.QUARANTINED, 0, now);
             } else if (work.choice().kind() == RouteChoice.Kind.UNREACHABLE) {
-                refuse(work, Reason.NO_ENDPOINT, work.availableMillis(RETRY_AFTER_MILLIS), now);
+                refuse(work, work.unreachableReason(), work.availableMillis(RETRY_AFTER_MILLIS), now);
             } else {
                 dispatch(work, now);
             }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Work.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Work.java
@@ -105,6 +105,15 @@
         return choice.availableMillis() > 0 ? choice.availableMillis() : otherwise;
     }
 
+    /** Returns why the router found no endpoint for it. */
+    Reason unreachableReason() {
+        return switch (choice.cause()) {
+            case NOT_HELD -> Reason.NOT_HELD;
+            case BUSY -> Reason.BUSY;
+            case NONE -> Reason.NO_ENDPOINT;
+        };
+    }
+
     RouteQuery query() {
         return query;
     }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/DirectRouterTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/DirectRouterTest.java
@@ -56,6 +56,35 @@
         }
     }
 
+    /** Guards against hosts that each let another endpoint read what one has read for the others. */
+    @Test
+    void sendsPromptsWhereTheirPartsAreKeptForOtherHosts() {
+        DirectRouter other = new DirectRouter("b", new Random(6));
+        other.configured(configuration());
+        other.registered(engine("e2", "b", 0), 0);
+        RouteQuery first = query(MODEL, PROMPT);
+        other.started("e2", first, 0);
+
+        router.placedBy(other.takePlacements());
+
+        assertThat(router.choose(first, 300).id()).isEqualTo("e2");
+        assertThat(other.takePlacements()).isEmpty();
+    }
+
+    /** Guards against an estimate that counts parts as kept whose model was unloaded meanwhile. */
+    @Test
+    void forgetsThePartsOfAModelThatWasUnloaded() {
+        RouteQuery first = query(MODEL, PROMPT);
+        router.started("e2", first, 0);
+        router.ended("e2", first, 200);
+        assertThat(router.choose(first, 300).id()).isEqualTo("e2");
+
+        router.holds("e2", List.of(), 400);
+        router.holds("e2", List.of(new ResidentModel("m", Set.of())), 500);
+
+        assertThat(router.choose(first, 600).id()).isEqualTo("e1");
+    }
+
     /** Guards against a kept prompt that draws all requests to an endpoint with a long queue. */
     @Test
     void leavesAnEndpointWhoseQueueCostsMoreThanTheKeptPartsSave() {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyWorld.java
@@ -28,12 +28,12 @@
     static final String SERVICE = "llm";
     static final int ADAPTERS = 12;
     static final int PLACED = 9;
+    static final long LOAD_MILLIS = 4_000;
 
     private static final int ADAPTER_SLOTS = 3;
     private static final long MODEL_BYTES = 70_000;
     private static final long ADAPTER_BYTES = 100;
     private static final long MEMORY_BYTES = 220_000;
-    static final long LOAD_MILLIS = 4_000;
     private static final long UNLOAD_MILLIS = 100;
     private static final long STEP_MILLIS = 20;
 
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -152,6 +152,7 @@
         LogLine.event("request-refused")
                 .with("requestId", refuse.requestId())
                 .with("organisation", request.spec().organisation())
+                .with("target", request.spec().target())
                 .with("code", refuse.code().wireName())
                 .with("verdict", refuse.verdict().wireName())
                 .with("retryAfterMs", refuse.retryAfterMillis())
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
@@ -9,6 +9,7 @@
 
 import org.gooseberryring.coordination.direct.DirectRouter;
 import org.gooseberryring.coordination.direct.EndpointUse;
+import org.gooseberryring.coordination.direct.PromptPlacement;
 import org.gooseberryring.coordination.limit.SharedLimits;
 import org.gooseberryring.coordination.queue.QueueSettings;
 import org.gooseberryring.coordination.request.FairRequestQueue;
@@ -167,10 +168,11 @@
     }
 
     /** Takes over what another host serves and has admitted. */
-    void peer(String host, long incarnation, Map<String, EndpointUse> uses, Map<String, Long> usedTokens) {
+    void peer(String host, long incarnation, PeerNews news) {
         loop.offer((engine, now) -> {
-            router.usedBy(host, uses);
-            limits.usedBy(host + "/" + incarnation, usedTokens, now);
+            router.usedBy(host, news.uses());
+            router.placedBy(news.placements());
+            limits.usedBy(host + "/" + incarnation, news.usedTokens(), now);
             return engine.changed(now);
         });
     }
@@ -178,7 +180,8 @@
     /** Hands what this host serves, has admitted and is asked for to the receiver, on the request thread. */
     void snapshot(Consumer<HostSnapshot> receiver) {
         loop.offer((engine, now) -> {
-            receiver.accept(new HostSnapshot(router.uses(now), limits.used(), router.demands(now)));
+            PeerNews news = new PeerNews(router.uses(now), router.takePlacements(), limits.used());
+            receiver.accept(new HostSnapshot(news, router.demands(now)));
             return List.of();
         });
     }
@@ -186,12 +189,19 @@
     /**
      * State of the request thread that other hosts need.
      *
-     * @param uses what its requests take of each endpoint
-     * @param usedTokens tokens admitted since the start of this process by organisation
+     * @param news what the request threads of other hosts need
      * @param artifacts tokens a second that are asked for by model and adapter
      */
-    record HostSnapshot(
-            Map<String, EndpointUse> uses, Map<String, Long> usedTokens, Map<Target.RoutedTarget, Double> artifacts) {}
+    record HostSnapshot(PeerNews news, Map<Target.RoutedTarget, Double> artifacts) {}
+
+    /**
+     * What the request thread of one host tells those of the others.
+     *
+     * @param uses what its requests take of each endpoint
+     * @param placements prompt parts that endpoints have read since the last news
+     * @param usedTokens tokens admitted since the start of its process by organisation
+     */
+    record PeerNews(Map<String, EndpointUse> uses, List<PromptPlacement> placements, Map<String, Long> usedTokens) {}
 
     private record AfterInputs(SharedLimits limits, DirectRouter router, Consumer<List<Target.RoutedTarget>> wanted)
             implements LimiterInputs {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 
 import org.gooseberryring.coordination.direct.EndpointUse;
+import org.gooseberryring.coordination.direct.PromptPlacement;
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.coordination.residency.ResidencyEffect;
 import org.gooseberryring.protocol.peer.ArtifactDemand;
@@ -19,6 +20,7 @@
 import org.gooseberryring.protocol.peer.HostState;
 import org.gooseberryring.protocol.peer.OrganisationUsage;
 import org.gooseberryring.protocol.peer.PeerHeard;
+import org.gooseberryring.protocol.peer.PromptParts;
 import org.gooseberryring.state.ResidentModel;
 
 /** Converts what entry hosts tell each other to peer messages and back. */
@@ -27,14 +29,17 @@
 
     static HostState encode(EntryRequests.HostSnapshot snapshot, Map<String, Long> heardAges) {
         HostState.Builder state = HostState.newBuilder();
-        snapshot.uses()
+        snapshot.news()
+                .uses()
                 .forEach((endpoint, use) -> state.addUsages(EndpointUsage.newBuilder()
                         .setEndpoint(endpoint)
                         .setInFlight(use.inFlight())
                         .setUnreadTokens(use.unreadTokens())
                         .setMemoryTokens(use.memoryTokens())
                         .setStalled(use.stalled())));
-        snapshot.usedTokens()
+        snapshot.news().placements().forEach(placement -> state.addPlacements(encode(placement)));
+        snapshot.news()
+                .usedTokens()
                 .forEach((organisation, tokens) -> state.addOrganisations(OrganisationUsage.newBuilder()
                         .setOrganisation(organisation)
                         .setUsedTokens(tokens)));
@@ -44,7 +49,29 @@
         return state.build();
     }
 
-    static Map<String, EndpointUse> uses(HostState state) {
+    static EntryRequests.PeerNews news(HostState state) {
+        List<PromptPlacement> placements =
+                state.getPlacementsList().stream().map(PeerCodec::placement).toList();
+        return new EntryRequests.PeerNews(uses(state), placements, usedTokens(state));
+    }
+
+    private static PromptParts encode(PromptPlacement placement) {
+        PromptParts.Builder parts =
+                PromptParts.newBuilder().setEndpoint(placement.endpoint()).setModel(placement.model());
+        placement.tokens().forEach((key, tokens) -> parts.addKeys(key).addTokens(tokens));
+        return parts.build();
+    }
+
+    private static PromptPlacement placement(PromptParts parts) {
+        Map<Long, Integer> tokens = new HashMap<>();
+        int count = Math.min(parts.getKeysCount(), parts.getTokensCount());
+        for (int i = 0; i < count; i++) {
+            tokens.put(parts.getKeys(i), parts.getTokens(i));
+        }
+        return new PromptPlacement(parts.getEndpoint(), parts.getModel(), tokens);
+    }
+
+    private static Map<String, EndpointUse> uses(HostState state) {
         Map<String, EndpointUse> uses = new HashMap<>();
         for (EndpointUsage usage : state.getUsagesList()) {
             uses.put(
@@ -55,7 +82,7 @@
         return uses;
     }
 
-    static Map<String, Long> usedTokens(HostState state) {
+    private static Map<String, Long> usedTokens(HostState state) {
         Map<String, Long> used = new HashMap<>();
         state.getOrganisationsList().forEach(usage -> used.put(usage.getOrganisation(), usage.getUsedTokens()));
         return used;
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -139,7 +139,7 @@
             }
         }
         mesh.heard(sender, age, now);
-        requests.peer(sender, message.getSenderIncarnation(), PeerCodec.uses(state), PeerCodec.usedTokens(state));
+        requests.peer(sender, message.getSenderIncarnation(), PeerCodec.news(state));
         controller.demandOf(sender, PeerCodec.artifacts(state), now);
     }
 
