Remove the load header of endpoints, which nothing used

The header was decoded and handed to nobody; the use of endpoints is known from the hosts' own messages.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/AttemptListener.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/AttemptListener.java
@@ -4,9 +4,6 @@
 
 /** Hears of the progress of an attempt, on its I/O thread. */
 public interface AttemptListener {
-    /** The head of an answer stated the load of the endpoint; null if it states none. */
-    default void loadStated(AnswerLoad load) {}
-
     /** The first bytes of an acceptable answer have arrived. */
     void responseStarted();
 
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -138,7 +138,6 @@
             end(Verdict.MAY_HAVE_RUN, false, null);
             return;
         }
-        listener.loadStated(client.protocol().load(headers));
         Verdict refusal = client.protocol().refusal(call, status, headers);
         if (refusal != null) {
             end(refusal, false, null);
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointProtocol.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointProtocol.java
@@ -24,11 +24,6 @@
     /** Returns whether an answer that has ended without an error is complete. */
     boolean isComplete(EndpointCall call, int status, HeaderMap headers, AnswerEnd end);
 
-    /** Returns the load that the endpoint states beside its answer, or null. */
-    default AnswerLoad load(HeaderMap headers) {
-        return null;
-    }
-
     /** Returns whether an answer that goes on after a break is held back up to the end of each event. */
     default boolean carriesEvents(HeaderMap headers) {
         return false;
