Keep adapters in use, ask controllers in turn, and share measured paces

An adapter with a running request was unloaded, after which its endpoint took no other order until the request had ended (4.3 s in one case). - Hosts asked the controller of their own failure domain, else the first one, so that one replica of a model was asked for all adapters. - A host predicts the start at an endpoint with 25 tokens a millisecond until it has seen enough of its answers; 33 to 45 were measured.

Changes: hosts tell how many requests for each adapter are in flight, and such an adapter is not unloaded. All hosts choose the same endpoint for an adapter among those that hold its model, and ask the next controller after 250 ms. An endpoint that a host has not measured is taken to be as fast as the others of its service.

Tests: ResidencyControllerTest (two cases) and DirectRouterTest (one case), which failed before.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
@@ -39,7 +39,7 @@
     private final Map<String, EndpointUse> others = new HashMap<>();
     // A request keeps its query from its dispatch to its end.
     private final Map<RouteQuery, Running> running = new IdentityHashMap<>();
-    private final ReadRate rate = new ReadRate();
+    private final ReadRate rate;
     private EndpointRegistration registration;
     private ServiceProfile profile;
     private EndpointUse own = EndpointUse.NONE;
@@ -51,7 +51,9 @@
     /** Request in flight; {@code startsBy} is the time by which its answer is overdue, or never once it has begun. */
     private record Running(EndpointUse use, long tokensAhead, long sentAt, long startsBy) {}
 
-    DirectEndpoint(EndpointRegistration registration, long now) {
+    /** Creates an endpoint; {@code typicalRate} is the rate at which endpoints of its service read prompts. */
+    DirectEndpoint(EndpointRegistration registration, ReadRate typicalRate, long now) {
+        this.rate = new ReadRate(typicalRate);
         this.choice = new RouteChoice(RouteChoice.Kind.ENDPOINT, registration.id());
         registered(registration, now);
     }
@@ -221,6 +223,15 @@
         return forecast;
     }
 
+    /** Adds the requests of this host that are in flight here by model and adapter. */
+    void countRunning(Map<Target.RoutedTarget, Integer> inFlight) {
+        for (RouteQuery query : running.keySet()) {
+            if (query.target() instanceof Target.RoutedTarget target && target.model() != null) {
+                inFlight.merge(target, 1, Integer::sum);
+            }
+        }
+    }
+
     /** Notes that the endpoint has read the prompt of a request. */
     void answering(RouteQuery query, long now) {
         Running known = running.get(query);
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.Set;
 
+import org.gooseberryring.coordination.request.ArtifactUse;
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.coordination.route.EndpointRouter;
 import org.gooseberryring.coordination.route.RouteChoice;
@@ -69,6 +70,7 @@
     private final Random random;
     private final Map<String, DirectEndpoint> endpoints = new LinkedHashMap<>();
     private final Map<String, List<DirectEndpoint>> byService = new HashMap<>();
+    private final Map<String, ReadRate> readRates = new HashMap<>();
     private final Map<Target.RoutedTarget, RateMeter> demand = new HashMap<>();
     private final ArrivalEstimate arrivals = new ArrivalEstimate();
     private final Set<Target.RoutedTarget> wanted = new LinkedHashSet<>();
@@ -97,7 +99,8 @@
     public void registered(EndpointRegistration registration, long now) {
         DirectEndpoint endpoint = endpoints.get(registration.id());
         if (endpoint == null) {
-            endpoint = new DirectEndpoint(registration, now);
+            ReadRate typicalRate = readRates.computeIfAbsent(registration.service(), service -> new ReadRate());
+            endpoint = new DirectEndpoint(registration, typicalRate, now);
             endpoints.put(registration.id(), endpoint);
             configure(endpoint);
         } else {
@@ -188,12 +191,17 @@
         }
     }
 
-    /** Returns what callers of this host ask for, in tokens a second; what is hardly asked for is left out. */
-    public Map<Target.RoutedTarget, Double> demands(long now) {
-        Map<Target.RoutedTarget, Double> rates = new HashMap<>();
-        demand.values().removeIf(meter -> meter.perSecond(now) < MIN_DEMAND);
-        demand.forEach((target, meter) -> rates.put(target, meter.perSecond(now)));
-        return rates;
+    /** Returns what callers of this host ask for; what is hardly asked for and has nothing in flight is left out. */
+    public Map<Target.RoutedTarget, ArtifactUse> demands(long now) {
+        Map<Target.RoutedTarget, Integer> inFlight = new HashMap<>();
+        endpoints.values().forEach(endpoint -> endpoint.countRunning(inFlight));
+        demand.entrySet()
+                .removeIf(
+                        entry -> entry.getValue().perSecond(now) < MIN_DEMAND && !inFlight.containsKey(entry.getKey()));
+        Map<Target.RoutedTarget, ArtifactUse> uses = new HashMap<>();
+        demand.forEach((target, meter) ->
+                uses.put(target, new ArtifactUse(meter.perSecond(now), inFlight.getOrDefault(target, 0))));
+        return uses;
     }
 
     /** Returns the targets that requests wait for although no endpoint holds them, and forgets them. */
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/AdapterPlacer.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/AdapterPlacer.java
@@ -8,8 +8,8 @@
 
 /** Chooses the endpoint that an adapter is loaded to, and the adapter that makes room for it there. */
 final class AdapterPlacer {
-    /** An adapter that was asked for within this time is not unloaded. */
-    private static final long IDLE_MILLIS = 700;
+    /** An adapter that was asked for within this time may have requests in flight that are not known yet. */
+    private static final long IDLE_MILLIS = 350;
 
     private final Fleet fleet;
     private final ArtifactDemand demand;
@@ -74,8 +74,10 @@
         long longest = IDLE_MILLIS;
         for (String model : ledger.models()) {
             for (String adapter : ledger.adapters(model)) {
-                long idle = demand.idleMillis(new Target.RoutedTarget(service, model, adapter), now);
-                if (idle > longest) {
+                Target.RoutedTarget target = new Target.RoutedTarget(service, model, adapter);
+                long idle = demand.idleMillis(target, now);
+                // The endpoint carries out no other order until the requests of an adapter that it unloads have ended.
+                if (idle > longest && !demand.inUse(target, now)) {
                     longest = idle;
                     oldest = new Step(ledger, ArtifactOrder.Action.UNLOAD, model, adapter, false);
                 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ArtifactDemand.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ArtifactDemand.java
@@ -3,9 +3,10 @@
 import java.util.HashMap;
 import java.util.Map;
 
+import org.gooseberryring.coordination.request.ArtifactUse;
 import org.gooseberryring.coordination.request.Target;
 
-/** Demand for models and adapters over all hosts, in tokens a second. */
+/** Demand for models and adapters over all hosts. */
 final class ArtifactDemand {
     /** A host that is silent for this long no longer counts. */
     private static final long SILENT_MILLIS = 5_000;
@@ -13,14 +14,15 @@
     private final Map<String, HostDemand> hosts = new HashMap<>();
     private final Map<Target.RoutedTarget, Long> usedAt = new HashMap<>();
 
-    private record HostDemand(Map<Target.RoutedTarget, Double> tokensPerSecond, long heardAt) {}
+    private record HostDemand(Map<Target.RoutedTarget, ArtifactUse> uses, long heardAt) {}
 
     /** Takes over what the callers of a host ask for. */
-    void heard(String host, Map<Target.RoutedTarget, Double> tokensPerSecond, long now) {
-        HostDemand old = hosts.put(host, new HostDemand(Map.copyOf(tokensPerSecond), now));
-        tokensPerSecond.forEach((target, rate) -> {
+    void heard(String host, Map<Target.RoutedTarget, ArtifactUse> uses, long now) {
+        HostDemand old = hosts.put(host, new HostDemand(Map.copyOf(uses), now));
+        uses.forEach((target, use) -> {
+            ArtifactUse before = old == null ? null : old.uses().get(target);
             // The rate of what is not asked for any more only falls.
-            if (old == null || rate > old.tokensPerSecond().getOrDefault(target, 0.0)) {
+            if (before == null || use.tokensPerSecond() > before.tokensPerSecond()) {
                 used(target, now);
             }
         });
@@ -40,7 +42,18 @@
         return at == null ? Long.MAX_VALUE : now - at;
     }
 
-    /** Returns the demand for a model with all its adapters. */
+    /** Returns whether requests of any host for a model or adapter are in flight. */
+    boolean inUse(Target.RoutedTarget target, long now) {
+        for (HostDemand host : hosts.values()) {
+            ArtifactUse use = host.uses().get(target);
+            if (use != null && use.inFlight() > 0 && now - host.heardAt() <= SILENT_MILLIS) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns the demand for a model with all its adapters, in tokens a second. */
     double ofModel(String service, String model, long now) {
         double sum = 0;
         for (HostDemand host : hosts.values()) {
@@ -53,11 +66,10 @@
 
     private static double sum(HostDemand host, String service, String model) {
         double sum = 0;
-        for (Map.Entry<Target.RoutedTarget, Double> entry :
-                host.tokensPerSecond().entrySet()) {
+        for (Map.Entry<Target.RoutedTarget, ArtifactUse> entry : host.uses().entrySet()) {
             Target.RoutedTarget target = entry.getKey();
             if (target.service().equals(service) && model.equals(target.model())) {
-                sum += entry.getValue();
+                sum += entry.getValue().tokensPerSecond();
             }
         }
         return sum;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
@@ -11,6 +11,8 @@
 import java.util.TreeSet;
 import java.util.function.Predicate;
 
+import org.gooseberryring.coordination.limit.KeeperChoice;
+import org.gooseberryring.coordination.request.ArtifactUse;
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.EngineProfile;
@@ -63,6 +65,13 @@
     private long rebalanceAt;
     private int passes;
 
+    /**
+     * Failure domains whose controllers can provide an artifact, the best first.
+     *
+     * @param all whether all of them are asked, otherwise one after the other until the artifact is there
+     */
+    public record Providers(List<String> domains, boolean all) {}
+
     private record Wanted(long since, long last) {}
 
     private record Move(String model, List<String> evicted, long since) {}
@@ -100,9 +109,9 @@
         fleet.holds(holdings.endpoint(), holdings.models(), holdings.loading());
     }
 
-    /** Takes over what the callers of a host ask for, in tokens a second. */
-    public void demandOf(String host, Map<Target.RoutedTarget, Double> tokensPerSecond, long now) {
-        demand.heard(host, tokensPerSecond, now);
+    /** Takes over what the callers of a host ask for. */
+    public void demandOf(String host, Map<Target.RoutedTarget, ArtifactUse> uses, long now) {
+        demand.heard(host, uses, now);
     }
 
     /** Notes that requests wait for artifacts. */
@@ -116,23 +125,29 @@
     /**
      * Returns the failure domains whose controllers can provide an artifact.
      *
-     * <p>An adapter goes where its model is, to this failure domain if it can; a model is placed by all together.
+     * <p>All hosts choose the same endpoint for an adapter among those that hold its model, so that these share the
+     * adapters; a model is placed by all controllers together.
      */
-    public List<String> providers(Target.RoutedTarget target) {
-        Set<String> holders = new TreeSet<>();
+    public Providers providers(Target.RoutedTarget target) {
         Set<String> all = new TreeSet<>();
+        List<EndpointRegistration> holders = new ArrayList<>();
         for (EndpointRegistration endpoint : fleet.inService(target.service())) {
             all.add(endpoint.failureDomain());
             if (fleet.holds(endpoint.id(), target.model())) {
-                holders.add(endpoint.failureDomain());
+                holders.add(endpoint);
             }
         }
         if (holders.isEmpty()) {
-            return List.copyOf(all);
+            return new Providers(List.copyOf(all), true);
         }
-        return holders.contains(failureDomain)
-                ? List.of(failureDomain)
-                : List.copyOf(holders).subList(0, 1);
+        Map<String, String> domains = new TreeMap<>();
+        holders.forEach(endpoint -> domains.put(endpoint.id(), endpoint.failureDomain()));
+        String key = target.model() + '/' + target.adapter();
+        List<String> ordered = KeeperChoice.rank(key, domains.keySet()).stream()
+                .map(domains::get)
+                .distinct()
+                .toList();
+        return new Providers(ordered, false);
     }
 
     /** Handles the status of an endpoint. */
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/DirectRouterTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/DirectRouterTest.java
@@ -71,6 +71,24 @@
         assertThat(other.takePlacements()).isEmpty();
     }
 
+    /** Guards against requests refused as too late at an endpoint whose pace this host has not seen yet. */
+    @Test
+    void takesAnEndpointToReadAsFastAsTheOthersOfItsService() {
+        for (int i = 0; i < 30; i++) {
+            PromptShape prompt = new PromptShape(List.of(new PromptShape.Part(100 + i, 5_000)), 5_000, 100);
+            RouteQuery each = query(MODEL, prompt);
+            router.started("e1", each, i * 1_000);
+            router.answering("e1", each, i * 1_000 + 1_020);
+            router.ended("e1", each, i * 1_000 + 1_100);
+        }
+
+        long expected = router.started("e2", query(MODEL, PROMPT), 40_000).startMillis();
+
+        // 5,500 tokens at the 5 tokens a millisecond that e1 has shown.
+        assertThat(expected).isAtLeast(1_000);
+        assertThat(expected).isAtMost(1_200);
+    }
+
     /** Guards against an estimate that counts parts as kept whose model was unloaded meanwhile. */
     @Test
     void forgetsThePartsOfAModelThatWasUnloaded() {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyControllerTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyControllerTest.java
@@ -1,5 +1,6 @@
 package org.gooseberryring.coordination.residency;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -67,6 +68,51 @@
         }
     }
 
+    /** Guards against an endpoint that takes no orders since it waits for the requests of an adapter to be unloaded. */
+    @Test
+    void anAdapterWithRequestsInFlightIsNotUnloaded() {
+        ResidencyWorld world = new ResidencyWorld(3, 0);
+        Target.RoutedTarget running = new Target.RoutedTarget(ResidencyWorld.SERVICE, "m0", "a1");
+        for (int i = 1; i <= ResidencyWorld.ADAPTER_SLOTS; i++) {
+            world.ask(new Target.RoutedTarget(ResidencyWorld.SERVICE, "m0", "a" + i));
+            world.run(400);
+        }
+        world.runOn(running);
+        world.run(500);
+        // The others were asked for later than the one whose request still runs.
+        for (int i = 2; i <= ResidencyWorld.ADAPTER_SLOTS; i++) {
+            world.ask(new Target.RoutedTarget(ResidencyWorld.SERVICE, "m0", "a" + i));
+            world.run(800);
+        }
+
+        world.ask(new Target.RoutedTarget(ResidencyWorld.SERVICE, "m0", "a9"));
+        world.run(200);
+
+        assertThat(world.isAnnounced("m0", "a9")).isTrue();
+        assertThat(world.isHeld("m0", "a1")).isTrue();
+    }
+
+    /** Guards against hosts that ask different endpoints for the same adapter, so that none has room for the others. */
+    @Test
+    void replicasOfAModelShareItsAdapters() {
+        int[] perDomain = new int[2];
+        for (int i = 0; i < 100; i++) {
+            Target.RoutedTarget target = new Target.RoutedTarget(ResidencyWorld.SERVICE, "m0", "a" + i);
+            Set<List<String>> answers = new HashSet<>();
+            for (String domain : List.of("a", "b", "c")) {
+                ResidencyController controller = new ResidencyController(domain);
+                controller.configured(ResidencyWorld.configuration());
+                controller.registered(ResidencyWorld.registration("e0", "a", List.of("m0")));
+                controller.registered(ResidencyWorld.registration("e1", "b", List.of("m0")));
+                answers.add(controller.providers(target).domains());
+            }
+            assertThat(answers).hasSize(1);
+            perDomain[answers.iterator().next().get(0).equals("a") ? 0 : 1]++;
+        }
+        assertThat(perDomain[0]).isAtLeast(30);
+        assertThat(perDomain[1]).isAtLeast(30);
+    }
+
     /** Guards against a model that is loaded and not used until the next status shows it. */
     @Test
     void aModelIsAnnouncedAsSoonAsItsEndpointRegistersIt() {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyWorld.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 
+import org.gooseberryring.coordination.request.ArtifactUse;
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.EngineProfile;
@@ -28,13 +29,14 @@
     static final String SERVICE = "llm";
     static final int ADAPTERS = 12;
     static final int PLACED = 9;
+    static final int ADAPTER_SLOTS = 3;
     static final long LOAD_MILLIS = 4_000;
 
-    private static final int ADAPTER_SLOTS = 3;
     private static final long MODEL_BYTES = 70_000;
     private static final long ADAPTER_BYTES = 100;
     private static final long MEMORY_BYTES = 220_000;
     private static final long UNLOAD_MILLIS = 100;
+    private static final long RUN_MILLIS = 3_000;
     private static final long STEP_MILLIS = 20;
 
     /** A status shows the endpoint as it was up to this time ago. */
@@ -52,7 +54,7 @@
     private final Map<String, ResidencyEffect.Announce> announced = new HashMap<>();
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
-    private Map<Target.RoutedTarget, Double> demand = Map.of();
+    private Map<Target.RoutedTarget, ArtifactUse> demand = Map.of();
     private long now = 1_000;
     private long order;
     private int carriedOut;
@@ -116,7 +118,13 @@
 
     /** Sets what callers ask for from now on, in tokens a second. */
     void demand(Map<Target.RoutedTarget, Double> tokensPerSecond) {
-        demand = tokensPerSecond;
+        demand = new HashMap<>();
+        tokensPerSecond.forEach((target, tokens) -> demand.put(target, new ArtifactUse(tokens, 0)));
+    }
+
+    /** Lets a request for an adapter run from now on. */
+    void runOn(Target.RoutedTarget target) {
+        demand = Map.of(target, new ArtifactUse(0, 1));
     }
 
     void run(long millis) {
@@ -182,7 +190,7 @@
             ask(new Target.RoutedTarget(SERVICE, "m" + random.nextInt(10), adapter));
         }
         if (random.nextInt(500) == 0) {
-            demand = Map.of(new Target.RoutedTarget(SERVICE, "m" + random.nextInt(10), null), 80_000.0);
+            demand(Map.of(new Target.RoutedTarget(SERVICE, "m" + random.nextInt(10), null), 80_000.0));
         }
         if (random.nextInt(1_500) == 0) {
             restart("e" + random.nextInt(engines.size()));
@@ -281,6 +289,13 @@
         }
         engine.sequence++;
         carriedOut++;
+        Target.RoutedTarget target = new Target.RoutedTarget(SERVICE, received.model(), received.adapter());
+        if (!load && demand.getOrDefault(target, new ArtifactUse(0, 0)).inFlight() > 0) {
+            // It is dropped once its requests have ended; no other order is taken until then.
+            engine.busyUntil = now + RUN_MILLIS;
+            later(RUN_MILLIS, () -> adapters.remove(received.adapter()));
+            return OrderAnswer.ACCEPTED;
+        }
         if (load) {
             adapters.add(received.adapter());
             int count = engine.held.values().stream().mapToInt(Set::size).sum();
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
@@ -12,6 +12,7 @@
 import org.gooseberryring.coordination.direct.PromptPlacement;
 import org.gooseberryring.coordination.limit.SharedLimits;
 import org.gooseberryring.coordination.queue.QueueSettings;
+import org.gooseberryring.coordination.request.ArtifactUse;
 import org.gooseberryring.coordination.request.FairRequestQueue;
 import org.gooseberryring.coordination.request.RequestEffect;
 import org.gooseberryring.coordination.request.RequestEngine;
@@ -190,9 +191,9 @@
      * State of the request thread that other hosts need.
      *
      * @param news what the request threads of other hosts need
-     * @param artifacts tokens a second that are asked for by model and adapter
+     * @param artifacts what is asked for by model and adapter
      */
-    record HostSnapshot(PeerNews news, Map<Target.RoutedTarget, Double> artifacts) {}
+    record HostSnapshot(PeerNews news, Map<Target.RoutedTarget, ArtifactUse> artifacts) {}
 
     /**
      * What the request thread of one host tells those of the others.
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
@@ -9,6 +9,7 @@
 
 import org.gooseberryring.coordination.direct.EndpointUse;
 import org.gooseberryring.coordination.direct.PromptPlacement;
+import org.gooseberryring.coordination.request.ArtifactUse;
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.coordination.residency.ResidencyEffect;
 import org.gooseberryring.protocol.peer.ArtifactDemand;
@@ -43,7 +44,7 @@
                 .forEach((organisation, tokens) -> state.addOrganisations(OrganisationUsage.newBuilder()
                         .setOrganisation(organisation)
                         .setUsedTokens(tokens)));
-        snapshot.artifacts().forEach((target, tokens) -> state.addArtifacts(encode(target, tokens)));
+        snapshot.artifacts().forEach((target, use) -> state.addArtifacts(encode(target, use)));
         heardAges.forEach((host, age) ->
                 state.addHeard(PeerHeard.newBuilder().setHost(host).setAgeMillis(age)));
         return state.build();
@@ -88,15 +89,17 @@
         return used;
     }
 
-    static Map<Target.RoutedTarget, Double> artifacts(HostState state) {
-        Map<Target.RoutedTarget, Double> demands = new HashMap<>();
-        state.getArtifactsList().forEach(demand -> demands.put(target(demand), demand.getTokensPerSecond()));
-        return demands;
+    static Map<Target.RoutedTarget, ArtifactUse> artifacts(HostState state) {
+        Map<Target.RoutedTarget, ArtifactUse> uses = new HashMap<>();
+        state.getArtifactsList()
+                .forEach(demand ->
+                        uses.put(target(demand), new ArtifactUse(demand.getTokensPerSecond(), demand.getInFlight())));
+        return uses;
     }
 
     static ArtifactsWanted wanted(Collection<Target.RoutedTarget> targets) {
         ArtifactsWanted.Builder wanted = ArtifactsWanted.newBuilder();
-        targets.forEach(target -> wanted.addArtifacts(encode(target, 0)));
+        targets.forEach(target -> wanted.addArtifacts(encode(target, new ArtifactUse(0, 0))));
         return wanted.build();
     }
 
@@ -133,12 +136,13 @@
         return endpoints;
     }
 
-    private static ArtifactDemand encode(Target.RoutedTarget target, double tokensPerSecond) {
+    private static ArtifactDemand encode(Target.RoutedTarget target, ArtifactUse use) {
         return ArtifactDemand.newBuilder()
                 .setService(target.service())
                 .setModel(target.model())
                 .setAdapter(target.adapter() == null ? "" : target.adapter())
-                .setTokensPerSecond(tokensPerSecond)
+                .setTokensPerSecond(use.tokensPerSecond())
+                .setInFlight(use.inFlight())
                 .build();
     }
 
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -32,6 +32,12 @@
     /** Waiting requests ask for what they lack at most this often. */
     private static final long WANTED_MILLIS = 100;
 
+    /** A controller that has not provided an adapter in this time is passed over for the next one. */
+    private static final long NEXT_PROVIDER_MILLIS = 250;
+
+    /** An artifact that was not asked for in this time is taken to be missed anew. */
+    private static final long FORGET_WANTED_MILLIS = 1_000;
+
     /** A controller that was not heard of for this long is not asked. */
     private static final long SILENT_CONTROLLER_MILLIS = 4_000;
 
@@ -43,13 +49,15 @@
     private final EntryRequests requests;
     private final ResidencyController controller;
     private final Map<String, Controller> controllers = new HashMap<>();
-    private final Map<Target.RoutedTarget, Long> askedAt = new HashMap<>();
+    private final Map<Target.RoutedTarget, Asked> asked = new HashMap<>();
     private PeerMesh mesh;
     private long stateAt;
     private int hosts;
 
     private record Controller(String host, long term, long heardAt) {}
 
+    private record Asked(long firstAt, long lastAt) {}
+
     PeerExchange(EntrySettings settings, ControlLoop control, EntryRequests requests, ResidencyController controller) {
         this.hostId = settings.hostId();
         this.failureDomain = settings.failureDomain();
@@ -65,7 +73,7 @@
 
     /** Lets time pass. */
     void tick(long now) {
-        askedAt.values().removeIf(at -> now - at > WANTED_MILLIS);
+        asked.values().removeIf(times -> now - times.lastAt() > FORGET_WANTED_MILLIS);
         if (now < stateAt) {
             return;
         }
@@ -155,25 +163,38 @@
         }
     }
 
+    /** Returns the controller whose turn it is after an artifact was missed for some time, if there is one. */
+    private static List<Controller> inTurn(List<Controller> reachable, long missedMillis) {
+        if (reachable.isEmpty()) {
+            return List.of();
+        }
+        int turn = (int) (missedMillis / NEXT_PROVIDER_MILLIS % reachable.size());
+        return List.of(reachable.get(turn));
+    }
+
     private void ask(List<Target.RoutedTarget> targets, long now) {
         Map<String, List<Target.RoutedTarget>> byHost = new HashMap<>();
         for (Target.RoutedTarget target : targets) {
-            if (askedAt.putIfAbsent(target, now) != null) {
+            Asked before = asked.get(target);
+            if (before != null && now - before.lastAt() < WANTED_MILLIS) {
                 continue;
             }
-            List<String> providers = controller.providers(target);
+            Asked times = new Asked(before == null ? now : before.firstAt(), now);
+            asked.put(target, times);
+            ResidencyController.Providers providers = controller.providers(target);
             LogLine.event("artifact-wanted")
                     .with("service", target.service())
                     .with("model", target.model())
                     .with("adapter", target.adapter())
-                    .with("providers", providers)
+                    .with("providers", providers.domains())
                     .info(LOG);
-            for (String domain : providers) {
-                Controller provider = controllers.get(domain);
-                if (provider != null && now - provider.heardAt() <= SILENT_CONTROLLER_MILLIS) {
-                    byHost.computeIfAbsent(provider.host(), host -> new ArrayList<>())
-                            .add(target);
-                }
+            List<Controller> reachable = providers.domains().stream()
+                    .map(controllers::get)
+                    .filter(provider -> provider != null && now - provider.heardAt() <= SILENT_CONTROLLER_MILLIS)
+                    .toList();
+            for (Controller provider : providers.all() ? reachable : inTurn(reachable, now - times.firstAt())) {
+                byHost.computeIfAbsent(provider.host(), host -> new ArrayList<>())
+                        .add(target);
             }
         }
         byHost.forEach((host, wanted) -> {
