--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/explain/StoryBuilder.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/explain/StoryBuilder.java
@@ -123,9 +123,15 @@
 
     /** What the lines of a request name: hosts, endpoints and models, and their time. */
     private static final class Scope {
+        /** Positions of the model and the adapter in a target. */
+        private static final int MODEL = 1;
+
+        private static final int ADAPTER = 2;
+
         private final Map<String, Long> firstAt = new HashMap<>();
         private final Set<String> endpoints = new HashSet<>();
         private final Set<String> models = new HashSet<>();
+        private final Set<String> adapters = new HashSet<>();
         private long from = Long.MAX_VALUE;
         private long to = Long.MIN_VALUE;
 
@@ -138,8 +144,11 @@
                     endpoints.add(line.field("endpoint"));
                 }
                 String[] target = line.field("target").split("/");
-                if (target.length > 1) {
-                    models.add(target[1]);
+                if (target.length > MODEL) {
+                    models.add(target[MODEL]);
+                }
+                if (target.length > ADAPTER) {
+                    adapters.add(target[ADAPTER]);
                 }
             }
         }
@@ -155,7 +164,13 @@
             boolean ofEndpoint = ENDPOINT_EVENTS.contains(event.name())
                     && event.at() >= from
                     && endpoints.contains(event.field("endpoint"));
-            return ofEndpoint || MODEL_EVENTS.contains(event.name()) && models.contains(event.field("model"));
+            return ofEndpoint || MODEL_EVENTS.contains(event.name()) && isNeeded(event);
+        }
+
+        /** Returns whether an event is about the model or the adapter of the request. */
+        private boolean isNeeded(LogEvent event) {
+            String adapter = event.field("adapter");
+            return models.contains(event.field("model")) && (adapter.isEmpty() || adapters.contains(adapter));
         }
     }
 }
--- a/gooseberryring-ctl/src/test/java/org/gooseberryring/ctl/explain/StoryBuilderTest.java
+++ b/gooseberryring-ctl/src/test/java/org/gooseberryring/ctl/explain/StoryBuilderTest.java
@@ -23,6 +23,7 @@
     private static final List<String> SECOND = List.of(
             "at=8000 level=info event=order-answered endpoint=e1 action=LOAD model=m adapter=a1 answer=ACCEPTED",
             "at=8100 level=info event=order-answered endpoint=e1 action=LOAD model=n adapter= answer=ACCEPTED",
+            "at=8200 level=info event=order-answered endpoint=e1 action=LOAD model=m adapter=a7 answer=ACCEPTED",
             "at=9500 level=info event=endpoint-gone endpoint=e1");
 
     /** Guards against a story that leaves out what decided the request, or adds what does not concern it. */
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -164,12 +164,12 @@
     }
 
     /** Returns the controller whose turn it is after an artifact was missed for some time, if there is one. */
-    private static List<Controller> inTurn(List<Controller> reachable, long missedMillis) {
-        if (reachable.isEmpty()) {
-            return List.of();
-        }
-        int turn = (int) (missedMillis / NEXT_PROVIDER_MILLIS % reachable.size());
-        return List.of(reachable.get(turn));
+    private static List<Controller> inTurn(List<Controller> reachable, long turn) {
+        return reachable.isEmpty() ? List.of() : List.of(reachable.get((int) (turn % reachable.size())));
+    }
+
+    private static long turn(Asked times) {
+        return (times.lastAt() - times.firstAt()) / NEXT_PROVIDER_MILLIS;
     }
 
     private void ask(List<Target.RoutedTarget> targets, long now) {
@@ -182,17 +182,20 @@
             Asked times = new Asked(before == null ? now : before.firstAt(), now);
             asked.put(target, times);
             ResidencyController.Providers providers = controller.providers(target);
-            LogLine.event("artifact-wanted")
-                    .with("service", target.service())
-                    .with("model", target.model())
-                    .with("adapter", target.adapter())
-                    .with("providers", providers.domains())
-                    .info(LOG);
+            if (before == null || turn(times) != turn(before)) {
+                LogLine.event("artifact-wanted")
+                        .with("service", target.service())
+                        .with("model", target.model())
+                        .with("adapter", target.adapter())
+                        .with("providers", providers.domains())
+                        .with("missedMs", times.lastAt() - times.firstAt())
+                        .info(LOG);
+            }
             List<Controller> reachable = providers.domains().stream()
                     .map(controllers::get)
                     .filter(provider -> provider != null && now - provider.heardAt() <= SILENT_CONTROLLER_MILLIS)
                     .toList();
-            for (Controller provider : providers.all() ? reachable : inTurn(reachable, now - times.firstAt())) {
+            for (Controller provider : providers.all() ? reachable : inTurn(reachable, turn(times))) {
                 byHost.computeIfAbsent(provider.host(), host -> new ArrayList<>())
                         .add(target);
             }
