Take only the end of an order from a registration

A registration that arrives late shows an older state; an order decided on it names the right number of orders, so the endpoint would carry it out and could be made to hold more than it can.

Change: a loaded model is added to what is held; nothing else is taken.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/EndpointLedger.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/EndpointLedger.java
@@ -62,10 +62,14 @@
         }
         registration = newer;
         if (known && busy && open == null && showsLastOrder(newer)) {
+            // Only the end of the order is taken from the registration, which may be older than what else is known.
+            if (loading != null) {
+                held.putIfAbsent(loading, new HashSet<>());
+            }
+            changed = true;
             busy = false;
             loading = null;
             unloading = null;
-            hold(newer.models());
         }
     }
 
@@ -252,18 +256,14 @@
             loading = null;
             unloading = null;
         }
-        hold(status.models());
-        known = true;
-    }
-
-    private void hold(List<ResidentModel> models) {
         Map<String, Set<String>> reported = new TreeMap<>();
-        for (ResidentModel model : models) {
+        for (ResidentModel model : status.models()) {
             reported.put(model.model(), new HashSet<>(model.adapters()));
         }
         changed |= !known || !reported.equals(held);
         held.clear();
         held.putAll(reported);
+        known = true;
     }
 
     /** Returns whether what it holds has changed since the last call. */
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyWorld.java
@@ -51,6 +51,7 @@
     private final Map<String, Engine> engines = new TreeMap<>();
     private final Map<String, ResidencyController> controllers = new TreeMap<>();
     private final Map<String, EndpointStatus> reports = new HashMap<>();
+    private final List<EndpointRegistration> registrations = new ArrayList<>();
     private final Map<String, ResidencyEffect.Announce> announced = new HashMap<>();
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
@@ -192,6 +193,9 @@
         if (random.nextInt(500) == 0) {
             demand(Map.of(new Target.RoutedTarget(SERVICE, "m" + random.nextInt(10), null), 80_000.0));
         }
+        if (random.nextInt(20) == 0) {
+            registerAgain();
+        }
         if (random.nextInt(1_500) == 0) {
             restart("e" + random.nextInt(engines.size()));
         }
@@ -212,9 +216,18 @@
         engines.get(id).held.forEach((model, adapters) -> models.add(new ResidentModel(model, adapters)));
         EndpointRegistration registration = new EndpointRegistration(
                 id, SERVICE, plain.address(), plain.failureDomain(), 64, false, 0, engines.get(id).born, models);
+        registrations.add(registration);
         controllers.values().forEach(controller -> controller.registered(registration));
     }
 
+    /** Delivers a registration of the present start of an endpoint once more, as a late message does. */
+    private void registerAgain() {
+        EndpointRegistration old = registrations.get(random.nextInt(registrations.size()));
+        if (old.bornMillis() == engines.get(old.id()).born) {
+            controllers.values().forEach(controller -> controller.registered(old));
+        }
+    }
+
     private void carryOut(ResidencyController controller, ResidencyEffect effect) {
         if (effect instanceof ResidencyEffect.Send send) {
             send(controller, send.order());
