Count loads of an earlier start that may still be carried out

Cause: an order without an answer is carried out up to 12 s late. The number of orders that it bears keeps it from being carried out after newer ones, but an endpoint that starts again under its identifier counts anew: in the simulation a load of the start before fitted the number 4 again, and the endpoint got four adapters for three places.

Change: such loads are counted for 13 s as if they had been carried out.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/EndpointLedger.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/EndpointLedger.java
@@ -33,6 +33,7 @@
     private EndpointRegistration registration;
     private final Map<String, Set<String>> held = new TreeMap<>();
     private final Map<String, Set<String>> arriving = new HashMap<>();
+    private final LateLoads lateLoads = new LateLoads();
     private Set<String> copies = Set.of();
     private ArtifactOrder open;
     private String loading;
@@ -59,6 +60,7 @@
     void registered(EndpointRegistration newer) {
         if (newer.bornMillis() != registration.bornMillis()) {
             forget();
+            lateLoads.restarted();
         }
         registration = newer;
         if (known && busy && open == null && showsLastOrder(newer)) {
@@ -133,7 +135,7 @@
     }
 
     int adapterCount() {
-        int count = 0;
+        int count = lateLoads.adapters();
         for (Set<String> adapters : held.values()) {
             count += adapters.size();
         }
@@ -145,7 +147,7 @@
 
     /** Returns the memory that is free for weights and adapters, in bytes. */
     long freeBytes(EngineProfile engine) {
-        long used = loading == null ? 0 : bytes(engine, loading, 0);
+        long used = lateLoads.bytes(engine) + (loading == null ? 0 : bytes(engine, loading, 0));
         for (Map.Entry<String, Set<String>> entry : held.entrySet()) {
             int coming = arriving.getOrDefault(entry.getKey(), Set.of()).size();
             used += bytes(engine, entry.getKey(), entry.getValue().size() + coming);
@@ -184,6 +186,9 @@
             accepted(order, now);
             return;
         }
+        if (answer == OrderAnswer.UNKNOWN) {
+            lateLoads.unanswered(order, now);
+        }
         // What the endpoint holds is read again before the next order. A status that is too old does no harm, since the
         // order decided on it names a number of orders that has passed.
         known = false;
@@ -216,6 +221,7 @@
 
     /** Lets adapters that were ordered count as held once they must have arrived. */
     void tick(long now) {
+        lateLoads.tick(now);
         if (now >= arrivedAt) {
             arrivedAt = Long.MAX_VALUE;
             arriving.forEach((model, adapters) -> {
--- /dev/null
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/EndpointLedgerTest.java
@@ -0,0 +1,69 @@
+package org.gooseberryring.coordination.residency;
+
+import java.util.List;
+import java.util.Set;
+
+import org.gooseberryring.state.EndpointRegistration;
+import org.gooseberryring.state.EngineProfile;
+import org.gooseberryring.state.ResidentModel;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class EndpointLedgerTest {
+    private static final EngineProfile ENGINE = ResidencyWorld.configuration()
+            .services()
+            .get(ResidencyWorld.SERVICE)
+            .engine();
+
+    private final EndpointLedger ledger = new EndpointLedger(registration(1, "m0"));
+
+    /** Guards against a late registration from which the endpoint seems to have memory that it has not. */
+    @Test
+    void takesOnlyTheEndOfALoadFromARegistration() {
+        know("m0");
+        load("m1", OrderAnswer.ACCEPTED);
+        long free = ledger.freeBytes(ENGINE);
+
+        ledger.registered(registration(1, "m1"));
+
+        assertThat(ledger.ready()).isTrue();
+        assertThat(ledger.holds("m1")).isTrue();
+        assertThat(ledger.freeBytes(ENGINE)).isEqualTo(free);
+    }
+
+    /** Guards against an order without an answer that fits again after a restart, since orders are counted anew. */
+    @Test
+    void countsLoadsOfAnEarlierStartThatMayStillBeCarriedOut() {
+        know("m0");
+        load("m1", OrderAnswer.UNKNOWN);
+        ledger.registered(registration(2));
+        know();
+        long whole = ENGINE.memoryBytes();
+
+        assertThat(ledger.freeBytes(ENGINE)).isEqualTo(whole - EndpointLedger.bytes(ENGINE, "m1", 0));
+
+        ledger.tick(20_000);
+        assertThat(ledger.freeBytes(ENGINE)).isEqualTo(whole);
+    }
+
+    private void know(String... models) {
+        ledger.status(new EndpointStatus("e0", 0, false, resident(models), 0, Set.of()), 0);
+    }
+
+    private void load(String model, OrderAnswer answer) {
+        ArtifactOrder order = ledger.order(ArtifactOrder.Action.LOAD, model, null, 1);
+        ledger.answered(order, answer, 10);
+    }
+
+    private static EndpointRegistration registration(long born, String... models) {
+        return new EndpointRegistration(
+                "e0", ResidencyWorld.SERVICE, "10.0.0.1:80", "a", 64, false, 0, born, resident(models));
+    }
+
+    private static List<ResidentModel> resident(String... models) {
+        return List.of(models).stream()
+                .map(model -> new ResidentModel(model, Set.of()))
+                .toList();
+    }
+}
