Wait for a status at the end of unloads

Causes found by reading, both since or before it: - An endpoint may register without a model as soon as its unload begins, while requests that still run keep the memory; the ledger took that for the end. - The unload of an adapter in use is answered with 202 and carried out later; the ledger counted its place as free.

Change: a registration ends loads only; an accepted unload of an adapter is followed by a status.

Tests: EndpointLedgerTest, two cases that failed before.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/EndpointLedger.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/EndpointLedger.java
@@ -37,7 +37,6 @@
     private Set<String> copies = Set.of();
     private ArtifactOrder open;
     private String loading;
-    private String unloading;
     private String intended;
     private boolean known;
     private boolean busy;
@@ -55,7 +54,8 @@
     /**
      * Takes over a newer registration; what was known of an earlier start is forgotten.
      *
-     * <p>An endpoint registers anew as soon as it has loaded or unloaded a model, while a status lags behind.
+     * <p>An endpoint registers anew as soon as it has loaded a model, while a status lags behind. It also does when it
+     * begins to unload one, whose memory is free only once its requests have ended; that only a status shows.
      */
     void registered(EndpointRegistration newer) {
         if (newer.bornMillis() != registration.bornMillis()) {
@@ -63,31 +63,22 @@
             lateLoads.restarted();
         }
         registration = newer;
-        if (known && busy && open == null && showsLastOrder(newer)) {
-            // Only the end of the order is taken from the registration, which may be older than what else is known.
-            if (loading != null) {
-                held.putIfAbsent(loading, new HashSet<>());
-            }
+        boolean loaded = newer.models().stream().anyMatch(model -> model.model().equals(loading));
+        if (known && busy && open == null && loaded) {
+            // Only the end of the load is taken from the registration, which may be older than what else is known.
+            held.putIfAbsent(loading, new HashSet<>());
             changed = true;
             busy = false;
             loading = null;
-            unloading = null;
         }
     }
 
-    private boolean showsLastOrder(EndpointRegistration newer) {
-        Set<String> models = new HashSet<>();
-        newer.models().forEach(model -> models.add(model.model()));
-        return loading != null ? models.contains(loading) : unloading != null && !models.contains(unloading);
-    }
-
     /** Forgets all that must be read again, as when another host may have ordered meanwhile. */
     void forget() {
         known = false;
         busy = false;
         open = null;
         loading = null;
-        unloading = null;
         intended = null;
         arriving.clear();
         held.clear();
@@ -182,7 +173,9 @@
             return;
         }
         open = null;
-        if (answer == OrderAnswer.ACCEPTED || answer == OrderAnswer.HOLDS && dropsAdapter(order)) {
+        // The unload of an adapter that requests still use is accepted and counted only once they have ended.
+        OrderAnswer done = dropsAdapter(order) ? OrderAnswer.HOLDS : OrderAnswer.ACCEPTED;
+        if (answer == done) {
             accepted(order, now);
             return;
         }
@@ -214,7 +207,6 @@
         }
         busy = true;
         loading = order.action() == ArtifactOrder.Action.LOAD ? order.model() : null;
-        unloading = loading == null ? order.model() : null;
         changed = true;
         askAt = Math.min(askAt, now + BUSY_STATUS_MILLIS);
     }
@@ -260,7 +252,6 @@
         copies = status.copies();
         if (!busy) {
             loading = null;
-            unloading = null;
         }
         Map<String, Set<String>> reported = new TreeMap<>();
         for (ResidentModel model : status.models()) {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/EndpointLedgerTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/EndpointLedgerTest.java
@@ -32,6 +32,29 @@
         assertThat(ledger.freeBytes(ENGINE)).isEqualTo(free);
     }
 
+    /** Guards against a load that is ordered while requests of the model to be unloaded still take its memory. */
+    @Test
+    void aRegistrationDoesNotEndAnUnload() {
+        know("m0", "m1");
+        ArtifactOrder order = ledger.order(ArtifactOrder.Action.UNLOAD, "m1", null, 1);
+        ledger.answered(order, OrderAnswer.ACCEPTED, 10);
+
+        ledger.registered(registration(1, "m0"));
+
+        assertThat(ledger.ready()).isFalse();
+    }
+
+    /** Guards against an adapter loaded to a place that another one still takes, since its requests have not ended. */
+    @Test
+    void anAdapterInUseKeepsItsPlaceUntilAStatusShowsOtherwise() {
+        know("m0");
+        ArtifactOrder order = ledger.order(ArtifactOrder.Action.UNLOAD, "m0", "a1", 1);
+
+        ledger.answered(order, OrderAnswer.ACCEPTED, 10);
+
+        assertThat(ledger.ready()).isFalse();
+    }
+
     /** Guards against an order without an answer that fits again after a restart, since orders are counted anew. */
     @Test
     void countsLoadsOfAnEarlierStartThatMayStillBeCarriedOut() {
