Count adapters on their way to an endpoint

A status taken in the 5 to 10 ms of a transfer shows the present number of orders without the adapter, so the ledger took its place for free, and the next load was carried out beyond the places.

Change: the status names the adapters on their way; the ledger counts them and takes them for held after the time of a transfer. A status that fails is logged with its reason.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/EndpointLedger.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/EndpointLedger.java
@@ -199,9 +199,7 @@
         sequenceAt = now;
         if (order.adapter() != null) {
             if (order.action() == ArtifactOrder.Action.LOAD) {
-                arriving.computeIfAbsent(order.model(), model -> new HashSet<>())
-                        .add(order.adapter());
-                arrivedAt = now + ADAPTER_MILLIS;
+                arrives(order.model(), Set.of(order.adapter()), now);
             }
             return;
         }
@@ -211,6 +209,11 @@
         askAt = Math.min(askAt, now + BUSY_STATUS_MILLIS);
     }
 
+    private void arrives(String model, Set<String> adapters, long now) {
+        arriving.computeIfAbsent(model, key -> new HashSet<>()).addAll(adapters);
+        arrivedAt = now + ADAPTER_MILLIS;
+    }
+
     /** Lets adapters that were ordered count as held once they must have arrived. */
     void tick(long now) {
         lateLoads.tick(now);
@@ -260,6 +263,7 @@
         changed |= !known || !reported.equals(held);
         held.clear();
         held.putAll(reported);
+        status.incoming().forEach(model -> arrives(model.model(), model.adapters(), now));
         known = true;
     }
 
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/EndpointStatus.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/EndpointStatus.java
@@ -12,7 +12,7 @@
  * @param orderSequence number of orders that it has accepted since its start
  * @param busy whether it loads or unloads a model
  * @param models models and adapters that it holds
- * @param incomingAdapters number of adapters on their way to it
+ * @param incoming adapters on their way to it, which take places and memory already
  * @param copies models of which it has a copy in memory or on disk
  */
 public record EndpointStatus(
@@ -20,10 +20,11 @@
         long orderSequence,
         boolean busy,
         List<ResidentModel> models,
-        int incomingAdapters,
+        List<ResidentModel> incoming,
         Set<String> copies) {
     public EndpointStatus {
         models = List.copyOf(models);
+        incoming = List.copyOf(incoming);
         copies = Set.copyOf(copies);
     }
 }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/EndpointLedgerTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/EndpointLedgerTest.java
@@ -55,6 +55,18 @@
         assertThat(ledger.ready()).isFalse();
     }
 
+    /** Guards against a place counted as free that an adapter on its way takes, which a status shows apart. */
+    @Test
+    void countsAdaptersOnTheirWay() {
+        know(List.of(new ResidentModel("m0", Set.of("a1"))), "m0");
+
+        assertThat(ledger.adapterCount()).isEqualTo(1);
+        assertThat(ledger.expects("m0", "a1")).isTrue();
+
+        ledger.tick(1_000);
+        assertThat(ledger.holds("m0", "a1")).isTrue();
+    }
+
     /** Guards against an order without an answer that fits again after a restart, since orders are counted anew. */
     @Test
     void countsLoadsOfAnEarlierStartThatMayStillBeCarriedOut() {
@@ -71,7 +83,11 @@
     }
 
     private void know(String... models) {
-        ledger.status(new EndpointStatus("e0", 0, false, resident(models), 0, Set.of()), 0);
+        know(List.of(), models);
+    }
+
+    private void know(List<ResidentModel> incoming, String... models) {
+        ledger.status(new EndpointStatus("e0", 0, false, resident(models), incoming, Set.of()), 0);
     }
 
     private void load(String model, OrderAnswer answer) {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyWorld.java
@@ -62,6 +62,7 @@
 
     private static final class Engine {
         private final Map<String, Set<String>> held = new HashMap<>();
+        private final Map<String, Set<String>> incoming = new HashMap<>();
         private final Set<String> copies = new HashSet<>();
         private long sequence;
         private long busyUntil;
@@ -204,6 +205,7 @@
     private void restart(String id) {
         Engine engine = engines.get(id);
         engine.held.clear();
+        engine.incoming.clear();
         engine.sequence = 0;
         engine.busyUntil = 0;
         engine.born++;
@@ -289,6 +291,7 @@
             });
         } else {
             engine.held.remove(received.model());
+            engine.incoming.remove(received.model());
             engine.busyUntil = now + UNLOAD_MILLIS;
             later(UNLOAD_MILLIS, () -> register(received.endpoint()));
         }
@@ -300,30 +303,56 @@
         if (adapters == null) {
             return OrderAnswer.REFUSED;
         }
-        engine.sequence++;
-        carriedOut++;
         Target.RoutedTarget target = new Target.RoutedTarget(SERVICE, received.model(), received.adapter());
         if (!load && demand.getOrDefault(target, new ArtifactUse(0, 0)).inFlight() > 0) {
-            // It is dropped once its requests have ended; no other order is taken until then.
+            // It is dropped and counted once its requests have ended; no other order is taken until then.
+            long born = engine.born;
             engine.busyUntil = now + RUN_MILLIS;
-            later(RUN_MILLIS, () -> adapters.remove(received.adapter()));
+            later(RUN_MILLIS, () -> {
+                if (engine.born == born) {
+                    engine.sequence++;
+                    adapters.remove(received.adapter());
+                }
+            });
             return OrderAnswer.ACCEPTED;
         }
+        engine.sequence++;
+        carriedOut++;
         if (load) {
-            adapters.add(received.adapter());
-            int count = engine.held.values().stream().mapToInt(Set::size).sum();
-            assertWithMessage("adapters of an endpoint").that(count).isAtMost(ADAPTER_SLOTS);
-            checkMemory(engine, null);
-        } else {
-            adapters.remove(received.adapter());
+            loadAdapter(engine, received);
+            return OrderAnswer.ACCEPTED;
         }
-        return load ? OrderAnswer.ACCEPTED : OrderAnswer.HOLDS;
+        adapters.remove(received.adapter());
+        engine.incoming.getOrDefault(received.model(), new HashSet<>()).remove(received.adapter());
+        return OrderAnswer.HOLDS;
+    }
+
+    private void loadAdapter(Engine engine, ArtifactOrder received) {
+        engine.incoming
+                .computeIfAbsent(received.model(), model -> new HashSet<>())
+                .add(received.adapter());
+        int count = 0;
+        for (String model : engine.held.keySet()) {
+            count += engine.held.get(model).size()
+                    + engine.incoming.getOrDefault(model, Set.of()).size();
+        }
+        assertWithMessage("adapters of an endpoint").that(count).isAtMost(ADAPTER_SLOTS);
+        checkMemory(engine, null);
+        long born = engine.born;
+        later(1 + random.nextInt(2 * (int) STEP_MILLIS), () -> {
+            Set<String> incoming = engine.incoming.getOrDefault(received.model(), new HashSet<>());
+            if (engine.born == born && incoming.remove(received.adapter())) {
+                engine.held.get(received.model()).add(received.adapter());
+            }
+        });
     }
 
     private static void checkMemory(Engine engine, String loading) {
         long used = loading == null ? 0 : MODEL_BYTES;
-        for (Set<String> adapters : engine.held.values()) {
-            used += MODEL_BYTES + adapters.size() * ADAPTER_BYTES;
+        for (Map.Entry<String, Set<String>> entry : engine.held.entrySet()) {
+            int incoming =
+                    engine.incoming.getOrDefault(entry.getKey(), Set.of()).size();
+            used += MODEL_BYTES + (entry.getValue().size() + incoming) * ADAPTER_BYTES;
         }
         assertWithMessage("memory of an endpoint").that(used).isAtMost(MEMORY_BYTES);
     }
@@ -336,7 +365,9 @@
         Engine engine = engines.get(id);
         List<ResidentModel> models = new ArrayList<>();
         engine.held.forEach((model, adapters) -> models.add(new ResidentModel(model, adapters)));
-        return new EndpointStatus(id, engine.sequence, now < engine.busyUntil, models, 0, engine.copies);
+        List<ResidentModel> incoming = new ArrayList<>();
+        engine.incoming.forEach((model, adapters) -> incoming.add(new ResidentModel(model, adapters)));
+        return new EndpointStatus(id, engine.sequence, now < engine.busyUntil, models, incoming, engine.copies);
     }
 
     private void later(long millis, Runnable action) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
@@ -8,7 +8,6 @@
 import org.gooseberryring.coordination.order.DomainLease;
 import org.gooseberryring.coordination.order.OrderEffect;
 import org.gooseberryring.coordination.residency.ArtifactOrder;
-import org.gooseberryring.coordination.residency.EndpointStatus;
 import org.gooseberryring.coordination.residency.OrderAnswer;
 import org.gooseberryring.coordination.residency.ResidencyController;
 import org.gooseberryring.coordination.residency.ResidencyEffect;
@@ -139,15 +138,17 @@
             controller.statusFailed(id);
             return;
         }
-        orders.status(endpoint).whenComplete((status, failure) -> control.put(now -> taken(id, status, now)));
-    }
-
-    /** Takes a status, null if there was no answer. */
-    private void taken(String id, EndpointStatus status, long now) {
-        if (status == null) {
-            controller.statusFailed(id);
-        } else {
-            controller.status(status, now);
-        }
+        orders.status(endpoint)
+                .whenComplete((status, failure) -> control.put(now -> {
+                    if (failure == null) {
+                        controller.status(status, now);
+                    } else {
+                        LogLine.event("endpoint-status-failed")
+                                .with("endpoint", id)
+                                .with("reason", failure)
+                                .info(LOG);
+                        controller.statusFailed(id);
+                    }
+                }));
     }
 }
