--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/config/ChangeCommitter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/config/ChangeCommitter.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
+import org.gooseberryring.coordination.retry.Backoff;
 import org.gooseberryring.coordination.store.StoreOutcome;
 import org.gooseberryring.coordination.store.StoreReply;
 import org.gooseberryring.coordination.store.StoreRequest;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/config/ConfigurationFeed.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/config/ConfigurationFeed.java
@@ -10,6 +10,7 @@
 import java.util.random.RandomGenerator;
 
 import org.gooseberryring.coordination.membership.Rendezvous;
+import org.gooseberryring.coordination.retry.Backoff;
 import org.gooseberryring.coordination.store.StoreOutcome;
 import org.gooseberryring.state.FleetConfiguration;
 
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
@@ -82,11 +82,14 @@
     }
 
     private void holds(Iterable<ResidentModel> models) {
+        Set<String> before = Set.copyOf(resident.keySet());
         resident.clear();
         for (ResidentModel model : models) {
             resident.put(model.model(), new HashSet<>(model.adapters()));
         }
-        cache.retainModels(resident.keySet());
+        if (!resident.keySet().containsAll(before)) {
+            cache.retainModels(resident.keySet());
+        }
     }
 
     /** Returns the prompt parts read for requests of this host since the last call by model. */
@@ -105,6 +108,7 @@
     void lacks(String model, String adapter) {
         if (adapter == null) {
             resident.remove(model);
+            cache.retainModels(resident.keySet());
         } else if (resident.containsKey(model)) {
             resident.get(model).remove(adapter);
         }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/CollectionFeed.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/CollectionFeed.java
@@ -7,6 +7,8 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
+import org.gooseberryring.coordination.retry.Backoff;
+
 /**
  * Follows one collection of the platform's store.
  *
@@ -19,7 +21,7 @@
 public final class CollectionFeed<T> {
     private final FeedTimes times;
     private final FeedListener<T> listener;
-    private final RandomGenerator random;
+    private final Backoff backoff;
     private final Map<String, Long> revisions = new HashMap<>();
     private final Map<String, Long> doubtful = new HashMap<>();
     private final Map<String, FeedItem<T>> pages = new HashMap<>();
@@ -30,7 +32,6 @@
     private long listRevision;
     private long revision;
     private long retryAt;
-    private int failures;
     private long answeredAt;
     private long graceUntil = Long.MIN_VALUE;
     private boolean inContact = true;
@@ -39,7 +40,7 @@
     public CollectionFeed(FeedTimes times, FeedListener<T> listener, RandomGenerator random, long now) {
         this.times = times;
         this.listener = listener;
-        this.random = random;
+        this.backoff = new Backoff(times.minRetryMillis(), times.maxRetryMillis(), random);
         this.answeredAt = now;
     }
 
@@ -119,7 +120,7 @@
         if (!inContact || now - answeredAt - times.waitMillis() > times.outageMillis()) {
             graceUntil = now + times.graceMillis();
         }
-        failures = 0;
+        backoff.reset();
         answeredAt = now;
         noteContact(now);
         return true;
@@ -195,8 +196,7 @@
     }
 
     private List<FeedCall> retryLater(long now) {
-        long limit = Math.min(times.maxRetryMillis(), times.minRetryMillis() << Math.min(failures++, 8));
-        retryAt = now + limit / 2 + random.nextLong(limit / 2 + 1);
+        retryAt = now + backoff.next();
         return List.of();
     }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/membership/Rendezvous.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/membership/Rendezvous.java
@@ -9,31 +9,31 @@
 import java.util.Comparator;
 import java.util.List;
 
-/** Chooses hosts for a role by rendezvous hashing, so that few choices change when a host comes or goes. */
+/** Chooses hosts or endpoints by rendezvous hashing, so that few choices change when one comes or goes. */
 public final class Rendezvous {
     private Rendezvous() {}
 
     /**
-     * Returns the hosts with the highest scores, best first.
+     * Returns the candidates with the highest scores, best first.
      *
-     * @param hosts host identifiers to choose from
-     * @param role name of the role
-     * @param count largest number of hosts to return
+     * @param candidates identifiers to choose from
+     * @param role what they are chosen for; each role has an order of its own
+     * @param count largest number to return
      */
-    public static List<String> top(Collection<String> hosts, String role, int count) {
+    public static List<String> top(Collection<String> candidates, String role, int count) {
         MessageDigest digest = sha256();
-        List<Scored> scored = new ArrayList<>(hosts.size());
-        for (String host : hosts) {
-            scored.add(new Scored(host, score(digest, host, role)));
+        List<Scored> scored = new ArrayList<>(candidates.size());
+        for (String candidate : candidates) {
+            scored.add(new Scored(candidate, score(digest, candidate, role)));
         }
-        scored.sort(Comparator.comparingLong(Scored::score).reversed().thenComparing(Scored::host));
-        return scored.stream().limit(count).map(Scored::host).toList();
+        scored.sort(Comparator.comparingLong(Scored::score).reversed().thenComparing(Scored::candidate));
+        return scored.stream().limit(count).map(Scored::candidate).toList();
     }
 
-    private static long score(MessageDigest digest, String host, String role) {
+    private static long score(MessageDigest digest, String candidate, String role) {
         digest.update(role.getBytes(StandardCharsets.UTF_8));
         digest.update((byte) 0);
-        return ByteBuffer.wrap(digest.digest(host.getBytes(StandardCharsets.UTF_8)))
+        return ByteBuffer.wrap(digest.digest(candidate.getBytes(StandardCharsets.UTF_8)))
                 .getLong();
     }
 
@@ -45,5 +45,5 @@
         }
     }
 
-    private record Scored(String host, long score) {}
+    private record Scored(String candidate, long score) {}
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/StoredObject.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/StoredObject.java
@@ -4,6 +4,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
+import org.gooseberryring.coordination.retry.Backoff;
 import org.gooseberryring.coordination.store.StoreOutcome;
 import org.gooseberryring.coordination.store.StoreReply;
 import org.gooseberryring.coordination.store.StoreRequest;
@@ -17,12 +18,11 @@
 final class StoredObject<D extends Stamped> {
     private static final long MIN_RETRY_MILLIS = 100;
     private static final long MAX_RETRY_MILLIS = 5_000;
-    private static final int MAX_DOUBLINGS = 10;
 
     private final String key;
     private final Class<D> type;
     private final OrderCodec codec;
-    private final RandomGenerator random;
+    private final Backoff backoff;
     private final Supplier<D> whenAbsent;
     private D doc;
     private long version;
@@ -32,7 +32,6 @@
     private long putSentAt;
     private StoreRequest inFlight;
     private long retryAt = Long.MAX_VALUE;
-    private int failures;
 
     /** What a reply means for the owner of the cell. */
     enum Event {
@@ -51,7 +50,7 @@
         this.type = type;
         this.whenAbsent = whenAbsent;
         this.codec = codec;
-        this.random = random;
+        this.backoff = new Backoff(MIN_RETRY_MILLIS, MAX_RETRY_MILLIS, random);
     }
 
     /** Returns whether the document is known and no write is open. */
@@ -140,7 +139,7 @@
         }
         boolean lost = candidate != null;
         candidate = null;
-        failures = 0;
+        backoff.reset();
         doc = readDoc;
         version = readVersion;
         known = true;
@@ -152,14 +151,13 @@
         doc = candidate;
         version = newVersion;
         candidate = null;
-        failures = 0;
+        backoff.reset();
         knownAt = now;
         return Event.WRITTEN;
     }
 
     private void retryLater(long now) {
-        long limit = Math.min(MAX_RETRY_MILLIS, MIN_RETRY_MILLIS << Math.min(failures++, MAX_DOUBLINGS));
-        retryAt = now + limit / 2 + random.nextLong(limit / 2 + 1);
+        retryAt = now + backoff.next();
     }
 
     private StoreRequest put() {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
@@ -11,7 +11,7 @@
 import java.util.TreeSet;
 import java.util.function.Predicate;
 
-import org.gooseberryring.coordination.limit.KeeperChoice;
+import org.gooseberryring.coordination.membership.Rendezvous;
 import org.gooseberryring.coordination.request.ArtifactUse;
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.state.EndpointRegistration;
@@ -130,21 +130,19 @@
      */
     public Providers providers(Target.RoutedTarget target) {
         Set<String> all = new TreeSet<>();
-        List<EndpointRegistration> holders = new ArrayList<>();
+        Map<String, String> domainsOfHolders = new TreeMap<>();
         for (EndpointRegistration endpoint : fleet.inService(target.service())) {
             all.add(endpoint.failureDomain());
             if (fleet.holds(endpoint.id(), target.model())) {
-                holders.add(endpoint);
+                domainsOfHolders.put(endpoint.id(), endpoint.failureDomain());
             }
         }
-        if (holders.isEmpty()) {
+        if (domainsOfHolders.isEmpty()) {
             return new Providers(List.copyOf(all), true);
         }
-        Map<String, String> domains = new TreeMap<>();
-        holders.forEach(endpoint -> domains.put(endpoint.id(), endpoint.failureDomain()));
-        String key = target.model() + '/' + target.adapter();
-        List<String> ordered = KeeperChoice.rank(key, domains.keySet()).stream()
-                .map(domains::get)
+        String artifact = target.model() + '/' + target.adapter();
+        List<String> ordered = Rendezvous.top(domainsOfHolders.keySet(), artifact, domainsOfHolders.size()).stream()
+                .map(domainsOfHolders::get)
                 .distinct()
                 .toList();
         return new Providers(ordered, false);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/HostMain.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/HostMain.java
@@ -2,11 +2,10 @@
 
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.util.OptionalInt;
 import java.util.concurrent.CountDownLatch;
 
-import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
-import com.beust.jcommander.ParameterException;
 import org.gooseberryring.host.settings.HostSettings;
 import org.gooseberryring.host.settings.InvalidSettingsException;
 import org.gooseberryring.host.settings.SettingsReader;
@@ -14,9 +13,6 @@
 /** Entry point of the program {@code gooseberryring}. */
 public final class HostMain {
     private static final String PROGRAM = "gooseberryring";
-    private static final int OK = 0;
-    private static final int FAILED = 1;
-    private static final int USAGE = 2;
 
     @Parameter(names = "--settings", description = "Settings file (JSON)")
     private String settingsFile;
@@ -32,7 +28,7 @@
     /** Runs the program. */
     public static void main(String[] args) throws InterruptedException {
         int code = new HostMain().run(args, System.out, System.err);
-        if (code != OK) {
+        if (code != ProgramArguments.OK) {
             System.exit(code);
         }
     }
@@ -43,32 +39,22 @@
     }
 
     private int run(String[] args, PrintStream out, PrintStream err) throws InterruptedException {
-        JCommander commander =
-                JCommander.newBuilder().addObject(this).programName(PROGRAM).build();
-        try {
-            commander.parse(args);
-        } catch (ParameterException e) {
-            err.println(PROGRAM + ": " + e.getMessage());
-            return USAGE;
-        }
-        if (help) {
-            StringBuilder text = new StringBuilder();
-            commander.getUsageFormatter().usage(text);
-            out.print(text);
-            return OK;
+        OptionalInt ended = ProgramArguments.parse(this, () -> help, PROGRAM, args, out, err);
+        if (ended.isPresent()) {
+            return ended.getAsInt();
         }
         if (settingsFile == null) {
             err.println(PROGRAM + ": --settings is required");
-            return USAGE;
+            return ProgramArguments.USAGE;
         }
         HostSettings settings;
         try {
             settings = SettingsReader.read(Path.of(settingsFile));
         } catch (InvalidSettingsException e) {
             e.faults().forEach(fault -> err.println(PROGRAM + ": " + fault));
-            return USAGE;
+            return ProgramArguments.USAGE;
         }
-        return checkOnly ? OK : serve(settings, err);
+        return checkOnly ? ProgramArguments.OK : serve(settings, err);
     }
 
     private static int serve(HostSettings settings, PrintStream err) throws InterruptedException {
@@ -77,7 +63,7 @@
             host = Host.start(settings);
         } catch (RuntimeException e) {
             err.println(PROGRAM + ": cannot start: " + e.getMessage());
-            return FAILED;
+            return ProgramArguments.FAILED;
         }
         CountDownLatch ended = new CountDownLatch(1);
         Runtime.getRuntime()
@@ -88,6 +74,6 @@
                         },
                         "shutdown"));
         ended.await();
-        return OK;
+        return ProgramArguments.OK;
     }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/Authenticator.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/Authenticator.java
@@ -1,7 +1,5 @@
 package org.gooseberryring.host.caller;
 
-import java.nio.charset.StandardCharsets;
-import java.util.HexFormat;
 import java.util.function.LongSupplier;
 
 import io.undertow.util.HeaderMap;
@@ -60,7 +58,7 @@
                     STALE_RETRY_MILLIS,
                     "This host could not confirm its configuration for longer than the grace period"));
         }
-        String digest = HexFormat.of().formatHex(Digests.sha256(key.getBytes(StandardCharsets.UTF_8)));
+        String digest = Digests.hex(key);
         ApiKey known = configuration.keys().get(digest);
         Organisation organisation =
                 known == null ? null : configuration.organisations().get(known.organisation());
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerHandler.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
@@ -174,11 +173,7 @@
         String organisation =
                 caller.organisation() == null ? null : caller.organisation().id();
         String owner = organisation == null ? OPEN_ROUTE : organisation;
-        String digest = HexFormat.of()
-                .formatHex(Digests.sha256(
-                        owner.getBytes(StandardCharsets.UTF_8),
-                        (method + " " + destination.target() + destination.path()).getBytes(StandardCharsets.UTF_8),
-                        body));
+        String digest = Digests.ofRequest(owner, method + " " + destination.target() + destination.path(), body);
         RequestSpec spec = new RequestSpec(
                 id,
                 organisation,
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/Digests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/Digests.java
@@ -32,6 +32,17 @@
         return HexFormat.of().formatHex(sha256(bytes));
     }
 
+    /**
+     * Returns the digest by which a request that comes again is recognised.
+     *
+     * @param owner organisation of the caller, or what stands for none
+     * @param target method and destination
+     */
+    public static String ofRequest(String owner, String target, byte[] body) {
+        byte[] whole = sha256(owner.getBytes(StandardCharsets.UTF_8), target.getBytes(StandardCharsets.UTF_8), body);
+        return HexFormat.of().formatHex(whole);
+    }
+
     private static MessageDigest newDigest() {
         try {
             return MessageDigest.getInstance("SHA-256");
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryLinks.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryLinks.java
@@ -12,6 +12,8 @@
  * <p>Its callers give no idempotency keys, and its endpoints stop a request when its connection closes.
  */
 final class EntryLinks implements EffectLinks {
+    private static final String NO_KEYS = "no request of an entry host carries an idempotency key";
+
     private final Consumer<RequestEffect.SpreadQuarantine> notices;
 
     /** Creates the links; {@code notices} tells the other hosts about a request that crashes endpoints. */
@@ -21,17 +23,17 @@
 
     @Override
     public void claim(OpenRequest request, RequestEffect.Claim claim) {
-        throw new IllegalStateException("no request of an entry host carries an idempotency key");
+        throw new IllegalStateException(NO_KEYS);
     }
 
     @Override
     public void settle(OpenRequest request, RequestEffect.SettleClaim settle) {
-        throw new IllegalStateException("no request of an entry host carries an idempotency key");
+        throw new IllegalStateException(NO_KEYS);
     }
 
     @Override
     public void replay(OpenRequest request) {
-        throw new IllegalStateException("no request of an entry host carries an idempotency key");
+        throw new IllegalStateException(NO_KEYS);
     }
 
     @Override
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
@@ -1,8 +1,6 @@
 package org.gooseberryring.host.entry;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.util.HexFormat;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -125,7 +123,7 @@
         if (key == null) {
             return null;
         }
-        String digest = HexFormat.of().formatHex(Digests.sha256(key.getBytes(StandardCharsets.UTF_8)));
+        String digest = Digests.hex(key);
         ApiKey known = configuration.keys().get(digest);
         return known == null ? null : configuration.organisations().get(known.organisation());
     }
@@ -136,7 +134,7 @@
         receiver.setMaxBufferSize(configuration.limits().bodyBytes());
         XnioExecutor.Key timer = exchange.getIoThread()
                 .executeAfter(
-                        () -> IoUtils.safeClose(exchange.getConnection()),
+                        () -> bodyNotRead(exchange, arrival, "timeout"),
                         admitted.route().timeoutMillis(),
                         TimeUnit.MILLISECONDS);
         receiver.receiveFullBytes(
@@ -159,10 +157,19 @@
             return;
         }
         metrics.refused("truncated-body");
-        IoUtils.safeClose(exchange.getConnection());
+        bodyNotRead(exchange, arrival, failure.getMessage());
         exchange.endExchange();
     }
 
+    /** Closes the connection of a request whose body did not come whole, which has not run. */
+    private static void bodyNotRead(HttpServerExchange exchange, Arrival arrival, String reason) {
+        LogLine.event("body-not-read")
+                .with("requestId", arrival.head().requestId())
+                .with("reason", reason)
+                .info(LOG);
+        IoUtils.safeClose(exchange.getConnection());
+    }
+
     private void refuse(HttpServerExchange exchange, Arrival arrival, Refusal refusal) {
         metrics.refused(refusal.code().wireName());
         LogLine.event("request-rejected")
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RequestFactory.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RequestFactory.java
@@ -1,7 +1,5 @@
 package org.gooseberryring.host.entry;
 
-import java.nio.charset.StandardCharsets;
-import java.util.HexFormat;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.random.RandomGenerator;
 
@@ -88,11 +86,8 @@
         String organisation = terms == null ? null : terms.organisation().id();
         int rank = terms == null ? route.rank() : terms.rank().orElse(route.rank());
         long patience = Math.min(head.deadlineMillis().orElse(route.timeoutMillis()), route.timeoutMillis());
-        String digest = HexFormat.of()
-                .formatHex(Digests.sha256(
-                        (organisation == null ? NO_ORGANISATION : organisation).getBytes(StandardCharsets.UTF_8),
-                        (exchange.getRequestMethod() + " " + path).getBytes(StandardCharsets.UTF_8),
-                        body));
+        String owner = organisation == null ? NO_ORGANISATION : organisation;
+        String digest = Digests.ofRequest(owner, exchange.getRequestMethod() + " " + path, body);
         Handling handling = new Handling(
                 ((Target.RoutedTarget) target).service(),
                 Math.max(1, route.maxAttempts()),
