Reset the connection of an HTTP/1.0 caller whose answer breaks off

Cause: the end of the connection ends an answer without a length in HTTP/1.0, so a host that closed the connection of a broken answer made it look complete. The close is a reset now.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerSink.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerSink.java
@@ -4,14 +4,21 @@
 import java.nio.ByteBuffer;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
+import org.gooseberryring.host.log.LogLine;
 import org.gooseberryring.transport.endpoint.AnswerSink;
+import org.jboss.logging.Logger;
 import org.xnio.IoUtils;
+import org.xnio.Options;
 import org.xnio.channels.StreamSinkChannel;
 
 /** Writes an answer to the connection of its caller. */
 final class CallerSink implements AnswerSink {
+    private static final Logger LOG = Logger.getLogger(CallerSink.class);
+
     private final HttpServerExchange exchange;
     private final AnswerHeaders answerHeaders;
     private StreamSinkChannel channel;
@@ -70,7 +77,20 @@
 
     @Override
     public void abort() {
-        IoUtils.safeClose(exchange.getConnection());
+        ServerConnection connection = exchange.getConnection();
+        if (exchange.isHttp10() && connection instanceof HttpServerConnection http) {
+            resetOnClose(http);
+        }
+        IoUtils.safeClose(connection);
         exchange.endExchange();
     }
+
+    /** Makes the close a reset, since the end of the connection ends an answer in HTTP/1.0. */
+    private static void resetOnClose(HttpServerConnection connection) {
+        try {
+            connection.getChannel().setOption(Options.CLOSE_ABORT, true);
+        } catch (IOException e) {
+            LogLine.event("reset-failed").with("reason", e.getMessage()).warn(LOG);
+        }
+    }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequest.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequest.java
@@ -11,7 +11,6 @@
 import org.gooseberryring.state.Verdict;
 import org.gooseberryring.transport.endpoint.EndpointAttempt;
 import org.gooseberryring.transport.endpoint.EventCursor;
-import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
 
 /** Request whose caller waits for an answer; its exchange is touched on its I/O thread only. */
@@ -127,8 +126,7 @@
             return;
         }
         if (exchange.isResponseStarted() || !exchange.isResponseChannelAvailable()) {
-            IoUtils.safeClose(exchange.getConnection());
-            exchange.endExchange();
+            sink.abort();
             return;
         }
         refusals.write(exchange, spec.id(), refusal);
