Send each order to an endpoint on a connection of its own

Cause: orders and questions for the status shared connections, and an answer to them bears no request identifier.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/HttpCall.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/HttpCall.java
@@ -27,6 +27,7 @@
     private final String authority;
     private final ClientRequest request;
     private final byte[] body;
+    private final boolean fresh;
     private final CompletableFuture<HttpResult> result = new CompletableFuture<>();
     private final ByteArrayOutputStream answer = new ByteArrayOutputStream();
     private volatile boolean sent;
@@ -34,17 +35,25 @@
     private ClientConnection connection;
     private BodyWriter writer;
 
-    HttpCall(HttpWorker worker, ClientConnector connector, String authority, ClientRequest request, byte[] body) {
+    /** Creates a call; one that needs a fresh connection takes none that was used before and leaves none behind. */
+    HttpCall(
+            HttpWorker worker,
+            ClientConnector connector,
+            String authority,
+            ClientRequest request,
+            byte[] body,
+            boolean fresh) {
         this.worker = worker;
         this.connector = connector;
         this.authority = authority;
         this.request = request;
         this.body = body;
+        this.fresh = fresh;
     }
 
     CompletableFuture<HttpResult> start(XnioIoThread thread) {
         try {
-            thread.execute(() -> connector.acquire(thread, authority, false, this::connected));
+            thread.execute(() -> connector.acquire(thread, authority, fresh, this::connected));
         } catch (RejectedExecutionException e) {
             end("The I/O threads have stopped", e);
         }
@@ -121,7 +130,7 @@
         ended = true;
         var response = exchange.getResponse();
         boolean close = "close".equalsIgnoreCase(response.getResponseHeaders().getFirst(Headers.CONNECTION));
-        if (close || (writer != null && !writer.done())) {
+        if (close || fresh || (writer != null && !writer.done())) {
             IoUtils.safeClose(connection);
         } else {
             connector.release(authority, connection);
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/HttpCaller.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/HttpCaller.java
@@ -39,7 +39,7 @@
      */
     public HttpResult call(String method, URI uri, Map<String, String> headers, byte[] body, long timeoutMillis) {
         XnioIoThread thread = thread(uri);
-        HttpCall call = prepare(method, uri, headers, body);
+        HttpCall call = prepare(method, uri, headers, body, false);
         CompletableFuture<HttpResult> future = call.start(thread);
         try {
             return future.get(timeoutMillis, TimeUnit.MILLISECONDS);
@@ -63,8 +63,23 @@
      */
     public CompletableFuture<HttpResult> callAsync(
             String method, URI uri, Map<String, String> headers, byte[] body, long timeoutMillis) {
+        return start(uri, prepare(method, uri, headers, body, false), timeoutMillis);
+    }
+
+    /**
+     * Makes a call on a connection of its own, as for an answer that must not be confused with a late copy of another one;
+     * the future completes on an I/O thread.
+     *
+     * @param timeoutMillis milliseconds for the whole call
+     * @return future that fails with {@link HttpCallException}
+     */
+    public CompletableFuture<HttpResult> callAlone(
+            String method, URI uri, Map<String, String> headers, byte[] body, long timeoutMillis) {
+        return start(uri, prepare(method, uri, headers, body, true), timeoutMillis);
+    }
+
+    private CompletableFuture<HttpResult> start(URI uri, HttpCall call, long timeoutMillis) {
         XnioIoThread thread = thread(uri);
-        HttpCall call = prepare(method, uri, headers, body);
         CompletableFuture<HttpResult> future = call.start(thread);
         XnioExecutor.Key timer = thread.executeAfter(
                 () -> call.fail(thread, "No answer from " + uri.getAuthority() + " in " + timeoutMillis + " ms", null),
@@ -77,7 +92,7 @@
         return worker.xnio().getIoThread(uri.getAuthority().hashCode());
     }
 
-    private HttpCall prepare(String method, URI uri, Map<String, String> headers, byte[] body) {
+    private HttpCall prepare(String method, URI uri, Map<String, String> headers, byte[] body, boolean fresh) {
         byte[] content = body == null ? new byte[0] : body;
         String query = uri.getRawQuery() == null ? "" : "?" + uri.getRawQuery();
         ClientRequest request =
@@ -86,7 +101,7 @@
         headers.forEach((name, value) -> map.put(new HttpString(name), value));
         map.put(Headers.HOST, uri.getAuthority());
         map.put(Headers.CONTENT_LENGTH, content.length);
-        return new HttpCall(worker, connector, uri.getAuthority(), request, content);
+        return new HttpCall(worker, connector, uri.getAuthority(), request, content, fresh);
     }
 
     private static HttpResult join(CompletableFuture<HttpResult> future) {
