Let a drain wait for a request or refuse it, with nothing in between

Cause: a handler asked whether the host drains before it counted the request. A drain that began in between found no open request, ended, and cut the request off.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequests.java
@@ -15,9 +15,10 @@
         this.max = max;
     }
 
-    /** Takes a place for a request; returns false if none is free. */
+    /** Takes a place for a request; returns false if none is free or the host drains. */
     public boolean enter() {
-        if (count.incrementAndGet() <= max) {
+        // The place is taken before the check, so that a drain that begins now waits for the request or it is refused.
+        if (count.incrementAndGet() <= max && !draining) {
             return true;
         }
         leave();
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayHandler.java
@@ -69,7 +69,7 @@
         String claimedId = exchange.getRequestHeaders().getFirst(EndpointAttempt.REQUEST_ID);
         String id = claimedId == null ? "" : claimedId;
         exchange.getResponseHeaders().put(EndpointAttempt.REQUEST_ID, id);
-        if (open.draining() || !open.enter()) {
+        if (!open.enter()) {
             ProblemWriter.write(
                     exchange,
                     id,
--- /dev/null
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/caller/OpenRequestsTest.java
@@ -0,0 +1,19 @@
+package org.gooseberryring.host.caller;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class OpenRequestsTest {
+    /** Guards against a request that is accepted after the host counted the last one it has to wait for. */
+    @Test
+    void acceptsNothingOnceTheHostDrains() throws InterruptedException {
+        OpenRequests open = new OpenRequests(2);
+        assertThat(open.enter()).isTrue();
+        open.drain();
+        assertThat(open.enter()).isFalse();
+        assertThat(open.count()).isEqualTo(1);
+        open.leave();
+        assertThat(open.awaitNone(1)).isTrue();
+    }
+}
