--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.IdentityHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -23,6 +24,9 @@
     /** While its controller is heard of, the registration is older than what the controller says. */
     private static final long ANNOUNCED_MILLIS = 3_000;
 
+    /** Time after which what the controller says counts again although the endpoint stated otherwise. */
+    private static final long LACKED_MILLIS = 1_000;
+
     /** A request that has missed its objective starts where it starts within this time. */
     private static final long LATE_START_MILLIS = 250;
 
@@ -46,6 +50,8 @@
     private EndpointUse othersSum = EndpointUse.NONE;
     private boolean removed;
     private boolean othersStalled;
+    private List<ResidentModel> reported;
+    private long lackedAt = Long.MAX_VALUE;
     private long announcedAt = Long.MIN_VALUE / 2;
 
     /** Request in flight; {@code startsBy} is the time by which its answer is overdue, or never once it has begun. */
@@ -65,6 +71,7 @@
         removed = false;
         if (restarted) {
             cache.clear();
+            reported = null;
         }
         boolean announced = now - announcedAt < ANNOUNCED_MILLIS;
         if (restarted || modelsChanged && !announced) {
@@ -76,9 +83,24 @@
     }
 
     /** Takes over what its controller says that the endpoint holds. */
-    void announced(Iterable<ResidentModel> models, long now) {
+    void announced(List<ResidentModel> models, long now) {
         announcedAt = now;
-        holds(models);
+        reported = List.copyOf(models);
+        lackedAt = Long.MAX_VALUE;
+        holds(reported);
+    }
+
+    /** Notes that its controller lives; what it said of this endpoint, if anything, still holds. */
+    void controlled(long now) {
+        if (reported == null) {
+            return;
+        }
+        announcedAt = now;
+        if (now - lackedAt > LACKED_MILLIS) {
+            // The controller would have reported by now what the endpoint has lost.
+            lackedAt = Long.MAX_VALUE;
+            holds(reported);
+        }
     }
 
     private void holds(Iterable<ResidentModel> models) {
@@ -105,7 +127,8 @@
     }
 
     /** Notes that the endpoint stated that it does not hold an artifact. */
-    void lacks(String model, String adapter) {
+    void lacks(String model, String adapter, long now) {
+        lackedAt = now;
         if (adapter == null) {
             resident.remove(model);
             cache.retainModels(resident.keySet());
@@ -145,22 +168,17 @@
         return own;
     }
 
-    /** Takes over what the requests of another host take, null once it is gone. */
+    /** Takes over what the requests of another host take. */
     void usedBy(String host, EndpointUse use) {
-        EndpointUse old = use == null ? others.remove(host) : others.put(host, use);
-        if (old != null) {
-            othersSum = othersSum.minus(old);
-        }
-        if (use != null) {
-            othersSum = othersSum.plus(use);
+        boolean none = use.equals(EndpointUse.NONE);
+        EndpointUse old = none ? others.remove(host) : others.put(host, use);
+        if (old == null && none) {
+            return;
         }
+        othersSum = othersSum.minus(old == null ? EndpointUse.NONE : old).plus(use);
         othersStalled = others.values().stream().anyMatch(EndpointUse::stalled);
     }
 
-    Set<String> othersKnown() {
-        return others.keySet();
-    }
-
     /** Returns whether it may take work at all, whatever its load. */
     boolean inService(Set<String> domainsOut) {
         return !removed && !registration.leaving() && !domainsOut.contains(registration.failureDomain());
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -1,6 +1,7 @@
 package org.gooseberryring.coordination.direct;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -63,6 +64,9 @@
     /** Work that each request is besides its prompt, in tokens read. */
     private static final double REQUEST_TOKENS = 200;
 
+    /** Endpoints that other hosts use and that this one does not know yet. */
+    private static final int MAX_UNREGISTERED = 256;
+
     /** Demand below which a target is forgotten, in tokens a second. */
     private static final double MIN_DEMAND = 1;
 
@@ -72,6 +76,8 @@
     private final Map<String, List<DirectEndpoint>> byService = new HashMap<>();
     private final Map<String, ReadRate> readRates = new HashMap<>();
     private final Map<Target.RoutedTarget, RateMeter> demand = new HashMap<>();
+    private final Map<String, Map<String, EndpointUse>> unregisteredUses = new HashMap<>();
+    private final Map<String, List<ResidentModel>> unregisteredHoldings = new HashMap<>();
     private final ArrivalEstimate arrivals = new ArrivalEstimate();
     private final Set<Target.RoutedTarget> wanted = new LinkedHashSet<>();
     private ServingConfiguration configuration = ServingConfiguration.none();
@@ -103,6 +109,12 @@
             endpoint = new DirectEndpoint(registration, typicalRate, now);
             endpoints.put(registration.id(), endpoint);
             configure(endpoint);
+            unregisteredUses.getOrDefault(registration.id(), Map.of()).forEach(endpoint::usedBy);
+            unregisteredUses.remove(registration.id());
+            List<ResidentModel> held = unregisteredHoldings.remove(registration.id());
+            if (held != null) {
+                endpoint.announced(held, now);
+            }
         } else {
             endpoint.registered(registration, now);
         }
@@ -129,14 +141,35 @@
         hosts = Math.max(1, count);
     }
 
-    /** Takes over what the requests of another host take of each endpoint, empty once it is gone. */
-    public void usedBy(String host, Map<String, EndpointUse> uses) {
-        for (DirectEndpoint endpoint : endpoints.values()) {
-            EndpointUse use = uses.get(endpoint.registration().id());
-            if (use != null || endpoint.othersKnown().contains(host)) {
+    /**
+     * Takes over what the requests of another host take of endpoints.
+     *
+     * @param uses uses that have changed; an endpoint that serves none of its requests any more has no use
+     * @param complete whether the host takes nothing of the endpoints that are not named
+     * @see #unusedBy
+     */
+    public void usedBy(String host, Map<String, EndpointUse> uses, boolean complete) {
+        if (complete) {
+            endpoints.values().stream()
+                    .filter(endpoint ->
+                            !uses.containsKey(endpoint.registration().id()))
+                    .forEach(endpoint -> endpoint.usedBy(host, EndpointUse.NONE));
+        }
+        uses.forEach((id, use) -> {
+            DirectEndpoint endpoint = endpoints.get(id);
+            if (endpoint != null) {
                 endpoint.usedBy(host, use);
+            } else if (unregisteredUses.size() < MAX_UNREGISTERED || unregisteredUses.containsKey(id)) {
+                unregisteredUses.computeIfAbsent(id, key -> new HashMap<>()).put(host, use);
             }
-        }
+        });
+    }
+
+    /** Takes over that the requests of another host take nothing any more, because it is gone. */
+    public void unusedBy(String host) {
+        unregisteredUses.values().forEach(uses -> uses.remove(host));
+        unregisteredUses.values().removeIf(Map::isEmpty);
+        usedBy(host, Map.of(), true);
     }
 
     /** Returns what the requests of this host take of each endpoint that serves any. */
@@ -173,14 +206,25 @@
         DirectEndpoint known = endpoints.get(endpoint);
         if (known != null) {
             known.announced(models, now);
+        } else if (unregisteredHoldings.size() < MAX_UNREGISTERED || unregisteredHoldings.containsKey(endpoint)) {
+            unregisteredHoldings.put(endpoint, List.copyOf(models));
+        }
+    }
+
+    /** Notes the failure domains whose controllers live, so that what they reported of their endpoints still holds. */
+    public void controlled(Collection<String> failureDomains, long now) {
+        for (DirectEndpoint endpoint : endpoints.values()) {
+            if (failureDomains.contains(endpoint.registration().failureDomain())) {
+                endpoint.controlled(now);
+            }
         }
     }
 
     /** Notes that an endpoint stated that it does not hold what a request needs. */
-    public void lacks(String endpoint, Target target) {
+    public void lacks(String endpoint, Target target, long now) {
         DirectEndpoint known = endpoints.get(endpoint);
         if (known != null && target instanceof Target.RoutedTarget routed && routed.model() != null) {
-            known.lacks(routed.model(), routed.adapter());
+            known.lacks(routed.model(), routed.adapter(), now);
         }
     }
 
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/HostRecord.java
@@ -0,0 +1,167 @@
+package org.gooseberryring.coordination.exchange;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * State of one host as this host knows it.
+ *
+ * <p>Each entry carries the version of its last change, so that what another host lacks can be told from the version
+ * that it has. Removed entries are kept without a value for the same reason.
+ *
+ * @param <K> type of the keys
+ * @param <V> type of the values
+ */
+final class HostRecord<K, V> {
+    /** Time for which a notice is passed on; every link carries several messages in it. */
+    private static final long NOTICE_MILLIS = 2_000;
+
+    private final String host;
+    private final long incarnation;
+    private final String failureDomain;
+    private final Map<K, Entry<V>> entries = new HashMap<>();
+    private final Deque<Notice<V>> notices = new ArrayDeque<>();
+    private final Map<Long, RecordUpdate<K, V>> updates = new HashMap<>();
+    private long version;
+    private long heardAt;
+
+    private record Entry<V>(V value, long version) {}
+
+    private record Notice<V>(V value, long version, long at) {}
+
+    HostRecord(String host, long incarnation, String failureDomain, long now) {
+        this.host = host;
+        this.incarnation = incarnation;
+        this.failureDomain = failureDomain;
+        this.heardAt = now;
+    }
+
+    /** Creates the record of this host itself, which is told to others also while it has no entries. */
+    static <K, V> HostRecord<K, V> own(ExchangeMember self, long incarnation, long now) {
+        HostRecord<K, V> own = new HostRecord<>(self.host(), incarnation, self.failureDomain(), now);
+        own.version = 1;
+        return own;
+    }
+
+    long incarnation() {
+        return incarnation;
+    }
+
+    String failureDomain() {
+        return failureDomain;
+    }
+
+    long version() {
+        return version;
+    }
+
+    long ageMillis(long now) {
+        return Math.max(0, now - heardAt);
+    }
+
+    void heardAt(long at) {
+        heardAt = at;
+    }
+
+    /** Returns whether there is an entry with a key. */
+    boolean has(K key) {
+        Entry<V> entry = entries.get(key);
+        return entry != null && entry.value() != null;
+    }
+
+    /** Returns the present entries. */
+    Map<K, V> values() {
+        Map<K, V> values = new HashMap<>();
+        entries.forEach((key, entry) -> {
+            if (entry.value() != null) {
+                values.put(key, entry.value());
+            }
+        });
+        return values;
+    }
+
+    /** Replaces the entries by the given ones; returns whether anything changed. */
+    boolean publish(Map<K, V> state) {
+        long next = version + 1;
+        boolean changed = false;
+        for (Map.Entry<K, V> each : state.entrySet()) {
+            Entry<V> old = entries.get(each.getKey());
+            if (old == null || !each.getValue().equals(old.value())) {
+                entries.put(each.getKey(), new Entry<>(each.getValue(), next));
+                changed = true;
+            }
+        }
+        for (Map.Entry<K, Entry<V>> each : entries.entrySet()) {
+            if (each.getValue().value() != null && !state.containsKey(each.getKey())) {
+                each.setValue(new Entry<>(null, next));
+                changed = true;
+            }
+        }
+        if (changed) {
+            version = next;
+            updates.clear();
+        }
+        return changed;
+    }
+
+    /** Adds values that every host is told once. */
+    void notify(List<V> values, long now) {
+        if (!values.isEmpty()) {
+            updates.clear();
+            version++;
+            values.forEach(value -> notices.add(new Notice<>(value, version, now)));
+        }
+    }
+
+    /** Drops notices that all links have carried by now. */
+    void expire(long now) {
+        while (!notices.isEmpty() && now - notices.peek().at() > NOTICE_MILLIS) {
+            notices.poll();
+            updates.clear();
+        }
+    }
+
+    /** Takes over an update whose base is known; the update must be newer. */
+    void apply(RecordUpdate<K, V> update, long now) {
+        if (update.isComplete()) {
+            Set<K> kept = new HashSet<>(update.entries().keySet());
+            entries.replaceAll((key, entry) ->
+                    entry.value() == null || kept.contains(key) ? entry : new Entry<>(null, update.version()));
+        }
+        update.entries().forEach((key, value) -> entries.put(key, new Entry<>(value, update.version())));
+        update.removed().forEach(key -> entries.put(key, new Entry<>(null, update.version())));
+        update.notices().forEach(value -> notices.add(new Notice<>(value, update.version(), now)));
+        version = update.version();
+        updates.clear();
+    }
+
+    /** Returns what has changed since a version, the whole state if that is 0; the same object until that changes. */
+    RecordUpdate<K, V> since(long base) {
+        return updates.computeIfAbsent(base, this::changesSince);
+    }
+
+    private RecordUpdate<K, V> changesSince(long base) {
+        Map<K, V> changed = new HashMap<>();
+        Set<K> removed = new HashSet<>();
+        entries.forEach((key, entry) -> {
+            if (entry.version() > base && entry.value() != null) {
+                changed.put(key, entry.value());
+            } else if (entry.version() > base && base > 0) {
+                removed.add(key);
+            }
+        });
+        List<V> news = new ArrayList<>();
+        for (Notice<V> notice : notices) {
+            if (notice.version() > base) {
+                news.add(notice.value());
+            }
+        }
+        return new RecordUpdate<>(host, incarnation, failureDomain, base, version, changed, removed, news);
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/StateExchange.java
@@ -0,0 +1,366 @@
+package org.gooseberryring.coordination.exchange;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Tells all hosts the state of each one.
+ *
+ * <p>The hosts of a failure domain send their state to a relay, which passes it on to them and to the relays of the other
+ * failure domains. Only what the receiver lacks is sent. A relay that does not answer is replaced by the next host in a
+ * fixed order, without an agreement: a host relays for those that send to it. A failure domain whose relays cannot be
+ * reached is heard of through the relay of a third one.
+ *
+ * <p>Hosts that give no sign of life are told apart from those whose state has not changed: a sender names the silent
+ * ones among the hosts that it vouches for.
+ *
+ * @param <K> type of the keys of the state
+ * @param <V> type of its values
+ */
+public final class StateExchange<K, V> {
+    /** Messages without an answer after which a host that was never heard counts as silent, in probe intervals. */
+    private static final int FIRST_PROBES = 3;
+
+    private final ExchangeMember self;
+    private final ExchangeTimes times;
+    private final RelayChoice relays;
+    private final StateTable<K, V> table;
+    private final Map<String, ExchangeLink> links = new TreeMap<>();
+    private final long startedAt;
+    private boolean relaying;
+
+    /** Creates the exchange of a host that knows no other one; {@code incarnation} is the number of its process. */
+    public StateExchange(ExchangeMember self, long incarnation, ExchangeTimes times, long now) {
+        this.self = self;
+        this.times = times;
+        this.relays = new RelayChoice(self);
+        this.table = new StateTable<>(self, incarnation, now);
+        this.startedAt = now;
+    }
+
+    /** Adds another host, or takes over what has changed of it. */
+    public void member(ExchangeMember member) {
+        if (!member.host().equals(self.host())) {
+            relays.member(member);
+        }
+    }
+
+    /** Takes a host out that will not return. */
+    public void memberGone(String host) {
+        if (!host.equals(self.host())) {
+            relays.remove(host);
+            links.remove(host);
+        }
+    }
+
+    /**
+     * Replaces the state of this host.
+     *
+     * @param state all entries
+     * @param notices values that every other host is told once
+     */
+    public void publish(Map<K, V> state, List<V> notices, long now) {
+        table.publish(state, notices, now);
+    }
+
+    /** Returns the entries of a host, empty if it is not known. */
+    public Map<K, V> state(String host) {
+        HostRecord<K, V> known = table.record(host);
+        return known == null ? Map.of() : known.values();
+    }
+
+    /** Returns the other hosts whose state has an entry with a key. */
+    public Set<String> hostsWith(K key) {
+        Set<String> hosts = new HashSet<>();
+        table.records().forEach((host, known) -> {
+            if (known != table.own() && known.has(key)) {
+                hosts.add(host);
+            }
+        });
+        return hosts;
+    }
+
+    /** Returns the milliseconds since the last sign of life of each other host that is known. */
+    public Map<String, Long> ages(long now) {
+        Map<String, Long> ages = new HashMap<>();
+        table.records().forEach((host, each) -> {
+            if (each != table.own()) {
+                ages.put(host, each.ageMillis(now));
+            }
+        });
+        return ages;
+    }
+
+    /** Returns the process number of a host, 0 if the host is not known. */
+    public long incarnation(String host) {
+        HostRecord<K, V> known = table.record(host);
+        return known == null ? 0 : known.incarnation();
+    }
+
+    /** Returns the failure domain of a host, null if the host is not known. */
+    public String failureDomain(String host) {
+        return relays.failureDomain(host);
+    }
+
+    /** Returns the relay that this host sends to and that answers, null if there is none. */
+    public String relay(long now) {
+        return chosen(self.failureDomain(), now).stream()
+                .filter(host -> answers(host, now))
+                .findFirst()
+                .orElse(null);
+    }
+
+    /** Returns the hosts of the failure domain that send to this host, because it relays for them. */
+    public Set<String> followers(long now) {
+        return direct(now);
+    }
+
+    /** Returns whether this host relays for its failure domain. */
+    public boolean isRelay() {
+        return relaying;
+    }
+
+    /**
+     * Returns whether fewer than the given number of living hosts of the failure domain come before this one.
+     *
+     * <p>A host that was just started takes the hosts that it has not heard of yet for living.
+     */
+    public boolean isAmongFirst(int count, long now) {
+        boolean starting = now - startedAt <= times.probeMillis();
+        long before = relays.before().stream()
+                .filter(host -> table.record(host) == null
+                        ? starting
+                        : table.record(host).ageMillis(now) <= FIRST_PROBES * times.probeMillis())
+                .count();
+        return before < count;
+    }
+
+    /** Handles a message of another host. */
+    public List<ExchangeEffect<K, V>> received(String sender, long incarnation, StateSync<K, V> sync, long now) {
+        String domain = relays.failureDomain(sender);
+        if (domain == null) {
+            // Its address is not known yet; it repeats what was not acknowledged.
+            return List.of();
+        }
+        ExchangeLink link = links.computeIfAbsent(sender, host -> new ExchangeLink());
+        if (!link.received(incarnation, sync, now)) {
+            return List.of();
+        }
+        List<ExchangeEffect<K, V>> effects = new ArrayList<>();
+        for (RecordUpdate<K, V> update : sync.updates()) {
+            apply(link, update, effects, now);
+        }
+        vouch(sender, domain, sync, now);
+        return effects;
+    }
+
+    /** Returns what is due; called many times a second. */
+    public List<ExchangeEffect<K, V>> onTick(long now) {
+        List<ExchangeEffect<K, V>> effects = new ArrayList<>();
+        table.expire(now);
+        dropGone(effects, now);
+        noteRole(effects, now);
+        Set<String> chosen = chosen(now);
+        Set<String> receivers = new LinkedHashSet<>(chosen);
+        links.forEach((host, link) -> {
+            if (now - link.askedAt() <= times.acknowledgeMillis()) {
+                receivers.add(host);
+            }
+        });
+        long newsMillis = times.newsMillis(receivers.size(), self.processors());
+        for (String host : receivers) {
+            ExchangeLink link = links.computeIfAbsent(host, key -> new ExchangeLink());
+            if (link.isBroken(times.acknowledgeMillis(), now)) {
+                link.forgetSent();
+                effects.add(new ExchangeEffect.Renew<>(host));
+            }
+            if (now - link.sentAt() >= interval(host, link, newsMillis, now)) {
+                effects.add(new ExchangeEffect.Send<>(host, sync(host, link, chosen.contains(host), now)));
+            }
+        }
+        return effects;
+    }
+
+    private void apply(ExchangeLink link, RecordUpdate<K, V> update, List<ExchangeEffect<K, V>> effects, long now) {
+        switch (table.apply(update, now)) {
+            case NEW -> {
+                link.knows(update.host(), update.incarnation(), update.version());
+                table.record(update.host()).heardAt(now);
+                effects.add(new ExchangeEffect.Changed<>(update));
+            }
+            case GAP -> link.askRestart();
+            default -> link.knows(update.host(), update.incarnation(), update.version());
+        }
+    }
+
+    /** Notes which hosts live by what the sender of a message says. */
+    private void vouch(String sender, String domain, StateSync<K, V> sync, long now) {
+        table.records().forEach((host, known) -> {
+            boolean covered = host.equals(sender)
+                    || sync.coversAll()
+                    || sync.coveredDomains().contains(known.failureDomain())
+                    || sync.relayedHosts().contains(host);
+            Long silent = sync.silent().get(host);
+            if (known != table.own() && covered) {
+                long at = silent == null ? now : now - silent;
+                // The relay of this failure domain sees more than a host that hears of it through others.
+                boolean decides = sync.coversAll() || known.failureDomain().equals(domain);
+                known.heardAt(decides ? at : Math.max(at, now - known.ageMillis(now)));
+            }
+        });
+    }
+
+    private void dropGone(List<ExchangeEffect<K, V>> effects, long now) {
+        table.dropOlderThan(times.goneMillis(), now).forEach((host, dropped) -> {
+            links.values().forEach(link -> link.forget(host));
+            effects.add(new ExchangeEffect.Gone<>(host, dropped.incarnation()));
+        });
+    }
+
+    private void noteRole(List<ExchangeEffect<K, V>> effects, long now) {
+        boolean relaysNow = !relays.hasRelay(host -> mayAnswer(host, now));
+        if (relaysNow != relaying) {
+            relaying = relaysNow;
+            effects.add(new ExchangeEffect.Role<>(relaying));
+        }
+    }
+
+    /** Returns the hosts that this one relies on, those included that it probes because they do not answer. */
+    private Set<String> chosen(long now) {
+        Set<String> chosen = new LinkedHashSet<>(chosen(self.failureDomain(), now));
+        if (relaying) {
+            relays.otherDomains().forEach(domain -> chosen.addAll(chosen(domain, now)));
+        }
+        return chosen;
+    }
+
+    private Collection<String> chosen(String domain, long now) {
+        return relays.upToFirst(domain, host -> answers(host, now));
+    }
+
+    private boolean answers(String host, long now) {
+        ExchangeLink link = links.get(host);
+        return link != null && now - link.heardAt() <= times.liveMillis();
+    }
+
+    /** Returns whether a host answers, or was not asked for long enough to tell. */
+    private boolean mayAnswer(String host, long now) {
+        ExchangeLink link = links.get(host);
+        if (link == null) {
+            return true;
+        }
+        boolean untold = link.receivedNumber() == 0 && now - link.triedSince() <= times.liveMillis();
+        return untold || answers(host, now);
+    }
+
+    private long interval(String host, ExchangeLink link, long newsMillis, long now) {
+        boolean silent = now - link.heardAt() > FIRST_PROBES * times.probeMillis()
+                && now - link.triedSince() > FIRST_PROBES * times.probeMillis();
+        if (silent) {
+            return times.probeMillis();
+        }
+        return lacks(host, link) ? newsMillis : times.keepAliveMillis();
+    }
+
+    /** Returns whether the other end of a link lacks a part of the state that it is to be told. */
+    private boolean lacks(String host, ExchangeLink link) {
+        if (!link.isBehind(table.changes())) {
+            return false;
+        }
+        Scope scope = scope(host, link);
+        for (Map.Entry<String, HostRecord<K, V>> each : table.records().entrySet()) {
+            HostRecord<K, V> known = each.getValue();
+            if (scope.includes(each.getKey(), known.failureDomain())
+                    && link.knownVersion(each.getKey(), known.incarnation()) < known.version()) {
+                return true;
+            }
+        }
+        link.caughtUp(table.changes());
+        return false;
+    }
+
+    private StateSync<K, V> sync(String host, ExchangeLink link, boolean asks, long now) {
+        Scope scope = scope(host, link);
+        List<RecordUpdate<K, V>> updates = new ArrayList<>();
+        Map<String, Long> silent = new HashMap<>();
+        table.records().forEach((name, known) -> {
+            long base = link.knownVersion(name, known.incarnation());
+            if (scope.includes(name, known.failureDomain()) && base < known.version()) {
+                updates.add(known.since(base));
+                link.knows(name, known.incarnation(), known.version());
+            }
+            boolean vouched = scope.coversAll() || scope.domains().contains(known.failureDomain());
+            if (vouched && known != table.own() && known.ageMillis(now) > times.freshMillis()) {
+                silent.put(name, known.ageMillis(now));
+            }
+        });
+        boolean near = scope.near();
+        return new StateSync<>(
+                link.sent(table.changes(), now),
+                link.receivedNumber(),
+                asks,
+                link.takeRestart(),
+                near || !relaying ? Set.of() : wanted(relays.failureDomain(host), now),
+                scope.coversAll(),
+                scope.domains(),
+                near && !scope.coversAll() ? direct(now) : Set.of(),
+                updates,
+                silent);
+    }
+
+    /**
+     * Part of the state that the other end of a link is told.
+     *
+     * @param receiver host at the other end
+     * @param near whether it lies in the same failure domain, so that it is told everything
+     * @param coversAll whether this host vouches for all others
+     * @param domains failure domains that a relay of another one is told
+     */
+    private record Scope(String receiver, boolean near, boolean coversAll, Set<String> domains) {
+        boolean includes(String host, String failureDomain) {
+            return !host.equals(receiver) && (near || domains.contains(failureDomain));
+        }
+    }
+
+    private Scope scope(String host, ExchangeLink link) {
+        if (self.failureDomain().equals(relays.failureDomain(host))) {
+            return new Scope(host, true, !relays.before().contains(host), Set.of());
+        }
+        Set<String> domains = new HashSet<>(link.wantedByPeer());
+        domains.add(self.failureDomain());
+        return new Scope(host, false, false, domains);
+    }
+
+    /** Returns the failure domains that the relay of another one is asked to pass on, because none of theirs answers. */
+    private Set<String> wanted(String askedDomain, long now) {
+        Set<String> wanted = new HashSet<>();
+        for (String domain : relays.otherDomains()) {
+            boolean reached = chosen(domain, now).stream().anyMatch(host -> mayAnswer(host, now));
+            if (!reached && !domain.equals(askedDomain)) {
+                wanted.add(domain);
+            }
+        }
+        return wanted;
+    }
+
+    /** Returns the hosts of the own failure domain that send to this host. */
+    private Set<String> direct(long now) {
+        Set<String> direct = new HashSet<>();
+        links.forEach((host, link) -> {
+            boolean near = self.failureDomain().equals(relays.failureDomain(host));
+            if (near
+                    && now - link.askedAt() <= times.freshMillis()
+                    && !relays.before().contains(host)) {
+                direct.add(host);
+            }
+        });
+        return direct;
+    }
+}
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/CollectionFeed.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/CollectionFeed.java
@@ -16,9 +16,20 @@
  * needs is gone. An answer that is older than what is known changes nothing. After an outage, objects that are missing
  * are kept for a grace time, because their owners may write them again.
  *
+ * <p>It may also rely on another host that follows the same collection and passes its changes on. It then makes no calls,
+ * unless a change that the other host knows of did not arrive.
+ *
  * @param <T> type of the content
  */
 public final class CollectionFeed<T> {
+    /** Time by which an answer may be later than the longest wait while others may rely on it. */
+    private static final long FRESH_SLACK_MILLIS = 300;
+
+    /** Time for which a change that another host knows of may be on its way. */
+    private static final long BEHIND_MILLIS = 300;
+
+    private static final long NEVER = Long.MAX_VALUE;
+
     private final FeedTimes times;
     private final FeedListener<T> listener;
     private final Backoff backoff;
@@ -35,6 +46,10 @@
     private long answeredAt;
     private long graceUntil = Long.MIN_VALUE;
     private boolean inContact = true;
+    private boolean following;
+    private long changedRevision;
+    private long behindSince = NEVER;
+    private long calledAt;
 
     /** Creates a feed that has read nothing yet; {@code now} is monotonic time in milliseconds. */
     public CollectionFeed(FeedTimes times, FeedListener<T> listener, RandomGenerator random, long now) {
@@ -48,7 +63,59 @@
     public List<FeedCall> onTick(long now) {
         noteContact(now);
         dropDoubtful(now);
-        return open || now < retryAt ? List.of() : next();
+        boolean rests = following && !listing && now - behindSince <= BEHIND_MILLIS;
+        return open || rests || now < retryAt ? List.of() : next(now);
+    }
+
+    /** Returns how far the collection was followed. */
+    public FeedPosition position(long now) {
+        boolean fresh = !listing && now - answeredAt <= times.waitMillis() + FRESH_SLACK_MILLIS;
+        return new FeedPosition(changedRevision, fresh, inContact);
+    }
+
+    /** Relies on another host, whose position is given; called several times a second for as long as it holds. */
+    public void follow(FeedPosition position, long now) {
+        following = true;
+        if (!inContact) {
+            graceUntil = now + times.graceMillis();
+        }
+        answeredAt = Math.max(answeredAt, now - times.waitMillis());
+        if (revision >= position.changedRevision()) {
+            behindSince = NEVER;
+        } else {
+            behindSince = Math.min(behindSince, now);
+        }
+    }
+
+    /**
+     * Relies on no other host any more.
+     *
+     * @param outage whether the other host has noticed an outage of the store
+     */
+    public void unfollow(boolean outage, long now) {
+        if (following && outage && inContact) {
+            inContact = false;
+            answeredAt = Math.min(answeredAt, now - times.waitMillis() - times.outageMillis() - 1);
+            listener.contact(false, now);
+        }
+        following = false;
+        behindSince = NEVER;
+    }
+
+    /**
+     * Takes over changes that another host passes on.
+     *
+     * @param from revision after which they are complete
+     */
+    public void onPassedOn(long from, FeedChanges<T> changes, long now) {
+        if (following && !listing && revision >= from) {
+            take(changes, now);
+        }
+    }
+
+    /** Returns the revision up to which changes are known. */
+    public long revision() {
+        return revision;
     }
 
     /** Handles a page of the list. */
@@ -65,7 +132,7 @@
             after = item.name();
         }
         if (page.more() && !page.items().isEmpty()) {
-            return next();
+            return next(now);
         }
         after = "";
         if (listRevision < revision) {
@@ -73,7 +140,7 @@
             return retryLater(now);
         }
         takeList(now);
-        return next();
+        return proceed(now);
     }
 
     /** Handles the answer to a watch. */
@@ -81,16 +148,12 @@
         if (!answered(id, now)) {
             return List.of();
         }
-        for (FeedChanges.Change<T> change : changes.changes()) {
-            FeedItem<T> item = change.item();
-            if (change.removed()) {
-                removed(item.name(), now);
-            } else {
-                changed(item, now);
-            }
+        take(changes, now);
+        if (now - calledAt < times.pauseMillis()) {
+            retryAt = calledAt + times.pauseMillis();
+            return List.of();
         }
-        revision = Math.max(revision, changes.revision());
-        return next();
+        return proceed(now);
     }
 
     /** Handles the answer that the history which a watch needs is gone. */
@@ -99,7 +162,7 @@
             return List.of();
         }
         listing = true;
-        return next();
+        return next(now);
     }
 
     /** Handles a call that failed or was refused. */
@@ -112,6 +175,25 @@
         return retryLater(now);
     }
 
+    private void take(FeedChanges<T> changes, long now) {
+        for (FeedChanges.Change<T> change : changes.changes()) {
+            FeedItem<T> item = change.item();
+            if (change.removed()) {
+                removed(item.name(), now);
+            } else {
+                changed(item, now);
+            }
+        }
+        revision = Math.max(revision, changes.revision());
+        if (!changes.changes().isEmpty()) {
+            changedRevision = revision;
+        }
+    }
+
+    private List<FeedCall> proceed(long now) {
+        return following ? List.of() : next(now);
+    }
+
     private boolean answered(long id, long now) {
         if (id != callId || !open) {
             return false;
@@ -121,6 +203,7 @@
             graceUntil = now + times.graceMillis();
         }
         backoff.reset();
+        behindSince = NEVER;
         answeredAt = now;
         noteContact(now);
         return true;
@@ -135,6 +218,7 @@
         missing.forEach(name -> removed(name, now));
         pages.clear();
         revision = listRevision;
+        changedRevision = revision;
         listing = false;
         listener.listed(revision, now);
     }
@@ -186,7 +270,8 @@
         }
     }
 
-    private List<FeedCall> next() {
+    private List<FeedCall> next(long now) {
+        calledAt = now;
         open = true;
         callId++;
         return List.of(
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedBucket.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedBucket.java
@@ -1,6 +1,5 @@
 package org.gooseberryring.coordination.limit;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -36,9 +35,9 @@
         private double assumed;
         private long assumedTo;
 
-        /** Assumes a use at a rate since the last message or assumption; returns its tokens. */
-        private double assume(double perSecond, long now) {
-            double more = perSecond * (now - assumedTo) / MILLIS_PER_SECOND;
+        /** Assumes a use at a rate since the host was heard or the last assumption; returns its tokens. */
+        private double assume(double perSecond, long heardAt, long now) {
+            double more = perSecond * (now - Math.max(heardAt, assumedTo)) / MILLIS_PER_SECOND;
             assumed += more;
             assumedTo = now;
             return more;
@@ -65,15 +64,30 @@
         return ownUsed;
     }
 
+    /** Meets a host whose earlier use is not known in time. */
+    void met(String host, long total, long now) {
+        HostUse use = new HostUse();
+        use.total = total;
+        use.recentAt = now;
+        use.assumedTo = now;
+        hosts.put(host, use);
+    }
+
+    /** Notes that a host has used nothing more than what is known, in place of what was assumed of it. */
+    void heard(String host, long now) {
+        HostUse use = hosts.get(host);
+        if (use != null) {
+            usedBy(host, use.total, now);
+        }
+    }
+
     /** Takes over the total of another host in place of what was assumed of it. */
     void usedBy(String host, long total, long now) {
         fill(now);
         HostUse use = hosts.get(host);
         if (use == null) {
-            // What a host admitted before it was first heard of is not known in time.
-            use = new HostUse();
-            use.total = total;
-            hosts.put(host, use);
+            met(host, total, now);
+            return;
         }
         long delta = total - use.total;
         level = Math.min(burst, level + use.assumed - delta);
@@ -87,26 +101,29 @@
     /**
      * Assumes that silent hosts have gone on to use their parts of the rate, each at least an equal one, all together no
      * more than the rate.
+     *
+     * @param silentSince time at which each of them was heard last
      */
-    void assume(Collection<String> silent, int hostCount, long now) {
+    void assume(Map<String, Long> silentSince, int hostCount, long now) {
         double sum = ownRecent;
         for (HostUse each : hosts.values()) {
             sum += each.recent;
         }
-        Map<HostUse, Double> shares = new HashMap<>();
+        Map<String, Double> shares = new HashMap<>();
         double all = 0;
-        for (String host : silent) {
+        for (String host : silentSince.keySet()) {
             HostUse use = hosts.get(host);
             if (use != null) {
                 double share = Math.max(1.0 / hostCount, sum <= 0 ? 0 : use.recent / sum);
-                shares.put(use, share);
+                shares.put(host, share);
                 all += share;
             }
         }
         double part = 1 / Math.max(1, all);
         double used = 0;
-        for (Map.Entry<HostUse, Double> entry : shares.entrySet()) {
-            used += entry.getKey().assume(entry.getValue() * part * rate, now);
+        for (Map.Entry<String, Double> entry : shares.entrySet()) {
+            String host = entry.getKey();
+            used += hosts.get(host).assume(entry.getValue() * part * rate, silentSince.get(host), now);
         }
         // Filled and used in one step: a bucket that is filled to its burst first would lose the rate of a long step.
         level = Math.max(-burst, Math.min(burst, level + filled(now) - used));
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedLimits.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedLimits.java
@@ -29,6 +29,8 @@
     private final Map<String, SharedBucket> buckets = new HashMap<>();
     private final Map<String, Reservation> reservations = new HashMap<>();
     private final Map<String, Long> heardAt = new HashMap<>();
+    private final Map<String, Long> incarnations = new HashMap<>();
+    private final Set<String> assumed = new HashSet<>();
     private long tickedAt = Long.MIN_VALUE;
 
     private record Reservation(String organisation, long tokens) {}
@@ -44,19 +46,40 @@
         }
         buckets.keySet().retainAll(limited.keySet());
         limited.forEach((id, organisation) ->
-                buckets.computeIfAbsent(id, key -> new SharedBucket(now)).configured(organisation, now));
+                buckets.computeIfAbsent(id, key -> newBucket(now)).configured(organisation, now));
     }
 
     /**
      * Takes over what another host has admitted.
      *
-     * @param host host with its incarnation
-     * @param usedTokens tokens since the start of that process by organisation
+     * @param incarnation number of its process; what an earlier process admitted no longer counts as silent use
+     * @param usedTokens tokens since the start of that process by organisation; those that are not named are unchanged
      */
-    public void usedBy(String host, Map<String, Long> usedTokens, long now) {
+    public void usedBy(String host, long incarnation, Map<String, Long> usedTokens, long now) {
         catchUp(now);
+        Long known = incarnations.put(host, incarnation);
+        boolean met = known != null && known == incarnation && heardAt.containsKey(host);
         heardAt.put(host, now);
-        buckets.forEach((id, bucket) -> bucket.usedBy(host, usedTokens.getOrDefault(id, 0L), now));
+        assumed.remove(host);
+        buckets.forEach((id, bucket) -> {
+            if (!met) {
+                bucket.met(host, usedTokens.getOrDefault(id, 0L), now);
+            } else if (usedTokens.containsKey(id)) {
+                bucket.usedBy(host, usedTokens.get(id), now);
+            } else {
+                bucket.heard(host, now);
+            }
+        });
+    }
+
+    /** Notes when another host, which has admitted nothing more since, was last heard of. */
+    public void heard(String host, long ageMillis, long now) {
+        if (heardAt.containsKey(host)) {
+            heardAt.put(host, now - ageMillis);
+            if (ageMillis <= ASSUME_MILLIS && assumed.remove(host)) {
+                buckets.values().forEach(bucket -> bucket.heard(host, now));
+            }
+        }
     }
 
     /** Returns the tokens that this host has admitted since its start by organisation. */
@@ -70,22 +93,32 @@
     public void tick(long now) {
         catchUp(now);
         tickedAt = now;
-        heardAt.entrySet().removeIf(entry -> {
-            boolean gone = now - entry.getValue() > GONE_MILLIS;
-            if (gone) {
-                buckets.values().forEach(bucket -> bucket.forget(entry.getKey()));
-            }
-            return gone;
-        });
-        Set<String> silent = new HashSet<>();
+        Set<String> gone = new HashSet<>();
+        Map<String, Long> silent = new HashMap<>();
         heardAt.forEach((host, at) -> {
-            if (now - at > ASSUME_MILLIS) {
-                silent.add(host);
+            if (now - at > GONE_MILLIS) {
+                gone.add(host);
+            } else if (now - at > ASSUME_MILLIS) {
+                silent.put(host, at);
             }
         });
+        gone.forEach(this::forget);
         assume(silent, now);
     }
 
+    private void forget(String host) {
+        heardAt.remove(host);
+        incarnations.remove(host);
+        assumed.remove(host);
+        buckets.values().forEach(bucket -> bucket.forget(host));
+    }
+
+    private SharedBucket newBucket(long now) {
+        SharedBucket bucket = new SharedBucket(now);
+        heardAt.keySet().forEach(host -> bucket.met(host, 0, now));
+        return bucket;
+    }
+
     /**
      * Notices that this host itself was stopped. The others have used their parts meanwhile, although none of them was
      * heard; that none was heard does not show that they were silent.
@@ -96,14 +129,16 @@
         }
         long stopped = now - tickedAt;
         tickedAt = now;
-        assume(heardAt.keySet(), now);
+        assume(Map.copyOf(heardAt), now);
         heardAt.replaceAll((host, at) -> Math.min(now, at + stopped));
     }
 
-    private void assume(Set<String> silent, long now) {
-        if (!silent.isEmpty()) {
+    /** Assumes the use of hosts since they were heard last. */
+    private void assume(Map<String, Long> silentSince, long now) {
+        if (!silentSince.isEmpty()) {
+            assumed.addAll(silentSince.keySet());
             int hosts = heardAt.size() + 1;
-            buckets.values().forEach(bucket -> bucket.assume(silent, hosts, now));
+            buckets.values().forEach(bucket -> bucket.assume(silentSince, hosts, now));
         }
     }
 
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/EndpointLedger.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/EndpointLedger.java
@@ -214,6 +214,11 @@
         arrivedAt = now + ADAPTER_MILLIS;
     }
 
+    /** Returns whether adapters that were ordered do not count as held yet. */
+    boolean awaitsAdapter() {
+        return !arriving.isEmpty();
+    }
+
     /** Lets adapters that were ordered count as held once they must have arrived. */
     void tick(long now) {
         lateLoads.tick(now);
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/Fleet.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/Fleet.java
@@ -32,9 +32,10 @@
 
     void registered(EndpointRegistration registration) {
         EndpointRegistration old = registrations.put(registration.id(), registration);
-        if (old == null
-                || !old.models().equals(registration.models())
-                || old.bornMillis() != registration.bornMillis()) {
+        boolean unheard = old == null && !models.containsKey(registration.id());
+        if (unheard
+                || old != null && !old.models().equals(registration.models())
+                || old != null && old.bornMillis() != registration.bornMillis()) {
             holds(registration.id(), registration.models(), null);
         }
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
@@ -47,7 +47,6 @@
     /** Time after which a model that is wanted and not loaded elsewhere is loaded to this failure domain. */
     private static final long FOREIGN_PLACE_MILLIS = 1_500;
 
-    private static final long ANNOUNCE_MILLIS = 1_000;
     private static final long REBALANCE_MILLIS = 500;
 
     private final String failureDomain;
@@ -61,7 +60,7 @@
     private final Map<String, Move> moves = new TreeMap<>();
     private final Map<Target.RoutedTarget, Wanted> wanted = new LinkedHashMap<>();
     private long term;
-    private long announceAt;
+    private boolean leading;
     private long rebalanceAt;
     private int passes;
 
@@ -172,6 +171,16 @@
         }
     }
 
+    /** Returns whether this host controls the endpoints of its failure domain. */
+    public boolean isLeading() {
+        return leading;
+    }
+
+    /** Returns whether an artifact is awaited, so that the next call is due within a few milliseconds. */
+    public boolean isDue() {
+        return leading && (!wanted.isEmpty() || ledgers.values().stream().anyMatch(EndpointLedger::awaitsAdapter));
+    }
+
     /**
      * Returns what is due; called many times a second.
      *
@@ -179,7 +188,8 @@
      */
     public List<ResidencyEffect> onTick(long leadingTerm, long now) {
         wanted.values().removeIf(want -> now - want.last() > WANTED_MILLIS);
-        if (leadingTerm == 0) {
+        leading = leadingTerm != 0;
+        if (!leading) {
             return List.of();
         }
         if (leadingTerm != term) {
@@ -197,7 +207,7 @@
         serveWanted(effects, now);
         rebalance(now);
         advanceMoves(effects, now);
-        announce(effects, now);
+        announce(effects);
         return effects;
     }
 
@@ -352,13 +362,9 @@
         effects.add(new ResidencyEffect.Send(ledger.order(action, model, adapter, term)));
     }
 
-    private void announce(List<ResidencyEffect> effects, long now) {
-        boolean all = now >= announceAt;
-        if (all) {
-            announceAt = now + ANNOUNCE_MILLIS;
-        }
+    private void announce(List<ResidencyEffect> effects) {
         for (EndpointLedger ledger : ledgers.values()) {
-            if (ledger.takeChanged() || all && ledger.isKnown()) {
+            if (ledger.takeChanged()) {
                 ResidencyEffect.Announce announcement = ledger.announcement();
                 holds(announcement);
                 effects.add(announcement);
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/DirectRouterTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/DirectRouterTest.java
@@ -109,7 +109,7 @@
         RouteQuery first = query(MODEL, PROMPT);
         String chosen = router.choose(first, 0).id();
         router.started(chosen, first, 0);
-        router.usedBy("other", Map.of(chosen, new EndpointUse(5, 30_000, 35_000)));
+        router.usedBy("other", Map.of(chosen, new EndpointUse(5, 30_000, 35_000)), true);
         assertThat(router.choose(query(MODEL, PROMPT), 10).id()).isNotEqualTo(chosen);
     }
 
@@ -202,7 +202,7 @@
         router.unregistered("e2");
         assertThat(router.choose(query(MODEL, PromptShape.NONE), 3_110)).isEqualTo(RouteChoice.WAIT);
         assertThat(router.choose(query(MODEL, PromptShape.NONE), 3_500).id()).isEqualTo("e1");
-        router.usedBy("other", Map.of("e1", new EndpointUse(1, 0, 0, true)));
+        router.usedBy("other", Map.of("e1", new EndpointUse(1, 0, 0, true)), true);
         assertThat(router.choose(query(MODEL, PromptShape.NONE), 3_500)).isEqualTo(RouteChoice.WAIT);
     }
 
@@ -211,11 +211,11 @@
     void spreadsPlainRequestsByTheShareOfSlotsTaken() {
         router.registered(service("s1"), 0);
         router.registered(service("s2"), 0);
-        router.usedBy("other", Map.of("s1", new EndpointUse(4, 0, 0)));
+        router.usedBy("other", Map.of("s1", new EndpointUse(4, 0, 0)), true);
         assertThat(router.choose(query(PLAIN, PromptShape.NONE), 0).id()).isEqualTo("s2");
-        router.usedBy("other", Map.of("s1", new EndpointUse(6, 0, 0), "s2", new EndpointUse(6, 0, 0)));
+        router.usedBy("other", Map.of("s1", new EndpointUse(6, 0, 0), "s2", new EndpointUse(6, 0, 0)), true);
         assertThat(router.choose(query(PLAIN, PromptShape.NONE), 0)).isEqualTo(RouteChoice.WAIT);
-        router.usedBy("other", Map.of());
+        router.unusedBy("other");
         assertThat(router.choose(query(PLAIN, PromptShape.NONE), 0).kind()).isEqualTo(RouteChoice.Kind.ENDPOINT);
     }
 
--- /dev/null
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/exchange/StateExchangeTest.java
@@ -0,0 +1,210 @@
+package org.gooseberryring.coordination.exchange;
+
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+class StateExchangeTest {
+    /** Bound for a change to reach all hosts while nothing fails, in milliseconds. */
+    private static final long CONVERGENCE_MILLIS = 1_000;
+
+    /** Time after which a lost relay, a cut or a restart no longer shows, in milliseconds. */
+    private static final long RECOVERY_MILLIS = 4_000;
+
+    private static final String KEY = "k";
+
+    /** Guards against a change that does not reach all hosts, or only late. */
+    @Test
+    void aChangeReachesAllHosts() {
+        ExchangeWorld world = started(4, 5);
+        world.node("d2-h03").publish(KEY, 7L);
+        world.pass(CONVERGENCE_MILLIS);
+        assertAllKnow(world, "d2-h03", 7L);
+    }
+
+    /** Guards against an entry that is gone at its host and stays at the others. */
+    @Test
+    void aRemovedEntryIsGoneEverywhere() {
+        ExchangeWorld world = started(3, 3);
+        world.node("d1-h02").publish(KEY, 1L);
+        world.pass(CONVERGENCE_MILLIS);
+        world.node("d1-h02").publish(KEY, null);
+        world.pass(CONVERGENCE_MILLIS);
+        assertAllKnow(world, "d1-h02", null);
+    }
+
+    /** Guards against notices that are lost or told over and over. */
+    @Test
+    void aNoticeReachesEveryHostOnce() {
+        ExchangeWorld world = started(3, 3);
+        world.node("d0-h01").notice(5L);
+        world.pass(5_000);
+        for (ExchangeWorld.Node node : world.running()) {
+            if (node != world.node("d0-h01")) {
+                assertThat(node.notices("d0-h01")).containsExactly(5L);
+            }
+        }
+    }
+
+    /** Guards against a failure domain that hears nothing any more because its relay has stopped. */
+    @Test
+    void aRelayThatStopsIsReplaced() {
+        ExchangeWorld world = started(3, 4);
+        world.kill("d0-h00");
+        world.kill("d1-h00");
+        world.pass(RECOVERY_MILLIS);
+        world.node("d0-h02").publish(KEY, 3L);
+        world.pass(CONVERGENCE_MILLIS);
+        assertAllKnow(world, "d0-h02", 3L);
+    }
+
+    /** Guards against a relay that runs while a host of its failure domain cannot reach it, and that host being lost. */
+    @Test
+    void aHostThatCannotReachItsRelayUsesAnother() {
+        ExchangeWorld world = started(2, 4);
+        world.cut((from, to) -> from.host().equals("d0-h03") && to.host().equals("d0-h00"));
+        world.pass(RECOVERY_MILLIS);
+        world.node("d0-h03").publish(KEY, 9L);
+        world.pass(2 * CONVERGENCE_MILLIS);
+        assertAllKnow(world, "d0-h03", 9L);
+        assertThat(world.node("d1-h02").exchange().ages(world.now()).get("d0-h03"))
+                .isLessThan(1_000L);
+    }
+
+    /** Guards against two failure domains that lose each other although a third one reaches both. */
+    @Test
+    void domainsThatCannotReachEachOtherHearThroughAThird() {
+        ExchangeWorld world = started(3, 3);
+        world.cut((from, to) -> !from.failureDomain().equals(to.failureDomain())
+                && !from.failureDomain().equals("d1")
+                && !to.failureDomain().equals("d1"));
+        world.pass(15_000);
+        world.node("d0-h02").publish(KEY, 4L);
+        world.pass(2 * CONVERGENCE_MILLIS);
+        assertAllKnow(world, "d0-h02", 4L);
+        assertThat(world.node("d2-h01").exchange().ages(world.now()).get("d0-h02"))
+                .isLessThan(1_500L);
+    }
+
+    /** Guards against a host that is silent and taken for living, and against living hosts that are taken for silent. */
+    @Test
+    void tellsSilentHostsFromThoseWithoutNews() {
+        ExchangeWorld world = started(3, 4);
+        world.freeze("d2-h01", true);
+        world.pass(1_500);
+        for (ExchangeWorld.Node node : world.running()) {
+            if (node == world.node("d2-h01")) {
+                continue;
+            }
+            node.exchange().ages(world.now()).forEach((host, age) -> {
+                if (host.equals("d2-h01")) {
+                    assertWithMessage("age of the silent host").that(age).isGreaterThan(1_000L);
+                } else {
+                    assertWithMessage("age of " + host).that(age).isLessThan(1_000L);
+                }
+            });
+        }
+        world.freeze("d2-h01", false);
+        world.pass(CONVERGENCE_MILLIS);
+        assertThat(world.node("d0-h01").exchange().ages(world.now()).get("d2-h01"))
+                .isLessThan(1_000L);
+    }
+
+    /** Guards against state of an earlier process that outlives a restart. */
+    @Test
+    void aRestartedHostIsKnownByItsNewState() {
+        ExchangeWorld world = started(3, 3);
+        world.node("d1-h00").publish("old", 1L);
+        world.pass(CONVERGENCE_MILLIS);
+        world.kill("d1-h00");
+        world.pass(200);
+        world.restart("d1-h00");
+        world.node("d1-h00").publish(KEY, 2L);
+        world.pass(RECOVERY_MILLIS);
+        assertAllKnow(world, "d1-h00", 2L);
+        world.running().forEach(node -> assertThat(node.value("d1-h00", "old")).isNull());
+    }
+
+    /** Guards against beliefs that go back and against hosts that do not agree again after cuts, stops and restarts. */
+    @Property(tries = 40, seed = "8211", shrinking = ShrinkingMode.OFF)
+    void convergesAfterRandomFaultsAndNeverGoesBack(@ForAll long seed) {
+        Random random = new Random(seed);
+        ExchangeWorld world = started(2 + random.nextInt(3), 1 + random.nextInt(4));
+        java.util.List<String> hosts = new java.util.ArrayList<>(new java.util.TreeSet<>(world.hosts()));
+        long value = 0;
+        for (int step = 0; step < 30; step++) {
+            String host = hosts.get(random.nextInt(hosts.size()));
+            String other = hosts.get(random.nextInt(hosts.size()));
+            switch (random.nextInt(6)) {
+                case 0 ->
+                    world.cut(
+                            (from, to) -> from.host().equals(host) || to.host().equals(other));
+                case 1 ->
+                    world.cut((from, to) -> from.failureDomain().equals("d0")
+                            != to.failureDomain().equals("d0"));
+                case 2 -> world.freeze(host, random.nextBoolean());
+                case 3 -> world.kill(host);
+                case 4 -> world.restart(host);
+                default -> world.cut((from, to) -> false);
+            }
+            for (ExchangeWorld.Node node : world.running()) {
+                node.publish(KEY, ++value);
+            }
+            world.pass(random.nextInt(1_500));
+        }
+        world.cut((from, to) -> false);
+        hosts.forEach(host -> world.freeze(host, false));
+        world.pass(RECOVERY_MILLIS);
+        for (ExchangeWorld.Node node : world.running()) {
+            node.publish(KEY, ++value);
+        }
+        world.pass(2 * CONVERGENCE_MILLIS);
+        for (ExchangeWorld.Node node : world.running()) {
+            assertThat(node.goneBack()).isEqualTo(0);
+            for (ExchangeWorld.Node known : world.running()) {
+                assertThat(node.value(name(world, known), KEY)).isEqualTo(known.value(name(world, known), KEY));
+            }
+        }
+    }
+
+    /** Guards against messages of a host that grow with the fleet. */
+    @Test
+    void messagesOfAHostDoNotGrowWithTheFleet() {
+        for (int perDomain : new int[] {6, 20, 60}) {
+            ExchangeWorld world = started(5, perDomain);
+            world.running().forEach(ExchangeWorld.Node::takeSent);
+            for (int second = 0; second < 5; second++) {
+                long value = second;
+                world.running().forEach(node -> node.publish(KEY, value));
+                world.pass(1_000);
+            }
+            assertThat(world.node("d3-h05").takeSent()).isAtMost(5 * 6L);
+            assertThat(world.node("d3-h00").takeSent()).isAtMost(5 * 6L * (perDomain + 4));
+        }
+    }
+
+    private static ExchangeWorld started(int domains, int hostsPerDomain) {
+        ExchangeWorld world = new ExchangeWorld(domains, hostsPerDomain);
+        world.pass(RECOVERY_MILLIS);
+        return world;
+    }
+
+    private static void assertAllKnow(ExchangeWorld world, String host, Long value) {
+        for (ExchangeWorld.Node node : world.running()) {
+            assertThat(node.value(host, KEY)).isEqualTo(value);
+        }
+    }
+
+    private static String name(ExchangeWorld world, ExchangeWorld.Node node) {
+        return world.hosts().stream()
+                .filter(host -> world.node(host) == node)
+                .findFirst()
+                .orElseThrow();
+    }
+}
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/feed/CollectionFeedTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/feed/CollectionFeedTest.java
@@ -11,7 +11,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 class CollectionFeedTest {
-    private static final FeedTimes TIMES = new FeedTimes(2_000, 100, 800, 700, 1_900);
+    private static final FeedTimes TIMES = new FeedTimes(2_000, 0, 100, 800, 700, 1_900);
 
     private final Map<String, String> known = new TreeMap<>();
     private final List<Boolean> contacts = new ArrayList<>();
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/SharedLimitsTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/SharedLimitsTest.java
@@ -153,7 +153,7 @@
                 }
                 for (int other = 0; other < hosts.size(); other++) {
                     if (other != i && (connected || i != 0 && other != 0)) {
-                        hosts.get(other).usedBy("h" + i, hosts.get(i).used(), now);
+                        hosts.get(other).usedBy("h" + i, 1, hosts.get(i).used(), now);
                     }
                 }
             }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -115,7 +115,7 @@
                 .with("unreadTokens", dispatch.forecast().unreadTokens())
                 .with("expectedStartMs", dispatch.forecast().startMillis())
                 .debug(LOG);
-        BooleanSupplier mayStart = gate.mayStart(endpoint.id());
+        BooleanSupplier mayStart = gate.mayStart(request.spec(), endpoint.id());
         Progress progress = new Progress(request, dispatch.attempt(), endpoint.id());
         request.thread().execute(() -> send(progress, endpoint.address(), call, mayStart));
     }
@@ -139,7 +139,9 @@
             loop.attemptEnded(request.spec().id(), progress.number, notRun());
             return;
         }
-        EndpointAttempt attempt = client.send(address, call, request.thread(), request.sink(), progress, mayStart);
+        // The caller may leave while the connection opens.
+        BooleanSupplier wanted = () -> !request.ended() && mayStart.getAsBoolean();
+        EndpointAttempt attempt = client.send(address, call, request.thread(), request.sink(), progress, wanted);
         request.attempt(progress.number, attempt);
     }
 
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/AttemptGate.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/AttemptGate.java
@@ -11,7 +11,7 @@
      * Returns a check that the I/O thread makes right before it writes a request to an endpoint; call on the request
      * thread when the request is dispatched.
      */
-    BooleanSupplier mayStart(String endpoint);
+    BooleanSupplier mayStart(RequestSpec spec, String endpoint);
 
     /** Hears of an attempt that ended, on an I/O thread, and returns the outcome that the engine is told. */
     AttemptOutcome attemptEnded(RequestSpec spec, String endpoint, AttemptOutcome outcome);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/RequestCredits.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/RequestCredits.java
@@ -53,7 +53,7 @@
 
     /** Returns a check of the lease: a host that was frozen in between must not start the request on an expired one. */
     @Override
-    public BooleanSupplier mayStart(String endpoint) {
+    public BooleanSupplier mayStart(RequestSpec spec, String endpoint) {
         if (!shared) {
             return () -> true;
         }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/RequestLoop.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/RequestLoop.java
@@ -93,6 +93,11 @@
         ring.offer(input);
     }
 
+    /** Hands over an event; returns false if the ring is full. */
+    public boolean tryPut(RequestInput input) {
+        return ring.offer(input);
+    }
+
     public long depth() {
         return ring.depth();
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/CollectionSource.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/CollectionSource.java
@@ -16,5 +16,12 @@
     CompletableFuture<FeedPage<T>> list(String after);
 
     /** Waits for changes after a revision; empty if that history is gone. */
-    CompletableFuture<Optional<FeedChanges<T>>> watch(long revision, long waitMillis);
+    CompletableFuture<Optional<WatchAnswer<T>>> watch(long revision, long waitMillis);
+
+    /**
+     * Decodes changes that another host passes on.
+     *
+     * @throws org.gooseberryring.state.GooseberryringException if they cannot be read
+     */
+    FeedChanges<T> decode(byte[] encoded);
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryGate.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryGate.java
@@ -2,6 +2,7 @@
 
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 
 import org.gooseberryring.coordination.request.AttemptOutcome;
 import org.gooseberryring.coordination.request.RequestSpec;
@@ -19,21 +20,24 @@
 
     private final BiConsumer<String, Target> lacks;
     private final BiConsumer<String, String> broken;
+    private final LongSupplier clock;
 
     /**
      * Creates a gate.
      *
      * @param lacks takes an endpoint and what it does not hold
      * @param broken takes an endpoint and the digest of the request whose connection to it broke
+     * @param clock monotonic milliseconds
      */
-    EntryGate(BiConsumer<String, Target> lacks, BiConsumer<String, String> broken) {
+    EntryGate(BiConsumer<String, Target> lacks, BiConsumer<String, String> broken, LongSupplier clock) {
+        this.clock = clock;
         this.lacks = lacks;
         this.broken = broken;
     }
 
     @Override
-    public BooleanSupplier mayStart(String endpoint) {
-        return () -> true;
+    public BooleanSupplier mayStart(RequestSpec spec, String endpoint) {
+        return () -> clock.getAsLong() < spec.deadline();
     }
 
     @Override
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -38,7 +38,16 @@
     private static final int STORE_RING_SIZE = 64;
     private static final int MAX_OPEN_REQUESTS = 1_000;
     private static final int SERVICE_CONNECTIONS = 64;
-    private static final long TICK_MILLIS = 20;
+    private static final long TICK_MILLIS = 25;
+
+    /** Ticks between two looks at the open requests; an idle host only keeps its limits and counts up to date. */
+    private static final long BUSY_REQUEST_TICKS = 2;
+
+    private static final long IDLE_REQUEST_TICKS = 10;
+
+    /** Ticks between two looks at what the control thread waits for, unless an order is due sooner. */
+    private static final long CONTROL_TICKS = 4;
+
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
 
@@ -66,6 +75,7 @@
     private final FrontListener metricsListener;
     private volatile EntrySettings settings;
     private volatile boolean stopping;
+    private long ticks;
 
     private EntryHost(EntrySettings settings, Function<PlatformAccess, Installation> platform) {
         this.settings = settings;
@@ -78,21 +88,23 @@
         ResidencyController controller = new ResidencyController(settings.failureDomain());
         EndpointOrders orders = installation.orders(settings.hostId());
         requests = requests(installation, orders);
-        exchange = new PeerExchange(settings, control, requests, controller);
-        mesh = new PeerMesh(settings, incarnation, lanes, control, metrics, exchange::received);
-        exchange.connect(mesh);
+        exchange = new PeerExchange(settings, incarnation, control, requests, controller, open::count, clock.now());
+        mesh = new PeerMesh(settings, incarnation, lanes, control, metrics, exchange);
         residency = new ResidencyControl(
-                settings,
-                controller,
-                lanes,
+                settings, controller, lanes, control, orders, view, exchange, clock::wallMillis, random.split());
+        feeds = new InstallationFeeds(
+                installation,
                 control,
-                orders,
                 view,
-                exchange::announce,
-                clock::wallMillis,
-                random.split());
-        feeds = new InstallationFeeds(
-                installation, control, view, requests, controller, mesh, this::configured, random, clock.now());
+                requests,
+                controller,
+                mesh,
+                this::configured,
+                exchange,
+                settings,
+                random,
+                clock.now());
+        exchange.connect(mesh, residency::orderNow, feeds::passedOn);
         control.onTick(feeds::tick);
         control.onTick(mesh::tick);
         control.onTick(exchange::tick);
@@ -129,9 +141,9 @@
         return new EntryHost(settings, platform);
     }
 
-    /** Returns whether the host can serve: it knows the configuration and the endpoints, and is not stopping. */
+    /** Returns whether the host can serve: it knows the installation and is not stopping. */
     public boolean ready() {
-        return !stopping && view.configuration().known() && feeds.endpointsListed();
+        return !stopping && view.isComplete();
     }
 
     /** Takes over settings that may change while the host runs: the time to stop and the retries that services bear. */
@@ -178,7 +190,7 @@
                 metrics,
                 new EntryLinks(quarantine -> exchange().spread(quarantine)),
                 null,
-                new EntryGate((endpoint, target) -> requests().lacks(endpoint, target), probe::ask),
+                new EntryGate((endpoint, target) -> requests().lacks(endpoint, target), probe::ask, clock::now),
                 installation.requests().calls());
         return new EntryRequests(settings, effects, targets -> exchange().wanted(targets), incarnation, clock::now);
     }
@@ -233,8 +245,13 @@
 
     private void tick() {
         try {
-            requests.loop().tick();
-            control.tick();
+            ticks++;
+            if (ticks % (open.count() > 0 ? BUSY_REQUEST_TICKS : IDLE_REQUEST_TICKS) == 0) {
+                requests.loop().tick();
+            }
+            if (ticks % CONTROL_TICKS == 0 || residency.isDue()) {
+                control.tick();
+            }
         } catch (RuntimeException e) {
             LogLine.event("timer-failure").error(LOG, e);
         }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
@@ -1,5 +1,6 @@
 package org.gooseberryring.host.entry;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -42,6 +43,7 @@
     private final SharedLimits limits = new SharedLimits();
     private final RouteRetries retries;
     private final RequestLoop loop;
+    private final FleetNews news = new FleetNews();
 
     /**
      * Creates the thread; it is not started.
@@ -136,7 +138,7 @@
     /** Notes that an endpoint stated that it does not hold what a request needs. */
     void lacks(String endpoint, Target target) {
         loop.put((engine, now) -> {
-            router.lacks(endpoint, target);
+            router.lacks(endpoint, target, now);
             return List.of();
         });
     }
@@ -168,41 +170,72 @@
         });
     }
 
-    /** Takes over what another host serves and has admitted. */
-    void peer(String host, long incarnation, PeerNews news) {
-        loop.offer((engine, now) -> {
-            router.usedBy(host, news.uses());
-            router.placedBy(news.placements());
-            limits.usedBy(host + "/" + incarnation, news.usedTokens(), now);
-            return engine.changed(now);
+    /** Takes over changes of another host's state; what waits is taken over together. */
+    void changed(HostNews changes) {
+        news.changed(changes);
+        tellNews();
+    }
+
+    /** Takes over that another host gave no sign of life for a long time. */
+    void gone(String host) {
+        news.gone(host);
+        tellNews();
+    }
+
+    /** Takes over the milliseconds since the last sign of life of each other host. */
+    void heard(Map<String, Long> ages) {
+        news.ages(ages);
+        tellNews();
+    }
+
+    /** Takes over the failure domains whose controllers live. */
+    void controlled(Collection<String> failureDomains) {
+        loop.put((engine, now) -> {
+            router.controlled(failureDomains, now);
+            return List.of();
         });
     }
 
     /** Hands what this host serves, has admitted and is asked for to the receiver, on the request thread. */
     void snapshot(Consumer<HostSnapshot> receiver) {
         loop.offer((engine, now) -> {
-            PeerNews news = new PeerNews(router.uses(now), router.takePlacements(), limits.used());
-            receiver.accept(new HostSnapshot(news, router.demands(now)));
+            receiver.accept(
+                    new HostSnapshot(router.uses(now), router.takePlacements(), limits.used(), router.demands(now)));
             return List.of();
         });
     }
 
-    /**
-     * State of the request thread that other hosts need.
-     *
-     * @param news what the request threads of other hosts need
-     * @param artifacts what is asked for by model and adapter
-     */
-    record HostSnapshot(PeerNews news, Map<Target.RoutedTarget, ArtifactUse> artifacts) {}
+    private void tellNews() {
+        if (news.mustTell() && !loop.tryPut((engine, now) -> takeNews(engine, now))) {
+            news.notTold();
+        }
+    }
+
+    private List<RequestEffect> takeNews(RequestEngine engine, long now) {
+        FleetNews.Batch batch = news.take();
+        for (HostNews changes : batch.changes()) {
+            router.usedBy(changes.host(), changes.uses(), changes.complete());
+            router.placedBy(changes.placements());
+            limits.usedBy(changes.host(), changes.incarnation(), changes.usedTokens(), now);
+        }
+        batch.gone().forEach(router::unusedBy);
+        batch.ages().forEach((host, age) -> limits.heard(host, age, now));
+        return batch.changes().isEmpty() ? List.of() : engine.changed(now);
+    }
 
     /**
-     * What the request thread of one host tells those of the others.
+     * State of the request thread that other hosts need.
      *
      * @param uses what its requests take of each endpoint
-     * @param placements prompt parts that endpoints have read since the last news
+     * @param placements prompt parts that endpoints have read since the last snapshot
      * @param usedTokens tokens admitted since the start of its process by organisation
+     * @param artifacts what is asked for by model and adapter
      */
-    record PeerNews(Map<String, EndpointUse> uses, List<PromptPlacement> placements, Map<String, Long> usedTokens) {}
+    record HostSnapshot(
+            Map<String, EndpointUse> uses,
+            List<PromptPlacement> placements,
+            Map<String, Long> usedTokens,
+            Map<Target.RoutedTarget, ArtifactUse> artifacts) {}
 
     private record AfterInputs(SharedLimits limits, DirectRouter router, Consumer<List<Target.RoutedTarget>> wanted)
             implements LimiterInputs {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntrySettings.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntrySettings.java
@@ -16,6 +16,10 @@
  * @param shutdownMillis milliseconds from the request to stop until the process is ended
  * @param maxConnections connections of callers
  * @param retries retries that a service bears from all hosts
+ * @param processors processor cores that this host may use, 0 if unknown
+ * @param configurationMillis milliseconds by which a configuration must be in force
+ * @param endpointLeaveMillis milliseconds by which an endpoint that leaves must get no new work
+ * @param domainLeaveMillis milliseconds by which a failure domain out of service must get no new work
  * @param orderLeaseMillis milliseconds that must lie between the orders of two controllers of an endpoint
  */
 public record EntrySettings(
@@ -28,4 +32,8 @@
         long shutdownMillis,
         int maxConnections,
         RetryAllowance retries,
+        double processors,
+        long configurationMillis,
+        long endpointLeaveMillis,
+        long domainLeaveMillis,
         long orderLeaseMillis) {}
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FeedRunner.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FeedRunner.java
@@ -6,11 +6,14 @@
 
 import org.gooseberryring.coordination.feed.CollectionFeed;
 import org.gooseberryring.coordination.feed.FeedCall;
-import org.gooseberryring.coordination.feed.FeedChanges;
 import org.gooseberryring.coordination.feed.FeedListener;
 import org.gooseberryring.coordination.feed.FeedPage;
+import org.gooseberryring.coordination.feed.FeedPosition;
 import org.gooseberryring.coordination.feed.FeedTimes;
 import org.gooseberryring.host.control.ControlLoop;
+import org.gooseberryring.host.log.LogLine;
+import org.gooseberryring.state.GooseberryringException;
+import org.jboss.logging.Logger;
 
 /**
  * Runs a feed on the control thread and makes its calls.
@@ -18,34 +21,85 @@
  * @param <T> type of the content
  */
 final class FeedRunner<T> {
+    private static final Logger LOG = Logger.getLogger(FeedRunner.class);
+
+    private final String collection;
     private final CollectionSource<T> source;
     private final ControlLoop control;
     private final CollectionFeed<T> feed;
+    private final Passing passing;
+
+    /** Passes changes of a collection on to the hosts that rely on this one. */
+    @FunctionalInterface
+    interface Passing {
+        /**
+         * Passes changes on.
+         *
+         * @param collection name of the collection among the hosts
+         * @param from revision after which the changes are complete
+         * @param encoded changes as the source decodes them
+         */
+        void pass(String collection, long from, byte[] encoded, long now);
+    }
 
     FeedRunner(
+            String collection,
             CollectionSource<T> source,
             ControlLoop control,
             FeedTimes times,
             FeedListener<T> listener,
+            Passing passing,
             RandomGenerator random,
             long now) {
+        this.collection = collection;
         this.source = source;
         this.control = control;
+        this.passing = passing;
         this.feed = new CollectionFeed<>(times, listener, random, now);
     }
 
+    String collection() {
+        return collection;
+    }
+
     /** Lets time pass; must be called on the control thread. */
     void tick(long now) {
         make(feed.onTick(now));
     }
 
+    /** Returns how far this host has followed the collection; must be called on the control thread. */
+    FeedPosition position(long now) {
+        return feed.position(now);
+    }
+
+    /** Relies on another host if it has a fresh position, otherwise on the store; must be called on the control thread. */
+    void rely(FeedPosition position, long now) {
+        if (position != null && position.fresh()) {
+            feed.follow(position, now);
+        } else {
+            feed.unfollow(position != null && !position.inContact(), now);
+        }
+    }
+
+    /** Takes over changes that another host passes on; must be called on the control thread. */
+    void passedOn(long from, byte[] encoded, long now) {
+        try {
+            feed.onPassedOn(from, source.decode(encoded), now);
+        } catch (GooseberryringException e) {
+            LogLine.event("passed-changes-unreadable")
+                    .with("collection", collection)
+                    .with("reason", e.getMessage())
+                    .warn(LOG);
+        }
+    }
+
     private void make(List<FeedCall> calls) {
         for (FeedCall call : calls) {
             if (call instanceof FeedCall.ListPage list) {
                 source.list(list.after()).whenComplete((page, failure) -> paged(list.id(), page));
             } else if (call instanceof FeedCall.Watch watch) {
                 source.watch(watch.revision(), watch.waitMillis())
-                        .whenComplete((changes, failure) -> watched(watch.id(), changes));
+                        .whenComplete((answer, failure) -> watched(watch, answer));
             }
         }
     }
@@ -55,14 +109,17 @@
     }
 
     /** Takes the answer to a watch, null if there was none. */
-    private void watched(long id, Optional<FeedChanges<T>> changes) {
+    private void watched(FeedCall.Watch watch, Optional<WatchAnswer<T>> answer) {
         control.put(now -> {
-            if (changes == null) {
-                make(feed.onFailed(id, now));
-            } else if (changes.isEmpty()) {
-                make(feed.onHistoryGone(id, now));
+            if (answer == null) {
+                make(feed.onFailed(watch.id(), now));
+            } else if (answer.isEmpty()) {
+                make(feed.onHistoryGone(watch.id(), now));
             } else {
-                make(feed.onChanges(id, changes.get(), now));
+                if (!answer.get().changes().changes().isEmpty()) {
+                    passing.pass(collection, watch.revision(), answer.get().encoded(), now);
+                }
+                make(feed.onChanges(watch.id(), answer.get().changes(), now));
             }
         });
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
@@ -32,7 +32,7 @@
     private static final Logger LOG = Logger.getLogger(FrontHandler.class);
     private static final String DURATION = "request.duration";
     private static final String BUSY = "Too many requests are open on this host";
-    private static final String NOT_CONFIGURED = "This host does not know the configuration yet";
+    private static final String NOT_CONFIGURED = "This host does not know the installation yet";
     private static final String STOPPING = "This host is shutting down";
     private static final String NO_ROUTE = "There is no such route";
     private static final String NO_KEY = "The key is missing or unknown";
@@ -86,15 +86,12 @@
 
     private void accept(HttpServerExchange exchange, Arrival arrival) {
         ServingConfiguration configuration = view.configuration();
-        if (!configuration.known()) {
+        if (!view.isComplete()) {
             throw refusal(ErrorCode.CONFIGURATION_STALE, NOT_CONFIGURED);
         }
         Admitted admitted = admit(exchange, arrival.head(), configuration);
-        if (open.draining()) {
-            throw refusal(ErrorCode.SHUTTING_DOWN, STOPPING);
-        }
         if (!open.enter()) {
-            throw refusal(ErrorCode.OVERLOADED, BUSY);
+            throw open.draining() ? refusal(ErrorCode.SHUTTING_DOWN, STOPPING) : refusal(ErrorCode.OVERLOADED, BUSY);
         }
         exchange.addExchangeCompleteListener((done, next) -> {
             open.leave();
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/Installation.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/Installation.java
@@ -1,6 +1,5 @@
 package org.gooseberryring.host.entry;
 
-import org.gooseberryring.protocol.HostEntry;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.ServingConfiguration;
 import org.gooseberryring.transport.endpoint.EndpointProtocol;
@@ -24,7 +23,7 @@
     EndpointProtocol endpointProtocol();
 
     /** Returns the collection in which the hosts register. */
-    CollectionSource<HostEntry> hosts();
+    CollectionSource<HostRegistration> hosts();
 
     /** Returns the store of what hosts must agree on. */
     ObjectStore objects();
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationFeeds.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationFeeds.java
@@ -1,16 +1,19 @@
 package org.gooseberryring.host.entry;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
 import org.gooseberryring.coordination.feed.FeedListener;
+import org.gooseberryring.coordination.feed.FeedPosition;
 import org.gooseberryring.coordination.feed.FeedTimes;
 import org.gooseberryring.coordination.residency.ResidencyController;
 import org.gooseberryring.host.control.ControlLoop;
 import org.gooseberryring.host.log.LogLine;
-import org.gooseberryring.protocol.HostEntry;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.ServingConfiguration;
 import org.jboss.logging.Logger;
@@ -19,11 +22,13 @@
 final class InstallationFeeds {
     private static final Logger LOG = Logger.getLogger(InstallationFeeds.class);
 
-    /**
-     * Longest wait of a watch. Changes must be in force 2 s after their acknowledgement, and a connection that has gone
-     * silent 3 s before must be noticed by then.
-     */
-    private static final long WATCH_MILLIS = 2_000;
+    /** Part of the time by which a change must be in force after which a silent connection to the store is noticed. */
+    private static final long WATCH_DIVISOR = 2;
+
+    /** Time in which further changes of endpoints gather; there are several a second while models move. */
+    private static final long ENDPOINT_PAUSE_MILLIS = 300;
+
+    private static final long HOST_PAUSE_MILLIS = 1_000;
 
     /** Longest wait of a watch of the hosts; a new host also tells the others its address. */
     private static final long HOST_WATCH_MILLIS = 10_000;
@@ -45,8 +50,11 @@
     private final FeedRunner<ServingConfiguration> configurations;
     private final FeedRunner<EndpointRegistration> endpoints;
     private final FeedRunner<DomainExit> exits;
-    private final FeedRunner<HostEntry> hosts;
-    private volatile boolean endpointsListed;
+    private final FeedRunner<HostRegistration> hosts;
+    private final List<FeedRunner<?>> runners;
+    private final PeerExchange exchange;
+    private boolean endpointsListed;
+    private boolean exitsListed;
 
     /**
      * Creates the feeds.
@@ -60,46 +68,93 @@
             InstallationView view,
             EntryRequests requests,
             ResidencyController controller,
-            FeedListener<HostEntry> hostListener,
+            FeedListener<HostRegistration> hostListener,
             Consumer<ServingConfiguration> adopted,
+            PeerExchange exchange,
+            EntrySettings settings,
             SplittableRandom random,
             long now) {
         this.view = view;
         this.requests = requests;
         this.controller = controller;
         this.adopted = adopted;
-        configurations = new FeedRunner<>(
-                installation.configurations(), control, times(0), new Configurations(), random.split(), now);
-        endpoints = new FeedRunner<>(
+        this.exchange = exchange;
+        configurations = runner(
+                "configurations",
+                installation.configurations(),
+                control,
+                times(settings.configurationMillis(), 0, 0),
+                new Configurations(),
+                random,
+                now);
+        endpoints = runner(
+                "endpoints",
                 installation.endpoints(),
                 control,
-                times(REGISTRATION_GRACE_MILLIS),
+                times(settings.endpointLeaveMillis(), ENDPOINT_PAUSE_MILLIS, REGISTRATION_GRACE_MILLIS),
                 new Endpoints(),
-                random.split(),
+                random,
+                now);
+        exits = runner(
+                "domain-exits",
+                installation.domainExits(),
+                control,
+                times(settings.domainLeaveMillis(), 0, 0),
+                new Exits(),
+                random,
                 now);
-        exits = new FeedRunner<>(installation.domainExits(), control, times(0), new Exits(), random.split(), now);
-        hosts = new FeedRunner<>(installation.hosts(), control, hostTimes(), hostListener, random.split(), now);
+        hosts = runner("hosts", installation.hosts(), control, hostTimes(), hostListener, random, now);
+        runners = List.of(configurations, endpoints, exits, hosts);
+    }
+
+    private <T> FeedRunner<T> runner(
+            String collection,
+            CollectionSource<T> source,
+            ControlLoop control,
+            FeedTimes times,
+            FeedListener<T> listener,
+            SplittableRandom random,
+            long now) {
+        return new FeedRunner<>(collection, source, control, times, listener, exchange::passOn, random.split(), now);
+    }
+
+    /** Takes over changes that another host passes on; must be called on the control thread. */
+    void passedOn(String collection, long from, byte[] encoded, long now) {
+        runners.stream()
+                .filter(runner -> runner.collection().equals(collection))
+                .forEach(runner -> runner.passedOn(from, encoded, now));
     }
 
     /** Lets time pass; must be called on the control thread. */
     void tick(long now) {
-        configurations.tick(now);
-        endpoints.tick(now);
-        exits.tick(now);
-        hosts.tick(now);
+        runners.forEach(runner -> {
+            runner.rely(exchange.relayPosition(runner.collection(), now), now);
+            runner.tick(now);
+        });
+        Map<String, FeedPosition> positions = new HashMap<>();
+        runners.forEach(runner -> positions.put(runner.collection(), runner.position(now)));
+        exchange.positions(positions);
     }
 
-    /** Returns whether the endpoints were listed at least once. */
-    boolean endpointsListed() {
-        return endpointsListed;
+    private void noteListed() {
+        if (endpointsListed && exitsListed) {
+            view.listed();
+        }
     }
 
-    private static FeedTimes times(long graceMillis) {
-        return new FeedTimes(WATCH_MILLIS, MIN_RETRY_MILLIS, MAX_RETRY_MILLIS, OUTAGE_MILLIS, graceMillis);
+    private static FeedTimes times(long inForceMillis, long pauseMillis, long graceMillis) {
+        return new FeedTimes(
+                inForceMillis / WATCH_DIVISOR,
+                pauseMillis,
+                MIN_RETRY_MILLIS,
+                MAX_RETRY_MILLIS,
+                OUTAGE_MILLIS,
+                graceMillis);
     }
 
     private static FeedTimes hostTimes() {
-        return new FeedTimes(HOST_WATCH_MILLIS, MIN_RETRY_MILLIS, MAX_RETRY_MILLIS, OUTAGE_MILLIS, 0);
+        return new FeedTimes(
+                HOST_WATCH_MILLIS, HOST_PAUSE_MILLIS, MIN_RETRY_MILLIS, MAX_RETRY_MILLIS, OUTAGE_MILLIS, 0);
     }
 
     private static void logContact(String collection, boolean inContact) {
@@ -173,6 +228,7 @@
         @Override
         public void listed(long revision, long now) {
             endpointsListed = true;
+            noteListed();
             LogLine.event("endpoints-listed")
                     .with("revision", revision)
                     .with("endpoints", view.endpointCount())
@@ -199,6 +255,12 @@
             apply(name, false);
         }
 
+        @Override
+        public void listed(long revision, long now) {
+            exitsListed = true;
+            noteListed();
+        }
+
         private void apply(String domain, boolean out) {
             requests.domainsOut(Set.copyOf(domainsOut));
             controller.domainsOut(domainsOut);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationView.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationView.java
@@ -13,11 +13,25 @@
 public final class InstallationView {
     private final Map<String, EndpointRegistration> endpoints = new ConcurrentHashMap<>();
     private volatile ServingConfiguration configuration = ServingConfiguration.none();
+    private volatile boolean listed;
 
     public ServingConfiguration configuration() {
         return configuration;
     }
 
+    /**
+     * Returns whether enough is known to serve: the configuration, the endpoints and the failure domains out of service.
+     * A host that knows only some of them could send work to what must get none.
+     */
+    public boolean isComplete() {
+        return listed && configuration.known();
+    }
+
+    /** Notes that the endpoints and the failure domains out of service were read. */
+    void listed() {
+        listed = true;
+    }
+
     /** Takes over a configuration if it is newer than the present one; returns whether it is. */
     synchronized boolean adopt(ServingConfiguration newer) {
         if (newer.version() <= configuration.version()) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
@@ -3,67 +3,155 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 
 import org.gooseberryring.coordination.direct.EndpointUse;
 import org.gooseberryring.coordination.direct.PromptPlacement;
+import org.gooseberryring.coordination.exchange.RecordUpdate;
+import org.gooseberryring.coordination.feed.FeedPosition;
 import org.gooseberryring.coordination.request.ArtifactUse;
+import org.gooseberryring.coordination.request.RequestEffect;
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.coordination.residency.ResidencyEffect;
 import org.gooseberryring.protocol.peer.ArtifactDemand;
 import org.gooseberryring.protocol.peer.ArtifactsWanted;
-import org.gooseberryring.protocol.peer.EndpointHoldings;
+import org.gooseberryring.protocol.peer.CollectionPosition;
 import org.gooseberryring.protocol.peer.EndpointUsage;
 import org.gooseberryring.protocol.peer.HeldEndpoint;
 import org.gooseberryring.protocol.peer.HeldModel;
-import org.gooseberryring.protocol.peer.HostState;
+import org.gooseberryring.protocol.peer.HostUpdate;
 import org.gooseberryring.protocol.peer.OrganisationUsage;
-import org.gooseberryring.protocol.peer.PeerHeard;
 import org.gooseberryring.protocol.peer.PromptParts;
+import org.gooseberryring.protocol.peer.QuarantinedDigest;
+import org.gooseberryring.protocol.peer.SilentHost;
+import org.gooseberryring.protocol.peer.StateEntry;
+import org.gooseberryring.protocol.peer.StateSync;
 import org.gooseberryring.state.ResidentModel;
 
 /** Converts what entry hosts tell each other to peer messages and back. */
 final class PeerCodec {
     private PeerCodec() {}
 
-    static HostState encode(EntryRequests.HostSnapshot snapshot, Map<String, Long> heardAges) {
-        HostState.Builder state = HostState.newBuilder();
-        snapshot.news()
-                .uses()
-                .forEach((endpoint, use) -> state.addUsages(EndpointUsage.newBuilder()
+    /** Encodes a message of the exchange; {@code encoder} encodes its updates. */
+    static StateSync encode(
+            org.gooseberryring.coordination.exchange.StateSync<StateKey, StateEntry> sync,
+            Function<RecordUpdate<StateKey, StateEntry>, HostUpdate> encoder) {
+        StateSync.Builder message = StateSync.newBuilder()
+                .setNumber(sync.number())
+                .setAcknowledged(sync.acknowledged())
+                .setAsks(sync.asks())
+                .setRestart(sync.restart())
+                .addAllWantedDomains(sync.wantedDomains())
+                .setCoversAll(sync.coversAll())
+                .addAllCoveredDomains(sync.coveredDomains())
+                .addAllRelayedHosts(sync.relayedHosts());
+        sync.updates().forEach(update -> message.addUpdates(encoder.apply(update)));
+        sync.silent()
+                .forEach((host, age) ->
+                        message.addSilent(SilentHost.newBuilder().setHost(host).setAgeMillis(age)));
+        return message.build();
+    }
+
+    static org.gooseberryring.coordination.exchange.StateSync<StateKey, StateEntry> decode(StateSync message) {
+        Map<String, Long> silent = new HashMap<>();
+        message.getSilentList().forEach(each -> silent.put(each.getHost(), each.getAgeMillis()));
+        return new org.gooseberryring.coordination.exchange.StateSync<>(
+                message.getNumber(),
+                message.getAcknowledged(),
+                message.getAsks(),
+                message.getRestart(),
+                new HashSet<>(message.getWantedDomainsList()),
+                message.getCoversAll(),
+                new HashSet<>(message.getCoveredDomainsList()),
+                new HashSet<>(message.getRelayedHostsList()),
+                message.getUpdatesList().stream().map(PeerCodec::decode).toList(),
+                silent);
+    }
+
+    static HostUpdate encode(RecordUpdate<StateKey, StateEntry> update) {
+        HostUpdate.Builder message = HostUpdate.newBuilder()
+                .setHost(update.host())
+                .setIncarnation(update.incarnation())
+                .setFailureDomain(update.failureDomain())
+                .setBase(update.base())
+                .setVersion(update.version())
+                .addAllEntries(update.entries().values())
+                .addAllNotices(update.notices());
+        update.removed().forEach(key -> message.addRemoved(key.bare()));
+        return message.build();
+    }
+
+    /** Decodes an update; entries of kinds that a later version adds are left out. */
+    private static RecordUpdate<StateKey, StateEntry> decode(HostUpdate message) {
+        Map<StateKey, StateEntry> entries = new HashMap<>();
+        for (StateEntry entry : message.getEntriesList()) {
+            if (entry.getValueCase() != StateEntry.ValueCase.VALUE_NOT_SET) {
+                entries.put(StateKey.of(entry), entry);
+            }
+        }
+        Set<StateKey> removed = new HashSet<>();
+        for (StateEntry entry : message.getRemovedList()) {
+            if (entry.getValueCase() != StateEntry.ValueCase.VALUE_NOT_SET) {
+                removed.add(StateKey.of(entry));
+            }
+        }
+        return new RecordUpdate<>(
+                message.getHost(),
+                message.getIncarnation(),
+                message.getFailureDomain(),
+                message.getBase(),
+                message.getVersion(),
+                entries,
+                removed,
+                message.getNoticesList());
+    }
+
+    static StateEntry use(String endpoint, EndpointUse use) {
+        return StateEntry.newBuilder()
+                .setEndpoint(EndpointUsage.newBuilder()
                         .setEndpoint(endpoint)
                         .setInFlight(use.inFlight())
                         .setUnreadTokens(use.unreadTokens())
                         .setMemoryTokens(use.memoryTokens())
-                        .setStalled(use.stalled())));
-        snapshot.news().placements().forEach(placement -> state.addPlacements(encode(placement)));
-        snapshot.news()
-                .usedTokens()
-                .forEach((organisation, tokens) -> state.addOrganisations(OrganisationUsage.newBuilder()
+                        .setStalled(use.stalled()))
+                .build();
+    }
+
+    static EndpointUse use(StateEntry entry) {
+        EndpointUsage usage = entry.getEndpoint();
+        return new EndpointUse(
+                usage.getInFlight(), usage.getUnreadTokens(), usage.getMemoryTokens(), usage.getStalled());
+    }
+
+    static StateEntry usedTokens(String organisation, long tokens) {
+        return StateEntry.newBuilder()
+                .setOrganisation(OrganisationUsage.newBuilder()
                         .setOrganisation(organisation)
-                        .setUsedTokens(tokens)));
-        snapshot.artifacts().forEach((target, use) -> state.addArtifacts(encode(target, use)));
-        heardAges.forEach((host, age) ->
-                state.addHeard(PeerHeard.newBuilder().setHost(host).setAgeMillis(age)));
-        return state.build();
+                        .setUsedTokens(tokens))
+                .build();
     }
 
-    static EntryRequests.PeerNews news(HostState state) {
-        List<PromptPlacement> placements =
-                state.getPlacementsList().stream().map(PeerCodec::placement).toList();
-        return new EntryRequests.PeerNews(uses(state), placements, usedTokens(state));
+    static StateEntry artifact(Target.RoutedTarget target, ArtifactUse use) {
+        return StateEntry.newBuilder().setArtifact(encode(target, use)).build();
     }
 
-    private static PromptParts encode(PromptPlacement placement) {
+    static Target.RoutedTarget target(ArtifactDemand demand) {
+        String adapter = demand.getAdapter().isEmpty() ? null : demand.getAdapter();
+        return new Target.RoutedTarget(demand.getService(), demand.getModel(), adapter);
+    }
+
+    static StateEntry parts(PromptPlacement placement) {
         PromptParts.Builder parts =
                 PromptParts.newBuilder().setEndpoint(placement.endpoint()).setModel(placement.model());
         placement.tokens().forEach((key, tokens) -> parts.addKeys(key).addTokens(tokens));
-        return parts.build();
+        return StateEntry.newBuilder().setParts(parts).build();
     }
 
-    private static PromptPlacement placement(PromptParts parts) {
+    static PromptPlacement placement(PromptParts parts) {
         Map<Long, Integer> tokens = new HashMap<>();
         int count = Math.min(parts.getKeysCount(), parts.getTokensCount());
         for (int i = 0; i < count; i++) {
@@ -72,29 +160,48 @@
         return new PromptPlacement(parts.getEndpoint(), parts.getModel(), tokens);
     }
 
-    private static Map<String, EndpointUse> uses(HostState state) {
-        Map<String, EndpointUse> uses = new HashMap<>();
-        for (EndpointUsage usage : state.getUsagesList()) {
-            uses.put(
-                    usage.getEndpoint(),
-                    new EndpointUse(
-                            usage.getInFlight(), usage.getUnreadTokens(), usage.getMemoryTokens(), usage.getStalled()));
+    static StateEntry quarantined(RequestEffect.SpreadQuarantine quarantine) {
+        return StateEntry.newBuilder()
+                .setQuarantined(QuarantinedDigest.newBuilder()
+                        .setDigest(quarantine.digest())
+                        .setEndpointLosses(quarantine.endpointLosses()))
+                .build();
+    }
+
+    static StateEntry holding(long term, ResidencyEffect.Announce endpoint) {
+        HeldEndpoint.Builder held = HeldEndpoint.newBuilder()
+                .setEndpoint(endpoint.endpoint())
+                .setOrderSequence(endpoint.orderSequence())
+                .setLoading(endpoint.loading() == null ? "" : endpoint.loading())
+                .setTerm(term);
+        endpoint.models()
+                .forEach(model -> held.addModels(
+                        HeldModel.newBuilder().setModel(model.model()).addAllAdapters(model.adapters())));
+        return StateEntry.newBuilder().setHolding(held).build();
+    }
+
+    static ResidencyEffect.Announce holding(HeldEndpoint held) {
+        List<ResidentModel> models = new ArrayList<>();
+        for (HeldModel model : held.getModelsList()) {
+            models.add(new ResidentModel(model.getModel(), Set.copyOf(model.getAdaptersList())));
         }
-        return uses;
+        String loading = held.getLoading().isEmpty() ? null : held.getLoading();
+        return new ResidencyEffect.Announce(held.getEndpoint(), held.getOrderSequence(), models, loading);
     }
 
-    private static Map<String, Long> usedTokens(HostState state) {
-        Map<String, Long> used = new HashMap<>();
-        state.getOrganisationsList().forEach(usage -> used.put(usage.getOrganisation(), usage.getUsedTokens()));
-        return used;
+    static StateEntry position(String collection, FeedPosition position) {
+        return StateEntry.newBuilder()
+                .setPosition(CollectionPosition.newBuilder()
+                        .setCollection(collection)
+                        .setChangedRevision(position.changedRevision())
+                        .setFresh(position.fresh())
+                        .setInContact(position.inContact()))
+                .build();
     }
 
-    static Map<Target.RoutedTarget, ArtifactUse> artifacts(HostState state) {
-        Map<Target.RoutedTarget, ArtifactUse> uses = new HashMap<>();
-        state.getArtifactsList()
-                .forEach(demand ->
-                        uses.put(target(demand), new ArtifactUse(demand.getTokensPerSecond(), demand.getInFlight())));
-        return uses;
+    static FeedPosition position(StateEntry entry) {
+        CollectionPosition position = entry.getPosition();
+        return new FeedPosition(position.getChangedRevision(), position.getFresh(), position.getInContact());
     }
 
     static ArtifactsWanted wanted(Collection<Target.RoutedTarget> targets) {
@@ -107,35 +214,6 @@
         return wanted.getArtifactsList().stream().map(PeerCodec::target).toList();
     }
 
-    static EndpointHoldings encode(String failureDomain, long term, List<ResidencyEffect.Announce> endpoints) {
-        EndpointHoldings.Builder holdings =
-                EndpointHoldings.newBuilder().setFailureDomain(failureDomain).setTerm(term);
-        for (ResidencyEffect.Announce endpoint : endpoints) {
-            HeldEndpoint.Builder held = HeldEndpoint.newBuilder()
-                    .setEndpoint(endpoint.endpoint())
-                    .setOrderSequence(endpoint.orderSequence())
-                    .setLoading(endpoint.loading() == null ? "" : endpoint.loading());
-            endpoint.models()
-                    .forEach(model -> held.addModels(
-                            HeldModel.newBuilder().setModel(model.model()).addAllAdapters(model.adapters())));
-            holdings.addEndpoints(held);
-        }
-        return holdings.build();
-    }
-
-    static List<ResidencyEffect.Announce> endpoints(EndpointHoldings holdings) {
-        List<ResidencyEffect.Announce> endpoints = new ArrayList<>();
-        for (HeldEndpoint held : holdings.getEndpointsList()) {
-            List<ResidentModel> models = new ArrayList<>();
-            for (HeldModel model : held.getModelsList()) {
-                models.add(new ResidentModel(model.getModel(), Set.copyOf(model.getAdaptersList())));
-            }
-            String loading = held.getLoading().isEmpty() ? null : held.getLoading();
-            endpoints.add(new ResidencyEffect.Announce(held.getEndpoint(), held.getOrderSequence(), models, loading));
-        }
-        return endpoints;
-    }
-
     private static ArtifactDemand encode(Target.RoutedTarget target, ArtifactUse use) {
         return ArtifactDemand.newBuilder()
                 .setService(target.service())
@@ -145,9 +223,4 @@
                 .setInFlight(use.inFlight())
                 .build();
     }
-
-    private static Target.RoutedTarget target(ArtifactDemand demand) {
-        String adapter = demand.getAdapter().isEmpty() ? null : demand.getAdapter();
-        return new Target.RoutedTarget(demand.getService(), demand.getModel(), adapter);
-    }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -1,22 +1,32 @@
 package org.gooseberryring.host.entry;
 
-import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.IntSupplier;
+import java.util.function.LongConsumer;
 
+import com.google.protobuf.ByteString;
+import org.gooseberryring.coordination.exchange.ExchangeEffect;
+import org.gooseberryring.coordination.exchange.ExchangeMember;
+import org.gooseberryring.coordination.exchange.ExchangeTimes;
+import org.gooseberryring.coordination.exchange.RecordUpdate;
+import org.gooseberryring.coordination.exchange.StateExchange;
+import org.gooseberryring.coordination.feed.FeedPosition;
+import org.gooseberryring.coordination.request.ArtifactUse;
 import org.gooseberryring.coordination.request.RequestEffect;
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.coordination.residency.ResidencyController;
 import org.gooseberryring.coordination.residency.ResidencyEffect;
 import org.gooseberryring.host.control.ControlLoop;
 import org.gooseberryring.host.log.LogLine;
-import org.gooseberryring.protocol.peer.EndpointHoldings;
-import org.gooseberryring.protocol.peer.HostState;
-import org.gooseberryring.protocol.peer.PeerHeard;
+import org.gooseberryring.protocol.peer.FeedChanges;
+import org.gooseberryring.protocol.peer.HeldEndpoint;
+import org.gooseberryring.protocol.peer.HostUpdate;
 import org.gooseberryring.protocol.peer.PeerMessage;
-import org.gooseberryring.protocol.peer.QuarantineNotice;
-import org.gooseberryring.protocol.peer.QuarantinedDigest;
+import org.gooseberryring.protocol.peer.StateEntry;
 import org.jboss.logging.Logger;
 
 /**
@@ -27,73 +37,172 @@
 final class PeerExchange {
     private static final Logger LOG = Logger.getLogger(PeerExchange.class);
 
-    private static final long STATE_MILLIS = 250;
+    /** Time between two looks at what the requests of this host take, while there are any. */
+    private static final long MIN_SNAPSHOT_MILLIS = 100;
 
-    /** Waiting requests ask for what they lack at most this often. */
-    private static final long WANTED_MILLIS = 100;
+    /** The same for each processor core, so that a host with little processor time looks less often. */
+    private static final double SNAPSHOT_PROCESSOR_MILLIS = 50;
 
-    /** A controller that has not provided an adapter in this time is passed over for the next one. */
-    private static final long NEXT_PROVIDER_MILLIS = 250;
+    private static final long MAX_SNAPSHOT_MILLIS = 300;
 
-    /** An artifact that was not asked for in this time is taken to be missed anew. */
-    private static final long FORGET_WANTED_MILLIS = 1_000;
+    /** The same while there are none, so that only the rates of past demand fall. */
+    private static final long IDLE_SNAPSHOT_MILLIS = 500;
 
-    /** A controller that was not heard of for this long is not asked. */
-    private static final long SILENT_CONTROLLER_MILLIS = 4_000;
+    /** Hosts up to which each one may be told at once what endpoints hold. */
+    private static final int SMALL_FLEET_HOSTS = 16;
 
-    private static final long NEVER = -1;
+    /** Encoded updates that are kept; each is of use for a few messages only. */
+    private static final int MAX_ENCODED = 1_024;
+
+    /** Time between two looks at which hosts are silent. */
+    private static final long AGES_MILLIS = 250;
+
+    /** Time between two looks at which controllers live and at the demand of all hosts. */
+    private static final long SURVEY_MILLIS = 500;
 
     private final String hostId;
     private final String failureDomain;
     private final ControlLoop control;
     private final EntryRequests requests;
     private final ResidencyController controller;
-    private final Map<String, Controller> controllers = new HashMap<>();
-    private final Map<Target.RoutedTarget, Asked> asked = new HashMap<>();
+    private final IntSupplier open;
+    private final long busySnapshotMillis;
+    private final Map<RecordUpdate<StateKey, StateEntry>, HostUpdate> encoded = new IdentityHashMap<>();
+    private final WantedArtifacts wantedByOthers = new WantedArtifacts();
+    private final StateExchange<StateKey, StateEntry> exchange;
+    private final OwnState own = new OwnState();
+    private final Controllers controllers = new Controllers();
+    private final ArtifactRequests artifacts;
     private PeerMesh mesh;
-    private long stateAt;
+    private LongConsumer orderNow = now -> {};
+    private FeedReceiver feeds = (collection, from, encoded, now) -> {};
+    private long snapshotAt;
+    private long agesAt;
+    private long surveyAt;
     private int hosts;
 
-    private record Controller(String host, long term, long heardAt) {}
-
-    private record Asked(long firstAt, long lastAt) {}
-
-    PeerExchange(EntrySettings settings, ControlLoop control, EntryRequests requests, ResidencyController controller) {
+    /** Creates the exchange of a host; {@code open} gives the number of requests that are open on it. */
+    PeerExchange(
+            EntrySettings settings,
+            long incarnation,
+            ControlLoop control,
+            EntryRequests requests,
+            ResidencyController controller,
+            IntSupplier open,
+            long now) {
         this.hostId = settings.hostId();
         this.failureDomain = settings.failureDomain();
         this.control = control;
         this.requests = requests;
         this.controller = controller;
+        this.open = open;
+        this.busySnapshotMillis = snapshotMillis(settings.processors());
+        ExchangeMember self = new ExchangeMember(hostId, failureDomain, settings.processors());
+        this.exchange = new StateExchange<>(self, incarnation, ExchangeTimes.defaults(), now);
+        this.artifacts = new ArtifactRequests(controller, controllers, this::ask);
     }
 
-    /** Names the links to the other hosts; must precede the first message. */
-    void connect(PeerMesh peerMesh) {
+    /** Takes changes of a collection of the store that the relay of the failure domain passes on. */
+    @FunctionalInterface
+    interface FeedReceiver {
+        void passedOn(String collection, long from, byte[] encoded, long now);
+    }
+
+    /**
+     * Names what the exchange works with; must precede the first message.
+     *
+     * @param peerMesh links to the other hosts
+     * @param whenWanted hears that requests wait for an artifact of the own failure domain
+     * @param feedReceiver takes what the relay passes on of the store
+     */
+    void connect(PeerMesh peerMesh, LongConsumer whenWanted, FeedReceiver feedReceiver) {
         mesh = peerMesh;
+        orderNow = whenWanted;
+        feeds = feedReceiver;
+    }
+
+    /** Passes changes of a collection of the store on to the hosts that rely on this one. */
+    void passOn(String collection, long from, byte[] encoded, long now) {
+        PeerMessage.Builder message = PeerMessage.newBuilder()
+                .setFeedChanges(FeedChanges.newBuilder()
+                        .setCollection(collection)
+                        .setFrom(from)
+                        .setChanges(ByteString.copyFrom(encoded)));
+        exchange.followers(now).forEach(host -> mesh.send(host, message.clone()));
+    }
+
+    /** Takes over how far this host has followed the collections of the store. */
+    void positions(Map<String, FeedPosition> positions) {
+        own.positions(exchange.isRelay() ? positions : Map.of());
+    }
+
+    /** Returns how far the relay that this host sends to has followed a collection, null if it relies on none. */
+    FeedPosition relayPosition(String collection, long now) {
+        String relay = exchange.isRelay() ? null : exchange.relay(now);
+        StateEntry entry = relay == null
+                ? null
+                : exchange.state(relay).get(new StateKey(StateEntry.ValueCase.POSITION, collection));
+        return entry == null ? null : PeerCodec.position(entry);
+    }
+
+    /** Takes over another host that was found in the store. */
+    void member(ExchangeMember member) {
+        exchange.member(member);
+    }
+
+    /** Takes out a host that is no longer in the store. */
+    void memberGone(String host) {
+        exchange.memberGone(host);
+    }
+
+    /** Returns whether this host may take the lease of its failure domain; a few hosts are enough for that. */
+    boolean mayControl(int candidates, long now) {
+        return exchange.isAmongFirst(candidates, now);
     }
 
     /** Lets time pass. */
     void tick(long now) {
-        asked.values().removeIf(times -> now - times.lastAt() > FORGET_WANTED_MILLIS);
-        if (now < stateAt) {
-            return;
+        artifacts.tick(now);
+        boolean busy = open.getAsInt() > 0;
+        if (now - snapshotAt >= (busy ? busySnapshotMillis : IDLE_SNAPSHOT_MILLIS)) {
+            snapshotAt = now;
+            requests.snapshot(snapshot -> control.offer(at -> publish(snapshot, at)));
+        }
+        if (now >= surveyAt) {
+            surveyAt = now + SURVEY_MILLIS;
+            survey(now);
         }
-        stateAt = now + STATE_MILLIS;
-        int count = mesh.heard().size() + 1;
-        if (count != hosts) {
-            hosts = count;
-            requests.hosts(count);
+        if (now >= agesAt) {
+            agesAt = now + AGES_MILLIS;
+            requests.heard(exchange.ages(now));
         }
-        requests.snapshot(snapshot -> control.offer(at -> tell(snapshot, at)));
+        carryOut(exchange.onTick(now), now);
     }
 
     /** Takes a message of another host; may be called on any thread. */
     void received(String sender, PeerMessage message) {
         switch (message.getBodyCase()) {
-            case HOST_STATE -> control.offer(now -> state(message, now));
-            case ARTIFACTS_WANTED ->
-                control.offer(now -> controller.wanted(PeerCodec.targets(message.getArtifactsWanted()), now));
-            case ENDPOINT_HOLDINGS -> control.offer(now -> holdings(sender, message.getEndpointHoldings(), now));
-            case QUARANTINE_NOTICE -> quarantine(message);
+            case STATE_SYNC -> {
+                var sync = PeerCodec.decode(message.getStateSync());
+                control.offer(now -> received(sender, message.getSenderIncarnation(), sync, now));
+            }
+            case FEED_CHANGES -> {
+                FeedChanges changes = message.getFeedChanges();
+                control.offer(now -> feeds.passedOn(
+                        changes.getCollection(),
+                        changes.getFrom(),
+                        changes.getChanges().toByteArray(),
+                        now));
+            }
+            case ARTIFACTS_WANTED -> {
+                List<Target.RoutedTarget> targets = PeerCodec.targets(message.getArtifactsWanted());
+                control.offer(now -> {
+                    wantedByOthers.wanted(sender, targets, now);
+                    wantedHere(targets, now);
+                });
+            }
+            case HELD_ENDPOINT ->
+                control.offer(now -> holds(sender, exchange.failureDomain(sender), message.getHeldEndpoint(), now));
             default -> {
                 // A message of a later version of the program, or one that this host has no part in.
             }
@@ -102,110 +211,163 @@
 
     /** Tells the other hosts about a request that crashes endpoints; may be called on any thread. */
     void spread(RequestEffect.SpreadQuarantine quarantine) {
-        QuarantineNotice notice = QuarantineNotice.newBuilder()
-                .addDigests(QuarantinedDigest.newBuilder()
-                        .setDigest(quarantine.digest())
-                        .setEndpointLosses(quarantine.endpointLosses()))
-                .build();
-        control.put(now -> mesh.broadcast(
-                PeerMessage.newBuilder().setQuarantineNotice(notice).buildPartial()));
+        control.put(now -> own.notice(PeerCodec.quarantined(quarantine)));
     }
 
     /** Asks the controllers for artifacts that requests of this host wait for; may be called on any thread. */
     void wanted(List<Target.RoutedTarget> targets) {
-        control.offer(now -> ask(targets, now));
+        control.offer(now -> artifacts.wanted(targets, now));
     }
 
     /** Tells all hosts what endpoints hold, on behalf of the controller of this failure domain. */
-    void announce(long term, List<ResidencyEffect.Announce> endpoints) {
-        controllers.put(failureDomain, new Controller(hostId, term, Long.MAX_VALUE));
+    void announce(long term, List<ResidencyEffect.Announce> endpoints, long now) {
+        controllers.heard(failureDomain, hostId, term, now);
         endpoints.forEach(endpoint -> requests.holds(endpoint.endpoint(), endpoint.models()));
-        EndpointHoldings holdings = PeerCodec.encode(failureDomain, term, endpoints);
-        mesh.broadcast(PeerMessage.newBuilder().setEndpointHoldings(holdings).buildPartial());
+        own.holds(term, endpoints);
+        publish(now);
+        endpoints.forEach(endpoint -> tellConcerned(term, endpoint, now));
+        carryOut(exchange.onTick(now), now);
+    }
+
+    /**
+     * Tells the hosts that wait for what an endpoint holds now, or send requests to it, without the way through the relays.
+     * In a small fleet these are all hosts.
+     */
+    private void tellConcerned(long term, ResidencyEffect.Announce endpoint, long now) {
+        Set<String> concerned = wantedByOthers.waitingFor(endpoint.models(), now);
+        if (hosts <= SMALL_FLEET_HOSTS) {
+            concerned.addAll(exchange.ages(now).keySet());
+        } else {
+            concerned.addAll(exchange.hostsWith(new StateKey(StateEntry.ValueCase.ENDPOINT, endpoint.endpoint())));
+        }
+        PeerMessage.Builder message = PeerMessage.newBuilder()
+                .setHeldEndpoint(PeerCodec.holding(term, endpoint).getHolding());
+        concerned.forEach(host -> mesh.send(host, message.clone()));
     }
 
-    private void quarantine(PeerMessage message) {
-        String reporter = message.getSender() + "/" + message.getSenderIncarnation();
-        for (QuarantinedDigest digest : message.getQuarantineNotice().getDigestsList()) {
-            requests.quarantined(reporter, digest.getDigest(), digest.getEndpointLosses());
+    /** Takes over what an endpoint holds unless a later controller of its failure domain is known. */
+    private void holds(String sender, String domain, HeldEndpoint held, long now) {
+        if (domain != null && controllers.heard(domain, sender, held.getTerm(), now)) {
+            ResidencyEffect.Announce endpoint = PeerCodec.holding(held);
+            controller.holds(endpoint);
+            requests.holds(endpoint.endpoint(), endpoint.models());
         }
     }
 
-    private void tell(EntryRequests.HostSnapshot snapshot, long now) {
+    private void received(
+            String sender,
+            long incarnation,
+            org.gooseberryring.coordination.exchange.StateSync<StateKey, StateEntry> sync,
+            long now) {
+        carryOut(exchange.received(sender, incarnation, sync, now), now);
+        carryOut(exchange.onTick(now), now);
+    }
+
+    private static long snapshotMillis(double processors) {
+        double wanted = processors > 0 ? SNAPSHOT_PROCESSOR_MILLIS / processors : MIN_SNAPSHOT_MILLIS;
+        return (long) Math.max(MIN_SNAPSHOT_MILLIS, Math.min(MAX_SNAPSHOT_MILLIS, wanted));
+    }
+
+    /** Notes that this host controls its failure domain no more. */
+    void controlsNothing(long now) {
+        own.controlsNothing();
+        publish(now);
+    }
+
+    private void publish(EntryRequests.HostSnapshot snapshot, long now) {
         controller.demandOf(hostId, snapshot.artifacts(), now);
-        HostState state = PeerCodec.encode(snapshot, mesh.heardAges(now));
-        mesh.broadcast(PeerMessage.newBuilder().setHostState(state).buildPartial());
+        own.requests(snapshot);
+        publish(now);
+        carryOut(exchange.onTick(now), now);
+    }
+
+    private void publish(long now) {
+        exchange.publish(own.entries(), own.takeNotices(), now);
     }
 
-    private void state(PeerMessage message, long now) {
-        String sender = message.getSender();
-        HostState state = message.getHostState();
-        long age = NEVER;
-        for (PeerHeard heard : state.getHeardList()) {
-            if (heard.getHost().equals(hostId)) {
-                age = heard.getAgeMillis();
+    private void carryOut(List<ExchangeEffect<StateKey, StateEntry>> effects, long now) {
+        for (ExchangeEffect<StateKey, StateEntry> effect : effects) {
+            if (effect instanceof ExchangeEffect.Send<StateKey, StateEntry> send) {
+                mesh.send(
+                        send.host(),
+                        PeerMessage.newBuilder().setStateSync(PeerCodec.encode(send.sync(), this::encode)));
+            } else if (effect instanceof ExchangeEffect.Renew<StateKey, StateEntry> renew) {
+                mesh.renew(renew.host());
+            } else if (effect instanceof ExchangeEffect.Changed<StateKey, StateEntry> changed) {
+                changed(changed.update(), now);
+            } else if (effect instanceof ExchangeEffect.Gone<StateKey, StateEntry> gone) {
+                LogLine.event("host-silent").with("host", gone.host()).info(LOG);
+                requests.gone(gone.host());
+            } else if (effect instanceof ExchangeEffect.Role<StateKey, StateEntry> role) {
+                LogLine.event("relay-role").with("relays", role.relays()).info(LOG);
             }
         }
-        mesh.heard(sender, age, now);
-        requests.peer(sender, message.getSenderIncarnation(), PeerCodec.news(state));
-        controller.demandOf(sender, PeerCodec.artifacts(state), now);
     }
 
-    private void holdings(String sender, EndpointHoldings holdings, long now) {
-        Controller known = controllers.get(holdings.getFailureDomain());
-        if (known != null && known.term() > holdings.getTerm()) {
-            return;
-        }
-        controllers.put(holdings.getFailureDomain(), new Controller(sender, holdings.getTerm(), now));
-        for (ResidencyEffect.Announce endpoint : PeerCodec.endpoints(holdings)) {
-            controller.holds(endpoint);
-            requests.holds(endpoint.endpoint(), endpoint.models());
+    /** Encodes an update once for all links that it is sent on. */
+    private HostUpdate encode(RecordUpdate<StateKey, StateEntry> update) {
+        if (encoded.size() > MAX_ENCODED) {
+            encoded.clear();
         }
+        return encoded.computeIfAbsent(update, PeerCodec::encode);
     }
 
-    /** Returns the controller whose turn it is after an artifact was missed for some time, if there is one. */
-    private static List<Controller> inTurn(List<Controller> reachable, long turn) {
-        return reachable.isEmpty() ? List.of() : List.of(reachable.get((int) (turn % reachable.size())));
+    private void changed(RecordUpdate<StateKey, StateEntry> update, long now) {
+        StateReader reader = new StateReader(update);
+        requests.changed(reader.news());
+        reader.holdings().forEach(held -> holds(update.host(), update.failureDomain(), held, now));
+        String reporter = update.host() + "/" + update.incarnation();
+        reader.quarantined()
+                .forEach(digest -> requests.quarantined(reporter, digest.getDigest(), digest.getEndpointLosses()));
     }
 
-    private static long turn(Asked times) {
-        return (times.lastAt() - times.firstAt()) / NEXT_PROVIDER_MILLIS;
+    /** Looks at which controllers live, how many hosts there are, and what they ask for. */
+    private void survey(long now) {
+        Map<String, Long> ages = exchange.ages(now);
+        if (ages.size() + 1 != hosts) {
+            hosts = ages.size() + 1;
+            requests.hosts(hosts);
+        }
+        ages.put(hostId, 0L);
+        requests.controlled(controllers.heard(ages, now));
+        ages.keySet().forEach(host -> repeatHoldings(host));
+        if (controller.isLeading()) {
+            ages.keySet().stream()
+                    .filter(host -> !host.equals(hostId))
+                    .forEach(host -> controller.demandOf(host, demand(host), now));
+        }
     }
 
-    private void ask(List<Target.RoutedTarget> targets, long now) {
-        Map<String, List<Target.RoutedTarget>> byHost = new HashMap<>();
-        for (Target.RoutedTarget target : targets) {
-            Asked before = asked.get(target);
-            if (before != null && now - before.lastAt() < WANTED_MILLIS) {
-                continue;
-            }
-            Asked times = new Asked(before == null ? now : before.firstAt(), now);
-            asked.put(target, times);
-            ResidencyController.Providers providers = controller.providers(target);
-            if (before == null || turn(times) != turn(before)) {
-                LogLine.event("artifact-wanted")
-                        .with("service", target.service())
-                        .with("model", target.model())
-                        .with("adapter", target.adapter())
-                        .with("providers", providers.domains())
-                        .with("missedMs", times.lastAt() - times.firstAt())
-                        .info(LOG);
-            }
-            List<Controller> reachable = providers.domains().stream()
-                    .map(controllers::get)
-                    .filter(provider -> provider != null && now - provider.heardAt() <= SILENT_CONTROLLER_MILLIS)
-                    .toList();
-            for (Controller provider : providers.all() ? reachable : inTurn(reachable, turn(times))) {
-                byHost.computeIfAbsent(provider.host(), host -> new ArrayList<>())
-                        .add(target);
+    /** Takes over again what endpoints hold, since an entry of an endpoint may be older than what its controller said. */
+    private void repeatHoldings(String host) {
+        for (StateEntry entry : exchange.state(host).values()) {
+            if (entry.hasHolding()
+                    && controllers.isController(host, entry.getHolding().getTerm())) {
+                controller.holds(PeerCodec.holding(entry.getHolding()));
             }
         }
-        byHost.forEach((host, wanted) -> {
-            if (host.equals(hostId)) {
-                controller.wanted(wanted, now);
-            } else {
-                mesh.send(host, PeerMessage.newBuilder().setArtifactsWanted(PeerCodec.wanted(wanted)));
-            }
-        });
+    }
+
+    private Map<Target.RoutedTarget, ArtifactUse> demand(String host) {
+        Map<Target.RoutedTarget, ArtifactUse> uses = new HashMap<>();
+        exchange.state(host).values().stream()
+                .filter(StateEntry::hasArtifact)
+                .map(StateEntry::getArtifact)
+                .forEach(demand -> uses.put(
+                        PeerCodec.target(demand), new ArtifactUse(demand.getTokensPerSecond(), demand.getInFlight())));
+        return uses;
+    }
+
+    private void ask(String host, List<Target.RoutedTarget> targets) {
+        if (host.equals(hostId)) {
+            control.put(now -> wantedHere(targets, now));
+        } else {
+            mesh.send(host, PeerMessage.newBuilder().setArtifactsWanted(PeerCodec.wanted(targets)));
+        }
+    }
+
+    private void wantedHere(List<Target.RoutedTarget> targets, long now) {
+        controller.wanted(targets, now);
+        orderNow.accept(now);
     }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerMesh.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerMesh.java
@@ -5,11 +5,8 @@
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Set;
-import java.util.TreeSet;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.BiConsumer;
 
+import org.gooseberryring.coordination.exchange.ExchangeMember;
 import org.gooseberryring.coordination.feed.FeedListener;
 import org.gooseberryring.coordination.store.StoreOutcome;
 import org.gooseberryring.coordination.store.StoreReply;
@@ -19,7 +16,6 @@
 import org.gooseberryring.host.control.StoreLanes;
 import org.gooseberryring.host.fleet.HostDirectory;
 import org.gooseberryring.host.log.LogLine;
-import org.gooseberryring.protocol.HostEntry;
 import org.gooseberryring.protocol.Json;
 import org.gooseberryring.protocol.peer.PeerMessage;
 import org.gooseberryring.transport.peer.PeerLimits;
@@ -29,10 +25,10 @@
 /**
  * Links of this host to the others, which it finds in the platform's store.
  *
- * <p>The first host creates the secret that all share. Each host registers its address. A link whose other end has not
- * heard of this host for a while is opened anew. All methods are called on the control thread unless stated otherwise.
+ * <p>The first host creates the secret that all share. Each host registers its address. All methods are called on the
+ * control thread unless stated otherwise.
  */
-final class PeerMesh implements FeedListener<HostEntry>, AutoCloseable {
+final class PeerMesh implements FeedListener<HostRegistration>, AutoCloseable {
     /** Collection of the hosts' addresses. */
     static final String HOSTS = "hosts";
 
@@ -43,45 +39,36 @@
     private static final long MESSAGE_MILLIS = 1_000;
     private static final int MAX_QUEUED_FRAMES = 256;
 
-    /** A host that is silent for this long does not count any more. */
-    private static final long SILENT_MILLIS = 10_000;
-
-    /** Age of the last message at the other end after which a link is opened anew. */
-    private static final long STALE_LINK_MILLIS = 1_500;
-
     private final EntrySettings settings;
     private final long incarnation;
     private final StoreLanes lanes;
     private final ControlLoop control;
     private final HostMetrics metrics;
-    private final BiConsumer<String, PeerMessage> receiver;
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
-    private final Map<String, Long> heardAt = new ConcurrentHashMap<>();
-    private final Map<String, Long> renewedAt = new HashMap<>();
+    private final PeerExchange members;
     private volatile PeerLinks links;
     private boolean registered;
     private boolean calling;
     private long retryAt;
 
-    /** Creates a mesh; {@code receiver} takes the messages of other hosts, on a link's thread. */
+    /** Creates a mesh; {@code members} hears of the other hosts and takes their messages. */
     PeerMesh(
             EntrySettings settings,
             long incarnation,
             StoreLanes lanes,
             ControlLoop control,
             HostMetrics metrics,
-            BiConsumer<String, PeerMessage> receiver) {
+            PeerExchange members) {
         this.settings = settings;
         this.incarnation = incarnation;
         this.lanes = lanes;
         this.control = control;
         this.metrics = metrics;
-        this.receiver = receiver;
+        this.members = members;
     }
 
     /** Lets time pass. */
     void tick(long now) {
-        heardAt.values().removeIf(at -> now - at > SILENT_MILLIS);
         if (calling || now < retryAt) {
             return;
         }
@@ -92,31 +79,13 @@
         }
     }
 
-    /** Returns the other hosts that were heard of lately. */
-    Set<String> heard() {
-        return new TreeSet<>(heardAt.keySet());
-    }
-
-    /** Returns how many milliseconds ago each other host was heard of. */
-    Map<String, Long> heardAges(long now) {
-        Map<String, Long> ages = new HashMap<>();
-        heardAt.forEach((host, at) -> ages.put(host, now - at));
-        return ages;
-    }
-
-    /** Notes a message of another host and how long ago that host heard of this one, -1 if never. */
-    void heard(String host, long ageAtOtherEnd, long now) {
-        heardAt.put(host, now);
-        long renewed = renewedAt.getOrDefault(host, Long.MIN_VALUE / 2);
-        boolean stale = ageAtOtherEnd > STALE_LINK_MILLIS && now - renewed > STALE_LINK_MILLIS;
-        if (stale && links != null && addresses.containsKey(host)) {
-            renewedAt.put(host, now);
+    /** Opens the connection to a host anew. */
+    void renew(String host) {
+        InetSocketAddress address = addresses.get(host);
+        if (links != null && address != null) {
             links.forget(host);
-            links.peer(host, addresses.get(host));
-            LogLine.event("peer-link-renewed")
-                    .with("host", host)
-                    .with("ageMs", ageAtOtherEnd)
-                    .info(LOG);
+            links.peer(host, address);
+            LogLine.event("peer-link-renewed").with("host", host).info(LOG);
         }
     }
 
@@ -128,20 +97,14 @@
         }
     }
 
-    /** Sends a message to all other hosts. */
-    void broadcast(PeerMessage message) {
-        for (String host : addresses.keySet()) {
-            send(host, message.toBuilder());
-        }
-    }
-
     @Override
-    public void changed(String name, HostEntry entry, long now) {
+    public void changed(String name, HostRegistration entry, long now) {
         InetSocketAddress address = entry == null ? null : HostDirectory.address(entry.peerAddress());
         if (name.equals(settings.hostId()) || address == null) {
             return;
         }
         addresses.put(name, address);
+        members.member(new ExchangeMember(name, entry.failureDomain(), entry.processors()));
         if (links != null) {
             links.peer(name, address);
         }
@@ -150,6 +113,7 @@
     @Override
     public void removed(String name, long now) {
         addresses.remove(name);
+        members.memberGone(name);
         if (links != null) {
             links.forget(name);
         }
@@ -182,7 +146,7 @@
                 incarnation,
                 Base64.getDecoder().decode(secret.secret()),
                 PeerLimits.defaults(MAX_QUEUED_FRAMES),
-                message -> receiver.accept(message.getSender(), message),
+                message -> members.received(message.getSender(), message),
                 metrics.registry());
         opened.listen(settings.peerAddress());
         addresses.forEach(opened::peer);
@@ -196,12 +160,11 @@
             return;
         }
         InetSocketAddress address = settings.peerAddress();
-        HostEntry entry = new HostEntry(
+        HostRegistration entry = new HostRegistration(
                 settings.hostId(),
                 settings.failureDomain(),
                 address.getAddress().getHostAddress() + ":" + address.getPort(),
-                "",
-                HostDirectory.LIVE);
+                settings.processors());
         long version = absent ? StoreRequest.Put.ABSENT : reply.version();
         write(ownKey(), version, Json.write(entry), (written, at) -> {
             registered = written.outcome() == StoreOutcome.OK;
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
@@ -25,21 +25,20 @@
     /** Time in which an order reaches its endpoint. */
     private static final long TRANSIT_MILLIS = 200;
 
+    /** Hosts of a failure domain that follow its lease; the others leave the store alone. */
+    private static final int CANDIDATES = 2;
+
     private final ResidencyController controller;
     private final DomainLease lease;
     private final StoreLanes lanes;
     private final ControlLoop control;
     private final EndpointOrders orders;
     private final InstallationView view;
-    private final Announcer announcer;
+    private final PeerExchange exchange;
     private final OrderRight right;
     private long leadingTerm;
-
-    /** Tells all hosts, this one included, what an endpoint holds. */
-    @FunctionalInterface
-    interface Announcer {
-        void announce(long term, List<ResidencyEffect.Announce> endpoints);
-    }
+    private boolean leaving;
+    private volatile boolean due;
 
     /** Creates the control; {@code wallClock} gives milliseconds since the Unix epoch. */
     ResidencyControl(
@@ -49,7 +48,7 @@
             ControlLoop control,
             EndpointOrders orders,
             InstallationView view,
-            Announcer announcer,
+            PeerExchange exchange,
             LongSupplier wallClock,
             RandomGenerator random) {
         this.controller = controller;
@@ -57,7 +56,7 @@
         this.control = control;
         this.orders = orders;
         this.view = view;
-        this.announcer = announcer;
+        this.exchange = exchange;
         // The next holder takes the lease when the last order of this one is as old as the installation demands.
         long leaseMillis = OrderRight.ORDER_MILLIS + TRANSIT_MILLIS + settings.orderLeaseMillis();
         // The address belongs to one machine only, also if a host that was replaced by another of its name still runs.
@@ -68,14 +67,29 @@
 
     /** Lets time pass; must be called on the control thread. */
     void tick(long now) {
+        lease.candidate(!leaving && exchange.mayControl(CANDIDATES, now));
         boolean mayOrder = right.holds(now);
         call(lease.onTick(now));
         long term = mayOrder ? lease.term() : 0;
         if (term != leadingTerm && (term != 0 || !lease.leads(now))) {
             leadingTerm = term;
+            if (term == 0) {
+                exchange.controlsNothing(now);
+            }
             LogLine.event("controller-term").with("term", term).info(LOG);
         }
-        carryOut(controller.onTick(term, now));
+        carryOut(controller.onTick(term, now), now);
+        due = controller.isDue();
+    }
+
+    /** Sends what became due by a request for an artifact. */
+    void orderNow(long now) {
+        tick(now);
+    }
+
+    /** Returns whether an order is awaited that must not wait for the next regular tick; may be called on any thread. */
+    boolean isDue() {
+        return due;
     }
 
     /**
@@ -83,7 +97,7 @@
      * holder waits until it has run out.
      */
     void leave() {
-        lease.candidate(false);
+        leaving = true;
     }
 
     private void call(List<OrderEffect> effects) {
@@ -94,7 +108,7 @@
         }
     }
 
-    private void carryOut(List<ResidencyEffect> effects) {
+    private void carryOut(List<ResidencyEffect> effects, long now) {
         List<ResidencyEffect.Announce> announcements = new ArrayList<>();
         for (ResidencyEffect effect : effects) {
             if (effect instanceof ResidencyEffect.Send send) {
@@ -106,7 +120,7 @@
             }
         }
         if (!announcements.isEmpty()) {
-            announcer.announce(lease.term(), announcements);
+            exchange.announce(lease.term(), announcements, now);
         }
     }
 
@@ -129,6 +143,7 @@
                             .with("answer", known)
                             .info(LOG);
                     controller.answered(order, known, now);
+                    tick(now);
                 }));
     }
 
@@ -142,6 +157,7 @@
                 .whenComplete((status, failure) -> control.put(now -> {
                     if (failure == null) {
                         controller.status(status, now);
+                        tick(now);
                     } else {
                         LogLine.event("endpoint-status-failed")
                                 .with("endpoint", id)
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StateReader.java
@@ -0,0 +1,65 @@
+package org.gooseberryring.host.entry;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.gooseberryring.coordination.direct.EndpointUse;
+import org.gooseberryring.coordination.direct.PromptPlacement;
+import org.gooseberryring.coordination.exchange.RecordUpdate;
+import org.gooseberryring.protocol.peer.HeldEndpoint;
+import org.gooseberryring.protocol.peer.QuarantinedDigest;
+import org.gooseberryring.protocol.peer.StateEntry;
+
+/** Reads the changes of another host's state by kind. */
+final class StateReader {
+    private final RecordUpdate<StateKey, StateEntry> update;
+
+    StateReader(RecordUpdate<StateKey, StateEntry> update) {
+        this.update = update;
+    }
+
+    /** Returns what the request thread needs. */
+    HostNews news() {
+        Map<String, EndpointUse> uses = new HashMap<>();
+        Map<String, Long> usedTokens = new HashMap<>();
+        for (StateEntry entry : update.entries().values()) {
+            if (entry.hasEndpoint()) {
+                uses.put(entry.getEndpoint().getEndpoint(), PeerCodec.use(entry));
+            } else if (entry.hasOrganisation()) {
+                usedTokens.put(
+                        entry.getOrganisation().getOrganisation(),
+                        entry.getOrganisation().getUsedTokens());
+            }
+        }
+        for (StateKey key : update.removed()) {
+            if (key.kind() == StateEntry.ValueCase.ENDPOINT) {
+                uses.put(key.name(), EndpointUse.NONE);
+            }
+        }
+        return new HostNews(update.host(), update.incarnation(), update.isComplete(), uses, usedTokens, placements());
+    }
+
+    /** Returns what endpoints hold, if the host controls them. */
+    List<HeldEndpoint> holdings() {
+        return update.entries().values().stream()
+                .filter(StateEntry::hasHolding)
+                .map(StateEntry::getHolding)
+                .toList();
+    }
+
+    /** Returns requests that crash endpoints. */
+    List<QuarantinedDigest> quarantined() {
+        return update.notices().stream()
+                .filter(StateEntry::hasQuarantined)
+                .map(StateEntry::getQuarantined)
+                .toList();
+    }
+
+    private List<PromptPlacement> placements() {
+        return update.notices().stream()
+                .filter(StateEntry::hasParts)
+                .map(notice -> PeerCodec.placement(notice.getParts()))
+                .toList();
+    }
+}
