Close connections that no request uses again, and count limits by their window

The bucket admitted the burst once and only the rate afterwards, while the limit allows rate and burst in each window of 8 s. Hosts also took the same remainder together and refused everything until it had filled again. - Cold endpoints: each host could have a request saved, so that 95 hosts could send 95 at once where 36 are borne.

Change: connections are closed; limits count what all hosts admitted in the window, and each host admits at most its part of the remainder before the others hear of it; hosts take turns at a cold endpoint where they are more than its rate.

SharedLimitsTest#keepsALoweredLimit counts over one window, which is what the platform states a limit for; it counted over 10 s.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
@@ -192,7 +192,7 @@
         return adapters != null && (target.adapter() == null || adapters.contains(target.adapter()));
     }
 
-    boolean hasRoom(RouteQuery query, int hosts, long now) {
+    boolean hasRoom(RouteQuery query, FleetShare share, long now) {
         EndpointUse all = own.plus(othersSum);
         boolean free = all.inFlight() < registration.slots();
         return free
@@ -201,7 +201,7 @@
                 && fitsMemory(all, query.prompt())
                 && startsInTime(all, query, now)
                 && health.usable(own.inFlight(), now)
-                && cold.open(coldRate(), hosts, now);
+                && cold.open(coldRate(), share, now);
     }
 
     /** Returns the milliseconds after which a request would start here. */
@@ -231,7 +231,7 @@
         return (double) own.plus(othersSum).inFlight() / Math.max(1, registration.slots());
     }
 
-    RouteForecast started(RouteQuery query, int hosts, long now) {
+    RouteForecast started(RouteQuery query, FleetShare share, long now) {
         RouteForecast forecast =
                 new RouteForecast(millisToStart(query), own.plus(othersSum).inFlight(), tokensAhead(query));
         EndpointUse use = new EndpointUse(1, unread(query), memory(query.prompt()));
@@ -241,7 +241,7 @@
         if (query.target() instanceof Target.RoutedTarget target) {
             cache.add(target, query.prompt());
         }
-        cold.sent(coldRate(), hosts, now);
+        cold.sent(coldRate(), share, now);
         return forecast;
     }
 
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -82,7 +82,7 @@
     private final Set<Target.RoutedTarget> wanted = new LinkedHashSet<>();
     private ServingConfiguration configuration = ServingConfiguration.none();
     private Set<String> domainsOut = Set.of();
-    private int hosts = 1;
+    private FleetShare share = FleetShare.ALONE;
 
     /**
      * Creates a router that knows no endpoint.
@@ -136,9 +136,9 @@
         domainsOut = Set.copyOf(domains);
     }
 
-    /** Takes over the number of hosts, this one included. */
-    public void hosts(int count) {
-        hosts = Math.max(1, count);
+    /** Takes over the place of this host among all hosts. */
+    public void share(FleetShare newShare) {
+        share = newShare;
     }
 
     /**
@@ -278,7 +278,7 @@
     @Override
     public RouteForecast started(String endpoint, RouteQuery query, long now) {
         DirectEndpoint known = endpoints.get(endpoint);
-        return known == null ? RouteForecast.NONE : known.started(query, coldShares(), now);
+        return known == null ? RouteForecast.NONE : known.started(query, coldShare(), now);
     }
 
     @Override
@@ -354,7 +354,7 @@
         DirectEndpoint best = null;
         double bestCost = Double.MAX_VALUE;
         for (DirectEndpoint endpoint : holders) {
-            if (!endpoint.hasRoom(query, coldShares(), now)) {
+            if (!endpoint.hasRoom(query, coldShare(), now)) {
                 continue;
             }
             double cost = cost(endpoint, query);
@@ -434,8 +434,8 @@
         return known ? model : null;
     }
 
-    private int coldShares() {
-        return Math.max(MIN_COLD_SHARES, hosts);
+    private FleetShare coldShare() {
+        return share.ofAtLeast(MIN_COLD_SHARES);
     }
 
     private void configure(DirectEndpoint endpoint) {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedBucket.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedBucket.java
@@ -5,7 +5,13 @@
 
 import org.gooseberryring.state.Organisation;
 
-/** Bucket of one organisation from which all hosts take. */
+/**
+ * Limit of one organisation that all hosts keep together.
+ *
+ * <p>In each span of the limit's window all hosts together admit the rate for its length and the burst. What a host may
+ * admit before the others hear of it is bounded by its part of what is left, so that hosts that are asked for more than
+ * the limit do not all use the same remainder.
+ */
 final class SharedBucket {
     private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -15,18 +21,27 @@
     /** Part of the burst that a new host assumes to be left, since it does not know what the others have admitted. */
     private static final double START_SHARE = 0.125;
 
+    /** Time within which all hosts hear what one of them has admitted. */
+    private static final long HORIZON_MILLIS = 500;
+
+    /** Multiple of its part of the remainder that a host may admit within that time, for demand that is uneven. */
+    private static final double SHARE_FACTOR = 2;
+
     private static final long MIN_RETRY_MILLIS = 50;
     private static final long MAX_RETRY_MILLIS = 10_000;
 
+    private final long windowMillis;
+    private final UseWindow used;
+    private final UseWindow ownLatest = new UseWindow(HORIZON_MILLIS);
     private final Map<String, HostUse> hosts = new HashMap<>();
     private double rate;
     private double burst;
-    private double level;
-    private long filledAt;
+    private double startBurst;
+    private long limitedSince;
     private long ownUsed;
     private double ownRecent;
     private long ownRecentAt;
-    private boolean filled;
+    private boolean configured;
 
     private static final class HostUse {
         private long total;
@@ -44,20 +59,27 @@
         }
     }
 
-    SharedBucket(long now) {
-        this.filledAt = now;
+    SharedBucket(long windowMillis, long now) {
+        this.windowMillis = windowMillis;
+        this.used = new UseWindow(windowMillis);
+        this.limitedSince = now;
         this.ownRecentAt = now;
     }
 
+    /** Takes over a limit; a lower one counts from now on, with no more left than before. */
     void configured(Organisation organisation, long now) {
-        fill(now);
-        rate = organisation.rateTokensPerSecond();
-        burst = organisation.burstTokens();
-        if (!filled) {
-            filled = true;
-            level = burst * START_SHARE;
+        double newRate = organisation.rateTokensPerSecond();
+        double newBurst = organisation.burstTokens();
+        if (!configured) {
+            configured = true;
+            startBurst = newBurst * START_SHARE;
+        } else if (newRate < rate || newBurst < burst) {
+            startBurst = Math.min(newBurst, remainder(now));
+            limitedSince = now;
+            used.clear();
         }
-        level = Math.min(level, burst);
+        rate = newRate;
+        burst = newBurst;
     }
 
     long ownUsed() {
@@ -83,14 +105,13 @@
 
     /** Takes over the total of another host in place of what was assumed of it. */
     void usedBy(String host, long total, long now) {
-        fill(now);
         HostUse use = hosts.get(host);
         if (use == null) {
             met(host, total, now);
             return;
         }
         long delta = total - use.total;
-        level = Math.min(burst, level + use.assumed - delta);
+        used.add(delta - use.assumed, now);
         use.total = total;
         use.recent = decayed(use.recent, use.recentAt, now) + Math.max(0, delta);
         use.recentAt = now;
@@ -99,35 +120,29 @@
     }
 
     /**
-     * Assumes that silent hosts have gone on to use their parts of the rate, each at least an equal one, all together no
-     * more than the rate.
+     * Assumes that silent hosts have gone on to use their parts of the limit, each at least an equal one, all together no
+     * more than the limit.
      *
      * @param silentSince time at which each of them was heard last
      */
     void assume(Map<String, Long> silentSince, int hostCount, long now) {
-        double sum = ownRecent;
-        for (HostUse each : hosts.values()) {
-            sum += each.recent;
-        }
+        double sum = recentOfAll(now);
         Map<String, Double> shares = new HashMap<>();
         double all = 0;
         for (String host : silentSince.keySet()) {
             HostUse use = hosts.get(host);
             if (use != null) {
-                double share = Math.max(1.0 / hostCount, sum <= 0 ? 0 : use.recent / sum);
+                double recent = decayed(use.recent, use.recentAt, now);
+                double share = Math.max(1.0 / hostCount, sum <= 0 ? 0 : recent / sum);
                 shares.put(host, share);
                 all += share;
             }
         }
-        double part = 1 / Math.max(1, all);
-        double used = 0;
+        double flow = (rate + burst * MILLIS_PER_SECOND / windowMillis) / Math.max(1, all);
         for (Map.Entry<String, Double> entry : shares.entrySet()) {
             String host = entry.getKey();
-            used += hosts.get(host).assume(entry.getValue() * part * rate, silentSince.get(host), now);
+            used.add(hosts.get(host).assume(entry.getValue() * flow, silentSince.get(host), now), now);
         }
-        // Filled and used in one step: a bucket that is filled to its burst first would lose the rate of a long step.
-        level = Math.max(-burst, Math.min(burst, level + filled(now) - used));
-        filledAt = now;
     }
 
     void forget(String host) {
@@ -136,37 +151,58 @@
 
     /** Takes tokens; a request may take more than there are, which the next ones wait for. */
     boolean take(long tokens, long now) {
-        fill(now);
-        if (level <= 0) {
+        double left = remainder(now);
+        double latest = ownLatest.sum(now);
+        if (left <= 0 || latest > SHARE_FACTOR * share(now) * (left + latest)) {
             return false;
         }
-        level -= tokens;
-        ownUsed += tokens;
+        count(tokens, now);
         ownRecent = decayed(ownRecent, ownRecentAt, now) + tokens;
         ownRecentAt = now;
         return true;
     }
 
     void giveBack(long tokens, long now) {
-        fill(now);
-        ownUsed -= tokens;
-        level = Math.min(burst, level + tokens);
+        count(-tokens, now);
     }
 
     /** Returns milliseconds until a request can be admitted again. */
     long millisToNext(long now) {
-        fill(now);
-        double millis = -level / Math.max(1, rate) * MILLIS_PER_SECOND;
-        return Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, (long) millis));
+        double missing = -remainder(now);
+        boolean starting = now - limitedSince < windowMillis;
+        double refilled = missing / Math.max(1, rate) * MILLIS_PER_SECOND;
+        long millis = starting ? (long) refilled : used.millisUntilLeft(missing, now);
+        // Something may be left that is another host's part; the parts are shared anew within the horizon.
+        long shared = missing < 0 ? HORIZON_MILLIS / 2 : MIN_RETRY_MILLIS;
+        return Math.min(MAX_RETRY_MILLIS, Math.max(shared, millis));
+    }
+
+    private void count(long tokens, long now) {
+        used.add(tokens, now);
+        ownLatest.add(tokens, now);
+        ownUsed += tokens;
+    }
+
+    /** Returns the tokens that all hosts together may still admit. */
+    private double remainder(long now) {
+        long since = Math.min(windowMillis, now - limitedSince);
+        double allowed = rate * since / MILLIS_PER_SECOND + (since < windowMillis ? startBurst : burst);
+        return allowed - used.sum(now);
     }
 
-    private void fill(long now) {
-        level = Math.min(burst, level + filled(now));
-        filledAt = now;
+    /** Returns this host's part of what is asked for, at least an equal one. */
+    private double share(long now) {
+        double sum = recentOfAll(now);
+        double asked = sum <= 0 ? 0 : decayed(ownRecent, ownRecentAt, now) / sum;
+        return Math.max(1.0 / (hosts.size() + 1), asked);
     }
 
-    private double filled(long now) {
-        return (now - filledAt) * rate / MILLIS_PER_SECOND;
+    private double recentOfAll(long now) {
+        double sum = decayed(ownRecent, ownRecentAt, now);
+        for (HostUse each : hosts.values()) {
+            sum += decayed(each.recent, each.recentAt, now);
+        }
+        return sum;
     }
 
     private static double decayed(double amount, long at, long now) {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedLimits.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedLimits.java
@@ -11,9 +11,8 @@
 /**
  * Token limits that hosts keep together by telling each other what they have admitted.
  *
- * <p>Every host keeps one bucket for each organisation and takes from it what any host admits. Between two messages the
- * hosts can admit too much together; the bucket goes below zero then and must fill before the next request. A host that
- * is silent is assumed to use its part of the rate, so that hosts that are cut off from each other stay within the limit
+ * <p>Every host counts for each organisation what any host has admitted within the window of the limits. A host that is
+ * silent is assumed to use its part of the limit, so that hosts that are cut off from each other stay within the limit
  * together.
  */
 public final class SharedLimits implements TokenAdmission {
@@ -31,10 +30,20 @@
     private final Map<String, Long> heardAt = new HashMap<>();
     private final Map<String, Long> incarnations = new HashMap<>();
     private final Set<String> assumed = new HashSet<>();
+    private final long windowMillis;
     private long tickedAt = Long.MIN_VALUE;
 
     private record Reservation(String organisation, long tokens) {}
 
+    /**
+     * Creates limits without any organisation.
+     *
+     * @param windowMillis length of the spans of time in which an organisation may use its rate and its burst
+     */
+    public SharedLimits(long windowMillis) {
+        this.windowMillis = windowMillis;
+    }
+
     /** Takes over the organisations of a configuration. */
     public void configured(Collection<Organisation> organisations, long now) {
         catchUp(now);
@@ -114,7 +123,7 @@
     }
 
     private SharedBucket newBucket(long now) {
-        SharedBucket bucket = new SharedBucket(now);
+        SharedBucket bucket = new SharedBucket(windowMillis, now);
         heardAt.keySet().forEach(host -> bucket.met(host, 0, now));
         return bucket;
     }
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/UseWindow.java
@@ -0,0 +1,72 @@
+package org.gooseberryring.coordination.limit;
+
+import java.util.Arrays;
+
+/**
+ * Tokens that were admitted within a sliding span of time.
+ *
+ * <p>They are counted in short intervals, and the oldest interval counts in full, so that no span of the given length is
+ * underestimated.
+ */
+final class UseWindow {
+    private static final int INTERVALS = 64;
+
+    private final double[] tokens = new double[INTERVALS + 1];
+    private final long intervalMillis;
+    private double sum;
+    private long interval = Long.MIN_VALUE;
+
+    /** Creates an empty window of the given length in milliseconds. */
+    UseWindow(long windowMillis) {
+        this.intervalMillis = Math.max(1, windowMillis / INTERVALS);
+    }
+
+    /** Counts tokens, or takes back some that were counted although they were not used. */
+    void add(double amount, long now) {
+        advance(now);
+        tokens[index(interval)] += amount;
+        sum += amount;
+    }
+
+    /** Returns the tokens within the window. */
+    double sum(long now) {
+        advance(now);
+        return sum;
+    }
+
+    /** Returns milliseconds until the given amount has left the window, its whole length if there is less in it. */
+    long millisUntilLeft(double amount, long now) {
+        advance(now);
+        double left = 0;
+        for (int i = 1; i <= INTERVALS; i++) {
+            left += tokens[index(interval + i)];
+            if (left > amount) {
+                return (interval + i) * intervalMillis - now;
+            }
+        }
+        return INTERVALS * intervalMillis;
+    }
+
+    /** Forgets everything. */
+    void clear() {
+        Arrays.fill(tokens, 0);
+        sum = 0;
+    }
+
+    private void advance(long now) {
+        long current = Math.floorDiv(now, intervalMillis);
+        if (interval == Long.MIN_VALUE || current - interval > INTERVALS) {
+            clear();
+            interval = current;
+        }
+        while (interval < current) {
+            interval++;
+            sum -= tokens[index(interval)];
+            tokens[index(interval)] = 0;
+        }
+    }
+
+    private static int index(long ofInterval) {
+        return Math.floorMod(ofInterval, INTERVALS + 1);
+    }
+}
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/DirectRouterTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/DirectRouterTest.java
@@ -136,7 +136,7 @@
             DirectRouter each = new DirectRouter("a", new Random(host));
             each.configured(configuration());
             each.registered(engine("cold", "a", 5_000), 0);
-            each.hosts(8);
+            each.share(new FleetShare(host, 8));
             for (long now = 500; now < 1_500; now += 5) {
                 RouteQuery query = query(MODEL, PromptShape.NONE);
                 if (each.choose(query, now).kind() == RouteChoice.Kind.ENDPOINT) {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/SharedLimitsTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/SharedLimitsTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 
 import net.jqwik.api.ForAll;
@@ -23,6 +24,7 @@
     private static final double OVERAGE = 0.1;
 
     private static final long SLACK = 110_000;
+    private static final long SMALL_SLACK = 7_500;
 
     /** Guards against refusals within the limit although the callers of a few hosts ask for most of it. */
     @Test
@@ -86,25 +88,79 @@
                 .isAtMost((RATE * WINDOW_MILLIS / 1_000 + BURST) * (1 + OVERAGE) + SLACK);
     }
 
+    /** Guards against refusals of what an organisation may use of its burst in each window. */
+    @Test
+    void admitsTheRateAndTheBurstInEachWindow() {
+        Hosts hosts = new Hosts(9, 11);
+        int asked = 0;
+        int refused = 0;
+        for (long now = 0; now < 40_000; now += 10) {
+            hosts.tick(now, true);
+            // 54,000 tokens a second, more than the rate and less than the rate and a part of the burst.
+            if (now > 10_000 && now % 50 == 0) {
+                asked++;
+                refused += hosts.ask((int) (now / 50 % 9), 2_700, now) ? 0 : 1;
+            }
+        }
+        assertWithMessage("refused of " + asked).that(refused).isEqualTo(0);
+    }
+
+    /** Guards against hosts that all use the same remainder while an organisation asks for many times its limit. */
+    @Property(tries = 40, seed = "5203", shrinking = ShrinkingMode.OFF)
+    void staysWithinASmallToleranceUnderManyTimesTheLimit(@ForAll long seed) {
+        Random random = new Random(seed);
+        Hosts hosts = new Hosts(9, seed);
+        for (long now = 0; now < 40_000; now += 10) {
+            hosts.tick(now, true);
+            boolean hot = now > 12_000 && now < 24_000;
+            for (int i = 0; i < (hot ? 5 : 1); i++) {
+                hosts.ask(random.nextInt(9), 300 + random.nextInt(800), now);
+            }
+        }
+        assertWithMessage("most tokens in a window")
+                .that((double) hosts.mostInWindow())
+                .isAtMost((RATE * WINDOW_MILLIS / 1_000 + BURST) * (1 + OVERAGE) + SMALL_SLACK);
+    }
+
+    /** Guards against use that is assumed of a process that a newer one of its host has replaced. */
+    @Test
+    void assumesNothingOfAnEarlierProcess() {
+        SharedLimits limits = new SharedLimits(WINDOW_MILLIS);
+        limits.configured(List.of(organisation(1_000, 1_000)), 0);
+        limits.usedBy("other", 1, Map.of("o", 0L), 0);
+        for (long now = 0; now <= 10_000; now += 100) {
+            limits.tick(now);
+            limits.usedBy("other", now < 5_000 ? 1 : 2, Map.of("o", 0L), now);
+        }
+        long admitted = 0;
+        for (int i = 0; i < 9; i++) {
+            long now = 10_000 + i * 600L;
+            limits.tick(now);
+            limits.usedBy("other", 2, Map.of("o", 0L), now);
+            admitted += limits.reserve("r" + i, "o", 900, now).kind() == Admission.Kind.ADMITTED ? 900 : 0;
+        }
+        assertThat(admitted).isEqualTo(9 * 900L);
+    }
+
     /** Guards against a limit that is lowered and not kept from then on. */
     @Test
     void keepsALoweredLimit() {
-        SharedLimits limits = new SharedLimits();
+        SharedLimits limits = new SharedLimits(WINDOW_MILLIS);
         limits.configured(List.of(organisation(RATE, BURST)), 0);
         limits.tick(10_000);
         limits.configured(List.of(organisation(1_000, 2_000)), 10_000);
         long admitted = 0;
-        for (int i = 0; i < 1_000; i++) {
+        for (int i = 0; i < WINDOW_MILLIS / 10; i++) {
             long now = 10_000 + i * 10L;
             admitted += limits.reserve("r" + i, "o", 500, now).kind() == Admission.Kind.ADMITTED ? 500 : 0;
         }
-        assertThat(admitted).isAtMost(2_000 + 10 * 1_000 + 500);
+        assertThat(admitted).isAtMost(2_000 + WINDOW_MILLIS + 500);
     }
 
     /** Guards against tokens of requests that did not run and are not given back. */
     @Test
     void givesBackTokensOfRequestsThatDidNotRun() {
-        SharedLimits limits = new SharedLimits();
+        SharedLimits limits = new SharedLimits(WINDOW_MILLIS);
         limits.configured(List.of(organisation(1, 8_000)), 0);
         assertThat(limits.reserve("a", "o", 5_000, 0).kind()).isEqualTo(Admission.Kind.ADMITTED);
         assertThat(limits.reserve("b", "o", 1, 0).kind()).isEqualTo(Admission.Kind.REFUSED);
@@ -115,7 +171,7 @@
     /** Guards against a refusal whose time to come back is too early to be admitted. */
     @Test
     void admitsAgainAfterTheTimeOfTheRefusal() {
-        SharedLimits limits = new SharedLimits();
+        SharedLimits limits = new SharedLimits(WINDOW_MILLIS);
         limits.configured(List.of(organisation(1_000, 8_000)), 0);
         limits.reserve("a", "o", 4_000, 0);
         Admission refusal = limits.reserve("b", "o", 1, 0);
@@ -138,7 +194,7 @@
 
         Hosts(int count, long seed) {
             for (int i = 0; i < count; i++) {
-                SharedLimits limits = new SharedLimits();
+                SharedLimits limits = new SharedLimits(WINDOW_MILLIS);
                 limits.configured(List.of(organisation(RATE, BURST)), 0);
                 hosts.add(limits);
             }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
@@ -31,7 +31,7 @@
 
     private final DirectRouter router = new DirectRouter("a", new Random(1));
     private final RequestEngine engine = new RequestEngine(
-            new SharedLimits(),
+            new SharedLimits(8_000),
             new FairRequestQueue(QueueSettings.defaults()),
             router,
             new RouteRetries(new RetryAllowance(10_000, 0.2, 54)),
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
@@ -10,6 +10,7 @@
 
 import org.gooseberryring.coordination.direct.DirectRouter;
 import org.gooseberryring.coordination.direct.EndpointUse;
+import org.gooseberryring.coordination.direct.FleetShare;
 import org.gooseberryring.coordination.direct.PromptPlacement;
 import org.gooseberryring.coordination.limit.SharedLimits;
 import org.gooseberryring.coordination.queue.QueueSettings;
@@ -40,7 +41,7 @@
     private static final int QUARANTINE_LOSSES = 3;
 
     private final DirectRouter router;
-    private final SharedLimits limits = new SharedLimits();
+    private final SharedLimits limits;
     private final RouteRetries retries;
     private final RequestLoop loop;
     private final FleetNews news = new FleetNews();
@@ -60,6 +61,7 @@
             long seed,
             LongSupplier clock) {
         router = new DirectRouter(settings.failureDomain(), new Random(seed));
+        limits = new SharedLimits(settings.limitWindowMillis());
         retries = new RouteRetries(settings.retries());
         RequestEngine engine = new RequestEngine(
                 limits,
@@ -161,11 +163,11 @@
         loop.put((engine, now) -> engine.quarantined(reporter, digest, losses, now));
     }
 
-    /** Takes over the number of hosts, this one included. */
-    void hosts(int count) {
+    /** Takes over the place of this host among all hosts. */
+    void share(FleetShare share) {
         loop.put((engine, now) -> {
-            router.hosts(count);
-            retries.hosts(count);
+            router.share(share);
+            retries.hosts(share.hosts());
             return List.of();
         });
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntrySettings.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntrySettings.java
@@ -16,6 +16,7 @@
  * @param shutdownMillis milliseconds from the request to stop until the process is ended
  * @param maxConnections connections of callers
  * @param retries retries that a service bears from all hosts
+ * @param limitWindowMillis milliseconds in which an organisation may use its rate and its burst
  * @param processors processor cores that this host may use, 0 if unknown
  * @param configurationMillis milliseconds by which a configuration must be in force
  * @param endpointLeaveMillis milliseconds by which an endpoint that leaves must get no new work
@@ -32,6 +33,7 @@
         long shutdownMillis,
         int maxConnections,
         RetryAllowance retries,
+        long limitWindowMillis,
         double processors,
         long configurationMillis,
         long endpointLeaveMillis,
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -9,6 +9,7 @@
 import java.util.function.LongConsumer;
 
 import com.google.protobuf.ByteString;
+import org.gooseberryring.coordination.direct.FleetShare;
 import org.gooseberryring.coordination.exchange.ExchangeEffect;
 import org.gooseberryring.coordination.exchange.ExchangeMember;
 import org.gooseberryring.coordination.exchange.ExchangeTimes;
@@ -79,7 +80,7 @@
     private long snapshotAt;
     private long agesAt;
     private long surveyAt;
-    private int hosts;
+    private FleetShare share = FleetShare.ALONE;
 
     /** Creates the exchange of a host; {@code open} gives the number of requests that are open on it. */
     PeerExchange(
@@ -235,7 +236,7 @@
      */
     private void tellConcerned(long term, ResidencyEffect.Announce endpoint, long now) {
         Set<String> concerned = wantedByOthers.waitingFor(endpoint.models(), now);
-        if (hosts <= SMALL_FLEET_HOSTS) {
+        if (share.hosts() <= SMALL_FLEET_HOSTS) {
             concerned.addAll(exchange.ages(now).keySet());
         } else {
             concerned.addAll(exchange.hostsWith(new StateKey(StateEntry.ValueCase.ENDPOINT, endpoint.endpoint())));
@@ -324,9 +325,13 @@
     /** Looks at which controllers live, how many hosts there are, and what they ask for. */
     private void survey(long now) {
         Map<String, Long> ages = exchange.ages(now);
-        if (ages.size() + 1 != hosts) {
-            hosts = ages.size() + 1;
-            requests.hosts(hosts);
+        long before = ages.keySet().stream()
+                .filter(host -> host.compareTo(hostId) < 0)
+                .count();
+        FleetShare present = new FleetShare((int) before, ages.size() + 1);
+        if (!present.equals(share)) {
+            share = present;
+            requests.share(share);
         }
         ages.put(hostId, 0L);
         requests.controlled(controllers.heard(ages, now));
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -92,11 +92,11 @@
             return;
         }
         if (ended) {
-            client.connector().release(address, opened);
+            letGo(opened);
             return;
         }
         if (!mayStart.getAsBoolean()) {
-            client.connector().release(address, opened);
+            letGo(opened);
             end(Verdict.NOT_RUN, false, null);
             return;
         }
@@ -106,6 +106,15 @@
         opened.sendRequest(request(), callback(this::accepted));
     }
 
+    /** Keeps a connection on which nothing is under way, if it can be of use again. */
+    private void letGo(ClientConnection unused) {
+        if (client.protocol().keepsConnections()) {
+            client.connector().release(address, unused);
+        } else {
+            IoUtils.safeClose(unused);
+        }
+    }
+
     private ClientRequest request() {
         ClientRequest request =
                 new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.path());
@@ -166,7 +175,7 @@
         ClientConnection used = connection;
         connection = null;
         if (reusable && (writer == null || writer.done())) {
-            client.connector().release(address, used);
+            letGo(used);
         } else {
             IoUtils.safeClose(used);
         }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointProtocol.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointProtocol.java
@@ -15,6 +15,14 @@
     /** Returns whether a connection that carried another request before may be used. */
     boolean mayReuse(EndpointCall call);
 
+    /**
+     * Returns whether connections are kept after an answer. Where no request may use them again, they would only take up
+     * the connections that an endpoint accepts.
+     */
+    default boolean keepsConnections() {
+        return true;
+    }
+
     /** Returns whether the head of an answer belongs to the request. */
     boolean belongsTo(EndpointCall call, int status, HeaderMap headers);
 
