Let controllers place a wanted model one after the other, and describe the exchange

They look at it in their next short tick again, which differs between hosts. A host that may take the lease next follows the demand of all hosts, so that it does not take every model for unused.

Connections to services that echo no id are no longer reused by the product's own interface: a late second copy of an answer would reach the next caller.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
@@ -171,11 +171,6 @@
         }
     }
 
-    /** Returns whether this host controls the endpoints of its failure domain. */
-    public boolean isLeading() {
-        return leading;
-    }
-
     /** Returns whether an artifact is awaited, so that the next call is due within a few milliseconds. */
     public boolean isDue() {
         return leading && (!wanted.isEmpty() || ledgers.values().stream().anyMatch(EndpointLedger::awaitsAdapter));
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -104,7 +104,7 @@
                 settings,
                 random,
                 clock.now());
-        exchange.connect(mesh, residency::orderNow, feeds::passedOn);
+        exchange.connect(mesh, residency::awaited, feeds::passedOn);
         control.onTick(feeds::tick);
         control.onTick(mesh::tick);
         control.onTick(exchange::tick);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.IntSupplier;
-import java.util.function.LongConsumer;
 
 import com.google.protobuf.ByteString;
 import org.gooseberryring.coordination.direct.FleetShare;
@@ -75,7 +74,7 @@
     private final Controllers controllers = new Controllers();
     private final ArtifactRequests artifacts;
     private PeerMesh mesh;
-    private LongConsumer orderNow = now -> {};
+    private Runnable awaited = () -> {};
     private FeedReceiver feeds = (collection, from, encoded, now) -> {};
     private long snapshotAt;
     private long agesAt;
@@ -116,9 +115,9 @@
      * @param whenWanted hears that requests wait for an artifact of the own failure domain
      * @param feedReceiver takes what the relay passes on of the store
      */
-    void connect(PeerMesh peerMesh, LongConsumer whenWanted, FeedReceiver feedReceiver) {
+    void connect(PeerMesh peerMesh, Runnable whenWanted, FeedReceiver feedReceiver) {
         mesh = peerMesh;
-        orderNow = whenWanted;
+        awaited = whenWanted;
         feeds = feedReceiver;
     }
 
@@ -336,7 +335,8 @@
         ages.put(hostId, 0L);
         requests.controlled(controllers.heard(ages, now));
         ages.keySet().forEach(host -> repeatHoldings(host));
-        if (controller.isLeading()) {
+        // A host that may take the lease next knows then which models are asked for.
+        if (exchange.isAmongFirst(ResidencyControl.CANDIDATES, now)) {
             ages.keySet().stream()
                     .filter(host -> !host.equals(hostId))
                     .forEach(host -> controller.demandOf(host, demand(host), now));
@@ -373,6 +373,6 @@
 
     private void wantedHere(List<Target.RoutedTarget> targets, long now) {
         controller.wanted(targets, now);
-        orderNow.accept(now);
+        awaited.run();
     }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
@@ -26,7 +26,7 @@
     private static final long TRANSIT_MILLIS = 200;
 
     /** Hosts of a failure domain that follow its lease; the others leave the store alone. */
-    private static final int CANDIDATES = 2;
+    static final int CANDIDATES = 2;
 
     private final ResidencyController controller;
     private final DomainLease lease;
@@ -82,9 +82,12 @@
         due = controller.isDue();
     }
 
-    /** Sends what became due by a request for an artifact. */
-    void orderNow(long now) {
-        tick(now);
+    /**
+     * Notes that requests wait for an artifact, which is looked at in the next short tick of this host. All controllers hear
+     * of it at the same moment; their ticks differ, so that the first to order is heard of by the others before theirs.
+     */
+    void awaited() {
+        due = true;
     }
 
     /** Returns whether an order is awaited that must not wait for the next regular tick; may be called on any thread. */
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ModelEngineProtocol.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ModelEngineProtocol.java
@@ -25,7 +25,8 @@
 
     @Override
     public boolean mayReuse(EndpointCall call) {
-        return call.idempotent();
+        // Without an id, a late copy of an earlier answer cannot be told from the answer to this request.
+        return call.idempotent() && call.kind().echoesRequestId();
     }
 
     @Override
