Let failure domains place a model for another one in turn

They take turns of 400 ms in an order that all agree on. The new test has two of them order on the code before.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
@@ -47,6 +47,9 @@
     /** Time after which a model that is wanted and not loaded elsewhere is loaded to this failure domain. */
     private static final long FOREIGN_PLACE_MILLIS = 1_500;
 
+    /** Time after which the next failure domain does so; what one of them loads is known to the others well before. */
+    private static final long FOREIGN_TURN_MILLIS = 400;
+
     private static final long REBALANCE_MILLIS = 500;
 
     private final String failureDomain;
@@ -249,7 +252,7 @@
         if (underWay || ledgers.values().stream().anyMatch(ledger -> ledger.expects(target.model()))) {
             return false;
         }
-        boolean anywhere = now - since < FOREIGN_PLACE_MILLIS;
+        boolean anywhere = now - since < FOREIGN_PLACE_MILLIS + FOREIGN_TURN_MILLIS * turn(target);
         ModelPlacer.Place place = placer.cheapest(
                 target.service(),
                 target.model(),
@@ -262,6 +265,14 @@
         return false;
     }
 
+    /** Returns how many failure domains come before this one in the order in which they place a model for another. */
+    private int turn(Target.RoutedTarget target) {
+        Set<String> domains = new TreeSet<>();
+        fleet.inService(target.service()).forEach(endpoint -> domains.add(endpoint.failureDomain()));
+        return Math.max(
+                0, Rendezvous.top(domains, target.model(), domains.size()).indexOf(failureDomain));
+    }
+
     private boolean mayUnload(String service, String model, long now) {
         boolean idle = demand.idleMillis(new Target.RoutedTarget(service, model, null), now) > IDLE_MODEL_MILLIS;
         return idle || fleet.replicas(service, model) > 1;
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyControllerTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyControllerTest.java
@@ -1,14 +1,18 @@
 package org.gooseberryring.coordination.residency;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 import org.gooseberryring.coordination.request.Target;
+import org.gooseberryring.state.ResidentModel;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -35,6 +39,43 @@
         assertThat(world.isHeld("m9")).isTrue();
     }
 
+    /** Guards against a model that every failure domain loads at once, since the one that should have loaded it did not. */
+    @Test
+    void aModelThatItsBestPlaceDoesNotLoadIsLoadedByOneOtherDomain() {
+        List<String> full = List.of("m0", "m1", "m2");
+        List<ResidentModel> held =
+                full.stream().map(model -> new ResidentModel(model, Set.of())).toList();
+        Map<String, ResidencyController> controllers = new TreeMap<>();
+        for (String domain : List.of("a", "b")) {
+            ResidencyController controller = new ResidencyController(domain);
+            controller.configured(ResidencyWorld.configuration());
+            controller.registered(ResidencyWorld.registration("e-a", "a", full));
+            controller.registered(ResidencyWorld.registration("e-b", "b", full));
+            // It has room, but its controller is gone.
+            controller.registered(ResidencyWorld.registration("e-c", "c", List.of()));
+            controllers.put(domain, controller);
+        }
+        Target.RoutedTarget wanted = new Target.RoutedTarget(ResidencyWorld.SERVICE, "m9", null);
+        Set<String> ordered = new TreeSet<>();
+        for (long now = 0; now < 2_250; now += 50) {
+            List<ResidencyEffect.Announce> announced = new ArrayList<>();
+            for (ResidencyController controller : controllers.values()) {
+                controller.wanted(List.of(wanted), now);
+                for (ResidencyEffect effect : controller.onTick(1, now)) {
+                    if (effect instanceof ResidencyEffect.AskStatus ask) {
+                        controller.status(new EndpointStatus(ask.endpoint(), 0, false, held, List.of(), Set.of()), now);
+                    } else if (effect instanceof ResidencyEffect.Announce announce) {
+                        announced.add(announce);
+                    } else if (effect instanceof ResidencyEffect.Send send) {
+                        ordered.add(send.order().endpoint());
+                    }
+                }
+            }
+            controllers.values().forEach(controller -> announced.forEach(controller::holds));
+        }
+        assertThat(ordered).hasSize(1);
+    }
+
     /** Guards against an adapter that is never loaded because all places are taken by adapters nobody uses. */
     @Test
     void anIdleAdapterMakesRoomForAnother() {
