Make entries of the own state anew only when their values change

Cause: on every tick the control thread copied the whole state of its relay four times and made a message of every entry anew, most of which had not changed.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/HostRecord.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/HostRecord.java
@@ -69,10 +69,10 @@
         heardAt = at;
     }
 
-    /** Returns whether there is an entry with a key. */
-    boolean has(K key) {
+    /** Returns the entry with a key, null if there is none. */
+    V value(K key) {
         Entry<V> entry = entries.get(key);
-        return entry != null && entry.value() != null;
+        return entry == null ? null : entry.value();
     }
 
     /** Returns the present entries. */
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/StateExchange.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/StateExchange.java
@@ -76,11 +76,17 @@
         return known == null ? Map.of() : known.values();
     }
 
+    /** Returns an entry of a host, null if there is none. */
+    public V entry(String host, K key) {
+        HostRecord<K, V> known = table.record(host);
+        return known == null ? null : known.value(key);
+    }
+
     /** Returns the other hosts whose state has an entry with a key. */
     public Set<String> hostsWith(K key) {
         Set<String> hosts = new HashSet<>();
         table.records().forEach((host, known) -> {
-            if (known != table.own() && known.has(key)) {
+            if (known != table.own() && known.value(key) != null) {
                 hosts.add(host);
             }
         });
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/Controllers.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/Controllers.java
@@ -40,6 +40,11 @@
                 .toList();
     }
 
+    /** Returns the hosts that are the last known controllers. */
+    List<String> hosts() {
+        return byDomain.values().stream().map(Controller::host).toList();
+    }
+
     /** Returns whether a host is the last known controller of a failure domain, under the given fencing number. */
     boolean isController(String host, long term) {
         return byDomain.values().stream().anyMatch(known -> known.host().equals(host) && known.term() == term);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/OwnState.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/OwnState.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 
 import org.gooseberryring.coordination.feed.FeedPosition;
 import org.gooseberryring.coordination.request.ArtifactUse;
@@ -11,7 +12,8 @@
 import org.gooseberryring.protocol.peer.StateEntry;
 
 /**
- * State that this host tells the others: what its requests take and ask for, and what endpoints hold if it controls them.
+ * State that this host tells the others: what its requests take and ask for, what endpoints hold if it controls them, and
+ * how far it has followed the store if it relays.
  *
  * <p>Belongs to the control thread.
  */
@@ -20,21 +22,30 @@
     private static final double RATE_STEP = 1.5;
 
     private final Map<StateKey, StateEntry> holdings = new HashMap<>();
-    private final Map<StateKey, StateEntry> work = new HashMap<>();
-    private final Map<StateKey, StateEntry> positions = new HashMap<>();
     private final List<StateEntry> notices = new ArrayList<>();
+    private Map<Object, Known> known = new HashMap<>();
+    private Map<Object, Known> positions = new HashMap<>();
     private long term;
 
+    /** Value of an entry, by which an entry that has not changed is found without making it anew. */
+    private record Known(Object value, StateKey key, StateEntry entry) {}
+
     /** Takes over what the requests of this host take and ask for. */
     void requests(EntryRequests.HostSnapshot snapshot) {
-        work.clear();
-        snapshot.uses().forEach((endpoint, use) -> put(work, PeerCodec.use(endpoint, use)));
+        Map<Object, Known> next = new HashMap<>();
+        snapshot.uses()
+                .forEach((endpoint, use) -> keep(known, next, endpoint, use, value -> PeerCodec.use(endpoint, value)));
         snapshot.usedTokens().forEach((organisation, tokens) -> {
             if (tokens != 0) {
-                put(work, PeerCodec.usedTokens(organisation, tokens));
+                // An organisation may have the name of an endpoint.
+                List<String> name = List.of(organisation);
+                keep(known, next, name, tokens, value -> PeerCodec.usedTokens(organisation, value));
             }
         });
-        snapshot.artifacts().forEach((target, use) -> put(work, PeerCodec.artifact(target, rounded(use))));
+        snapshot.artifacts()
+                .forEach((target, use) ->
+                        keep(known, next, target, rounded(use), value -> PeerCodec.artifact(target, value)));
+        known = next;
         snapshot.placements().forEach(placement -> notices.add(PeerCodec.parts(placement)));
     }
 
@@ -44,7 +55,10 @@
             holdings.clear();
             term = controllerTerm;
         }
-        endpoints.forEach(endpoint -> put(holdings, PeerCodec.holding(term, endpoint)));
+        for (ResidencyEffect.Announce endpoint : endpoints) {
+            StateEntry entry = PeerCodec.holding(term, endpoint);
+            holdings.put(StateKey.of(entry), entry);
+        }
     }
 
     /** Notes that this host controls no endpoints any more. */
@@ -54,8 +68,10 @@
 
     /** Takes over how far this host has followed collections of the store for others. */
     void positions(Map<String, FeedPosition> newPositions) {
-        positions.clear();
-        newPositions.forEach((collection, position) -> put(positions, PeerCodec.position(collection, position)));
+        Map<Object, Known> next = new HashMap<>();
+        newPositions.forEach((collection, position) ->
+                keep(positions, next, collection, position, value -> PeerCodec.position(collection, value)));
+        positions = next;
     }
 
     /** Adds a value that every other host is told once. */
@@ -65,9 +81,9 @@
 
     /** Returns all entries. */
     Map<StateKey, StateEntry> entries() {
-        Map<StateKey, StateEntry> all = new HashMap<>(work);
-        all.putAll(holdings);
-        all.putAll(positions);
+        Map<StateKey, StateEntry> all = new HashMap<>(holdings);
+        known.values().forEach(each -> all.put(each.key(), each.entry()));
+        positions.values().forEach(each -> all.put(each.key(), each.entry()));
         return all;
     }
 
@@ -78,8 +94,16 @@
         return taken;
     }
 
-    private static void put(Map<StateKey, StateEntry> entries, StateEntry entry) {
-        entries.put(StateKey.of(entry), entry);
+    /** Adds the entry of a value to the next ones; it is made anew only if the value differs from the present one. */
+    private static <T> void keep(
+            Map<Object, Known> present, Map<Object, Known> next, Object id, T value, Function<T, StateEntry> maker) {
+        Known old = present.get(id);
+        if (old != null && old.value().equals(value)) {
+            next.put(id, old);
+            return;
+        }
+        StateEntry entry = maker.apply(value);
+        next.put(id, new Known(value, StateKey.of(entry), entry));
     }
 
     private static ArtifactUse rounded(ArtifactUse use) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -139,9 +139,8 @@
     /** Returns how far the relay that this host sends to has followed a collection, null if it relies on none. */
     FeedPosition relayPosition(String collection, long now) {
         String relay = exchange.isRelay() ? null : exchange.relay(now);
-        StateEntry entry = relay == null
-                ? null
-                : exchange.state(relay).get(new StateKey(StateEntry.ValueCase.POSITION, collection));
+        StateEntry entry =
+                relay == null ? null : exchange.entry(relay, new StateKey(StateEntry.ValueCase.POSITION, collection));
         return entry == null ? null : PeerCodec.position(entry);
     }
 
@@ -334,7 +333,7 @@
         }
         ages.put(hostId, 0L);
         requests.controlled(controllers.heard(ages, now));
-        ages.keySet().forEach(host -> repeatHoldings(host));
+        controllers.hosts().forEach(this::repeatHoldings);
         // A host that may take the lease next knows then which models are asked for.
         if (exchange.isAmongFirst(ResidencyControl.CANDIDATES, now)) {
             ages.keySet().stream()
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
@@ -20,14 +20,14 @@
 
 /** Holds the lease of a failure domain and carries out what its residency controller decides. */
 final class ResidencyControl {
+    /** Hosts of a failure domain that follow its lease; the others leave the store alone. */
+    static final int CANDIDATES = 2;
+
     private static final Logger LOG = Logger.getLogger(ResidencyControl.class);
 
     /** Time in which an order reaches its endpoint. */
     private static final long TRANSIT_MILLIS = 200;
 
-    /** Hosts of a failure domain that follow its lease; the others leave the store alone. */
-    static final int CANDIDATES = 2;
-
     private final ResidencyController controller;
     private final DomainLease lease;
     private final StoreLanes lanes;
