Take no statement of a controller that is older than the last one

Cause, found by reading: what an endpoint holds goes to the hosts that it concerns directly and to all through the relays. A relay that forwards what it heard 200 ms ago brought back a model that the endpoint was unloading.

The message of the exchange is named ExchangeMessage, since its encoded form is called StateSync.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/ExchangeEffect.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/ExchangeEffect.java
@@ -15,7 +15,7 @@
      * @param <K> type of the keys
      * @param <V> type of the values
      */
-    record Send<K, V>(String host, StateSync<K, V> sync) implements ExchangeEffect<K, V> {}
+    record Send<K, V>(String host, ExchangeMessage<K, V> sync) implements ExchangeEffect<K, V> {}
 
     /**
      * Opens the connection to another host anew, because nothing that was sent on it arrives.
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/ExchangeLink.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/ExchangeLink.java
@@ -104,7 +104,7 @@
     }
 
     /** Notes a message of the peer; returns false if it is older than one that arrived before. */
-    boolean received(long incarnation, StateSync<?, ?> sync, long now) {
+    boolean received(long incarnation, ExchangeMessage<?, ?> sync, long now) {
         if (incarnation != peerIncarnation) {
             forgetSent();
             peerIncarnation = incarnation;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/StateSync.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/ExchangeMessage.java
@@ -20,7 +20,7 @@
  * @param <K> type of the keys
  * @param <V> type of the values
  */
-public record StateSync<K, V>(
+public record ExchangeMessage<K, V>(
         long number,
         long acknowledged,
         boolean asks,
@@ -31,7 +31,7 @@
         Set<String> relayedHosts,
         List<RecordUpdate<K, V>> updates,
         Map<String, Long> silent) {
-    public StateSync {
+    public ExchangeMessage {
         wantedDomains = Set.copyOf(wantedDomains);
         coveredDomains = Set.copyOf(coveredDomains);
         relayedHosts = Set.copyOf(relayedHosts);
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/StateExchange.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/StateExchange.java
@@ -149,7 +149,7 @@
     }
 
     /** Handles a message of another host. */
-    public List<ExchangeEffect<K, V>> received(String sender, long incarnation, StateSync<K, V> sync, long now) {
+    public List<ExchangeEffect<K, V>> received(String sender, long incarnation, ExchangeMessage<K, V> sync, long now) {
         String domain = relays.failureDomain(sender);
         if (domain == null) {
             // Its address is not known yet; it repeats what was not acknowledged.
@@ -207,7 +207,7 @@
     }
 
     /** Notes which hosts live by what the sender of a message says. */
-    private void vouch(String sender, String domain, StateSync<K, V> sync, long now) {
+    private void vouch(String sender, String domain, ExchangeMessage<K, V> sync, long now) {
         table.records().forEach((host, known) -> {
             boolean covered = host.equals(sender)
                     || sync.coversAll()
@@ -292,7 +292,7 @@
         return false;
     }
 
-    private StateSync<K, V> sync(String host, ExchangeLink link, boolean asks, long now) {
+    private ExchangeMessage<K, V> sync(String host, ExchangeLink link, boolean asks, long now) {
         Scope scope = scope(host, link);
         List<RecordUpdate<K, V>> updates = new ArrayList<>();
         Map<String, Long> silent = new HashMap<>();
@@ -308,7 +308,7 @@
             }
         });
         boolean near = scope.near();
-        return new StateSync<>(
+        return new ExchangeMessage<>(
                 link.sent(table.changes(), now),
                 link.receivedNumber(),
                 asks,
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/exchange/ExchangeWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/exchange/ExchangeWorld.java
@@ -23,7 +23,7 @@
     private long incarnations;
     private long now;
 
-    private record Arrival(long at, String from, long incarnation, String to, StateSync<String, Long> sync) {}
+    private record Arrival(long at, String from, long incarnation, String to, ExchangeMessage<String, Long> sync) {}
 
     /** One host with what it has heard. */
     final class Node {
@@ -118,7 +118,7 @@
             notices.computeIfAbsent(update.host(), host -> new ArrayList<>()).addAll(update.notices());
         }
 
-        private void send(String to, StateSync<String, Long> sync) {
+        private void send(String to, ExchangeMessage<String, Long> sync) {
             Node receiver = nodes.get(to);
             if (receiver != null && !cut.test(member, receiver.member)) {
                 boolean near = member.failureDomain().equals(receiver.member.failureDomain());
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/OwnState.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/OwnState.java
@@ -26,6 +26,7 @@
     private Map<Object, Known> known = new HashMap<>();
     private Map<Object, Known> positions = new HashMap<>();
     private long term;
+    private long revision;
 
     /** Value of an entry, by which an entry that has not changed is found without making it anew. */
     private record Known(Object value, StateKey key, StateEntry entry) {}
@@ -49,16 +50,23 @@
         snapshot.placements().forEach(placement -> notices.add(PeerCodec.parts(placement)));
     }
 
-    /** Takes over what endpoints hold, under the fencing number of this host as their controller. */
-    void holds(long controllerTerm, List<ResidencyEffect.Announce> endpoints) {
+    /**
+     * Takes over what endpoints hold, under the fencing number of this host as their controller.
+     *
+     * @return entries of these endpoints
+     */
+    List<StateEntry> holds(long controllerTerm, List<ResidencyEffect.Announce> endpoints) {
         if (controllerTerm != term) {
             holdings.clear();
             term = controllerTerm;
         }
+        List<StateEntry> entries = new ArrayList<>();
         for (ResidencyEffect.Announce endpoint : endpoints) {
-            StateEntry entry = PeerCodec.holding(term, endpoint);
+            StateEntry entry = PeerCodec.holding(term, ++revision, endpoint);
             holdings.put(StateKey.of(entry), entry);
+            entries.add(entry);
         }
+        return entries;
     }
 
     /** Notes that this host controls no endpoints any more. */
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
@@ -11,6 +11,7 @@
 
 import org.gooseberryring.coordination.direct.EndpointUse;
 import org.gooseberryring.coordination.direct.PromptPlacement;
+import org.gooseberryring.coordination.exchange.ExchangeMessage;
 import org.gooseberryring.coordination.exchange.RecordUpdate;
 import org.gooseberryring.coordination.feed.FeedPosition;
 import org.gooseberryring.coordination.request.ArtifactUse;
@@ -38,7 +39,7 @@
 
     /** Encodes a message of the exchange; {@code encoder} encodes its updates. */
     static StateSync encode(
-            org.gooseberryring.coordination.exchange.StateSync<StateKey, StateEntry> sync,
+            ExchangeMessage<StateKey, StateEntry> sync,
             Function<RecordUpdate<StateKey, StateEntry>, HostUpdate> encoder) {
         StateSync.Builder message = StateSync.newBuilder()
                 .setNumber(sync.number())
@@ -56,10 +57,10 @@
         return message.build();
     }
 
-    static org.gooseberryring.coordination.exchange.StateSync<StateKey, StateEntry> decode(StateSync message) {
+    static ExchangeMessage<StateKey, StateEntry> decode(StateSync message) {
         Map<String, Long> silent = new HashMap<>();
         message.getSilentList().forEach(each -> silent.put(each.getHost(), each.getAgeMillis()));
-        return new org.gooseberryring.coordination.exchange.StateSync<>(
+        return new ExchangeMessage<>(
                 message.getNumber(),
                 message.getAcknowledged(),
                 message.getAsks(),
@@ -168,12 +169,13 @@
                 .build();
     }
 
-    static StateEntry holding(long term, ResidencyEffect.Announce endpoint) {
+    static StateEntry holding(long term, long revision, ResidencyEffect.Announce endpoint) {
         HeldEndpoint.Builder held = HeldEndpoint.newBuilder()
                 .setEndpoint(endpoint.endpoint())
                 .setOrderSequence(endpoint.orderSequence())
                 .setLoading(endpoint.loading() == null ? "" : endpoint.loading())
-                .setTerm(term);
+                .setTerm(term)
+                .setRevision(revision);
         endpoint.models()
                 .forEach(model -> held.addModels(
                         HeldModel.newBuilder().setModel(model.model()).addAllAdapters(model.adapters())));
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -11,6 +11,7 @@
 import org.gooseberryring.coordination.direct.FleetShare;
 import org.gooseberryring.coordination.exchange.ExchangeEffect;
 import org.gooseberryring.coordination.exchange.ExchangeMember;
+import org.gooseberryring.coordination.exchange.ExchangeMessage;
 import org.gooseberryring.coordination.exchange.ExchangeTimes;
 import org.gooseberryring.coordination.exchange.RecordUpdate;
 import org.gooseberryring.coordination.exchange.StateExchange;
@@ -182,7 +183,7 @@
     void received(String sender, PeerMessage message) {
         switch (message.getBodyCase()) {
             case STATE_SYNC -> {
-                var sync = PeerCodec.decode(message.getStateSync());
+                ExchangeMessage<StateKey, StateEntry> sync = PeerCodec.decode(message.getStateSync());
                 control.offer(now -> received(sender, message.getSenderIncarnation(), sync, now));
             }
             case FEED_CHANGES -> {
@@ -222,9 +223,9 @@
     void announce(long term, List<ResidencyEffect.Announce> endpoints, long now) {
         controllers.heard(failureDomain, hostId, term, now);
         endpoints.forEach(endpoint -> requests.holds(endpoint.endpoint(), endpoint.models()));
-        own.holds(term, endpoints);
+        List<StateEntry> entries = own.holds(term, endpoints);
         publish(now);
-        endpoints.forEach(endpoint -> tellConcerned(term, endpoint, now));
+        entries.forEach(entry -> tellConcerned(entry.getHolding(), now));
         carryOut(exchange.onTick(now), now);
     }
 
@@ -232,32 +233,30 @@
      * Tells the hosts that wait for what an endpoint holds now, or send requests to it, without the way through the relays.
      * In a small fleet these are all hosts.
      */
-    private void tellConcerned(long term, ResidencyEffect.Announce endpoint, long now) {
-        Set<String> concerned = wantedByOthers.waitingFor(endpoint.models(), now);
+    private void tellConcerned(HeldEndpoint endpoint, long now) {
+        Set<String> concerned =
+                wantedByOthers.waitingFor(PeerCodec.holding(endpoint).models(), now);
         if (share.hosts() <= SMALL_FLEET_HOSTS) {
             concerned.addAll(exchange.ages(now).keySet());
         } else {
-            concerned.addAll(exchange.hostsWith(new StateKey(StateEntry.ValueCase.ENDPOINT, endpoint.endpoint())));
+            concerned.addAll(exchange.hostsWith(new StateKey(StateEntry.ValueCase.ENDPOINT, endpoint.getEndpoint())));
         }
-        PeerMessage.Builder message = PeerMessage.newBuilder()
-                .setHeldEndpoint(PeerCodec.holding(term, endpoint).getHolding());
+        PeerMessage.Builder message = PeerMessage.newBuilder().setHeldEndpoint(endpoint);
         concerned.forEach(host -> mesh.send(host, message.clone()));
     }
 
-    /** Takes over what an endpoint holds unless a later controller of its failure domain is known. */
+    /** Takes over what an endpoint holds unless a later controller or a later statement of it is known. */
     private void holds(String sender, String domain, HeldEndpoint held, long now) {
-        if (domain != null && controllers.heard(domain, sender, held.getTerm(), now)) {
+        if (domain != null
+                && controllers.heard(domain, sender, held.getTerm(), now)
+                && controllers.isNews(held.getEndpoint(), held.getTerm(), held.getRevision())) {
             ResidencyEffect.Announce endpoint = PeerCodec.holding(held);
             controller.holds(endpoint);
             requests.holds(endpoint.endpoint(), endpoint.models());
         }
     }
 
-    private void received(
-            String sender,
-            long incarnation,
-            org.gooseberryring.coordination.exchange.StateSync<StateKey, StateEntry> sync,
-            long now) {
+    private void received(String sender, long incarnation, ExchangeMessage<StateKey, StateEntry> sync, long now) {
         carryOut(exchange.received(sender, incarnation, sync, now), now);
         carryOut(exchange.onTick(now), now);
     }
