Let a restarted holder take its lease although it no longer follows it

After the restart of all hosts, a holder that is not among the first two of its failure domain did not look at the lease, and the others waited until it had run out; the domain had no controller for 5 s. Each host reads the lease once now. Whether this is the whole cause of the slow recovery is not known.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/DomainLease.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/DomainLease.java
@@ -25,6 +25,7 @@
     private long renewedAt;
     private boolean leading;
     private boolean candidate = true;
+    private boolean left;
     private long stamps;
 
     /**
@@ -71,13 +72,27 @@
         candidate = mayLead;
     }
 
+    /** Takes the lease no more, also if an earlier process of this host holds it. */
+    public void leave() {
+        left = true;
+    }
+
+    /**
+     * Returns whether this host may take the lease: as a candidate, or because an earlier process of its own may hold it,
+     * which no other host knows to have ended.
+     */
+    private boolean mayTake() {
+        boolean own = seen == null || seen.holder().equals(self);
+        return !left && (candidate || own);
+    }
+
     /** Returns the calls to the store that are due. */
     public List<OrderEffect> onTick(long now) {
         List<OrderEffect> effects = new ArrayList<>(cell.onTick(now));
         if (leading && now - renewedAt >= leaseMillis) {
             leading = false;
         }
-        if (!candidate && !leading || !cell.idle() || now < nextCallAt) {
+        if (!mayTake() && !leading || !cell.idle() || now < nextCallAt) {
             return effects;
         }
         long period = leaseMillis / RENEWALS_PER_LEASE;
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/order/DomainLeaseTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/order/DomainLeaseTest.java
@@ -17,6 +17,7 @@
     private final OrderCodec codec = new MemoryOrderCodec();
     private byte[] stored;
     private long version;
+    private int calls;
 
     /** Guards against a failure domain without a controller for a whole lease after its hosts were restarted. */
     @Test
@@ -32,6 +33,29 @@
         assertThat(after.term()).isEqualTo(before.term() + 1);
     }
 
+    /** Guards against the same where the host that held the lease is not among those that follow it. */
+    @Test
+    void aRestartedHolderTakesItsOwnLeaseAlthoughItIsNoCandidate() {
+        DomainLease before = lease("h1", 1);
+        run(before, 0, 1_000);
+        DomainLease after = lease("h1", 2);
+        after.candidate(false);
+        run(after, 1_200, 1_400);
+        assertThat(after.leads(1_400)).isTrue();
+    }
+
+    /** Guards against hosts that follow a lease which is none of their business. */
+    @Test
+    void aHostThatIsNoCandidateReadsTheLeaseOnce() {
+        run(lease("h1", 1), 0, 1_000);
+        DomainLease other = lease("h2", 2);
+        other.candidate(false);
+        calls = 0;
+        run(other, 1_200, 1_200 + 4 * LEASE_MILLIS);
+        assertThat(other.leads(1_200 + 4 * LEASE_MILLIS)).isFalse();
+        assertThat(calls).isEqualTo(1);
+    }
+
     /** Guards against two hosts that order at the same time. */
     @Test
     void anotherHostWaitsUntilTheLeaseHasRunOut() {
@@ -62,6 +86,7 @@
     }
 
     private StoreReply answer(StoreRequest request) {
+        calls++;
         if (request instanceof StoreRequest.Put put) {
             if (put.expectedVersion() != version) {
                 return new StoreReply(KEY, StoreOutcome.CONFLICT, 0, null);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
@@ -37,7 +37,6 @@
     private final PeerExchange exchange;
     private final OrderRight right;
     private long leadingTerm;
-    private boolean leaving;
     private volatile boolean due;
 
     /** Creates the control; {@code wallClock} gives milliseconds since the Unix epoch. */
@@ -67,7 +66,7 @@
 
     /** Lets time pass; must be called on the control thread. */
     void tick(long now) {
-        lease.candidate(!leaving && exchange.mayControl(CANDIDATES, now));
+        lease.candidate(exchange.mayControl(CANDIDATES, now));
         boolean mayOrder = right.holds(now);
         call(lease.onTick(now));
         long term = mayOrder ? lease.term() : 0;
@@ -100,7 +99,7 @@
      * holder waits until it has run out.
      */
     void leave() {
-        leaving = true;
+        lease.leave();
     }
 
     private void call(List<OrderEffect> effects) {
