--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -146,7 +146,6 @@
      *
      * @param uses uses that have changed; an endpoint that serves none of its requests any more has no use
      * @param complete whether the host takes nothing of the endpoints that are not named
-     * @see #unusedBy
      */
     public void usedBy(String host, Map<String, EndpointUse> uses, boolean complete) {
         if (complete) {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/ExchangeEffect.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/ExchangeEffect.java
@@ -39,11 +39,10 @@
      * Drops the state of a host that gave no sign of life for a long time.
      *
      * @param host host that is gone
-     * @param incarnation number of its last process
      * @param <K> type of the keys
      * @param <V> type of the values
      */
-    record Gone<K, V>(String host, long incarnation) implements ExchangeEffect<K, V> {}
+    record Gone<K, V>(String host) implements ExchangeEffect<K, V> {}
 
     /**
      * Notes that this host relays the state of its failure domain from now on, or no longer does.
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/ExchangeLink.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/ExchangeLink.java
@@ -20,7 +20,7 @@
     private long receivedNumber;
     private long sentAt = NEVER;
     private long heardAt = NEVER;
-    private long askedAt = NEVER;
+    private long subscribedAt = NEVER;
     private long triedSince = NEVER;
     private long changesSent = -1;
     private boolean mustRestart;
@@ -34,9 +34,9 @@
         return heardAt;
     }
 
-    /** Returns when the peer last asked this host to send to it. */
-    long askedAt() {
-        return askedAt;
+    /** Returns when the peer last stated that it relies on this host. */
+    long subscribedAt() {
+        return subscribedAt;
     }
 
     long sentAt() {
@@ -115,7 +115,7 @@
         }
         receivedNumber = sync.number();
         heardAt = now;
-        askedAt = sync.asks() ? now : askedAt;
+        subscribedAt = sync.subscribes() ? now : subscribedAt;
         wantedByPeer = sync.wantedDomains();
         while (!unacknowledged.isEmpty() && unacknowledged.peek().number() <= sync.acknowledged()) {
             unacknowledged.poll();
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/ExchangeMessage.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/ExchangeMessage.java
@@ -9,12 +9,12 @@
  *
  * @param number rises with each message of the sender on this link
  * @param acknowledged number of the last message that the sender received on this link, 0 if there was none
- * @param asks whether the sender relies on the receiver, which must send to it
+ * @param subscribes whether the sender relies on the receiver, which must send to it
  * @param restart whether the sender needs the whole state of all hosts anew
  * @param wantedDomains failure domains that the sender asks the receiver to pass on
- * @param coversAll whether the sender vouches for all hosts that it does not name as silent
- * @param coveredDomains failure domains for whose hosts the sender vouches
- * @param relayedHosts hosts that the sender hears of directly and vouches for
+ * @param coversAll whether all hosts live that the sender does not name as silent
+ * @param coveredDomains failure domains whose hosts live unless the sender names them as silent
+ * @param relayedHosts hosts that live, because the sender hears from them directly
  * @param updates changes that the receiver may lack
  * @param silent milliseconds since the last sign of life of hosts that are silent
  * @param <K> type of the keys
@@ -23,7 +23,7 @@
 public record ExchangeMessage<K, V>(
         long number,
         long acknowledged,
-        boolean asks,
+        boolean subscribes,
         boolean restart,
         Set<String> wantedDomains,
         boolean coversAll,
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/HostRecord.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/HostRecord.java
@@ -86,8 +86,8 @@
         return values;
     }
 
-    /** Replaces the entries by the given ones; returns whether anything changed. */
-    boolean publish(Map<K, V> state) {
+    /** Replaces the entries by the given ones. */
+    void publish(Map<K, V> state) {
         long next = version + 1;
         boolean changed = false;
         for (Map.Entry<K, V> each : state.entrySet()) {
@@ -107,7 +107,6 @@
             version = next;
             updates.clear();
         }
-        return changed;
     }
 
     /** Adds values that every host is told once. */
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/RelayChoice.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/RelayChoice.java
@@ -1,7 +1,6 @@
 package org.gooseberryring.coordination.exchange;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -47,10 +46,6 @@
         return member == null ? null : member.failureDomain();
     }
 
-    Collection<ExchangeMember> members() {
-        return members.values();
-    }
-
     /** Returns the other failure domains that have hosts. */
     List<String> otherDomains() {
         List<String> others = new ArrayList<>();
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/StateExchange.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/StateExchange.java
@@ -19,14 +19,14 @@
  * reached is heard of through the relay of a third one.
  *
  * <p>Hosts that give no sign of life are told apart from those whose state has not changed: a sender names the silent
- * ones among the hosts that it vouches for.
+ * ones among the hosts that its message covers.
  *
  * @param <K> type of the keys of the state
  * @param <V> type of its values
  */
 public final class StateExchange<K, V> {
-    /** Messages without an answer after which a host that was never heard counts as silent, in probe intervals. */
-    private static final int FIRST_PROBES = 3;
+    /** Probe intervals without an answer after which a host is only probed, and is not taken for living. */
+    private static final int SILENT_PROBES = 3;
 
     private final ExchangeMember self;
     private final ExchangeTimes times;
@@ -52,11 +52,11 @@
         }
     }
 
-    /** Takes a host out that will not return. */
+    /** Takes a host out that is no longer listed. */
     public void memberGone(String host) {
         if (!host.equals(self.host())) {
+            // Its link is kept, since the numbers of the messages go on if the host is listed again.
             relays.remove(host);
-            links.remove(host);
         }
     }
 
@@ -104,12 +104,6 @@
         return ages;
     }
 
-    /** Returns the process number of a host, 0 if the host is not known. */
-    public long incarnation(String host) {
-        HostRecord<K, V> known = table.record(host);
-        return known == null ? 0 : known.incarnation();
-    }
-
     /** Returns the failure domain of a host, null if the host is not known. */
     public String failureDomain(String host) {
         return relays.failureDomain(host);
@@ -123,9 +117,18 @@
                 .orElse(null);
     }
 
-    /** Returns the hosts of the failure domain that send to this host, because it relays for them. */
-    public Set<String> followers(long now) {
-        return direct(now);
+    /** Returns the hosts of the own failure domain that rely on this host. */
+    public Set<String> subscribers(long now) {
+        Set<String> subscribers = new HashSet<>();
+        links.forEach((host, link) -> {
+            boolean near = self.failureDomain().equals(relays.failureDomain(host));
+            if (near
+                    && now - link.subscribedAt() <= times.freshMillis()
+                    && !relays.before().contains(host)) {
+                subscribers.add(host);
+            }
+        });
+        return subscribers;
     }
 
     /** Returns whether this host relays for its failure domain. */
@@ -143,7 +146,7 @@
         long before = relays.before().stream()
                 .filter(host -> table.record(host) == null
                         ? starting
-                        : table.record(host).ageMillis(now) <= FIRST_PROBES * times.probeMillis())
+                        : table.record(host).ageMillis(now) <= SILENT_PROBES * times.probeMillis())
                 .count();
         return before < count;
     }
@@ -163,7 +166,7 @@
         for (RecordUpdate<K, V> update : sync.updates()) {
             apply(link, update, effects, now);
         }
-        vouch(sender, domain, sync, now);
+        noteLiving(sender, domain, sync, now);
         return effects;
     }
 
@@ -176,7 +179,7 @@
         Set<String> chosen = chosen(now);
         Set<String> receivers = new LinkedHashSet<>(chosen);
         links.forEach((host, link) -> {
-            if (now - link.askedAt() <= times.acknowledgeMillis()) {
+            if (now - link.subscribedAt() <= times.acknowledgeMillis()) {
                 receivers.add(host);
             }
         });
@@ -207,7 +210,7 @@
     }
 
     /** Notes which hosts live by what the sender of a message says. */
-    private void vouch(String sender, String domain, ExchangeMessage<K, V> sync, long now) {
+    private void noteLiving(String sender, String domain, ExchangeMessage<K, V> sync, long now) {
         table.records().forEach((host, known) -> {
             boolean covered = host.equals(sender)
                     || sync.coversAll()
@@ -224,10 +227,10 @@
     }
 
     private void dropGone(List<ExchangeEffect<K, V>> effects, long now) {
-        table.dropOlderThan(times.goneMillis(), now).forEach((host, dropped) -> {
+        for (String host : table.dropOlderThan(times.goneMillis(), now)) {
             links.values().forEach(link -> link.forget(host));
-            effects.add(new ExchangeEffect.Gone<>(host, dropped.incarnation()));
-        });
+            effects.add(new ExchangeEffect.Gone<>(host));
+        }
     }
 
     private void noteRole(List<ExchangeEffect<K, V>> effects, long now) {
@@ -267,8 +270,8 @@
     }
 
     private long interval(String host, ExchangeLink link, long newsMillis, long now) {
-        boolean silent = now - link.heardAt() > FIRST_PROBES * times.probeMillis()
-                && now - link.triedSince() > FIRST_PROBES * times.probeMillis();
+        boolean silent = now - link.heardAt() > SILENT_PROBES * times.probeMillis()
+                && now - link.triedSince() > SILENT_PROBES * times.probeMillis();
         if (silent) {
             return times.probeMillis();
         }
@@ -292,7 +295,7 @@
         return false;
     }
 
-    private ExchangeMessage<K, V> sync(String host, ExchangeLink link, boolean asks, long now) {
+    private ExchangeMessage<K, V> sync(String host, ExchangeLink link, boolean subscribes, long now) {
         Scope scope = scope(host, link);
         List<RecordUpdate<K, V>> updates = new ArrayList<>();
         Map<String, Long> silent = new HashMap<>();
@@ -302,8 +305,8 @@
                 updates.add(known.since(base));
                 link.knows(name, known.incarnation(), known.version());
             }
-            boolean vouched = scope.coversAll() || scope.domains().contains(known.failureDomain());
-            if (vouched && known != table.own() && known.ageMillis(now) > times.freshMillis()) {
+            boolean covered = scope.coversAll() || scope.domains().contains(known.failureDomain());
+            if (covered && known != table.own() && known.ageMillis(now) > times.freshMillis()) {
                 silent.put(name, known.ageMillis(now));
             }
         });
@@ -311,12 +314,12 @@
         return new ExchangeMessage<>(
                 link.sent(table.changes(), now),
                 link.receivedNumber(),
-                asks,
+                subscribes,
                 link.takeRestart(),
                 near || !relaying ? Set.of() : wanted(relays.failureDomain(host), now),
                 scope.coversAll(),
                 scope.domains(),
-                near && !scope.coversAll() ? direct(now) : Set.of(),
+                near && !scope.coversAll() ? subscribers(now) : Set.of(),
                 updates,
                 silent);
     }
@@ -326,7 +329,7 @@
      *
      * @param receiver host at the other end
      * @param near whether it lies in the same failure domain, so that it is told everything
-     * @param coversAll whether this host vouches for all others
+     * @param coversAll whether this host states of all others whether they live
      * @param domains failure domains that a relay of another one is told
      */
     private record Scope(String receiver, boolean near, boolean coversAll, Set<String> domains) {
@@ -355,18 +358,4 @@
         }
         return wanted;
     }
-
-    /** Returns the hosts of the own failure domain that send to this host. */
-    private Set<String> direct(long now) {
-        Set<String> direct = new HashSet<>();
-        links.forEach((host, link) -> {
-            boolean near = self.failureDomain().equals(relays.failureDomain(host));
-            if (near
-                    && now - link.askedAt() <= times.freshMillis()
-                    && !relays.before().contains(host)) {
-                direct.add(host);
-            }
-        });
-        return direct;
-    }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/StateTable.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/StateTable.java
@@ -1,7 +1,6 @@
 package org.gooseberryring.coordination.exchange;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -81,20 +80,20 @@
         return Applied.NEW;
     }
 
-    /** Drops the records that are older than the given age and returns them. */
-    Map<String, HostRecord<K, V>> dropOlderThan(long millis, long now) {
-        Map<String, HostRecord<K, V>> dropped = new HashMap<>();
+    /** Drops the records that are older than the given age and returns their hosts. */
+    List<String> dropOlderThan(long millis, long now) {
+        List<String> dropped = new ArrayList<>();
         records.forEach((host, each) -> {
             if (each != own && each.ageMillis(now) > millis) {
-                dropped.put(host, each);
+                dropped.add(host);
             }
         });
-        records.keySet().removeAll(dropped.keySet());
+        dropped.forEach(records::remove);
         return dropped;
     }
 
+    /** Drops notices that all links have carried by now. */
     void expire(long now) {
-        List<HostRecord<K, V>> all = new ArrayList<>(records.values());
-        all.forEach(each -> each.expire(now));
+        records.values().forEach(each -> each.expire(now));
     }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedBucket.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedBucket.java
@@ -86,8 +86,8 @@
         return ownUsed;
     }
 
-    /** Meets a host whose earlier use is not known in time. */
-    void met(String host, long total, long now) {
+    /** Adds a host; what it used before is not known in time and does not count. */
+    void joined(String host, long total, long now) {
         HostUse use = new HostUse();
         use.total = total;
         use.recentAt = now;
@@ -107,7 +107,7 @@
     void usedBy(String host, long total, long now) {
         HostUse use = hosts.get(host);
         if (use == null) {
-            met(host, total, now);
+            joined(host, total, now);
             return;
         }
         long delta = total - use.total;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedLimits.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedLimits.java
@@ -2,9 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 
 import org.gooseberryring.state.Organisation;
 
@@ -22,19 +20,21 @@
     /** Time without a message after which the use of a host is assumed; several messages are lost by then. */
     private static final long ASSUME_MILLIS = 1_000;
 
-    /** A host that is silent for this long is taken for gone. */
-    private static final long GONE_MILLIS = 10_000;
-
     private final Map<String, SharedBucket> buckets = new HashMap<>();
     private final Map<String, Reservation> reservations = new HashMap<>();
-    private final Map<String, Long> heardAt = new HashMap<>();
-    private final Map<String, Long> incarnations = new HashMap<>();
-    private final Set<String> assumed = new HashSet<>();
+    private final Map<String, Peer> peers = new HashMap<>();
     private final long windowMillis;
     private long tickedAt = Long.MIN_VALUE;
 
     private record Reservation(String organisation, long tokens) {}
 
+    /** Another host; {@code assumed} states whether use was assumed of it since it was heard last. */
+    private record Peer(long incarnation, long heardAt, boolean assumed) {
+        boolean isSilent(long now) {
+            return now - heardAt > ASSUME_MILLIS;
+        }
+    }
+
     /**
      * Creates limits without any organisation.
      *
@@ -66,13 +66,11 @@
      */
     public void usedBy(String host, long incarnation, Map<String, Long> usedTokens, long now) {
         catchUp(now);
-        Long known = incarnations.put(host, incarnation);
-        boolean met = known != null && known == incarnation && heardAt.containsKey(host);
-        heardAt.put(host, now);
-        assumed.remove(host);
+        Peer known = peers.put(host, new Peer(incarnation, now, false));
+        boolean same = known != null && known.incarnation() == incarnation;
         buckets.forEach((id, bucket) -> {
-            if (!met) {
-                bucket.met(host, usedTokens.getOrDefault(id, 0L), now);
+            if (!same) {
+                bucket.joined(host, usedTokens.getOrDefault(id, 0L), now);
             } else if (usedTokens.containsKey(id)) {
                 bucket.usedBy(host, usedTokens.get(id), now);
             } else {
@@ -83,12 +81,21 @@
 
     /** Notes when another host, which has admitted nothing more since, was last heard of. */
     public void heard(String host, long ageMillis, long now) {
-        if (heardAt.containsKey(host)) {
-            heardAt.put(host, now - ageMillis);
-            if (ageMillis <= ASSUME_MILLIS && assumed.remove(host)) {
-                buckets.values().forEach(bucket -> bucket.heard(host, now));
-            }
+        Peer known = peers.get(host);
+        if (known == null) {
+            return;
+        }
+        boolean silent = ageMillis > ASSUME_MILLIS;
+        if (known.assumed() && !silent) {
+            buckets.values().forEach(bucket -> bucket.heard(host, now));
         }
+        peers.put(host, new Peer(known.incarnation(), now - ageMillis, known.assumed() && silent));
+    }
+
+    /** Takes a host out that gave no sign of life for a long time, so that nothing is assumed of it any more. */
+    public void gone(String host) {
+        peers.remove(host);
+        buckets.values().forEach(bucket -> bucket.forget(host));
     }
 
     /** Returns the tokens that this host has admitted since its start by organisation. */
@@ -102,29 +109,18 @@
     public void tick(long now) {
         catchUp(now);
         tickedAt = now;
-        Set<String> gone = new HashSet<>();
         Map<String, Long> silent = new HashMap<>();
-        heardAt.forEach((host, at) -> {
-            if (now - at > GONE_MILLIS) {
-                gone.add(host);
-            } else if (now - at > ASSUME_MILLIS) {
-                silent.put(host, at);
+        peers.forEach((host, peer) -> {
+            if (peer.isSilent(now)) {
+                silent.put(host, peer.heardAt());
             }
         });
-        gone.forEach(this::forget);
         assume(silent, now);
     }
 
-    private void forget(String host) {
-        heardAt.remove(host);
-        incarnations.remove(host);
-        assumed.remove(host);
-        buckets.values().forEach(bucket -> bucket.forget(host));
-    }
-
     private SharedBucket newBucket(long now) {
         SharedBucket bucket = new SharedBucket(windowMillis, now);
-        heardAt.keySet().forEach(host -> bucket.met(host, 0, now));
+        peers.keySet().forEach(host -> bucket.joined(host, 0, now));
         return bucket;
     }
 
@@ -138,15 +134,21 @@
         }
         long stopped = now - tickedAt;
         tickedAt = now;
-        assume(Map.copyOf(heardAt), now);
-        heardAt.replaceAll((host, at) -> Math.min(now, at + stopped));
+        Map<String, Long> heardAt = new HashMap<>();
+        peers.forEach((host, peer) -> heardAt.put(host, peer.heardAt()));
+        assume(heardAt, now);
+        peers.replaceAll(
+                (host, peer) -> new Peer(peer.incarnation(), Math.min(now, peer.heardAt() + stopped), peer.assumed()));
     }
 
     /** Assumes the use of hosts since they were heard last. */
     private void assume(Map<String, Long> silentSince, long now) {
         if (!silentSince.isEmpty()) {
-            assumed.addAll(silentSince.keySet());
-            int hosts = heardAt.size() + 1;
+            silentSince
+                    .keySet()
+                    .forEach(host -> peers.computeIfPresent(
+                            host, (name, peer) -> new Peer(peer.incarnation(), peer.heardAt(), true)));
+            int hosts = peers.size() + 1;
             buckets.values().forEach(bucket -> bucket.assume(silentSince, hosts, now));
         }
     }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/exchange/ExchangeWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/exchange/ExchangeWorld.java
@@ -164,6 +164,18 @@
         nodes.get(host).start();
     }
 
+    /** Takes a host out of the directory of all others, or lists it again. */
+    void listed(String host, boolean listed) {
+        ExchangeMember member = nodes.get(host).member;
+        for (Node node : nodes.values()) {
+            if (listed) {
+                node.exchange.member(member);
+            } else {
+                node.exchange.memberGone(host);
+            }
+        }
+    }
+
     void freeze(String host, boolean frozen) {
         nodes.get(host).frozen = frozen;
     }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/exchange/StateExchangeTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/exchange/StateExchangeTest.java
@@ -1,6 +1,9 @@
 package org.gooseberryring.coordination.exchange;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
+import java.util.TreeSet;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -131,12 +134,27 @@
         world.running().forEach(node -> assertThat(node.value("d1-h00", "old")).isNull());
     }
 
+    /** Guards against messages that are taken for old ones after the entry of a host was missing in the store for a while. */
+    @Test
+    void aHostThatIsListedAgainHearsTheOthers() {
+        ExchangeWorld world = started(2, 3);
+        world.pass(20_000);
+        world.listed("d0-h02", false);
+        world.pass(2_000);
+        world.listed("d0-h02", true);
+        world.pass(CONVERGENCE_MILLIS);
+        world.node("d1-h01").publish(KEY, 6L);
+        world.pass(CONVERGENCE_MILLIS);
+        assertAllKnow(world, "d1-h01", 6L);
+        assertThat(world.node("d0-h02").exchange().relay(world.now())).isEqualTo("d0-h00");
+    }
+
     /** Guards against beliefs that go back and against hosts that do not agree again after cuts, stops and restarts. */
     @Property(tries = 40, seed = "8211", shrinking = ShrinkingMode.OFF)
     void convergesAfterRandomFaultsAndNeverGoesBack(@ForAll long seed) {
         Random random = new Random(seed);
         ExchangeWorld world = started(2 + random.nextInt(3), 1 + random.nextInt(4));
-        java.util.List<String> hosts = new java.util.ArrayList<>(new java.util.TreeSet<>(world.hosts()));
+        List<String> hosts = new ArrayList<>(new TreeSet<>(world.hosts()));
         long value = 0;
         for (int step = 0; step < 30; step++) {
             String host = hosts.get(random.nextInt(hosts.size()));
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/ScoreWeights.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/MeasureWeights.java
@@ -1,16 +1,16 @@
 package org.gooseberryring.ctl.replay;
 
 /**
- * How much each measure counts in the score of one user.
+ * How much each measure counts in the weighted mean of one user.
  *
  * @param attainment weight of the attainment over all organisations
  * @param worstOrganisation weight of the attainment of the worst-served organisation
  * @param withinRateRefusals weight of the share of requests that were not refused within their organisation's rate
  * @param domainMove weight of the service while a failure domain leaves and returns
  */
-record ScoreWeights(double attainment, double worstOrganisation, double withinRateRefusals, double domainMove) {
+record MeasureWeights(double attainment, double worstOrganisation, double withinRateRefusals, double domainMove) {
     /** Returns the weighted mean of the measures, from 0 to 100. */
-    double score(double attained, double worst, double notWronglyRefused, double moveService) {
+    double mean(double attained, double worst, double notWronglyRefused, double moveService) {
         double sum = attainment + worstOrganisation + withinRateRefusals + domainMove;
         double weighted = attainment * attained
                 + worstOrganisation * worst
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/ReplayCommand.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/ReplayCommand.java
@@ -48,7 +48,7 @@
     @Parameter(names = "--token-millis", description = "Objective for the mean time between tokens")
     private double tokenMillis = 33;
 
-    @Parameter(names = "--weights", description = "JSON file from user to the weights of the measures in the score")
+    @Parameter(names = "--weights", description = "JSON file from user to the weights of the measures in their mean")
     private String weightsFile;
 
     @Parameter(names = "--html", description = "File for a page with plots")
@@ -68,7 +68,7 @@
         List<TraceLine> lines = TraceReader.read(trace, InputFile.read(trace));
         Map<String, OrganisationAccess> organisations = organisations();
         checkOrganisations(lines, organisations);
-        Map<String, ScoreWeights> weights = weights();
+        Map<String, MeasureWeights> weights = weights();
         ReplayReport report = replay(context, lines, organisations, weights);
         if (html != null) {
             writePage(report);
@@ -90,7 +90,7 @@
             Context context,
             List<TraceLine> lines,
             Map<String, OrganisationAccess> organisations,
-            Map<String, ScoreWeights> weights) {
+            Map<String, MeasureWeights> weights) {
         AdminClient client = admin.given() ? admin.client(context) : null;
         try (HttpWorker worker = HttpWorker.start("replay", IO_THREADS, 1);
                 MarkActions marks = new MarkActions(context, client)) {
@@ -115,7 +115,7 @@
         }
     }
 
-    private Map<String, ScoreWeights> weights() {
+    private Map<String, MeasureWeights> weights() {
         if (weightsFile == null) {
             return Map.of();
         }
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/ReplayReport.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/ReplayReport.java
@@ -12,7 +12,7 @@
  * @param worstOrganisation organisation with the lowest attainment
  * @param worstAttainment its attainment
  * @param domainMoveService share of requests served while failure domains leave and return, from 0 to 1
- * @param scores weighted mean of the measures by user, from 0 to 100; empty without weights
+ * @param weightedMeans weighted mean of the measures by user, from 0 to 100; empty without weights
  * @param withinRateRefusals requests refused although within the rate of their organisation
  * @param refusalsByCode refusals by code
  * @param sentLate requests sent late because too many were in flight
@@ -29,7 +29,7 @@
         String worstOrganisation,
         double worstAttainment,
         double domainMoveService,
-        Map<String, Double> scores,
+        Map<String, Double> weightedMeans,
         int withinRateRefusals,
         Map<String, Integer> refusalsByCode,
         int sentLate,
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/ReportBuilder.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/ReportBuilder.java
@@ -20,12 +20,12 @@
 
     private final Map<String, OrganisationAccess> organisations;
     private final Outcome.Objective objective;
-    private final Map<String, ScoreWeights> weights;
+    private final Map<String, MeasureWeights> weights;
 
     ReportBuilder(
             Map<String, OrganisationAccess> organisations,
             Outcome.Objective objective,
-            Map<String, ScoreWeights> weights) {
+            Map<String, MeasureWeights> weights) {
         this.organisations = organisations;
         this.objective = objective;
         this.weights = weights;
@@ -52,9 +52,9 @@
         List<ReplayReport.Mark> marks = marks(trace, speed);
         double moveService = DomainMoveService.of(seconds, marks);
         double notWronglyRefused = outcomes.isEmpty() ? 1 : 1 - (double) wrongful.size() / outcomes.size();
-        Map<String, Double> scores = new TreeMap<>();
+        Map<String, Double> weightedMeans = new TreeMap<>();
         weights.forEach((user, weight) ->
-                scores.put(user, weight.score(attainment, worst.attainment(), notWronglyRefused, moveService)));
+                weightedMeans.put(user, weight.mean(attainment, worst.attainment(), notWronglyRefused, moveService)));
         return new ReplayReport(
                 outcomes.size(),
                 (int) outcomes.stream().filter(Outcome::served).count(),
@@ -62,7 +62,7 @@
                 worst.id(),
                 worst.attainment(),
                 moveService,
-                scores,
+                weightedMeans,
                 wrongful.size(),
                 refusals(outcomes),
                 sentLate,
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/ReportText.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/replay/ReportText.java
@@ -13,7 +13,7 @@
         line(text, "worst organisation: %s, attainment %.4f", report.worstOrganisation(), report.worstAttainment());
         line(text, "refused within the rate: %d", report.withinRateRefusals());
         line(text, "service while failure domains leave and return: %.4f", report.domainMoveService());
-        report.scores().forEach((user, score) -> line(text, "score of %s: %.2f", user, score));
+        report.weightedMeans().forEach((user, mean) -> line(text, "weighted mean of %s: %.2f", user, mean));
         line(text, "refusals by code: %s", report.refusalsByCode());
         latency(text, "first token", report.firstToken());
         latency(text, "total", report.total());
--- a/gooseberryring-ctl/src/test/java/org/gooseberryring/ctl/replay/ReportBuilderTest.java
+++ b/gooseberryring-ctl/src/test/java/org/gooseberryring/ctl/replay/ReportBuilderTest.java
@@ -42,9 +42,9 @@
         assertThat(report.refusalsByCode()).containsExactly("no-answer", 1);
     }
 
-    /** Guards against a score that ignores what callers lose while a failure domain is out. */
+    /** Guards against a weighted mean that ignores what callers lose while a failure domain is out. */
     @Test
-    void scoreCountsTheServiceDuringAMove() {
+    void weightedMeanCountsTheServiceDuringAMove() {
         List<TraceLine> trace = List.of(TraceLine.mark(2_000, "domain-out:b"), TraceLine.mark(4_000, "domain-in:b"));
         List<Outcome> outcomes = List.of(
                 outcome("o", 0, 200, null),
@@ -55,7 +55,7 @@
         ReplayReport report = builder().build(outcomes, trace, 1, 0);
 
         assertThat(report.domainMoveService()).isEqualTo(0.5);
-        assertThat(report.scores()).containsExactly("u", 100 * (2 * report.attainment() + 2 * 0.5) / 4);
+        assertThat(report.weightedMeans()).containsExactly("u", 100 * (2 * report.attainment() + 2 * 0.5) / 4);
     }
 
     /** Guards against a page that needs other files or lets names of the trace become markup. */
@@ -76,7 +76,7 @@
     }
 
     private static ReportBuilder builder() {
-        return new ReportBuilder(ACCESS, new Outcome.Objective(1, 1), Map.of("u", new ScoreWeights(1, 1, 0, 2)));
+        return new ReportBuilder(ACCESS, new Outcome.Objective(1, 1), Map.of("u", new MeasureWeights(1, 1, 0, 2)));
     }
 
     private static TraceLine line(String organisation, long time) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/Controllers.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/Controllers.java
@@ -14,15 +14,8 @@
     /** A controller that was not heard of for this long is not asked. */
     private static final long SILENT_MILLIS = 4_000;
 
-    /** Endpoints whose last statement is kept. */
-    private static final int MAX_STATEMENTS = 20_000;
-
     private final Map<String, Controller> byDomain = new HashMap<>();
 
-    private final Map<String, Statement> statements = new HashMap<>();
-
-    private record Statement(long term, long revision) {}
-
     private record Controller(String host, long term, long heardAt) {}
 
     /** Notes that a host controls a failure domain; returns false if a later controller is known. */
@@ -47,32 +40,10 @@
                 .toList();
     }
 
-    /**
-     * Returns whether a statement on an endpoint is newer than the last one, and notes it. A statement that comes through
-     * the relays may be older than one that came directly.
-     */
-    boolean isNews(String endpoint, long term, long revision) {
-        Statement last = statements.get(endpoint);
-        Statement next = new Statement(term, revision);
-        boolean newer = last == null || term > last.term() || term == last.term() && revision > last.revision();
-        if (newer) {
-            if (statements.size() >= MAX_STATEMENTS) {
-                // Mostly endpoints that are gone; the next statement on each one is taken as news.
-                statements.clear();
-            }
-            statements.put(endpoint, next);
-        }
-        return newer;
-    }
-
-    /** Returns the hosts that are the last known controllers. */
-    List<String> hosts() {
-        return byDomain.values().stream().map(Controller::host).toList();
-    }
-
     /** Returns whether a host is the last known controller of a failure domain, under the given fencing number. */
-    boolean isController(String host, long term) {
-        return byDomain.values().stream().anyMatch(known -> known.host().equals(host) && known.term() == term);
+    boolean isController(String failureDomain, String host, long term) {
+        Controller known = byDomain.get(failureDomain);
+        return known != null && known.host().equals(host) && known.term() == term;
     }
 
     /** Returns the living controllers of failure domains, in their order. */
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -249,8 +249,10 @@
             if (ticks % (open.count() > 0 ? BUSY_REQUEST_TICKS : IDLE_REQUEST_TICKS) == 0) {
                 requests.loop().tick();
             }
-            if (ticks % CONTROL_TICKS == 0 || residency.isDue()) {
+            if (ticks % CONTROL_TICKS == 0) {
                 control.tick();
+            } else if (residency.isDue()) {
+                control.offer(residency::tick);
             }
         } catch (RuntimeException e) {
             LogLine.event("timer-failure").error(LOG, e);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
@@ -221,6 +221,7 @@
             limits.usedBy(changes.host(), changes.incarnation(), changes.usedTokens(), now);
         }
         batch.gone().forEach(router::unusedBy);
+        batch.gone().forEach(limits::gone);
         batch.ages().forEach((host, age) -> limits.heard(host, age, now));
         return batch.changes().isEmpty() ? List.of() : engine.changed(now);
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FleetNews.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FleetNews.java
@@ -1,7 +1,6 @@
 package org.gooseberryring.host.entry;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -14,7 +13,7 @@
 final class FleetNews {
     private final List<HostNews> changes = new ArrayList<>();
     private final List<String> gone = new ArrayList<>();
-    private Map<String, Long> ages = new HashMap<>();
+    private Map<String, Long> ages = Map.of();
     private boolean waiting;
 
     /**
@@ -22,7 +21,7 @@
      *
      * @param changes changes of other hosts, in their order
      * @param gone hosts that gave no sign of life for a long time
-     * @param ages milliseconds since the last sign of life of each other host
+     * @param ages milliseconds since the last sign of life of each other host, empty if they were taken before
      */
     record Batch(List<HostNews> changes, List<String> gone, Map<String, Long> ages) {}
 
@@ -55,6 +54,7 @@
         Batch batch = new Batch(List.copyOf(changes), List.copyOf(gone), ages);
         changes.clear();
         gone.clear();
+        ages = Map.of();
         waiting = false;
         return batch;
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationFeeds.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationFeeds.java
@@ -30,7 +30,7 @@
 
     private static final long HOST_PAUSE_MILLIS = 1_000;
 
-    /** Longest wait of a watch of the hosts; a new host also tells the others its address. */
+    /** Longest wait of a watch of the hosts, which no bound depends on; a change ends the wait at once. */
     private static final long HOST_WATCH_MILLIS = 10_000;
 
     private static final long MIN_RETRY_MILLIS = 100;
@@ -202,6 +202,10 @@
                 removed(name, now);
                 return;
             }
+            EndpointRegistration before = view.registration(name);
+            if (before != null && before.bornMillis() != value.bornMillis()) {
+                exchange.forget(name);
+            }
             view.registered(value);
             requests.registered(value);
             controller.registered(value);
@@ -219,6 +223,7 @@
         public void removed(String name, long now) {
             if (view.registration(name) != null) {
                 view.unregistered(name);
+                exchange.forget(name);
                 requests.unregistered(name);
                 controller.unregistered(name);
                 LogLine.event("endpoint-gone").with("endpoint", name).info(LOG);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/OwnState.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/OwnState.java
@@ -4,10 +4,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.function.Function;
 
 import org.gooseberryring.coordination.feed.FeedPosition;
 import org.gooseberryring.coordination.request.ArtifactUse;
+import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.coordination.residency.ResidencyEffect;
 import org.gooseberryring.protocol.peer.StateEntry;
 
@@ -21,32 +23,34 @@
     /** Rates of demand are told in steps of this factor, so that a rate that hardly changes is not told again. */
     private static final double RATE_STEP = 1.5;
 
+    private static final String NO_ADAPTER = "";
+
     private final Map<StateKey, StateEntry> holdings = new HashMap<>();
     private final List<StateEntry> notices = new ArrayList<>();
-    private Map<Object, Known> known = new HashMap<>();
-    private Map<Object, Known> positions = new HashMap<>();
+    private Map<StateKey, Known> work = new HashMap<>();
+    private Map<StateKey, Known> positions = new HashMap<>();
     private long term;
     private long revision;
 
-    /** Value of an entry, by which an entry that has not changed is found without making it anew. */
-    private record Known(Object value, StateKey key, StateEntry entry) {}
+    /** Entry with the value that it was made of, so that an entry whose value has not changed is not made anew. */
+    private record Known(Object value, StateEntry entry) {}
 
     /** Takes over what the requests of this host take and ask for. */
     void requests(EntryRequests.HostSnapshot snapshot) {
-        Map<Object, Known> next = new HashMap<>();
+        Map<StateKey, Known> next = new HashMap<>();
         snapshot.uses()
-                .forEach((endpoint, use) -> keep(known, next, endpoint, use, value -> PeerCodec.use(endpoint, value)));
+                .forEach((endpoint, use) ->
+                        keep(work, next, StateKey.endpoint(endpoint), use, value -> PeerCodec.use(endpoint, value)));
         snapshot.usedTokens().forEach((organisation, tokens) -> {
             if (tokens != 0) {
-                // An organisation may have the name of an endpoint.
-                List<String> name = List.of(organisation);
-                keep(known, next, name, tokens, value -> PeerCodec.usedTokens(organisation, value));
+                StateKey key = StateKey.organisation(organisation);
+                keep(work, next, key, tokens, value -> PeerCodec.usedTokens(organisation, value));
             }
         });
         snapshot.artifacts()
                 .forEach((target, use) ->
-                        keep(known, next, target, rounded(use), value -> PeerCodec.artifact(target, value)));
-        known = next;
+                        keep(work, next, key(target), rounded(use), value -> PeerCodec.artifact(target, value)));
+        work = next;
         snapshot.placements().forEach(placement -> notices.add(PeerCodec.parts(placement)));
     }
 
@@ -69,6 +73,11 @@
         return entries;
     }
 
+    /** Forgets what an endpoint holds, because it is gone or has started anew. */
+    void forget(String endpoint) {
+        holdings.remove(StateKey.holding(endpoint));
+    }
+
     /** Notes that this host controls no endpoints any more. */
     void controlsNothing() {
         holdings.clear();
@@ -76,9 +85,11 @@
 
     /** Takes over how far this host has followed collections of the store for others. */
     void positions(Map<String, FeedPosition> newPositions) {
-        Map<Object, Known> next = new HashMap<>();
-        newPositions.forEach((collection, position) ->
-                keep(positions, next, collection, position, value -> PeerCodec.position(collection, value)));
+        Map<StateKey, Known> next = new HashMap<>();
+        newPositions.forEach((collection, position) -> {
+            StateKey key = StateKey.position(collection);
+            keep(positions, next, key, position, value -> PeerCodec.position(collection, value));
+        });
         positions = next;
     }
 
@@ -90,8 +101,8 @@
     /** Returns all entries. */
     Map<StateKey, StateEntry> entries() {
         Map<StateKey, StateEntry> all = new HashMap<>(holdings);
-        known.values().forEach(each -> all.put(each.key(), each.entry()));
-        positions.values().forEach(each -> all.put(each.key(), each.entry()));
+        work.forEach((key, each) -> all.put(key, each.entry()));
+        positions.forEach((key, each) -> all.put(key, each.entry()));
         return all;
     }
 
@@ -104,14 +115,19 @@
 
     /** Adds the entry of a value to the next ones; it is made anew only if the value differs from the present one. */
     private static <T> void keep(
-            Map<Object, Known> present, Map<Object, Known> next, Object id, T value, Function<T, StateEntry> maker) {
-        Known old = present.get(id);
-        if (old != null && old.value().equals(value)) {
-            next.put(id, old);
-            return;
-        }
-        StateEntry entry = maker.apply(value);
-        next.put(id, new Known(value, StateKey.of(entry), entry));
+            Map<StateKey, Known> present,
+            Map<StateKey, Known> next,
+            StateKey key,
+            T value,
+            Function<T, StateEntry> maker) {
+        Known old = present.get(key);
+        boolean same = old != null && old.value().equals(value);
+        next.put(key, same ? old : new Known(value, maker.apply(value)));
+    }
+
+    private static StateKey key(Target.RoutedTarget target) {
+        return StateKey.artifact(
+                target.service(), target.model(), Objects.requireNonNullElse(target.adapter(), NO_ADAPTER));
     }
 
     private static ArtifactUse rounded(ArtifactUse use) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
@@ -44,7 +44,7 @@
         StateSync.Builder message = StateSync.newBuilder()
                 .setNumber(sync.number())
                 .setAcknowledged(sync.acknowledged())
-                .setAsks(sync.asks())
+                .setSubscribes(sync.subscribes())
                 .setRestart(sync.restart())
                 .addAllWantedDomains(sync.wantedDomains())
                 .setCoversAll(sync.coversAll())
@@ -63,7 +63,7 @@
         return new ExchangeMessage<>(
                 message.getNumber(),
                 message.getAcknowledged(),
-                message.getAsks(),
+                message.getSubscribes(),
                 message.getRestart(),
                 new HashSet<>(message.getWantedDomainsList()),
                 message.getCoversAll(),
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -73,6 +73,7 @@
     private final StateExchange<StateKey, StateEntry> exchange;
     private final OwnState own = new OwnState();
     private final Controllers controllers = new Controllers();
+    private final Holdings holdings;
     private final ArtifactRequests artifacts;
     private PeerMesh mesh;
     private Runnable awaited = () -> {};
@@ -100,6 +101,7 @@
         this.busySnapshotMillis = snapshotMillis(settings.processors());
         ExchangeMember self = new ExchangeMember(hostId, failureDomain, settings.processors());
         this.exchange = new StateExchange<>(self, incarnation, ExchangeTimes.defaults(), now);
+        this.holdings = new Holdings(controllers, this::holds, controller::holds);
         this.artifacts = new ArtifactRequests(controller, controllers, this::ask);
     }
 
@@ -129,7 +131,7 @@
                         .setCollection(collection)
                         .setFrom(from)
                         .setChanges(ByteString.copyFrom(encoded)));
-        exchange.followers(now).forEach(host -> mesh.send(host, message.clone()));
+        exchange.subscribers(now).forEach(host -> mesh.send(host, message.clone()));
     }
 
     /** Takes over how far this host has followed the collections of the store. */
@@ -140,8 +142,7 @@
     /** Returns how far the relay that this host sends to has followed a collection, null if it relies on none. */
     FeedPosition relayPosition(String collection, long now) {
         String relay = exchange.isRelay() ? null : exchange.relay(now);
-        StateEntry entry =
-                relay == null ? null : exchange.entry(relay, new StateKey(StateEntry.ValueCase.POSITION, collection));
+        StateEntry entry = relay == null ? null : exchange.entry(relay, StateKey.position(collection));
         return entry == null ? null : PeerCodec.position(entry);
     }
 
@@ -202,7 +203,8 @@
                 });
             }
             case HELD_ENDPOINT ->
-                control.offer(now -> holds(sender, exchange.failureDomain(sender), message.getHeldEndpoint(), now));
+                control.offer(
+                        now -> holdings.stated(exchange.failureDomain(sender), sender, message.getHeldEndpoint(), now));
             default -> {
                 // A message of a later version of the program, or one that this host has no part in.
             }
@@ -221,14 +223,27 @@
 
     /** Tells all hosts what endpoints hold, on behalf of the controller of this failure domain. */
     void announce(long term, List<ResidencyEffect.Announce> endpoints, long now) {
-        controllers.heard(failureDomain, hostId, term, now);
-        endpoints.forEach(endpoint -> requests.holds(endpoint.endpoint(), endpoint.models()));
         List<StateEntry> entries = own.holds(term, endpoints);
         publish(now);
-        entries.forEach(entry -> tellConcerned(entry.getHolding(), now));
+        for (StateEntry entry : entries) {
+            holdings.stated(failureDomain, hostId, entry.getHolding(), now);
+            tellConcerned(entry.getHolding(), now);
+        }
         carryOut(exchange.onTick(now), now);
     }
 
+    /** Notes that this host controls its failure domain no more. */
+    void controlsNothing(long now) {
+        own.controlsNothing();
+        publish(now);
+    }
+
+    /** Forgets what an endpoint holds, because it is gone or has started anew. */
+    void forget(String endpoint) {
+        holdings.forget(endpoint);
+        own.forget(endpoint);
+    }
+
     /**
      * Tells the hosts that wait for what an endpoint holds now, or send requests to it, without the way through the relays.
      * In a small fleet these are all hosts.
@@ -239,21 +254,15 @@
         if (share.hosts() <= SMALL_FLEET_HOSTS) {
             concerned.addAll(exchange.ages(now).keySet());
         } else {
-            concerned.addAll(exchange.hostsWith(new StateKey(StateEntry.ValueCase.ENDPOINT, endpoint.getEndpoint())));
+            concerned.addAll(exchange.hostsWith(StateKey.endpoint(endpoint.getEndpoint())));
         }
         PeerMessage.Builder message = PeerMessage.newBuilder().setHeldEndpoint(endpoint);
         concerned.forEach(host -> mesh.send(host, message.clone()));
     }
 
-    /** Takes over what an endpoint holds unless a later controller or a later statement of it is known. */
-    private void holds(String sender, String domain, HeldEndpoint held, long now) {
-        if (domain != null
-                && controllers.heard(domain, sender, held.getTerm(), now)
-                && controllers.isNews(held.getEndpoint(), held.getTerm(), held.getRevision())) {
-            ResidencyEffect.Announce endpoint = PeerCodec.holding(held);
-            controller.holds(endpoint);
-            requests.holds(endpoint.endpoint(), endpoint.models());
-        }
+    private void holds(ResidencyEffect.Announce endpoint) {
+        controller.holds(endpoint);
+        requests.holds(endpoint.endpoint(), endpoint.models());
     }
 
     private void received(String sender, long incarnation, ExchangeMessage<StateKey, StateEntry> sync, long now) {
@@ -261,17 +270,6 @@
         carryOut(exchange.onTick(now), now);
     }
 
-    private static long snapshotMillis(double processors) {
-        double wanted = processors > 0 ? SNAPSHOT_PROCESSOR_MILLIS / processors : MIN_SNAPSHOT_MILLIS;
-        return (long) Math.max(MIN_SNAPSHOT_MILLIS, Math.min(MAX_SNAPSHOT_MILLIS, wanted));
-    }
-
-    /** Notes that this host controls its failure domain no more. */
-    void controlsNothing(long now) {
-        own.controlsNothing();
-        publish(now);
-    }
-
     private void publish(EntryRequests.HostSnapshot snapshot, long now) {
         controller.demandOf(hostId, snapshot.artifacts(), now);
         own.requests(snapshot);
@@ -313,7 +311,7 @@
     private void changed(RecordUpdate<StateKey, StateEntry> update, long now) {
         StateReader reader = new StateReader(update);
         requests.changed(reader.news());
-        reader.holdings().forEach(held -> holds(update.host(), update.failureDomain(), held, now));
+        reader.holdings().forEach(held -> holdings.stated(update.failureDomain(), update.host(), held, now));
         String reporter = update.host() + "/" + update.incarnation();
         reader.quarantined()
                 .forEach(digest -> requests.quarantined(reporter, digest.getDigest(), digest.getEndpointLosses()));
@@ -332,7 +330,7 @@
         }
         ages.put(hostId, 0L);
         requests.controlled(controllers.heard(ages, now));
-        controllers.hosts().forEach(this::repeatHoldings);
+        holdings.repeat();
         // A host that may take the lease next knows then which models are asked for.
         if (exchange.isAmongFirst(ResidencyControl.CANDIDATES, now)) {
             ages.keySet().stream()
@@ -341,16 +339,6 @@
         }
     }
 
-    /** Takes over again what endpoints hold, since an entry of an endpoint may be older than what its controller said. */
-    private void repeatHoldings(String host) {
-        for (StateEntry entry : exchange.state(host).values()) {
-            if (entry.hasHolding()
-                    && controllers.isController(host, entry.getHolding().getTerm())) {
-                controller.holds(PeerCodec.holding(entry.getHolding()));
-            }
-        }
-    }
-
     private Map<Target.RoutedTarget, ArtifactUse> demand(String host) {
         Map<Target.RoutedTarget, ArtifactUse> uses = new HashMap<>();
         exchange.state(host).values().stream()
@@ -373,4 +361,9 @@
         controller.wanted(targets, now);
         awaited.run();
     }
+
+    private static long snapshotMillis(double processors) {
+        double wanted = processors > 0 ? SNAPSHOT_PROCESSOR_MILLIS / processors : MIN_SNAPSHOT_MILLIS;
+        return (long) Math.max(MIN_SNAPSHOT_MILLIS, Math.min(MAX_SNAPSHOT_MILLIS, wanted));
+    }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StateKey.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StateKey.java
@@ -12,18 +12,42 @@
 record StateKey(StateEntry.ValueCase kind, String name) {
     private static final char SEPARATOR = '/';
 
-    /** Returns the key of an entry. */
+    /** Returns the key of what the requests of a host take of an endpoint. */
+    static StateKey endpoint(String endpoint) {
+        return new StateKey(StateEntry.ValueCase.ENDPOINT, endpoint);
+    }
+
+    /** Returns the key of the tokens that a host has admitted for an organisation. */
+    static StateKey organisation(String organisation) {
+        return new StateKey(StateEntry.ValueCase.ORGANISATION, organisation);
+    }
+
+    /** Returns the key of the demand for a model, or for an adapter of it. */
+    static StateKey artifact(String service, String model, String adapter) {
+        return new StateKey(StateEntry.ValueCase.ARTIFACT, service + SEPARATOR + model + SEPARATOR + adapter);
+    }
+
+    /** Returns the key of what an endpoint holds. */
+    static StateKey holding(String endpoint) {
+        return new StateKey(StateEntry.ValueCase.HOLDING, endpoint);
+    }
+
+    /** Returns the key of how far a host has followed a collection of the store. */
+    static StateKey position(String collection) {
+        return new StateKey(StateEntry.ValueCase.POSITION, collection);
+    }
+
+    /** Returns the key of an entry; a kind of a later version has no name. */
     static StateKey of(StateEntry entry) {
-        String name =
-                switch (entry.getValueCase()) {
-                    case ENDPOINT -> entry.getEndpoint().getEndpoint();
-                    case ORGANISATION -> entry.getOrganisation().getOrganisation();
-                    case ARTIFACT -> name(entry.getArtifact());
-                    case HOLDING -> entry.getHolding().getEndpoint();
-                    case POSITION -> entry.getPosition().getCollection();
-                    default -> "";
-                };
-        return new StateKey(entry.getValueCase(), name);
+        ArtifactDemand demand = entry.getArtifact();
+        return switch (entry.getValueCase()) {
+            case ENDPOINT -> endpoint(entry.getEndpoint().getEndpoint());
+            case ORGANISATION -> organisation(entry.getOrganisation().getOrganisation());
+            case ARTIFACT -> artifact(demand.getService(), demand.getModel(), demand.getAdapter());
+            case HOLDING -> holding(entry.getHolding().getEndpoint());
+            case POSITION -> position(entry.getPosition().getCollection());
+            default -> new StateKey(entry.getValueCase(), "");
+        };
     }
 
     /** Returns an entry that identifies this key and says nothing else. */
@@ -32,7 +56,7 @@
         switch (kind) {
             case ENDPOINT -> entry.getEndpointBuilder().setEndpoint(name);
             case ORGANISATION -> entry.getOrganisationBuilder().setOrganisation(name);
-            case ARTIFACT -> entry.setArtifact(artifact(name));
+            case ARTIFACT -> entry.setArtifact(demand(name));
             case HOLDING -> entry.getHoldingBuilder().setEndpoint(name);
             case POSITION -> entry.getPositionBuilder().setCollection(name);
             default -> throw new IllegalStateException("Entries of kind " + kind + " have no key");
@@ -40,11 +64,7 @@
         return entry.build();
     }
 
-    private static String name(ArtifactDemand demand) {
-        return demand.getService() + SEPARATOR + demand.getModel() + SEPARATOR + demand.getAdapter();
-    }
-
-    private static ArtifactDemand artifact(String name) {
+    private static ArtifactDemand demand(String name) {
         int first = name.indexOf(SEPARATOR);
         int last = name.lastIndexOf(SEPARATOR);
         return ArtifactDemand.newBuilder()
--- /dev/null
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/entry/HoldingsTest.java
@@ -0,0 +1,61 @@
+package org.gooseberryring.host.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+import org.gooseberryring.coordination.residency.ResidencyEffect;
+import org.gooseberryring.protocol.peer.HeldEndpoint;
+import org.gooseberryring.state.ResidentModel;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class HoldingsTest {
+    private final List<String> changed = new ArrayList<>();
+    private final List<String> repeated = new ArrayList<>();
+    private final Holdings holdings =
+            new Holdings(new Controllers(), each -> changed.add(model(each)), each -> repeated.add(model(each)));
+
+    /** Guards against an older statement on an endpoint that comes through the relays after a newer, direct one. */
+    @Test
+    void takesNoStatementThatIsOlderThanTheLastOne() {
+        holdings.stated("d1", "h1", held("new", 3, 7), 0);
+        holdings.stated("d1", "h1", held("old", 3, 6), 10);
+        holdings.stated("d1", "h1", held("same", 3, 7), 20);
+        assertThat(changed).containsExactly("new");
+        holdings.stated("d1", "h2", held("next", 4, 1), 30);
+        assertThat(changed).containsExactly("new", "next").inOrder();
+    }
+
+    /** Guards against an older statement that is taken for the last one when statements are repeated. */
+    @Test
+    void repeatsTheNewestStatementOfThePresentController() {
+        holdings.stated("d1", "h1", held("new", 3, 7), 0);
+        holdings.stated("d1", "h1", held("old", 3, 6), 10);
+        holdings.repeat();
+        assertThat(repeated).containsExactly("new");
+        holdings.stated("d1", "h2", held("next", 4, 1), 30);
+        holdings.repeat();
+        assertThat(repeated).containsExactly("new", "next").inOrder();
+    }
+
+    /** Guards against models of an earlier start of an endpoint that count again for a later one. */
+    @Test
+    void repeatsNothingOfAnEndpointThatIsGone() {
+        holdings.stated("d1", "h1", held("new", 3, 7), 0);
+        holdings.forget("e1");
+        holdings.repeat();
+        assertThat(repeated).isEmpty();
+    }
+
+    private static HeldEndpoint held(String model, long term, long revision) {
+        ResidencyEffect.Announce endpoint =
+                new ResidencyEffect.Announce("e1", 0, List.of(new ResidentModel(model, Set.of())), null);
+        return PeerCodec.holding(term, revision, endpoint).getHolding();
+    }
+
+    private static String model(ResidencyEffect.Announce endpoint) {
+        return endpoint.models().get(0).model();
+    }
+}
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -92,11 +92,11 @@
             return;
         }
         if (ended) {
-            letGo(opened);
+            releaseOrClose(opened);
             return;
         }
         if (!mayStart.getAsBoolean()) {
-            letGo(opened);
+            releaseOrClose(opened);
             end(Verdict.NOT_RUN, false, null);
             return;
         }
@@ -107,7 +107,7 @@
     }
 
     /** Keeps a connection on which nothing is under way, if it can be of use again. */
-    private void letGo(ClientConnection unused) {
+    private void releaseOrClose(ClientConnection unused) {
         if (client.protocol().keepsConnections()) {
             client.connector().release(address, unused);
         } else {
@@ -175,7 +175,7 @@
         ClientConnection used = connection;
         connection = null;
         if (reusable && (writer == null || writer.done())) {
-            letGo(used);
+            releaseOrClose(used);
         } else {
             IoUtils.safeClose(used);
         }
