--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/CollectionFeed.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/CollectionFeed.java
@@ -1,20 +1,18 @@
 package org.gooseberryring.coordination.feed;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 
 import org.gooseberryring.coordination.retry.Backoff;
+import org.gooseberryring.coordination.store.StorePosition;
 
 /**
  * Follows one collection of the platform's store.
  *
- * <p>It lists the collection, watches it from the revision of the list, and lists it again when the history that a watch
- * needs is gone. An answer that is older than what is known changes nothing. After an outage, objects that are missing
- * are kept for a grace time, because their owners may write them again.
+ * <p>It lists the collection, watches it from the position of the list, and lists it again when the history that a watch
+ * needs is gone or the store came back from an older copy. An answer that is older than what is known changes nothing.
  *
  * <p>It may also rely on another host that follows the same collection and passes its changes on. It then makes no calls,
  * unless a change that the other host knows of did not arrive.
@@ -28,26 +26,28 @@
     /** Time for which a change that another host knows of may be on its way. */
     private static final long BEHIND_MILLIS = 300;
 
+    /** Time over which the hosts spread their lists after a restore of the store. */
+    private static final long RESTORE_SPREAD_MILLIS = 300;
+
     private static final long NEVER = Long.MAX_VALUE;
 
     private final FeedTimes times;
     private final FeedListener<T> listener;
     private final Backoff backoff;
-    private final Map<String, Long> revisions = new HashMap<>();
-    private final Map<String, Long> doubtful = new HashMap<>();
+    private final RandomGenerator random;
+    private final KnownObjects<T> objects;
     private final Map<String, FeedItem<T>> pages = new HashMap<>();
     private long callId;
-    private boolean open;
+    private FeedCall open;
     private boolean listing = true;
     private String after = "";
-    private long listRevision;
-    private long revision;
+    private StorePosition listed = StorePosition.START;
+    private StorePosition known = StorePosition.START;
+    private StorePosition changed = StorePosition.START;
     private long retryAt;
     private long answeredAt;
-    private long graceUntil = Long.MIN_VALUE;
     private boolean inContact = true;
     private boolean following;
-    private long changedRevision;
     private long behindSince = NEVER;
     private long calledAt;
 
@@ -56,31 +56,41 @@
         this.times = times;
         this.listener = listener;
         this.backoff = new Backoff(times.minRetryMillis(), times.maxRetryMillis(), random);
+        this.random = random;
+        this.objects = new KnownObjects<>(listener, times.lapseMillis());
         this.answeredAt = now;
     }
 
     /** Returns the calls that are due; called several times a second. */
     public List<FeedCall> onTick(long now) {
         noteContact(now);
-        dropDoubtful(now);
+        if (inContact) {
+            objects.expire(now);
+        }
         boolean rests = following && !listing && now - behindSince <= BEHIND_MILLIS;
-        return open || rests || now < retryAt ? List.of() : next(now);
+        return open != null || rests || now < retryAt ? List.of() : next(now);
     }
 
     /** Returns how far the collection was followed. */
     public FeedPosition position(long now) {
         boolean fresh = !listing && now - answeredAt <= times.waitMillis() + FRESH_SLACK_MILLIS;
-        return new FeedPosition(changedRevision, fresh, inContact);
+        return new FeedPosition(changed, fresh, inContact);
     }
 
     /** Relies on another host, whose position is given; called several times a second for as long as it holds. */
     public void follow(FeedPosition position, long now) {
+        onEpoch(position.changed().epoch(), now);
+        if (position.changed().epoch() < known.epoch()) {
+            // The other host has not noticed yet that the store came back from an older copy.
+            unfollow(false, now);
+            return;
+        }
         following = true;
         if (!inContact) {
-            graceUntil = now + times.graceMillis();
+            objects.graceUntil(now + times.graceMillis());
         }
         answeredAt = Math.max(answeredAt, now - times.waitMillis());
-        if (revision >= position.changedRevision()) {
+        if (known.hasReached(position.changed())) {
             behindSince = NEVER;
         } else {
             behindSince = Math.min(behindSince, now);
@@ -105,27 +115,53 @@
     /**
      * Takes over changes that another host passes on.
      *
-     * @param from revision after which they are complete
+     * @param from position after which they are complete
      */
-    public void onPassedOn(long from, FeedChanges<T> changes, long now) {
-        if (following && !listing && revision >= from) {
+    public void onPassedOn(StorePosition from, FeedChanges<T> changes, long now) {
+        boolean sameEpoch = changes.at().epoch() == from.epoch();
+        if (following && !listing && sameEpoch && known.hasReached(from)) {
             take(changes, now);
         }
     }
 
-    /** Returns the revision up to which changes are known. */
-    public long revision() {
-        return revision;
+    /** Returns the position up to which changes are known. */
+    public StorePosition known() {
+        return known;
+    }
+
+    /** Takes over an epoch of the store that another call has shown; the collection is read anew if it is a later one. */
+    public void onEpoch(long epoch, long now) {
+        if (epoch > known.epoch()) {
+            restored(epoch, now);
+            if (!isFirstPage(open)) {
+                // What is asked for begins at a position of the earlier epoch.
+                open = null;
+                retryAt = now + random.nextLong(RESTORE_SPREAD_MILLIS);
+            }
+        }
     }
 
     /** Handles a page of the list. */
     public List<FeedCall> onPage(long id, FeedPage<T> page, long now) {
+        if (isOutdated(page.at())) {
+            return onFailed(id, now);
+        }
+        FeedCall call = open;
         if (!answered(id, now)) {
             return List.of();
         }
-        if (after.isEmpty()) {
+        boolean first = isFirstPage(call);
+        if (page.at().epoch() > known.epoch()) {
+            restored(page.at().epoch(), now);
+        }
+        if (!first && listed.epoch() != page.at().epoch()) {
+            // The pages before show an older copy of the store.
+            after = "";
+            return next(now);
+        }
+        if (first) {
             pages.clear();
-            listRevision = page.revision();
+            listed = page.at();
         }
         for (FeedItem<T> item : page.items()) {
             pages.put(item.name(), item);
@@ -135,7 +171,7 @@
             return next(now);
         }
         after = "";
-        if (listRevision < revision) {
+        if (listed.revision() < known.revision()) {
             // The list comes from an older state of the store than what is known.
             return retryLater(now);
         }
@@ -145,9 +181,23 @@
 
     /** Handles the answer to a watch. */
     public List<FeedCall> onChanges(long id, FeedChanges<T> changes, long now) {
+        if (isOutdated(changes.at())) {
+            return onFailed(id, now);
+        }
+        FeedCall call = open;
         if (!answered(id, now)) {
             return List.of();
         }
+        if (changes.at().epoch() > known.epoch()) {
+            restored(changes.at().epoch(), now);
+        }
+        boolean sameEpoch = call instanceof FeedCall.Watch watch
+                && watch.from().epoch() == changes.at().epoch();
+        if (listing || !sameEpoch) {
+            // The watch began at a revision that now means another state of the store.
+            listing = true;
+            return next(now);
+        }
         take(changes, now);
         if (now - calledAt < times.pauseMillis()) {
             retryAt = calledAt + times.pauseMillis();
@@ -167,26 +217,51 @@
 
     /** Handles a call that failed or was refused. */
     public List<FeedCall> onFailed(long id, long now) {
-        if (id != callId || !open) {
+        if (!isOpen(id)) {
             return List.of();
         }
-        open = false;
+        open = null;
         after = "";
         return retryLater(now);
     }
 
+    private boolean isOpen(long id) {
+        return open != null && open.id() == id;
+    }
+
+    private static boolean isFirstPage(FeedCall call) {
+        return call instanceof FeedCall.ListPage list && list.after().isEmpty();
+    }
+
+    /** Returns whether an answer was given before the store came back from an older copy. */
+    private boolean isOutdated(StorePosition at) {
+        return at.epoch() < known.epoch();
+    }
+
+    /** Notes that the store came back from an older copy, so that everything must be read anew. */
+    private void restored(long epoch, long now) {
+        if (!objects.isEmpty()) {
+            objects.restored();
+            objects.graceUntil(now + Math.max(times.graceMillis(), times.restoreGraceMillis()));
+        }
+        known = new StorePosition(epoch, 0);
+        changed = known;
+        after = "";
+        listing = true;
+    }
+
     private void take(FeedChanges<T> changes, long now) {
         for (FeedChanges.Change<T> change : changes.changes()) {
-            FeedItem<T> item = change.item();
             if (change.removed()) {
-                removed(item.name(), now);
+                objects.removed(change.item().name(), now);
             } else {
-                changed(item, now);
+                objects.changed(change.item(), now);
             }
         }
-        revision = Math.max(revision, changes.revision());
+        known = new StorePosition(
+                known.epoch(), Math.max(known.revision(), changes.at().revision()));
         if (!changes.changes().isEmpty()) {
-            changedRevision = revision;
+            changed = known;
         }
     }
 
@@ -195,12 +270,12 @@
     }
 
     private boolean answered(long id, long now) {
-        if (id != callId || !open) {
+        if (!isOpen(id)) {
             return false;
         }
-        open = false;
+        open = null;
         if (!inContact || now - answeredAt - times.waitMillis() > times.outageMillis()) {
-            graceUntil = now + times.graceMillis();
+            objects.graceUntil(now + times.graceMillis());
         }
         backoff.reset();
         behindSince = NEVER;
@@ -210,56 +285,12 @@
     }
 
     private void takeList(long now) {
-        Set<String> missing = new HashSet<>(revisions.keySet());
-        for (FeedItem<T> item : pages.values()) {
-            missing.remove(item.name());
-            changed(item, now);
-        }
-        missing.forEach(name -> removed(name, now));
+        objects.listed(pages.values(), now);
         pages.clear();
-        revision = listRevision;
-        changedRevision = revision;
+        known = listed;
+        changed = listed;
         listing = false;
-        listener.listed(revision, now);
-    }
-
-    private void changed(FeedItem<T> item, long now) {
-        Long known = revisions.get(item.name());
-        boolean back = doubtful.remove(item.name()) != null;
-        if (known == null || item.revision() > known || back) {
-            revisions.put(item.name(), item.revision());
-            listener.changed(item.name(), item.value(), now);
-        }
-    }
-
-    private void removed(String name, long now) {
-        if (!revisions.containsKey(name)) {
-            return;
-        }
-        if (now < graceUntil) {
-            doubtful.putIfAbsent(name, graceUntil);
-        } else {
-            revisions.remove(name);
-            doubtful.remove(name);
-            listener.removed(name, now);
-        }
-    }
-
-    private void dropDoubtful(long now) {
-        if (doubtful.isEmpty() || !inContact) {
-            return;
-        }
-        Set<String> over = new HashSet<>();
-        doubtful.forEach((name, until) -> {
-            if (now >= until) {
-                over.add(name);
-            }
-        });
-        over.forEach(name -> {
-            doubtful.remove(name);
-            revisions.remove(name);
-            listener.removed(name, now);
-        });
+        listener.listed(listed, now);
     }
 
     private void noteContact(long now) {
@@ -272,12 +303,9 @@
 
     private List<FeedCall> next(long now) {
         calledAt = now;
-        open = true;
         callId++;
-        return List.of(
-                listing
-                        ? new FeedCall.ListPage(callId, after)
-                        : new FeedCall.Watch(callId, revision, times.waitMillis()));
+        open = listing ? new FeedCall.ListPage(callId, after) : new FeedCall.Watch(callId, known, times.waitMillis());
+        return List.of(open);
     }
 
     private List<FeedCall> retryLater(long now) {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/FeedCall.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/FeedCall.java
@@ -1,5 +1,7 @@
 package org.gooseberryring.coordination.feed;
 
+import org.gooseberryring.coordination.store.StorePosition;
+
 /** Call to the store that a feed asks for; its answer is handed over with the same number. */
 public sealed interface FeedCall {
     /** Returns the number of the call. */
@@ -17,8 +19,8 @@
      * Waits for changes.
      *
      * @param id number of the call
-     * @param revision revision after which changes are wanted
+     * @param from position after which changes are wanted
      * @param waitMillis longest wait in milliseconds
      */
-    record Watch(long id, long revision, long waitMillis) implements FeedCall {}
+    record Watch(long id, StorePosition from, long waitMillis) implements FeedCall {}
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/FeedChanges.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/FeedChanges.java
@@ -2,14 +2,16 @@
 
 import java.util.List;
 
+import org.gooseberryring.coordination.store.StorePosition;
+
 /**
  * Changes of a collection after a revision, in their order.
  *
  * @param changes changed and removed objects
- * @param revision revision to watch from next
+ * @param at position to watch from next
  * @param <T> type of the content
  */
-public record FeedChanges<T>(List<Change<T>> changes, long revision) {
+public record FeedChanges<T>(List<Change<T>> changes, StorePosition at) {
     public FeedChanges {
         changes = List.copyOf(changes);
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/FeedListener.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/FeedListener.java
@@ -1,5 +1,7 @@
 package org.gooseberryring.coordination.feed;
 
+import org.gooseberryring.coordination.store.StorePosition;
+
 /**
  * Hears of the objects of a collection.
  *
@@ -13,7 +15,7 @@
     void removed(String name, long now);
 
     /** The whole collection was read for the first time, or again after a gap. */
-    default void listed(long revision, long now) {}
+    default void listed(StorePosition at, long now) {}
 
     /** The store did not answer any more, or answers again. */
     default void contact(boolean inContact, long now) {}
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/FeedPosition.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/FeedPosition.java
@@ -1,10 +1,12 @@
 package org.gooseberryring.coordination.feed;
 
+import org.gooseberryring.coordination.store.StorePosition;
+
 /**
  * How far a host has followed a collection, as it tells the hosts that rely on it.
  *
- * @param changedRevision revision of the last change that it knows
+ * @param changed position of the last change that it knows
  * @param fresh whether the store has answered lately enough to rely on this
  * @param inContact whether the store answers as far as the host knows; false only after an outage was noticed
  */
-public record FeedPosition(long changedRevision, boolean fresh, boolean inContact) {}
+public record FeedPosition(StorePosition changed, boolean fresh, boolean inContact) {}
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/FeedTimes.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/FeedTimes.java
@@ -9,6 +9,8 @@
  * @param maxRetryMillis longest wait after failed calls
  * @param outageMillis time without an answer that counts as an outage of the store
  * @param graceMillis time after an outage for which missing objects may still come back; 0 if they are gone at once
+ * @param restoreGraceMillis the same after the store came back from an older copy
+ * @param lapseMillis time in which an object lapses that its owner does not renew; 0 if objects do not lapse
  */
 public record FeedTimes(
         long waitMillis,
@@ -16,4 +18,6 @@
         long minRetryMillis,
         long maxRetryMillis,
         long outageMillis,
-        long graceMillis) {}
+        long graceMillis,
+        long restoreGraceMillis,
+        long lapseMillis) {}
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/DomainLease.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/DomainLease.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.random.RandomGenerator;
 
+import org.gooseberryring.coordination.store.StorePosition;
 import org.gooseberryring.coordination.store.StoreReply;
 
 /**
@@ -15,6 +16,9 @@
 public final class DomainLease {
     private static final int RENEWALS_PER_LEASE = 3;
 
+    /** Bits of a fencing number below the epoch of the store, so that no number of an earlier epoch is given out again. */
+    private static final int TERM_BITS = 24;
+
     private final String self;
     private final long leaseMillis;
     private final StoredObject<LeaseDocument> cell;
@@ -27,6 +31,8 @@
     private boolean candidate = true;
     private boolean left;
     private long stamps;
+    private long epoch = StorePosition.NO_EPOCH;
+    private long highestTerm;
 
     /**
      * Creates a host's part of a lease.
@@ -39,7 +45,11 @@
         this.leaseMillis = leaseMillis;
         this.random = random;
         this.cell = new StoredObject<>(
-                key(failureDomain), LeaseDocument.class, () -> new LeaseDocument("", "", 0, 0), codec, random);
+                key(failureDomain),
+                LeaseDocument.class,
+                () -> new LeaseDocument("", "", 0, 0, StorePosition.NO_EPOCH),
+                codec,
+                random);
     }
 
     /** Returns the key of the lease in the store. */
@@ -67,6 +77,11 @@
         return cell.doc().term();
     }
 
+    /** Takes over a fencing number that was used, as another host or an older document states; it is not used again. */
+    public void onTerm(long usedTerm) {
+        highestTerm = Math.max(highestTerm, usedTerm);
+    }
+
     /** Sets whether this host may take the lease; only a few hosts of a failure domain watch it. */
     public void candidate(boolean mayLead) {
         candidate = mayLead;
@@ -86,6 +101,23 @@
         return !left && (candidate || own);
     }
 
+    /**
+     * Takes over an epoch of the store that another call has shown.
+     *
+     * <p>A later epoch means that the lease may have been held by another host in the time that the store has lost. This
+     * host then holds it no more, and waits for the whole lease before it takes it.
+     */
+    public void onEpoch(long newEpoch, long now) {
+        if (newEpoch > epoch) {
+            epoch = newEpoch;
+            cell.restored(newEpoch);
+            leading = false;
+            seen = null;
+            seenSince = now;
+            nextCallAt = now;
+        }
+    }
+
     /** Returns the calls to the store that are due. */
     public List<OrderEffect> onTick(long now) {
         List<OrderEffect> effects = new ArrayList<>(cell.onTick(now));
@@ -99,9 +131,9 @@
         nextCallAt = now + period / 2 + random.nextLong(period / 2 + 1);
         LeaseDocument doc = cell.doc();
         if (leading) {
-            effects.addAll(cell.put(new LeaseDocument(stamp(), self, doc.term(), doc.renewals() + 1), now));
+            effects.addAll(cell.put(new LeaseDocument(stamp(), self, doc.term(), doc.renewals() + 1, epoch), now));
         } else if (seen != null && now - seenSince >= leaseMillis) {
-            effects.addAll(cell.put(new LeaseDocument(stamp(), self, doc.term() + 1, 0), now));
+            effects.addAll(cell.put(new LeaseDocument(stamp(), self, nextTerm(), 0, epoch), now));
         } else {
             effects.addAll(cell.read());
         }
@@ -111,6 +143,9 @@
     /** Handles a reply of the store; returns further calls. */
     public List<OrderEffect> onReply(StoreReply reply, long now) {
         List<OrderEffect> effects = new ArrayList<>();
+        if (reply.isAnswer()) {
+            onEpoch(reply.epoch(), now);
+        }
         switch (cell.onReply(reply, now, effects)) {
             case WRITTEN:
                 leading = true;
@@ -123,10 +158,9 @@
             default:
                 return effects;
         }
+        onTerm(cell.doc().term());
         if (!cell.doc().equals(seen)) {
-            // A lease of an earlier process of this host is as free as one without a holder: that process has ended.
-            boolean free = cell.doc().holder().isEmpty()
-                    || !leading && cell.doc().holder().equals(self);
+            boolean free = isFree(cell.doc());
             seenSince = free ? now - leaseMillis : now;
             seen = cell.doc();
             nextCallAt = free ? now : nextCallAt;
@@ -134,6 +168,20 @@
         return effects;
     }
 
+    /**
+     * Returns whether nobody else can hold the lease. One of an earlier process of this host is as free as one without a
+     * holder, because that process has ended. A document of an earlier epoch shows only who held it before the store came
+     * back from an older copy.
+     */
+    private boolean isFree(LeaseDocument doc) {
+        boolean ownPast = !leading && doc.holder().equals(self);
+        return doc.epoch() == epoch && (doc.holder().isEmpty() || ownPast);
+    }
+
+    private long nextTerm() {
+        return Math.max(highestTerm, epoch << TERM_BITS) + 1;
+    }
+
     private String stamp() {
         // Random, because a restarted host must not repeat the stamps of its previous life.
         return self + "/" + Long.toHexString(random.nextLong()) + "/" + stamps++;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/LeaseDocument.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/LeaseDocument.java
@@ -7,5 +7,6 @@
  * @param holder host that is the controller
  * @param term fencing number of the controller; each new holder raises it
  * @param renewals number of renewals in this term
+ * @param epoch epoch of the store in which it was written
  */
-public record LeaseDocument(String stamp, String holder, long term, long renewals) implements Stamped {}
+public record LeaseDocument(String stamp, String holder, long term, long renewals, long epoch) implements Stamped {}
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/StoredObject.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/StoredObject.java
@@ -26,6 +26,9 @@
     private final Supplier<D> whenAbsent;
     private D doc;
     private long version;
+    private long epoch;
+    private long callEpoch;
+    private boolean abandoned;
     private boolean known;
     private long knownAt;
     private D candidate;
@@ -53,6 +56,18 @@
         this.backoff = new Backoff(MIN_RETRY_MILLIS, MAX_RETRY_MILLIS, random);
     }
 
+    /**
+     * Notes that the store came back from an older copy: the known version says nothing any more, and a write without an
+     * answer is given up, because its version may belong to another state now.
+     */
+    void restored(long newEpoch) {
+        epoch = newEpoch;
+        version = StoreRequest.Put.ABSENT;
+        known = false;
+        abandoned |= candidate != null;
+        candidate = null;
+    }
+
     /** Returns whether the document is known and no write is open. */
     boolean ready() {
         return known && candidate == null && inFlight == null;
@@ -101,6 +116,19 @@
     Event onReply(StoreReply reply, long now, List<OrderEffect> effects) {
         boolean read = inFlight instanceof StoreRequest.Read;
         inFlight = null;
+        if (reply.isAnswer() && reply.epoch() > epoch) {
+            restored(reply.epoch());
+        }
+        if (reply.isAnswer() && reply.epoch() < epoch) {
+            // The answer was given before the store came back from an older copy.
+            retryLater(now);
+            return Event.NONE;
+        }
+        if (!read && callEpoch != epoch) {
+            // The write named a version of the earlier epoch, so its outcome is read back.
+            retryAt = now;
+            return Event.NONE;
+        }
         if (read) {
             return onRead(reply, now, effects);
         }
@@ -137,8 +165,9 @@
             effects.addAll(send(put()));
             return Event.NONE;
         }
-        boolean lost = candidate != null;
+        boolean lost = candidate != null || abandoned;
         candidate = null;
+        abandoned = false;
         backoff.reset();
         doc = readDoc;
         version = readVersion;
@@ -166,6 +195,7 @@
 
     private List<OrderEffect> send(StoreRequest request) {
         inFlight = request;
+        callEpoch = epoch;
         return List.of(new OrderEffect.Call(request));
     }
 }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/feed/CollectionFeedTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/feed/CollectionFeedTest.java
@@ -6,15 +6,20 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
+import org.gooseberryring.coordination.store.StorePosition;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
 
 class CollectionFeedTest {
-    private static final FeedTimes TIMES = new FeedTimes(2_000, 0, 100, 800, 700, 1_900);
+    private static final FeedTimes TIMES = new FeedTimes(2_000, 0, 100, 800, 700, 1_900, 1_900, 3_600);
+
+    private static final long EPOCH = 1;
 
     private final Map<String, String> known = new TreeMap<>();
     private final List<Boolean> contacts = new ArrayList<>();
+    private long epoch = EPOCH;
+    private long lastCall;
     private final CollectionFeed<String> feed = new CollectionFeed<>(TIMES, new Recorder(), new SplittableRandom(7), 0);
 
     private final class Recorder implements FeedListener<String> {
@@ -41,7 +46,7 @@
         FeedCall second = only(feed.onPage(first.id(), page(true, 10, item("a", 3, "A")), 5));
         assertThat(second).isEqualTo(new FeedCall.ListPage(second.id(), "a"));
         FeedCall watch = only(feed.onPage(second.id(), page(false, 12, item("b", 11, "B")), 10));
-        assertThat(watch).isEqualTo(new FeedCall.Watch(watch.id(), 10, 2_000));
+        assertThat(watch).isEqualTo(new FeedCall.Watch(watch.id(), new StorePosition(EPOCH, 10), 2_000));
         assertThat(known).containsExactly("a", "A", "b", "B");
     }
 
@@ -112,20 +117,128 @@
         assertThat(known).containsExactly("a", "A");
     }
 
+    /** Guards against a store that came back from an older copy, whose lower revisions are ignored for ever. */
+    @Test
+    void takesTheListOfARestoredStoreAlthoughItsRevisionIsLower() {
+        long id = listed(0, 100, item("a", 90, "lost"), item("b", 10, "B"));
+        epoch++;
+        FeedCall list = only(feed.onChanges(id, changes(40), 20));
+        assertThat(list).isEqualTo(new FeedCall.ListPage(list.id(), ""));
+        FeedCall watch = only(feed.onPage(list.id(), page(false, 40, item("a", 30, "old"), item("b", 10, "B")), 30));
+        assertThat(watch).isEqualTo(new FeedCall.Watch(watch.id(), new StorePosition(epoch, 40), 2_000));
+        assertThat(known).containsExactly("a", "old", "b", "B");
+    }
+
+    /** Guards against changes that are missed because a revision that was given out again seems to be known. */
+    @Test
+    void listsAgainWhenAWatchIsAnsweredInAnotherEpoch() {
+        long id = listed(0, 100, item("a", 90, "A"));
+        epoch++;
+        FeedCall list = only(feed.onChanges(id, changes(103, changed("b", 102, "B")), 20));
+        assertThat(list).isInstanceOf(FeedCall.ListPage.class);
+        feed.onPage(list.id(), page(false, 103, item("a", 99, "A2"), item("b", 102, "B")), 30);
+        assertThat(known).containsExactly("a", "A2", "b", "B");
+    }
+
+    /** Guards against a late answer from before a restore that is taken for the present state. */
+    @Test
+    void dropsAnAnswerOfAnEarlierEpoch() {
+        listed(0, 100, item("a", 90, "A"));
+        feed.onEpoch(EPOCH + 1, 20);
+        FeedCall list = only(feed.onTick(400));
+        assertThat(feed.onPage(list.id(), page(false, 120, item("a", 110, "late")), 410))
+                .isEmpty();
+        assertThat(known).containsExactly("a", "A");
+        epoch++;
+        FeedCall again = only(feed.onTick(2_000));
+        feed.onPage(again.id(), page(false, 95, item("a", 94, "A3")), 2_010);
+        assertThat(known).containsExactly("a", "A3");
+    }
+
+    /** Guards against a list whose pages show the store before and after a restore. */
+    @Test
+    void beginsTheListAnewWhenItsPagesAreOfTwoEpochs() {
+        FeedCall first = only(feed.onTick(0));
+        FeedCall second = only(feed.onPage(first.id(), page(true, 100, item("a", 90, "A"), item("gone", 95, "G")), 5));
+        epoch++;
+        FeedCall again = only(feed.onPage(second.id(), page(false, 40, item("z", 30, "Z")), 10));
+        assertThat(again).isEqualTo(new FeedCall.ListPage(again.id(), ""));
+        feed.onPage(again.id(), page(false, 41, item("a", 20, "A"), item("z", 30, "Z")), 15);
+        assertThat(known).containsExactly("a", "A", "z", "Z");
+    }
+
+    /** Guards against objects that are dropped because an older copy lacks them, before their owners write them again. */
+    @Test
+    void keepsWhatAnOlderCopyLacksForTheGraceTime() {
+        long id = listed(0, 100, item("a", 90, "A"), item("b", 95, "B"));
+        restore(id, 40, 1_000);
+        assertThat(known).containsExactly("a", "A", "b", "B");
+        long watch = openWatch();
+        feed.onChanges(watch, changes(42, changed("b", 42, "B2")), 1_900);
+        feed.onTick(2_950);
+        assertThat(known).containsExactly("b", "B2");
+    }
+
+    /** Guards against an endpoint that has left and is used again because an older copy of the store names it. */
+    @Test
+    void takesAnObjectThatAnOlderCopyBringsBackOnlyOnceItHasNotLapsed() {
+        long id = listed(0, 100, item("a", 90, "A"), item("b", 95, "B"), item("c", 95, "C"));
+        id = only(feed.onChanges(id, changes(102, removed("a"), removed("b"), removed("c")), 1_000))
+                .id();
+        restore(id, 96, 2_000, item("a", 90, "A"), item("b", 95, "B"), item("c", 95, "C"));
+        assertThat(known).isEmpty();
+        feed.onChanges(openWatch(), changes(98, changed("b", 97, "B2"), removed("a")), 3_000);
+        assertThat(known).containsExactly("b", "B2");
+        feed.onTick(5_500);
+        assertThat(known).containsExactly("b", "B2");
+        feed.onTick(5_700);
+        assertThat(known).containsExactly("b", "B2", "c", "C");
+    }
+
+    /** Guards against a relay of one epoch and a host of another one that misjudge each other's revisions. */
+    @Test
+    void reliesOnARelayOfTheSameEpochOnly() {
+        long id = listed(0, 100, item("a", 90, "A"));
+        feed.follow(new FeedPosition(new StorePosition(EPOCH, 100), true, true), 10);
+        feed.onFailed(id, 10);
+        epoch++;
+        feed.onPassedOn(new StorePosition(epoch, 90), changes(120, changed("a", 119, "wrong")), 20);
+        assertThat(known).containsExactly("a", "A");
+        feed.follow(new FeedPosition(new StorePosition(epoch, 90), true, true), 30);
+        FeedCall list = only(feed.onTick(1_000));
+        feed.onPage(list.id(), page(false, 90, item("a", 80, "A0")), 1_010);
+        assertThat(known).containsExactly("a", "A0");
+        feed.follow(new FeedPosition(new StorePosition(EPOCH, 200), true, true), 1_020);
+        assertThat(feed.onTick(1_100)).hasSize(1);
+    }
+
+    /** Answers an open watch with a later epoch, and the list that follows with the given objects. */
+    @SafeVarargs
+    private final void restore(long watch, long revision, long now, FeedItem<String>... items) {
+        epoch++;
+        FeedCall list = only(feed.onChanges(watch, changes(revision), now));
+        feed.onPage(list.id(), page(false, revision, items), now);
+        lastCall = list.id() + 1;
+    }
+
+    private long openWatch() {
+        return lastCall;
+    }
+
     @SafeVarargs
-    private long listed(long now, long revision, FeedItem<String>... items) {
+    private final long listed(long now, long revision, FeedItem<String>... items) {
         FeedCall list = only(feed.onTick(now));
         return only(feed.onPage(list.id(), page(false, revision, items), now)).id();
     }
 
     @SafeVarargs
-    private static FeedPage<String> page(boolean more, long revision, FeedItem<String>... items) {
-        return new FeedPage<>(List.of(items), more, revision);
+    private final FeedPage<String> page(boolean more, long revision, FeedItem<String>... items) {
+        return new FeedPage<>(List.of(items), more, new StorePosition(epoch, revision));
     }
 
     @SafeVarargs
-    private static FeedChanges<String> changes(long revision, FeedChanges.Change<String>... changes) {
-        return new FeedChanges<>(List.of(changes), revision);
+    private final FeedChanges<String> changes(long revision, FeedChanges.Change<String>... changes) {
+        return new FeedChanges<>(List.of(changes), new StorePosition(epoch, revision));
     }
 
     private static FeedChanges.Change<String> changed(String name, long revision, String value) {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/order/DomainLeaseTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/order/DomainLeaseTest.java
@@ -18,6 +18,7 @@
     private byte[] stored;
     private long version;
     private int calls;
+    private long epoch;
 
     /** Guards against a failure domain without a controller for a whole lease after its hosts were restarted. */
     @Test
@@ -70,6 +71,109 @@
         assertThat(other.leads(1_000 + 3 * LEASE_MILLIS)).isTrue();
     }
 
+    /** Guards against a second holder that took a lapsed lease of a copy while the first one had renewed it since. */
+    @Test
+    void aHostWaitsForAWholeLeaseAfterARestore() {
+        epoch = 1;
+        DomainLease holder = lease("h1", 1);
+        run(holder, 0, 2 * LEASE_MILLIS);
+        DomainLease other = lease("h2", 2);
+        run(other, 2 * LEASE_MILLIS, 2 * LEASE_MILLIS);
+        byte[] copy = stored;
+        long copyVersion = version;
+        // The other host reads nothing while the holder renews its lease, and the store comes back from the copy.
+        run(holder, 2 * LEASE_MILLIS + 50, 4 * LEASE_MILLIS);
+        assertThat(holder.leads(4 * LEASE_MILLIS)).isTrue();
+        restore(copy, copyVersion);
+
+        run(other, 4 * LEASE_MILLIS, 5 * LEASE_MILLIS - 100);
+        assertThat(other.leads(5 * LEASE_MILLIS - 100)).isFalse();
+        run(other, 5 * LEASE_MILLIS - 100, 7 * LEASE_MILLIS);
+        assertThat(other.leads(7 * LEASE_MILLIS)).isTrue();
+    }
+
+    /** Guards against a restarted host that takes its old lease out of a copy while another host holds the lease. */
+    @Test
+    void aRestartedHostDoesNotTakeItsLeaseOutOfACopy() {
+        epoch = 1;
+        run(lease("h1", 1), 0, 2 * LEASE_MILLIS);
+        byte[] copy = stored;
+        long copyVersion = version;
+        DomainLease other = lease("h2", 2);
+        run(other, 2 * LEASE_MILLIS, 5 * LEASE_MILLIS);
+        assertThat(other.leads(5 * LEASE_MILLIS)).isTrue();
+        restore(copy, copyVersion);
+
+        DomainLease restarted = lease("h1", 3);
+        run(restarted, 5 * LEASE_MILLIS, 6 * LEASE_MILLIS - 100);
+        assertThat(restarted.leads(6 * LEASE_MILLIS - 100)).isFalse();
+    }
+
+    /** Guards against fencing numbers that fall or are used twice, because the store has forgotten the last ones. */
+    @Test
+    void fencingNumbersRiseOverARestore() {
+        epoch = 1;
+        DomainLease first = lease("h1", 1);
+        run(first, 0, 2 * LEASE_MILLIS);
+        byte[] copy = stored;
+        long copyVersion = version;
+        DomainLease second = lease("h2", 2);
+        run(second, 2 * LEASE_MILLIS, 5 * LEASE_MILLIS);
+        long used = second.term();
+        restore(copy, copyVersion);
+
+        DomainLease third = lease("h3", 3);
+        run(third, 5 * LEASE_MILLIS, 8 * LEASE_MILLIS);
+        assertThat(third.leads(8 * LEASE_MILLIS)).isTrue();
+        assertThat(third.term()).isGreaterThan(used);
+    }
+
+    /** Guards against a number that is used twice because a late write of an earlier epoch replaced the lease. */
+    @Test
+    void aNumberThatAnotherHostHasStatedIsNotUsedAgain() {
+        epoch = 1;
+        DomainLease lease = lease("h1", 1);
+        lease.onTerm((1L << 24) + 7);
+        run(lease, 0, 3 * LEASE_MILLIS);
+        assertThat(lease.term()).isEqualTo((1L << 24) + 8);
+    }
+
+    /** Guards against a holder that goes on after the store has lost its lease. */
+    @Test
+    void theHolderDoesNotLeadAfterARestore() {
+        epoch = 1;
+        DomainLease holder = lease("h1", 1);
+        run(holder, 0, 2 * LEASE_MILLIS);
+        assertThat(holder.leads(2 * LEASE_MILLIS)).isTrue();
+        holder.onEpoch(2, 2 * LEASE_MILLIS + 10);
+        assertThat(holder.leads(2 * LEASE_MILLIS + 10)).isFalse();
+    }
+
+    /** Guards against a write that names a version of the earlier epoch and is taken for a renewal. */
+    @Test
+    void aWriteOverARestoreIsReadBack() {
+        epoch = 1;
+        DomainLease holder = lease("h1", 1);
+        run(holder, 0, 2 * LEASE_MILLIS);
+        StoreRequest renewal = null;
+        for (long now = 2 * LEASE_MILLIS; renewal == null; now += 50) {
+            List<OrderEffect> due = holder.onTick(now);
+            renewal = due.isEmpty() ? null : ((OrderEffect.Call) due.get(0)).request();
+        }
+        epoch++;
+        holder.onReply(answer(renewal), 3 * LEASE_MILLIS);
+        assertThat(holder.leads(3 * LEASE_MILLIS)).isFalse();
+        run(holder, 3 * LEASE_MILLIS, 4 * LEASE_MILLIS - 100);
+        assertThat(holder.leads(4 * LEASE_MILLIS - 100)).isFalse();
+    }
+
+    /** Brings the store back from a copy. */
+    private void restore(byte[] copy, long copyVersion) {
+        epoch++;
+        stored = copy;
+        version = copyVersion;
+    }
+
     private DomainLease lease(String host, long seed) {
         return new DomainLease(host, "d", LEASE_MILLIS, codec, new Random(seed));
     }
@@ -89,13 +193,13 @@
         calls++;
         if (request instanceof StoreRequest.Put put) {
             if (put.expectedVersion() != version) {
-                return new StoreReply(KEY, StoreOutcome.CONFLICT, 0, null);
+                return new StoreReply(KEY, StoreOutcome.CONFLICT, 0, null, epoch);
             }
             stored = put.value();
-            return new StoreReply(KEY, StoreOutcome.OK, ++version, null);
+            return new StoreReply(KEY, StoreOutcome.OK, ++version, null, epoch);
         }
         return stored == null
-                ? new StoreReply(KEY, StoreOutcome.ABSENT, 0, null)
-                : new StoreReply(KEY, StoreOutcome.OK, version, stored);
+                ? new StoreReply(KEY, StoreOutcome.ABSENT, 0, null, epoch)
+                : new StoreReply(KEY, StoreOutcome.OK, version, stored, epoch);
     }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/Controllers.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/Controllers.java
@@ -40,6 +40,12 @@
                 .toList();
     }
 
+    /** Returns the fencing number of the last known controller of a failure domain, 0 if none is known. */
+    long term(String failureDomain) {
+        Controller known = byDomain.get(failureDomain);
+        return known == null ? 0 : known.term();
+    }
+
     /** Returns whether a host is the last known controller of a failure domain, under the given fencing number. */
     boolean isController(String failureDomain, String host, long term) {
         Controller known = byDomain.get(failureDomain);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -67,6 +67,7 @@
     private final StoreLanes lanes;
     private final PeerExchange exchange;
     private final PeerMesh mesh;
+    private final StoreEpochs epochs = new StoreEpochs();
     private final ResidencyControl residency;
     private final InstallationFeeds feeds;
     private final ScheduledExecutorService timer;
@@ -89,9 +90,18 @@
         EndpointOrders orders = installation.orders(settings.hostId());
         requests = requests(installation, orders);
         exchange = new PeerExchange(settings, incarnation, control, requests, controller, open::count, clock.now());
-        mesh = new PeerMesh(settings, incarnation, lanes, control, metrics, exchange);
+        mesh = new PeerMesh(settings, incarnation, lanes, control, metrics, exchange, epochs, random.split());
         residency = new ResidencyControl(
-                settings, controller, lanes, control, orders, view, exchange, clock::wallMillis, random.split());
+                settings,
+                controller,
+                lanes,
+                control,
+                orders,
+                view,
+                exchange,
+                epochs,
+                clock::wallMillis,
+                random.split());
         feeds = new InstallationFeeds(
                 installation,
                 control,
@@ -101,14 +111,11 @@
                 mesh,
                 this::configured,
                 exchange,
+                epochs,
                 settings,
                 random,
                 clock.now());
-        exchange.connect(mesh, residency::awaited, feeds::passedOn);
-        control.onTick(feeds::tick);
-        control.onTick(mesh::tick);
-        control.onTick(exchange::tick);
-        control.onTick(residency::tick);
+        connectControl();
         registerGauges();
         control.start();
         requests.loop().start();
@@ -180,6 +187,15 @@
         LogLine.event("host-stopped").with("host", settings.hostId()).info(LOG);
     }
 
+    /** Connects what runs on the control thread; must precede its start. */
+    private void connectControl() {
+        exchange.connect(mesh, residency::awaited, feeds::passedOn);
+        control.onTick(feeds::tick);
+        control.onTick(mesh::tick);
+        control.onTick(exchange::tick);
+        control.onTick(residency::tick);
+    }
+
     private EntryRequests requests(Installation installation, EndpointOrders orders) {
         CrashProbe probe = new CrashProbe(
                 view, orders::lives, (endpoint, digest) -> requests().endpointCrashed(endpoint, digest));
@@ -224,6 +240,7 @@
     private void registerGauges() {
         metrics.gauge("configuration.version", () -> view.configuration().version());
         metrics.gauge("endpoints", view::endpointCount);
+        metrics.gauge("store.epoch", epochs::newest);
         metrics.gauge("requests.open", open::count);
         metrics.gauge("ring.requests.depth", () -> requests.loop().depth());
         metrics.gauge("ring.control.depth", control::depth);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntrySettings.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntrySettings.java
@@ -21,6 +21,7 @@
  * @param configurationMillis milliseconds by which a configuration must be in force
  * @param endpointLeaveMillis milliseconds by which an endpoint that leaves must get no new work
  * @param domainLeaveMillis milliseconds by which a failure domain out of service must get no new work
+ * @param registrationLapseMillis milliseconds after which an endpoint's entry is gone that the endpoint does not renew
  * @param orderLeaseMillis milliseconds that must lie between the orders of two controllers of an endpoint
  */
 public record EntrySettings(
@@ -38,4 +39,5 @@
         long configurationMillis,
         long endpointLeaveMillis,
         long domainLeaveMillis,
+        long registrationLapseMillis,
         long orderLeaseMillis) {}
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FeedRunner.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FeedRunner.java
@@ -6,10 +6,12 @@
 
 import org.gooseberryring.coordination.feed.CollectionFeed;
 import org.gooseberryring.coordination.feed.FeedCall;
+import org.gooseberryring.coordination.feed.FeedChanges;
 import org.gooseberryring.coordination.feed.FeedListener;
 import org.gooseberryring.coordination.feed.FeedPage;
 import org.gooseberryring.coordination.feed.FeedPosition;
 import org.gooseberryring.coordination.feed.FeedTimes;
+import org.gooseberryring.coordination.store.StorePosition;
 import org.gooseberryring.host.control.ControlLoop;
 import org.gooseberryring.host.log.LogLine;
 import org.gooseberryring.state.GooseberryringException;
@@ -28,6 +30,7 @@
     private final ControlLoop control;
     private final CollectionFeed<T> feed;
     private final Passing passing;
+    private final StoreEpochs epochs;
 
     /** Passes changes of a collection on to the hosts that rely on this one. */
     @FunctionalInterface
@@ -36,10 +39,10 @@
          * Passes changes on.
          *
          * @param collection name of the collection among the hosts
-         * @param from revision after which the changes are complete
-         * @param encoded changes as the source decodes them
+         * @param from position after which the changes are complete
+         * @param encoded changes of the same epoch as the source decodes them
          */
-        void pass(String collection, long from, byte[] encoded, long now);
+        void pass(String collection, StorePosition from, byte[] encoded, long now);
     }
 
     FeedRunner(
@@ -49,13 +52,16 @@
             FeedTimes times,
             FeedListener<T> listener,
             Passing passing,
+            StoreEpochs epochs,
             RandomGenerator random,
             long now) {
         this.collection = collection;
         this.source = source;
         this.control = control;
         this.passing = passing;
+        this.epochs = epochs;
         this.feed = new CollectionFeed<>(times, listener, random, now);
+        epochs.onChange(feed::onEpoch);
     }
 
     String collection() {
@@ -74,6 +80,9 @@
 
     /** Relies on another host if it has a fresh position, otherwise on the store; must be called on the control thread. */
     void rely(FeedPosition position, long now) {
+        if (position != null) {
+            epochs.seen(position.changed().epoch(), now);
+        }
         if (position != null && position.fresh()) {
             feed.follow(position, now);
         } else {
@@ -82,9 +91,9 @@
     }
 
     /** Takes over changes that another host passes on; must be called on the control thread. */
-    void passedOn(long from, byte[] encoded, long now) {
+    void passedOn(StorePosition from, byte[] encoded, long now) {
         try {
-            feed.onPassedOn(from, source.decode(encoded), now);
+            feed.onPassedOn(from, source.decode(encoded, from.epoch()), now);
         } catch (GooseberryringException e) {
             LogLine.event("passed-changes-unreadable")
                     .with("collection", collection)
@@ -98,14 +107,21 @@
             if (call instanceof FeedCall.ListPage list) {
                 source.list(list.after()).whenComplete((page, failure) -> paged(list.id(), page));
             } else if (call instanceof FeedCall.Watch watch) {
-                source.watch(watch.revision(), watch.waitMillis())
+                source.watch(watch.from(), watch.waitMillis())
                         .whenComplete((answer, failure) -> watched(watch, answer));
             }
         }
     }
 
     private void paged(long id, FeedPage<T> page) {
-        control.put(now -> make(page == null ? feed.onFailed(id, now) : feed.onPage(id, page, now)));
+        control.put(now -> {
+            if (page == null) {
+                make(feed.onFailed(id, now));
+            } else {
+                make(feed.onPage(id, page, now));
+                epochs.seen(page.at().epoch(), now);
+            }
+        });
     }
 
     /** Takes the answer to a watch, null if there was none. */
@@ -116,10 +132,13 @@
             } else if (answer.isEmpty()) {
                 make(feed.onHistoryGone(watch.id(), now));
             } else {
-                if (!answer.get().changes().changes().isEmpty()) {
-                    passing.pass(collection, watch.revision(), answer.get().encoded(), now);
+                FeedChanges<T> changes = answer.get().changes();
+                boolean sameEpoch = changes.at().epoch() == watch.from().epoch();
+                if (sameEpoch && !changes.changes().isEmpty()) {
+                    passing.pass(collection, watch.from(), answer.get().encoded(), now);
                 }
-                make(feed.onChanges(watch.id(), answer.get().changes(), now));
+                make(feed.onChanges(watch.id(), changes, now));
+                epochs.seen(changes.at().epoch(), now);
             }
         });
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationFeeds.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationFeeds.java
@@ -12,6 +12,7 @@
 import org.gooseberryring.coordination.feed.FeedPosition;
 import org.gooseberryring.coordination.feed.FeedTimes;
 import org.gooseberryring.coordination.residency.ResidencyController;
+import org.gooseberryring.coordination.store.StorePosition;
 import org.gooseberryring.host.control.ControlLoop;
 import org.gooseberryring.host.log.LogLine;
 import org.gooseberryring.state.EndpointRegistration;
@@ -42,6 +43,9 @@
     /** Endpoints that live register again within 2 s of the return of the store. */
     private static final long REGISTRATION_GRACE_MILLIS = 1_900;
 
+    /** Time in which operators and hosts write again what an older copy of the store lacks. */
+    private static final long REWRITE_GRACE_MILLIS = 5_000;
+
     private final InstallationView view;
     private final EntryRequests requests;
     private final ResidencyController controller;
@@ -53,6 +57,7 @@
     private final FeedRunner<HostRegistration> hosts;
     private final List<FeedRunner<?>> runners;
     private final PeerExchange exchange;
+    private final StoreEpochs epochs;
     private boolean endpointsListed;
     private boolean exitsListed;
 
@@ -71,6 +76,7 @@
             FeedListener<HostRegistration> hostListener,
             Consumer<ServingConfiguration> adopted,
             PeerExchange exchange,
+            StoreEpochs epochs,
             EntrySettings settings,
             SplittableRandom random,
             long now) {
@@ -79,11 +85,12 @@
         this.controller = controller;
         this.adopted = adopted;
         this.exchange = exchange;
+        this.epochs = epochs;
         configurations = runner(
                 "configurations",
                 installation.configurations(),
                 control,
-                times(settings.configurationMillis(), 0, 0),
+                times(settings.configurationMillis(), 0, 0, 0),
                 new Configurations(),
                 random,
                 now);
@@ -91,7 +98,11 @@
                 "endpoints",
                 installation.endpoints(),
                 control,
-                times(settings.endpointLeaveMillis(), ENDPOINT_PAUSE_MILLIS, REGISTRATION_GRACE_MILLIS),
+                times(
+                        settings.endpointLeaveMillis(),
+                        ENDPOINT_PAUSE_MILLIS,
+                        REGISTRATION_GRACE_MILLIS,
+                        settings.registrationLapseMillis()),
                 new Endpoints(),
                 random,
                 now);
@@ -99,7 +110,7 @@
                 "domain-exits",
                 installation.domainExits(),
                 control,
-                times(settings.domainLeaveMillis(), 0, 0),
+                times(settings.domainLeaveMillis(), 0, 0, 0),
                 new Exits(),
                 random,
                 now);
@@ -115,11 +126,12 @@
             FeedListener<T> listener,
             SplittableRandom random,
             long now) {
-        return new FeedRunner<>(collection, source, control, times, listener, exchange::passOn, random.split(), now);
+        return new FeedRunner<>(
+                collection, source, control, times, listener, exchange::passOn, epochs, random.split(), now);
     }
 
     /** Takes over changes that another host passes on; must be called on the control thread. */
-    void passedOn(String collection, long from, byte[] encoded, long now) {
+    void passedOn(String collection, StorePosition from, byte[] encoded, long now) {
         runners.stream()
                 .filter(runner -> runner.collection().equals(collection))
                 .forEach(runner -> runner.passedOn(from, encoded, now));
@@ -142,19 +154,28 @@
         }
     }
 
-    private static FeedTimes times(long inForceMillis, long pauseMillis, long graceMillis) {
+    private static FeedTimes times(long inForceMillis, long pauseMillis, long graceMillis, long lapseMillis) {
         return new FeedTimes(
                 inForceMillis / WATCH_DIVISOR,
                 pauseMillis,
                 MIN_RETRY_MILLIS,
                 MAX_RETRY_MILLIS,
                 OUTAGE_MILLIS,
-                graceMillis);
+                graceMillis,
+                lapseMillis > 0 ? graceMillis : REWRITE_GRACE_MILLIS,
+                lapseMillis);
     }
 
     private static FeedTimes hostTimes() {
         return new FeedTimes(
-                HOST_WATCH_MILLIS, HOST_PAUSE_MILLIS, MIN_RETRY_MILLIS, MAX_RETRY_MILLIS, OUTAGE_MILLIS, 0);
+                HOST_WATCH_MILLIS,
+                HOST_PAUSE_MILLIS,
+                MIN_RETRY_MILLIS,
+                MAX_RETRY_MILLIS,
+                OUTAGE_MILLIS,
+                0,
+                REWRITE_GRACE_MILLIS,
+                0);
     }
 
     private static void logContact(String collection, boolean inContact) {
@@ -231,11 +252,11 @@
         }
 
         @Override
-        public void listed(long revision, long now) {
+        public void listed(StorePosition at, long now) {
             endpointsListed = true;
             noteListed();
             LogLine.event("endpoints-listed")
-                    .with("revision", revision)
+                    .with("at", at)
                     .with("endpoints", view.endpointCount())
                     .info(LOG);
         }
@@ -261,7 +282,7 @@
         }
 
         @Override
-        public void listed(long revision, long now) {
+        public void listed(StorePosition at, long now) {
             exitsListed = true;
             noteListed();
         }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
@@ -18,6 +18,7 @@
 import org.gooseberryring.coordination.request.RequestEffect;
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.coordination.residency.ResidencyEffect;
+import org.gooseberryring.coordination.store.StorePosition;
 import org.gooseberryring.protocol.peer.ArtifactDemand;
 import org.gooseberryring.protocol.peer.ArtifactsWanted;
 import org.gooseberryring.protocol.peer.CollectionPosition;
@@ -195,7 +196,8 @@
         return StateEntry.newBuilder()
                 .setPosition(CollectionPosition.newBuilder()
                         .setCollection(collection)
-                        .setChangedRevision(position.changedRevision())
+                        .setEpoch(position.changed().epoch())
+                        .setChangedRevision(position.changed().revision())
                         .setFresh(position.fresh())
                         .setInContact(position.inContact()))
                 .build();
@@ -203,7 +205,8 @@
 
     static FeedPosition position(StateEntry entry) {
         CollectionPosition position = entry.getPosition();
-        return new FeedPosition(position.getChangedRevision(), position.getFresh(), position.getInContact());
+        StorePosition changed = new StorePosition(position.getEpoch(), position.getChangedRevision());
+        return new FeedPosition(changed, position.getFresh(), position.getInContact());
     }
 
     static ArtifactsWanted wanted(Collection<Target.RoutedTarget> targets) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -21,6 +21,7 @@
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.coordination.residency.ResidencyController;
 import org.gooseberryring.coordination.residency.ResidencyEffect;
+import org.gooseberryring.coordination.store.StorePosition;
 import org.gooseberryring.host.control.ControlLoop;
 import org.gooseberryring.host.log.LogLine;
 import org.gooseberryring.protocol.peer.FeedChanges;
@@ -108,7 +109,7 @@
     /** Takes changes of a collection of the store that the relay of the failure domain passes on. */
     @FunctionalInterface
     interface FeedReceiver {
-        void passedOn(String collection, long from, byte[] encoded, long now);
+        void passedOn(String collection, StorePosition from, byte[] encoded, long now);
     }
 
     /**
@@ -125,11 +126,12 @@
     }
 
     /** Passes changes of a collection of the store on to the hosts that rely on this one. */
-    void passOn(String collection, long from, byte[] encoded, long now) {
+    void passOn(String collection, StorePosition from, byte[] encoded, long now) {
         PeerMessage.Builder message = PeerMessage.newBuilder()
                 .setFeedChanges(FeedChanges.newBuilder()
                         .setCollection(collection)
-                        .setFrom(from)
+                        .setEpoch(from.epoch())
+                        .setFrom(from.revision())
                         .setChanges(ByteString.copyFrom(encoded)));
         exchange.subscribers(now).forEach(host -> mesh.send(host, message.clone()));
     }
@@ -156,6 +158,11 @@
         exchange.memberGone(host);
     }
 
+    /** Returns the highest fencing number that a controller of this failure domain has stated, 0 if none has. */
+    long controllerTerm() {
+        return controllers.term(failureDomain);
+    }
+
     /** Returns whether this host may take the lease of its failure domain; a few hosts are enough for that. */
     boolean mayControl(int candidates, long now) {
         return exchange.isAmongFirst(candidates, now);
@@ -191,7 +198,7 @@
                 FeedChanges changes = message.getFeedChanges();
                 control.offer(now -> feeds.passedOn(
                         changes.getCollection(),
-                        changes.getFrom(),
+                        new StorePosition(changes.getEpoch(), changes.getFrom()),
                         changes.getChanges().toByteArray(),
                         now));
             }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerMesh.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerMesh.java
@@ -5,6 +5,7 @@
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.random.RandomGenerator;
 
 import org.gooseberryring.coordination.exchange.ExchangeMember;
 import org.gooseberryring.coordination.feed.FeedListener;
@@ -39,6 +40,9 @@
     private static final long MESSAGE_MILLIS = 1_000;
     private static final int MAX_QUEUED_FRAMES = 256;
 
+    /** Time over which the hosts spread their calls after the store came back from an older copy. */
+    private static final long RESTORE_SPREAD_MILLIS = 1_000;
+
     private final EntrySettings settings;
     private final long incarnation;
     private final StoreLanes lanes;
@@ -46,7 +50,11 @@
     private final HostMetrics metrics;
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
     private final PeerExchange members;
+    private final StoreEpochs epochs;
+    private final RandomGenerator random;
     private volatile PeerLinks links;
+    private PeerSecret secret;
+    private boolean secretStored;
     private boolean registered;
     private boolean calling;
     private long retryAt;
@@ -58,13 +66,18 @@
             StoreLanes lanes,
             ControlLoop control,
             HostMetrics metrics,
-            PeerExchange members) {
+            PeerExchange members,
+            StoreEpochs epochs,
+            RandomGenerator random) {
         this.settings = settings;
         this.incarnation = incarnation;
         this.lanes = lanes;
         this.control = control;
         this.metrics = metrics;
         this.members = members;
+        this.epochs = epochs;
+        this.random = random;
+        epochs.onChange((epoch, now) -> restored(now));
     }
 
     /** Lets time pass. */
@@ -74,6 +87,8 @@
         }
         if (links == null) {
             read(SECRET_KEY, this::secretRead);
+        } else if (!secretStored) {
+            read(SECRET_KEY, this::secretReadAgain);
         } else if (!registered) {
             read(ownKey(), this::entryRead);
         }
@@ -126,21 +141,50 @@
         }
     }
 
+    /** Looks whether the store still holds what this host has written or read there. */
+    private void restored(long now) {
+        if (links != null) {
+            secretStored = false;
+            registered = false;
+            retryAt = now + random.nextLong(RESTORE_SPREAD_MILLIS);
+        }
+    }
+
     private void secretRead(StoreReply reply, long now) {
         if (reply.outcome() == StoreOutcome.OK) {
             open(Json.read(reply.value(), PeerSecret.class));
         } else if (reply.outcome() == StoreOutcome.ABSENT) {
             byte[] bytes = new byte[SECRET_BYTES];
             new SecureRandom().nextBytes(bytes);
-            PeerSecret secret = new PeerSecret(Base64.getEncoder().encodeToString(bytes));
-            // The secret counts once it is read back, since another host may have created it.
-            write(SECRET_KEY, StoreRequest.Put.ABSENT, Json.write(secret), (written, at) -> retryAt = at);
+            create(new PeerSecret(Base64.getEncoder().encodeToString(bytes)));
         } else {
             retryAt = now + RETRY_MILLIS;
         }
     }
 
-    private void open(PeerSecret secret) {
+    /** Writes the secret again if an older copy of the store lacks it, and takes over that of a host that was first. */
+    private void secretReadAgain(StoreReply reply, long now) {
+        if (reply.outcome() == StoreOutcome.ABSENT) {
+            create(secret);
+        } else if (reply.outcome() != StoreOutcome.OK) {
+            retryAt = now + RETRY_MILLIS;
+        } else if (Json.read(reply.value(), PeerSecret.class).equals(secret)) {
+            secretStored = true;
+        } else {
+            LogLine.event("peer-secret-replaced").warn(LOG);
+            links.close();
+            open(Json.read(reply.value(), PeerSecret.class));
+        }
+    }
+
+    /** Creates the secret, which counts once it is read back, since another host may have created it. */
+    private void create(PeerSecret created) {
+        write(SECRET_KEY, StoreRequest.Put.ABSENT, Json.write(created), (written, at) -> retryAt = at);
+    }
+
+    private void open(PeerSecret stored) {
+        secret = stored;
+        secretStored = true;
         PeerLinks opened = new PeerLinks(
                 settings.hostId(),
                 incarnation,
@@ -165,6 +209,10 @@
                 settings.failureDomain(),
                 address.getAddress().getHostAddress() + ":" + address.getPort(),
                 settings.processors());
+        if (!absent && Json.read(reply.value(), HostRegistration.class).equals(entry)) {
+            registered = true;
+            return;
+        }
         long version = absent ? StoreRequest.Put.ABSENT : reply.version();
         write(ownKey(), version, Json.write(entry), (written, at) -> {
             registered = written.outcome() == StoreOutcome.OK;
@@ -190,7 +238,8 @@
                 request,
                 reply -> control.put(now -> {
                     calling = false;
-                    handler.handle(reply, now);
+                    epochs.seen(reply, now);
+                    handler.handle(epochs.current(reply), now);
                 }));
     }
 
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
@@ -35,6 +35,7 @@
     private final EndpointOrders orders;
     private final InstallationView view;
     private final PeerExchange exchange;
+    private final StoreEpochs epochs;
     private final OrderRight right;
     private long leadingTerm;
     private volatile boolean due;
@@ -48,6 +49,7 @@
             EndpointOrders orders,
             InstallationView view,
             PeerExchange exchange,
+            StoreEpochs epochs,
             LongSupplier wallClock,
             RandomGenerator random) {
         this.controller = controller;
@@ -56,17 +58,20 @@
         this.orders = orders;
         this.view = view;
         this.exchange = exchange;
+        this.epochs = epochs;
         // The next holder takes the lease when the last order of this one is as old as the installation demands.
         long leaseMillis = OrderRight.ORDER_MILLIS + TRANSIT_MILLIS + settings.orderLeaseMillis();
         // The address belongs to one machine only, also if a host that was replaced by another of its name still runs.
         String holder = settings.hostId() + '@' + settings.callerAddress().getHostString();
         this.lease = new DomainLease(holder, settings.failureDomain(), leaseMillis, new JsonOrderCodec(), random);
         this.right = new OrderRight(lease, wallClock);
+        epochs.onChange(lease::onEpoch);
     }
 
     /** Lets time pass; must be called on the control thread. */
     void tick(long now) {
         lease.candidate(exchange.mayControl(CANDIDATES, now));
+        lease.onTerm(exchange.controllerTerm());
         boolean mayOrder = right.holds(now);
         call(lease.onTick(now));
         long term = mayOrder ? lease.term() : 0;
@@ -105,7 +110,12 @@
     private void call(List<OrderEffect> effects) {
         for (OrderEffect effect : effects) {
             if (effect instanceof OrderEffect.Call call) {
-                lanes.submit(call.request(), reply -> control.put(now -> call(lease.onReply(reply, now))));
+                lanes.submit(
+                        call.request(),
+                        reply -> control.put(now -> {
+                            epochs.seen(reply, now);
+                            call(lease.onReply(reply, now));
+                        }));
             }
         }
     }
