Take from endpoints' answers that they leave or want no requests

Cause: only the store told that an endpoint leaves, so that a host which had passed on the endpoint's own statement went on sending, without the store for ever. A process that leaves was used again when an older entry called it ready. Retry-After of a 503 was not read, so that requests, repeats and requests with a connection still opening reached the endpoint all the time, and its refusals counted as failures.

Each answer of an endpoint, also a failure, the head of a stream and the answers to orders, status and health, is read for both statements. Leaving holds for the process, travels through the exchange with its start, and ends with it. A back-off holds for this host; it is checked when an endpoint is chosen and again right before the write. Callers whose endpoints all back off beyond the time by which they must start are refused at once with the time that is left.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
@@ -53,6 +53,7 @@
     private List<ResidentModel> reported;
     private long lackedAt = Long.MAX_VALUE;
     private long announcedAt = Long.MIN_VALUE / 2;
+    private long backOffUntil = Long.MIN_VALUE / 2;
 
     /** Request in flight; {@code startsBy} is the time by which its answer is overdue, or never once it has begun. */
     private record Running(EndpointUse use, long tokensAhead, long sentAt, long startsBy) {}
@@ -72,6 +73,8 @@
         if (restarted) {
             cache.clear();
             reported = null;
+            health.restarted();
+            backOffUntil = Long.MIN_VALUE / 2;
         }
         boolean announced = now - announcedAt < ANNOUNCED_MILLIS;
         if (restarted || modelsChanged && !announced) {
@@ -144,6 +147,16 @@
         }
     }
 
+    /** Notes that the endpoint wants no request of this host before a time. */
+    void backOff(long until) {
+        backOffUntil = until;
+    }
+
+    /** Returns the milliseconds for which the endpoint wants no request of this host, 0 if it wants them. */
+    long backOffMillis(long now) {
+        return Math.max(0, backOffUntil - now);
+    }
+
     void removed() {
         removed = true;
     }
@@ -196,6 +209,7 @@
         EndpointUse all = own.plus(othersSum);
         boolean free = all.inFlight() < registration.slots();
         return free
+                && now >= backOffUntil
                 && !isStalled(now)
                 && !othersStalled
                 && fitsMemory(all, query.prompt())
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -16,6 +16,7 @@
 import org.gooseberryring.coordination.route.RouteChoice;
 import org.gooseberryring.coordination.route.RouteForecast;
 import org.gooseberryring.coordination.route.RouteQuery;
+import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.EngineProfile;
 import org.gooseberryring.state.ModelProfile;
@@ -227,6 +228,14 @@
         }
     }
 
+    /** Takes over that a process of an endpoint wants no request of this host before a time. */
+    public void backOff(EndpointProcess process, long until) {
+        DirectEndpoint known = endpoints.get(process.endpoint());
+        if (known != null && known.registration().process().equals(process)) {
+            known.backOff(until);
+        }
+    }
+
     /** Counts a request that arrived, however it ends. */
     public void asked(Target target, PromptShape prompt, long now) {
         if (target instanceof Target.RoutedTarget routed && routed.model() != null) {
@@ -314,7 +323,8 @@
     @Override
     public void failed(String endpoint, long now) {
         DirectEndpoint known = endpoints.get(endpoint);
-        if (known != null) {
+        // What an endpoint refuses because it wants no request now says nothing about those that it accepts.
+        if (known != null && known.backOffMillis(now) == 0) {
             known.health().failed();
         }
     }
@@ -368,8 +378,13 @@
     /** Lets a request wait for room, unless it has missed its objective or so much waits that it would start far too late. */
     private static RouteChoice waiting(List<DirectEndpoint> holders, RouteQuery query, long now) {
         long soonest = Long.MAX_VALUE;
+        long refused = Long.MAX_VALUE;
         for (DirectEndpoint endpoint : holders) {
             soonest = Math.min(soonest, endpoint.millisToStart(query));
+            refused = Math.min(refused, endpoint.backOffMillis(now));
+        }
+        if (refused > 0 && now + refused > query.startBy()) {
+            return RouteChoice.unreachable(RouteChoice.Cause.BACK_OFF, refused);
         }
         long patience = HOPELESS_FACTOR * Math.max(query.objective() - now, 0) + MIN_PATIENCE_MILLIS;
         boolean late = now > query.objective() + MIN_PATIENCE_MILLIS;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/EndpointHealth.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/EndpointHealth.java
@@ -44,6 +44,15 @@
         trial = true;
     }
 
+    /** Forgets what an earlier process of the endpoint has done; a loss that is seen later is not the new one's. */
+    void restarted() {
+        lossEpoch++;
+        outUntil = Long.MIN_VALUE;
+        outMillis = MIN_OUT_MILLIS;
+        trial = false;
+        failureShare = 0;
+    }
+
     void failed() {
         failureShare += NEWEST_WEIGHT * (1 - failureShare);
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Work.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/Work.java
@@ -110,6 +110,7 @@
         return switch (choice.cause()) {
             case NOT_HELD -> Reason.NOT_HELD;
             case BUSY -> Reason.BUSY;
+            case BACK_OFF -> Reason.BACK_OFF;
             case NONE -> Reason.NO_ENDPOINT;
         };
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/RouteChoice.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/RouteChoice.java
@@ -28,7 +28,9 @@
         /** No endpoint holds what it needs, and that cannot be loaded in time. */
         NOT_HELD,
         /** The endpoints that hold what it needs would start it too late. */
-        BUSY
+        BUSY,
+        /** The endpoints that hold what it needs want no request of this host for some time. */
+        BACK_OFF
     }
 
     public static final RouteChoice WAIT = new RouteChoice(Kind.WAIT, null);
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/DirectRouterTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/DirectRouterTest.java
@@ -9,6 +9,7 @@
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.coordination.route.RouteChoice;
 import org.gooseberryring.coordination.route.RouteQuery;
+import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.EngineProfile;
 import org.gooseberryring.state.ModelProfile;
@@ -219,13 +220,60 @@
         assertThat(router.choose(query(PLAIN, PromptShape.NONE), 0).kind()).isEqualTo(RouteChoice.Kind.ENDPOINT);
     }
 
+    /** Guards against requests to an endpoint that wants none of this host, and against callers that wait for it in vain. */
+    @Test
+    void leavesAnEndpointAloneForAsLongAsItAsks() {
+        router.backOff(new EndpointProcess("e1", 1), 2_000);
+        for (int i = 0; i < 20; i++) {
+            RouteQuery each = query(MODEL, PROMPT);
+            assertThat(router.choose(each, 100 + i).id()).isEqualTo("e2");
+            router.started("e2", each, 100 + i);
+        }
+        router.backOff(new EndpointProcess("e2", 1), 90_000);
+        RouteQuery patient = new RouteQuery(MODEL, 0, false, false, PROMPT, 5_000, 10_000, Set.of());
+        assertThat(router.choose(patient, 500)).isEqualTo(RouteChoice.WAIT);
+        router.backOff(new EndpointProcess("e1", 1), 91_000);
+        RouteChoice refused = router.choose(patient, 500);
+        assertThat(refused.cause()).isEqualTo(RouteChoice.Cause.BACK_OFF);
+        assertThat(refused.availableMillis()).isEqualTo(89_500);
+    }
+
+    /** Guards against the wish or the failures of an earlier process that count against the next one. */
+    @Test
+    void forgetsWhatAnEarlierProcessHasDone() {
+        router.unregistered("e2");
+        router.backOff(new EndpointProcess("e1", 1), 90_000);
+        router.lost("e1", router.lossEpoch("e1"), 100);
+        assertThat(router.choose(query(MODEL, PROMPT), 200).kind()).isNotEqualTo(RouteChoice.Kind.ENDPOINT);
+        router.registered(engine("e1", "a", 0, 2), 200);
+        assertThat(router.choose(query(MODEL, PROMPT), 200).id()).isEqualTo("e1");
+        router.backOff(new EndpointProcess("e1", 1), 90_000);
+        assertThat(router.choose(query(MODEL, PROMPT), 200).id()).isEqualTo("e1");
+    }
+
+    /** Guards against an endpoint that is charged as failing for requests that it refused because it wanted none. */
+    @Test
+    void countsNoFailureWhileTheEndpointBacksOff() {
+        router.backOff(new EndpointProcess("e1", 1), 2_000);
+        for (int i = 0; i < 10; i++) {
+            router.failed("e1", 1_000);
+        }
+        router.unregistered("e2");
+        router.registered(engine("e3", "b", 0), 3_000);
+        assertThat(router.choose(query(MODEL, PROMPT), 3_000).id()).isEqualTo("e1");
+    }
+
     private static RouteQuery query(Target.RoutedTarget target, PromptShape prompt) {
         return new RouteQuery(target, 0, false, false, prompt, Long.MAX_VALUE, Long.MAX_VALUE, Set.of());
     }
 
     private static EndpointRegistration engine(String id, String domain, long coldMillis) {
+        return engine(id, domain, coldMillis, 1);
+    }
+
+    private static EndpointRegistration engine(String id, String domain, long coldMillis, long bornMillis) {
         List<ResidentModel> models = List.of(new ResidentModel("m", Set.of()));
-        return new EndpointRegistration(id, "llm", "10.0.0.1:80", domain, 64, false, coldMillis, 0, models);
+        return new EndpointRegistration(id, "llm", "10.0.0.1:80", domain, 64, false, coldMillis, bornMillis, models);
     }
 
     private static EndpointRegistration service(String id) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -17,6 +17,7 @@
 import org.gooseberryring.transport.endpoint.EndpointAttempt;
 import org.gooseberryring.transport.endpoint.EndpointCall;
 import org.gooseberryring.transport.endpoint.EndpointClient;
+import org.gooseberryring.transport.endpoint.EndpointSignals;
 import org.jboss.logging.Logger;
 
 /** Carries out the effects of the request engine that concern callers and endpoints. */
@@ -116,7 +117,7 @@
                 .with("expectedStartMs", dispatch.forecast().startMillis())
                 .debug(LOG);
         BooleanSupplier mayStart = gate.mayStart(request.spec(), endpoint.id());
-        Progress progress = new Progress(request, dispatch.attempt(), endpoint.id());
+        Progress progress = new Progress(request, dispatch.attempt(), endpoint.id(), gate.signals(endpoint.id()));
         request.thread().execute(() -> send(progress, endpoint.address(), call, mayStart));
     }
 
@@ -128,7 +129,7 @@
             return;
         }
         EndpointCall call = relays.call(request, relay.attempt());
-        Progress progress = new Progress(request, relay.attempt(), null);
+        Progress progress = new Progress(request, relay.attempt(), null, signals -> {});
         request.thread().execute(() -> send(progress, address, call, () -> true));
     }
 
@@ -183,13 +184,20 @@
         private final OpenRequest request;
         private final int number;
         private final String endpoint;
+        private final Consumer<EndpointSignals> signalled;
         private final long startedNanos = System.nanoTime();
 
         /** Creates the progress of one attempt; {@code endpoint} is null for a relay. */
-        private Progress(OpenRequest request, int number, String endpoint) {
+        private Progress(OpenRequest request, int number, String endpoint, Consumer<EndpointSignals> signalled) {
             this.request = request;
             this.number = number;
             this.endpoint = endpoint;
+            this.signalled = signalled;
+        }
+
+        @Override
+        public void signalled(EndpointSignals signals) {
+            signalled.accept(signals);
         }
 
         @Override
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/CrashProbe.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/CrashProbe.java
@@ -2,8 +2,10 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 
 import org.gooseberryring.host.log.LogLine;
+import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.EndpointRegistration;
 import org.jboss.logging.Logger;
 
@@ -14,6 +16,7 @@
     private final InstallationView view;
     private final Health health;
     private final BiConsumer<String, String> crashed;
+    private final Predicate<EndpointProcess> wantsNothing;
 
     /** Checks whether a start of an endpoint lives; the future fails if nothing answers at its address. */
     @FunctionalInterface
@@ -21,8 +24,18 @@
         CompletableFuture<Boolean> lives(EndpointRegistration endpoint, String healthPath);
     }
 
-    /** Creates a probe; {@code crashed} takes an endpoint that is gone and the digest of the request that it ran. */
-    CrashProbe(InstallationView view, Health health, BiConsumer<String, String> crashed) {
+    /**
+     * Creates a probe.
+     *
+     * @param crashed takes an endpoint that is gone and the digest of the request that it ran
+     * @param wantsNothing returns whether an endpoint has asked for no request now
+     */
+    CrashProbe(
+            InstallationView view,
+            Health health,
+            BiConsumer<String, String> crashed,
+            Predicate<EndpointProcess> wantsNothing) {
+        this.wantsNothing = wantsNothing;
         this.view = view;
         this.health = health;
         this.crashed = crashed;
@@ -35,6 +48,10 @@
             crashed.accept(endpoint, digest);
             return;
         }
+        if (wantsNothing.test(registration.process())) {
+            // It has answered a moment ago, and wants no request now.
+            return;
+        }
         health.lives(registration, view.healthPath(registration.service())).whenComplete((lives, failure) -> {
             boolean gone = failure != null || !lives;
             LogLine.event("endpoint-probed")
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryGate.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryGate.java
@@ -2,12 +2,16 @@
 
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 
 import org.gooseberryring.coordination.request.AttemptOutcome;
 import org.gooseberryring.coordination.request.RequestSpec;
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.host.engine.AttemptGate;
+import org.gooseberryring.state.EndpointProcess;
+import org.gooseberryring.transport.endpoint.EndpointSignals;
 
 /**
  * Hears from attempts which endpoints do not hold what requests need and which may have crashed.
@@ -20,6 +24,8 @@
 
     private final BiConsumer<String, Target> lacks;
     private final BiConsumer<String, String> broken;
+    private final Function<String, EndpointProcess> processes;
+    private final EndpointNews news;
     private final LongSupplier clock;
 
     /**
@@ -27,9 +33,18 @@
      *
      * @param lacks takes an endpoint and what it does not hold
      * @param broken takes an endpoint and the digest of the request whose connection to it broke
+     * @param processes gives the process of an endpoint
+     * @param news hears what endpoints state of themselves
      * @param clock monotonic milliseconds
      */
-    EntryGate(BiConsumer<String, Target> lacks, BiConsumer<String, String> broken, LongSupplier clock) {
+    EntryGate(
+            BiConsumer<String, Target> lacks,
+            BiConsumer<String, String> broken,
+            Function<String, EndpointProcess> processes,
+            EndpointNews news,
+            LongSupplier clock) {
+        this.processes = processes;
+        this.news = news;
         this.clock = clock;
         this.lacks = lacks;
         this.broken = broken;
@@ -37,7 +52,18 @@
 
     @Override
     public BooleanSupplier mayStart(RequestSpec spec, String endpoint) {
-        return () -> clock.getAsLong() < spec.deadline();
+        EndpointProcess process = processes.apply(endpoint);
+        return () -> mayStart(spec, process, clock.getAsLong());
+    }
+
+    @Override
+    public Consumer<EndpointSignals> signals(String endpoint) {
+        EndpointProcess process = processes.apply(endpoint);
+        return signals -> news.heard(process, signals);
+    }
+
+    private boolean mayStart(RequestSpec spec, EndpointProcess process, long now) {
+        return now < spec.deadline() && !news.backsOff(process, now);
     }
 
     @Override
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -21,6 +21,7 @@
 import org.gooseberryring.host.control.ControlLoop;
 import org.gooseberryring.host.control.StoreLanes;
 import org.gooseberryring.host.log.LogLine;
+import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.RequestLimits;
 import org.gooseberryring.state.ServingConfiguration;
 import org.gooseberryring.transport.endpoint.EndpointClient;
@@ -59,6 +60,7 @@
     private final long incarnation = clock.wallMillis();
     private final HostMetrics metrics = new HostMetrics();
     private final InstallationView view = new InstallationView();
+    private final EndpointNews news = new EndpointNews(view, this::leaves, this::backOff, clock::now);
     private final OpenRequests open = new OpenRequests(MAX_OPEN_REQUESTS);
     private final CountDownLatch closed = new CountDownLatch(1);
     private final HttpWorker worker;
@@ -87,7 +89,7 @@
         SplittableRandom random =
                 new SplittableRandom(incarnation ^ settings.hostId().hashCode());
         ResidencyController controller = new ResidencyController(settings.failureDomain());
-        EndpointOrders orders = installation.orders(settings.hostId());
+        EndpointOrders orders = installation.orders(settings.hostId(), news::heard);
         requests = requests(installation, orders);
         exchange = new PeerExchange(settings, incarnation, control, requests, controller, open::count, clock.now());
         mesh = new PeerMesh(settings, incarnation, lanes, control, metrics, exchange, epochs, random.split());
@@ -189,7 +191,7 @@
 
     /** Connects what runs on the control thread; must precede its start. */
     private void connectControl() {
-        exchange.connect(mesh, residency::awaited, feeds::passedOn);
+        exchange.connect(mesh, residency::awaited, feeds);
         control.onTick(feeds::tick);
         control.onTick(mesh::tick);
         control.onTick(exchange::tick);
@@ -198,7 +200,10 @@
 
     private EntryRequests requests(Installation installation, EndpointOrders orders) {
         CrashProbe probe = new CrashProbe(
-                view, orders::lives, (endpoint, digest) -> requests().endpointCrashed(endpoint, digest));
+                view,
+                orders::lives,
+                (endpoint, digest) -> requests().endpointCrashed(endpoint, digest),
+                process -> news.backsOff(process, clock.now()));
         CallerEffects effects = new CallerEffects(
                 open,
                 view::endpoint,
@@ -206,7 +211,12 @@
                 metrics,
                 new EntryLinks(quarantine -> exchange().spread(quarantine)),
                 null,
-                new EntryGate((endpoint, target) -> requests().lacks(endpoint, target), probe::ask, clock::now),
+                new EntryGate(
+                        (endpoint, target) -> requests().lacks(endpoint, target),
+                        probe::ask,
+                        view::process,
+                        news,
+                        clock::now),
                 installation.requests().calls());
         return new EntryRequests(settings, effects, targets -> exchange().wanted(targets), incarnation, clock::now);
     }
@@ -216,6 +226,14 @@
         return requests;
     }
 
+    private void leaves(EndpointProcess process) {
+        control.put(now -> feeds.leaves(process, now));
+    }
+
+    private void backOff(EndpointProcess process, long until) {
+        requests.backOff(process, until);
+    }
+
     /** Returns the exchange to callbacks that are made before it is. */
     private PeerExchange exchange() {
         return exchange;
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
@@ -26,6 +26,7 @@
 import org.gooseberryring.host.caller.CallerEffects;
 import org.gooseberryring.host.engine.LimiterInputs;
 import org.gooseberryring.host.engine.RequestLoop;
+import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.Organisation;
 import org.gooseberryring.state.OrganisationTerms;
@@ -145,6 +146,14 @@
         });
     }
 
+    /** Takes over that an endpoint wants no request of this host before a time. */
+    void backOff(EndpointProcess process, long until) {
+        loop.put((engine, now) -> {
+            router.backOff(process, until);
+            return engine.changed(now);
+        });
+    }
+
     /** Takes over the retries that services bear. */
     void retries(RetryAllowance allowance) {
         loop.put((engine, now) -> {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/Installation.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/Installation.java
@@ -1,8 +1,12 @@
 package org.gooseberryring.host.entry;
 
+import java.util.function.BiConsumer;
+
+import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.ServingConfiguration;
 import org.gooseberryring.transport.endpoint.EndpointProtocol;
+import org.gooseberryring.transport.endpoint.EndpointSignals;
 import org.gooseberryring.transport.store.ObjectStore;
 
 /** What an entry host needs to know of the platform that it runs on. */
@@ -28,6 +32,10 @@
     /** Returns the store of what hosts must agree on. */
     ObjectStore objects();
 
-    /** Returns how endpoints are ordered to load and unload, on behalf of the given host. */
-    EndpointOrders orders(String hostId);
+    /**
+     * Returns how endpoints are ordered to load and unload, on behalf of the given host.
+     *
+     * @param signalled hears what endpoints state of themselves in their answers, on an I/O thread
+     */
+    EndpointOrders orders(String hostId, BiConsumer<EndpointProcess, EndpointSignals> signalled);
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationFeeds.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationFeeds.java
@@ -15,12 +15,13 @@
 import org.gooseberryring.coordination.store.StorePosition;
 import org.gooseberryring.host.control.ControlLoop;
 import org.gooseberryring.host.log.LogLine;
+import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.ServingConfiguration;
 import org.jboss.logging.Logger;
 
 /** Follows the configuration, the endpoints and the failure domains out of service in the platform's store. */
-final class InstallationFeeds {
+final class InstallationFeeds implements PeerExchange.FleetListener {
     private static final Logger LOG = Logger.getLogger(InstallationFeeds.class);
 
     /** Part of the time by which a change must be in force after which a silent connection to the store is noticed. */
@@ -51,6 +52,7 @@
     private final ResidencyController controller;
     private final Consumer<ServingConfiguration> adopted;
     private final Set<String> domainsOut = new HashSet<>();
+    private final LeavingEndpoints leaving = new LeavingEndpoints();
     private final FeedRunner<ServingConfiguration> configurations;
     private final FeedRunner<EndpointRegistration> endpoints;
     private final FeedRunner<DomainExit> exits;
@@ -130,13 +132,45 @@
                 collection, source, control, times, listener, exchange::passOn, epochs, random.split(), now);
     }
 
-    /** Takes over changes that another host passes on; must be called on the control thread. */
-    void passedOn(String collection, StorePosition from, byte[] encoded, long now) {
+    @Override
+    public void passedOn(String collection, StorePosition from, byte[] encoded, long now) {
         runners.stream()
                 .filter(runner -> runner.collection().equals(collection))
                 .forEach(runner -> runner.passedOn(from, encoded, now));
     }
 
+    /** Takes over that an endpoint has stated that it leaves, and tells the other hosts; on the control thread. */
+    void leaves(EndpointProcess process, long now) {
+        if (takeLeaving(process, now)) {
+            exchange.leaves(process);
+        }
+    }
+
+    @Override
+    public void leavesElsewhere(EndpointProcess process, long now) {
+        takeLeaving(process, now);
+    }
+
+    /** Takes over that a process leaves; returns whether that is news. */
+    private boolean takeLeaving(EndpointProcess process, long now) {
+        boolean news = leaving.add(process);
+        EndpointRegistration known = view.registration(process.endpoint());
+        if (news && known != null && known.process().equals(process)) {
+            LogLine.event("endpoint-leaving")
+                    .with("endpoint", process.endpoint())
+                    .with("bornMs", process.bornMillis())
+                    .info(LOG);
+            take(known.asLeaving());
+        }
+        return news;
+    }
+
+    private void take(EndpointRegistration registration) {
+        view.registered(registration);
+        requests.registered(registration);
+        controller.registered(registration);
+    }
+
     /** Lets time pass; must be called on the control thread. */
     void tick(long now) {
         runners.forEach(runner -> {
@@ -227,14 +261,13 @@
             if (before != null && before.bornMillis() != value.bornMillis()) {
                 exchange.forget(name);
             }
-            view.registered(value);
-            requests.registered(value);
-            controller.registered(value);
+            EndpointRegistration current = leaving.current(value);
+            take(current);
             LogLine.event("endpoint-registered")
                     .with("endpoint", name)
                     .with("service", value.service())
                     .with("failureDomain", value.failureDomain())
-                    .with("leaving", value.leaving())
+                    .with("leaving", current.leaving())
                     .with("coldMs", value.coldMillis())
                     .with("models", value.models().size())
                     .info(LOG);
@@ -245,6 +278,7 @@
             if (view.registration(name) != null) {
                 view.unregistered(name);
                 exchange.forget(name);
+                leaving.removed(name);
                 requests.unregistered(name);
                 controller.unregistered(name);
                 LogLine.event("endpoint-gone").with("endpoint", name).info(LOG);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationView.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationView.java
@@ -5,6 +5,7 @@
 
 import org.gooseberryring.state.Endpoint;
 import org.gooseberryring.state.EndpointKind;
+import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.ServiceProfile;
 import org.gooseberryring.state.ServingConfiguration;
@@ -54,6 +55,18 @@
         return endpoints.get(endpoint);
     }
 
+    /** Returns the process of an endpoint, one of unknown start if it is not registered. */
+    EndpointProcess process(String endpoint) {
+        EndpointRegistration found = endpoints.get(endpoint);
+        return found == null ? new EndpointProcess(endpoint, 0) : found.process();
+    }
+
+    /** Returns whether a process is registered and takes no new work. */
+    boolean isLeaving(EndpointProcess process) {
+        EndpointRegistration found = endpoints.get(process.endpoint());
+        return found != null && found.leaving() && found.process().equals(process);
+    }
+
     /** Returns the path of the health check of a service's endpoints. */
     String healthPath(String service) {
         ServiceProfile profile = configuration.services().get(service);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/OwnState.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/OwnState.java
@@ -12,10 +12,11 @@
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.coordination.residency.ResidencyEffect;
 import org.gooseberryring.protocol.peer.StateEntry;
+import org.gooseberryring.state.EndpointProcess;
 
 /**
- * State that this host tells the others: what its requests take and ask for, what endpoints hold if it controls them, and
- * how far it has followed the store if it relays.
+ * State that this host tells the others: what its requests take and ask for, which endpoints have told it that they leave,
+ * what endpoints hold if it controls them, and how far it has followed the store if it relays.
  *
  * <p>Belongs to the control thread.
  */
@@ -26,6 +27,7 @@
     private static final String NO_ADAPTER = "";
 
     private final Map<StateKey, StateEntry> holdings = new HashMap<>();
+    private final Map<StateKey, StateEntry> leaving = new HashMap<>();
     private final List<StateEntry> notices = new ArrayList<>();
     private Map<StateKey, Known> work = new HashMap<>();
     private Map<StateKey, Known> positions = new HashMap<>();
@@ -73,9 +75,15 @@
         return entries;
     }
 
-    /** Forgets what an endpoint holds, because it is gone or has started anew. */
+    /** Takes over that a process of an endpoint leaves. */
+    void leaves(EndpointProcess process) {
+        leaving.put(StateKey.leaving(process.endpoint()), PeerCodec.leaving(process));
+    }
+
+    /** Forgets what an endpoint holds and that it leaves, because it is gone or has started anew. */
     void forget(String endpoint) {
         holdings.remove(StateKey.holding(endpoint));
+        leaving.remove(StateKey.leaving(endpoint));
     }
 
     /** Notes that this host controls no endpoints any more. */
@@ -101,6 +109,7 @@
     /** Returns all entries. */
     Map<StateKey, StateEntry> entries() {
         Map<StateKey, StateEntry> all = new HashMap<>(holdings);
+        all.putAll(leaving);
         work.forEach((key, each) -> all.put(key, each.entry()));
         positions.forEach((key, each) -> all.put(key, each.entry()));
         return all;
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
@@ -26,12 +26,14 @@
 import org.gooseberryring.protocol.peer.HeldEndpoint;
 import org.gooseberryring.protocol.peer.HeldModel;
 import org.gooseberryring.protocol.peer.HostUpdate;
+import org.gooseberryring.protocol.peer.LeavingEndpoint;
 import org.gooseberryring.protocol.peer.OrganisationUsage;
 import org.gooseberryring.protocol.peer.PromptParts;
 import org.gooseberryring.protocol.peer.QuarantinedDigest;
 import org.gooseberryring.protocol.peer.SilentHost;
 import org.gooseberryring.protocol.peer.StateEntry;
 import org.gooseberryring.protocol.peer.StateSync;
+import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.ResidentModel;
 
 /** Converts what entry hosts tell each other to peer messages and back. */
@@ -209,6 +211,14 @@
         return new FeedPosition(changed, position.getFresh(), position.getInContact());
     }
 
+    static StateEntry leaving(EndpointProcess process) {
+        return StateEntry.newBuilder()
+                .setLeaving(LeavingEndpoint.newBuilder()
+                        .setEndpoint(process.endpoint())
+                        .setBornMillis(process.bornMillis()))
+                .build();
+    }
+
     static ArtifactsWanted wanted(Collection<Target.RoutedTarget> targets) {
         ArtifactsWanted.Builder wanted = ArtifactsWanted.newBuilder();
         targets.forEach(target -> wanted.addArtifacts(encode(target, new ArtifactUse(0, 0))));
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -29,6 +29,7 @@
 import org.gooseberryring.protocol.peer.HostUpdate;
 import org.gooseberryring.protocol.peer.PeerMessage;
 import org.gooseberryring.protocol.peer.StateEntry;
+import org.gooseberryring.state.EndpointProcess;
 import org.jboss.logging.Logger;
 
 /**
@@ -78,7 +79,7 @@
     private final ArtifactRequests artifacts;
     private PeerMesh mesh;
     private Runnable awaited = () -> {};
-    private FeedReceiver feeds = (collection, from, encoded, now) -> {};
+    private FleetListener listener;
     private long snapshotAt;
     private long agesAt;
     private long surveyAt;
@@ -106,10 +107,13 @@
         this.artifacts = new ArtifactRequests(controller, controllers, this::ask);
     }
 
-    /** Takes changes of a collection of the store that the relay of the failure domain passes on. */
-    @FunctionalInterface
-    interface FeedReceiver {
+    /** Hears what other hosts state of the store and of endpoints. */
+    interface FleetListener {
+        /** The relay of the failure domain passes on changes of a collection of the store. */
         void passedOn(String collection, StorePosition from, byte[] encoded, long now);
+
+        /** An endpoint has told another host that it leaves. */
+        void leavesElsewhere(EndpointProcess process, long now);
     }
 
     /**
@@ -117,12 +121,12 @@
      *
      * @param peerMesh links to the other hosts
      * @param whenWanted hears that requests wait for an artifact of the own failure domain
-     * @param feedReceiver takes what the relay passes on of the store
+     * @param fleetListener hears what other hosts state
      */
-    void connect(PeerMesh peerMesh, Runnable whenWanted, FeedReceiver feedReceiver) {
+    void connect(PeerMesh peerMesh, Runnable whenWanted, FleetListener fleetListener) {
         mesh = peerMesh;
         awaited = whenWanted;
-        feeds = feedReceiver;
+        listener = fleetListener;
     }
 
     /** Passes changes of a collection of the store on to the hosts that rely on this one. */
@@ -196,7 +200,7 @@
             }
             case FEED_CHANGES -> {
                 FeedChanges changes = message.getFeedChanges();
-                control.offer(now -> feeds.passedOn(
+                control.offer(now -> listener.passedOn(
                         changes.getCollection(),
                         new StorePosition(changes.getEpoch(), changes.getFrom()),
                         changes.getChanges().toByteArray(),
@@ -245,7 +249,12 @@
         publish(now);
     }
 
-    /** Forgets what an endpoint holds, because it is gone or has started anew. */
+    /** Tells the other hosts that an endpoint leaves, until its process is gone. */
+    void leaves(EndpointProcess process) {
+        own.leaves(process);
+    }
+
+    /** Forgets what an endpoint holds and that it leaves, because it is gone or has started anew. */
     void forget(String endpoint) {
         holdings.forget(endpoint);
         own.forget(endpoint);
@@ -318,6 +327,7 @@
     private void changed(RecordUpdate<StateKey, StateEntry> update, long now) {
         StateReader reader = new StateReader(update);
         requests.changed(reader.news());
+        reader.leaving().forEach(process -> listener.leavesElsewhere(process, now));
         reader.holdings().forEach(held -> holdings.stated(update.failureDomain(), update.host(), held, now));
         String reporter = update.host() + "/" + update.incarnation();
         reader.quarantined()
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StateKey.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StateKey.java
@@ -37,6 +37,11 @@
         return new StateKey(StateEntry.ValueCase.POSITION, collection);
     }
 
+    /** Returns the key of an endpoint that leaves. */
+    static StateKey leaving(String endpoint) {
+        return new StateKey(StateEntry.ValueCase.LEAVING, endpoint);
+    }
+
     /** Returns the key of an entry; a kind of a later version has no name. */
     static StateKey of(StateEntry entry) {
         ArtifactDemand demand = entry.getArtifact();
@@ -46,6 +51,7 @@
             case ARTIFACT -> artifact(demand.getService(), demand.getModel(), demand.getAdapter());
             case HOLDING -> holding(entry.getHolding().getEndpoint());
             case POSITION -> position(entry.getPosition().getCollection());
+            case LEAVING -> leaving(entry.getLeaving().getEndpoint());
             default -> new StateKey(entry.getValueCase(), "");
         };
     }
@@ -59,6 +65,7 @@
             case ARTIFACT -> entry.setArtifact(demand(name));
             case HOLDING -> entry.getHoldingBuilder().setEndpoint(name);
             case POSITION -> entry.getPositionBuilder().setCollection(name);
+            case LEAVING -> entry.getLeavingBuilder().setEndpoint(name);
             default -> throw new IllegalStateException("Entries of kind " + kind + " have no key");
         }
         return entry.build();
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StateReader.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StateReader.java
@@ -10,6 +10,7 @@
 import org.gooseberryring.protocol.peer.HeldEndpoint;
 import org.gooseberryring.protocol.peer.QuarantinedDigest;
 import org.gooseberryring.protocol.peer.StateEntry;
+import org.gooseberryring.state.EndpointProcess;
 
 /** Reads the changes of another host's state by kind. */
 final class StateReader {
@@ -48,6 +49,15 @@
                 .toList();
     }
 
+    /** Returns processes of endpoints that have told the host that they leave. */
+    List<EndpointProcess> leaving() {
+        return update.entries().values().stream()
+                .filter(StateEntry::hasLeaving)
+                .map(StateEntry::getLeaving)
+                .map(each -> new EndpointProcess(each.getEndpoint(), each.getBornMillis()))
+                .toList();
+    }
+
     /** Returns requests that crash endpoints. */
     List<QuarantinedDigest> quarantined() {
         return update.notices().stream()
--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/entry/EntryGateTest.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/entry/EntryGateTest.java
@@ -6,6 +6,7 @@
 import org.gooseberryring.coordination.request.RequestSpec;
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.state.PriorityClass;
+import org.gooseberryring.transport.endpoint.EndpointSignals;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -16,7 +17,7 @@
     /** Guards against a request that an endpoint gets after its caller has stopped to wait for it. */
     @Test
     void startsNothingAfterItsDeadline() {
-        EntryGate gate = new EntryGate((endpoint, target) -> {}, (endpoint, digest) -> {}, () -> now);
+        EntryGate gate = gate();
         BooleanSupplier mayStart = gate.mayStart(spec(1_000), "e1");
         now = 999;
         assertThat(mayStart.getAsBoolean()).isTrue();
@@ -24,6 +25,24 @@
         assertThat(mayStart.getAsBoolean()).isFalse();
     }
 
+    /** Guards against a request that was waiting for its connection when its endpoint asked for none. */
+    @Test
+    void startsNothingWhileTheEndpointBacksOff() {
+        EntryGate gate = gate();
+        BooleanSupplier mayStart = gate.mayStart(spec(10_000), "e1");
+        gate.signals("e1").accept(new EndpointSignals(false, 1_500));
+        now = 1_499;
+        assertThat(mayStart.getAsBoolean()).isFalse();
+        now = 1_500;
+        assertThat(mayStart.getAsBoolean()).isTrue();
+    }
+
+    private EntryGate gate() {
+        InstallationView view = new InstallationView();
+        EndpointNews news = new EndpointNews(view, process -> {}, (process, until) -> {}, () -> now);
+        return new EntryGate((endpoint, target) -> {}, (endpoint, digest) -> {}, view::process, news, () -> now);
+    }
+
     private static RequestSpec spec(long deadline) {
         return new RequestSpec(
                 "r",
--- a/gooseberryring-state/src/main/java/org/gooseberryring/state/EndpointRegistration.java
+++ b/gooseberryring-state/src/main/java/org/gooseberryring/state/EndpointRegistration.java
@@ -28,4 +28,15 @@
     public EndpointRegistration {
         models = List.copyOf(models);
     }
+
+    /** Returns the process that registered. */
+    public EndpointProcess process() {
+        return new EndpointProcess(id, bornMillis);
+    }
+
+    /** Returns this registration of an endpoint that takes no new work. */
+    public EndpointRegistration asLeaving() {
+        return new EndpointRegistration(
+                id, service, address, failureDomain, slots, true, coldMillis, bornMillis, models);
+    }
 }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/AttemptListener.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/AttemptListener.java
@@ -4,6 +4,9 @@
 
 /** Hears of the progress of an attempt, on its I/O thread. */
 public interface AttemptListener {
+    /** The endpoint has stated something of itself; precedes the end of the attempt. */
+    default void signalled(EndpointSignals signals) {}
+
     /** The first bytes of an acceptable answer have arrived. */
     void responseStarted();
 
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -147,6 +147,10 @@
             end(Verdict.MAY_HAVE_RUN, false, null);
             return;
         }
+        EndpointSignals signals = client.protocol().signals(status, headers);
+        if (!signals.equals(EndpointSignals.NONE)) {
+            listener.signalled(signals);
+        }
         Verdict refusal = client.protocol().refusal(call, status, headers);
         if (refusal != null) {
             end(refusal, false, null);
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointProtocol.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointProtocol.java
@@ -29,6 +29,11 @@
     /** Returns the verdict if the answer is a failure that must not go to the caller as it is, otherwise null. */
     Verdict refusal(EndpointCall call, int status, HeaderMap headers);
 
+    /** Returns what the endpoint states of itself in the head of an answer. */
+    default EndpointSignals signals(int status, HeaderMap headers) {
+        return EndpointSignals.NONE;
+    }
+
     /** Returns whether an answer that has ended without an error is complete. */
     boolean isComplete(EndpointCall call, int status, HeaderMap headers, AnswerEnd end);
 
