Cut off answers that never end, in the head, the framing or the body

Cause: the HTTP client's parser keeps a head and its interim answers, and reads chunk sizes, extensions and trailers, for as long as bytes arrive. A stream of bytes that are no events was kept for ever, and a fast body of chunks kept the only I/O thread from all other requests.

Each client connection now has an allowance of bytes that may come without progress: 64 KiB for a head with its interim answers, and 64 KiB between two bytes of content. A read beyond it fails and closes the connection; the attempt may have run, and counts as a failure of the endpoint. Generations are bounded by their output tokens, events by 1 MB, answers to orders and questions by 1 MB, and a body yields the thread after 256 KiB.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/AnswerCopier.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/AnswerCopier.java
@@ -8,10 +8,14 @@
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
+import org.gooseberryring.transport.http.ReadAllowance;
 import org.xnio.channels.StreamSourceChannel;
 
 /** Copies an answer from the endpoint's connection to a sink, no faster than the sink takes it. */
 final class AnswerCopier {
+    /** Bytes copied before other connections of the I/O thread have their turn. */
+    private static final long MAX_TURN_BYTES = 262_144;
+
     private final EndpointAttempt attempt;
     private final EndpointCall call;
     private final ClientExchange exchange;
@@ -25,6 +29,9 @@
     private final ByteArrayOutputStream recorded = new ByteArrayOutputStream();
     private final int maxRecordedBytes;
     private final long declaredLength;
+    private final long maxBytes;
+    private final EventMeter meter;
+    private final ReadAllowance allowance;
     private ByteBuffer pending;
     private long copied;
     private boolean started;
@@ -35,7 +42,8 @@
             EndpointCall call,
             EndpointClient client,
             ClientExchange exchange,
-            AnswerSink sink) {
+            AnswerSink sink,
+            ReadAllowance allowance) {
         this.attempt = attempt;
         this.call = call;
         this.exchange = exchange;
@@ -47,6 +55,10 @@
         this.events = protocol.carriesEvents(headers()) ? call.events() : null;
         this.maxRecordedBytes = call.idempotent() ? 0 : client.limits().maxRecordedBytes();
         this.declaredLength = length(headers());
+        this.maxBytes = declaredLength >= 0 ? declaredLength : call.maxAnswerBytes();
+        this.meter = protocol.carriesEvents(headers()) ? new EventMeter() : null;
+        this.allowance = allowance;
+        allowance.allow(ReadAllowance.FRAMING_BYTES);
         buffer.limit(0);
         this.pending = buffer;
         if (events != null) {
@@ -79,10 +91,15 @@
     }
 
     private void copy() {
+        long turnEnd = copied + MAX_TURN_BYTES;
         while (!closed) {
             if (!drain()) {
                 return;
             }
+            if (copied >= turnEnd) {
+                attempt.later(this::copy);
+                return;
+            }
             int count = fill();
             if (count == 0) {
                 waitForBytes();
@@ -123,6 +140,10 @@
             if (count > 0) {
                 attempt.active();
                 copied += count;
+                allowance.allow(ReadAllowance.FRAMING_BYTES);
+                if (isEndless()) {
+                    return -1;
+                }
                 tail.add(buffer);
                 record();
                 pending = events == null ? buffer : events.take(buffer);
@@ -136,6 +157,19 @@
         }
     }
 
+    /** Returns whether the answer is longer than it can be, after which the attempt has ended. */
+    private boolean isEndless() {
+        if (copied > maxBytes) {
+            attempt.endless("body");
+            return true;
+        }
+        if (meter != null && meter.exceeds(buffer)) {
+            attempt.endless("event");
+            return true;
+        }
+        return false;
+    }
+
     private void waitForBytes() {
         try {
             if (started) {
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -16,6 +16,7 @@
 import org.gooseberryring.coordination.request.AttemptOutcome;
 import org.gooseberryring.state.Verdict;
 import org.gooseberryring.transport.http.BodyWriter;
+import org.gooseberryring.transport.http.ReadAllowance;
 import org.jboss.logging.Logger;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
@@ -156,7 +157,7 @@
             end(refusal, false, null);
             return;
         }
-        copier = new AnswerCopier(this, call, client, exchange, sink);
+        copier = new AnswerCopier(this, call, client, exchange, sink, ReadAllowance.of(connection));
         copier.start();
     }
 
@@ -191,6 +192,17 @@
         end(unfinished(), true, null);
     }
 
+    /** Ends an attempt whose answer is longer than any answer to its request. */
+    void endless(String reason) {
+        LOG.warnf("event=answer-without-end reason=%s requestId=%s address=%s", reason, call.requestId(), address);
+        broken();
+    }
+
+    /** Continues with a step after other connections had their turn. */
+    void later(Runnable step) {
+        thread.execute(step);
+    }
+
     /** Ends an attempt whose receiver has gone. */
     void receiverGone() {
         end(unfinished(), false, null);
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ClientConnector.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ClientConnector.java
@@ -23,6 +23,7 @@
     private final HttpWorker worker;
     private final int maxIdlePerThread;
     private final Map<Key, ConcurrentLinkedDeque<Idle>> idle = new ConcurrentHashMap<>();
+    private final Map<XnioIoThread, AllowanceThread> openers = new ConcurrentHashMap<>();
 
     /**
      * Creates a connector.
@@ -47,14 +48,17 @@
             XnioIoThread thread, String authority, boolean fresh, BiConsumer<ClientConnection, IOException> callback) {
         ClientConnection reused = fresh ? null : takeIdle(new Key(thread, authority));
         if (reused != null) {
+            ReadAllowance.of(reused).allow(ReadAllowance.HEAD_BYTES);
             callback.accept(reused, null);
             return;
         }
+        AllowanceThread opener = openers.computeIfAbsent(thread, AllowanceThread::new);
         UndertowClient.getInstance()
                 .connect(
                         new ClientCallback<>() {
                             @Override
                             public void completed(ClientConnection connection) {
+                                opener.newest().attachTo(connection);
                                 callback.accept(connection, null);
                             }
 
@@ -64,7 +68,7 @@
                             }
                         },
                         URI.create("http://" + authority),
-                        thread,
+                        opener,
                         worker.buffers(),
                         OptionMap.EMPTY);
     }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/HttpCall.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/HttpCall.java
@@ -19,15 +19,13 @@
 
 /** One call in progress; all its steps run on one I/O thread. */
 final class HttpCall {
-    // Store values are at most 1 MB; engine reports are smaller still.
-    private static final int MAX_ANSWER_BYTES = 16_000_000;
-
     private final HttpWorker worker;
     private final ClientConnector connector;
     private final String authority;
     private final ClientRequest request;
     private final byte[] body;
     private final boolean fresh;
+    private final int maxAnswerBytes;
     private final CompletableFuture<HttpResult> result = new CompletableFuture<>();
     private final ByteArrayOutputStream answer = new ByteArrayOutputStream();
     private volatile boolean sent;
@@ -42,13 +40,15 @@
             String authority,
             ClientRequest request,
             byte[] body,
-            boolean fresh) {
+            boolean fresh,
+            int maxAnswerBytes) {
         this.worker = worker;
         this.connector = connector;
         this.authority = authority;
         this.request = request;
         this.body = body;
         this.fresh = fresh;
+        this.maxAnswerBytes = maxAnswerBytes;
     }
 
     CompletableFuture<HttpResult> start(XnioIoThread thread) {
@@ -92,6 +92,7 @@
     }
 
     private void answered(ClientExchange exchange) {
+        ReadAllowance.of(connection).allow(ReadAllowance.FRAMING_BYTES);
         StreamSourceChannel channel = exchange.getResponseChannel();
         channel.getReadSetter().set(c -> read(exchange, c));
         read(exchange, channel);
@@ -107,8 +108,9 @@
                 buffer.get(bytes);
                 answer.writeBytes(bytes);
                 buffer.clear();
-                if (answer.size() > MAX_ANSWER_BYTES) {
-                    end("Answer of " + authority + " is larger than " + MAX_ANSWER_BYTES + " bytes", null);
+                ReadAllowance.of(connection).allow(ReadAllowance.FRAMING_BYTES);
+                if (answer.size() > maxAnswerBytes) {
+                    end("Answer of " + authority + " is larger than " + maxAnswerBytes + " bytes", null);
                     return;
                 }
                 count = channel.read(buffer);
