Keep a host that starts after a restore from serving an older configuration

Cause: a host that was started after the store had come back from an older copy took the copy's configuration, and with it a key that the other hosts had seen withdrawn. Hosts now tell the version that they have in force; a host that hears of a later one within 5 s of its start answers 503 until it has read it.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationFeeds.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationFeeds.java
@@ -47,6 +47,9 @@
     /** Time in which operators and hosts write again what an older copy of the store lacks. */
     private static final long REWRITE_GRACE_MILLIS = 5_000;
 
+    /** Time after its start in which a host takes the version of the others for one that it must have, too. */
+    private static final long CATCH_UP_MILLIS = 5_000;
+
     private final InstallationView view;
     private final EntryRequests requests;
     private final ResidencyController controller;
@@ -60,6 +63,7 @@
     private final List<FeedRunner<?>> runners;
     private final PeerExchange exchange;
     private final StoreEpochs epochs;
+    private final long startedAt;
     private boolean endpointsListed;
     private boolean exitsListed;
 
@@ -88,6 +92,7 @@
         this.adopted = adopted;
         this.exchange = exchange;
         this.epochs = epochs;
+        this.startedAt = now;
         configurations = runner(
                 "configurations",
                 installation.configurations(),
@@ -151,6 +156,13 @@
         takeLeaving(process, now);
     }
 
+    @Override
+    public void configuredElsewhere(long version, long now) {
+        if (now - startedAt <= CATCH_UP_MILLIS) {
+            view.needsVersion(version);
+        }
+    }
+
     /** Takes over that a process leaves; returns whether that is news. */
     private boolean takeLeaving(EndpointProcess process, long now) {
         boolean news = leaving.add(process);
@@ -234,6 +246,7 @@
                     .with("routes", value.routes().size())
                     .with("organisations", value.organisations().size())
                     .info(LOG);
+            exchange.configured(value.version());
             requests.configured(value);
             controller.configured(value);
             adopted.accept(value);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationView.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationView.java
@@ -15,6 +15,7 @@
     private final Map<String, EndpointRegistration> endpoints = new ConcurrentHashMap<>();
     private volatile ServingConfiguration configuration = ServingConfiguration.none();
     private volatile boolean listed;
+    private volatile long versionElsewhere;
 
     public ServingConfiguration configuration() {
         return configuration;
@@ -22,10 +23,11 @@
 
     /**
      * Returns whether enough is known to serve: the configuration, the endpoints and the failure domains out of service.
-     * A host that knows only some of them could send work to what must get none.
+     * A host that knows only some of them could send work to what must get none. One that was started when the store had
+     * come back from an older copy waits for the configuration that the other hosts have in force.
      */
     public boolean isComplete() {
-        return listed && configuration.known();
+        return listed && configuration.known() && configuration.version() >= versionElsewhere;
     }
 
     /** Notes that the endpoints and the failure domains out of service were read. */
@@ -33,6 +35,11 @@
         listed = true;
     }
 
+    /** Takes over the version of a configuration without which this host must not serve. */
+    synchronized void needsVersion(long version) {
+        versionElsewhere = Math.max(versionElsewhere, version);
+    }
+
     /** Takes over a configuration if it is newer than the present one; returns whether it is. */
     synchronized boolean adopt(ServingConfiguration newer) {
         if (newer.version() <= configuration.version()) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/OwnState.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/OwnState.java
@@ -31,6 +31,7 @@
     private final List<StateEntry> notices = new ArrayList<>();
     private Map<StateKey, Known> work = new HashMap<>();
     private Map<StateKey, Known> positions = new HashMap<>();
+    private StateEntry configuration;
     private long term;
     private long revision;
 
@@ -75,6 +76,11 @@
         return entries;
     }
 
+    /** Takes over the version of the configuration that is in force. */
+    void configured(long version) {
+        configuration = PeerCodec.configuration(version);
+    }
+
     /** Takes over that a process of an endpoint leaves. */
     void leaves(EndpointProcess process) {
         leaving.put(StateKey.leaving(process.endpoint()), PeerCodec.leaving(process));
@@ -110,6 +116,9 @@
     Map<StateKey, StateEntry> entries() {
         Map<StateKey, StateEntry> all = new HashMap<>(holdings);
         all.putAll(leaving);
+        if (configuration != null) {
+            all.put(StateKey.configuration(), configuration);
+        }
         work.forEach((key, each) -> all.put(key, each.entry()));
         positions.forEach((key, each) -> all.put(key, each.entry()));
         return all;
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
@@ -19,6 +19,7 @@
 import org.gooseberryring.coordination.request.Target;
 import org.gooseberryring.coordination.residency.ResidencyEffect;
 import org.gooseberryring.coordination.store.StorePosition;
+import org.gooseberryring.protocol.peer.AdoptedConfiguration;
 import org.gooseberryring.protocol.peer.ArtifactDemand;
 import org.gooseberryring.protocol.peer.ArtifactsWanted;
 import org.gooseberryring.protocol.peer.CollectionPosition;
@@ -211,6 +212,12 @@
         return new FeedPosition(changed, position.getFresh(), position.getInContact());
     }
 
+    static StateEntry configuration(long version) {
+        return StateEntry.newBuilder()
+                .setConfiguration(AdoptedConfiguration.newBuilder().setVersion(version))
+                .build();
+    }
+
     static StateEntry leaving(EndpointProcess process) {
         return StateEntry.newBuilder()
                 .setLeaving(LeavingEndpoint.newBuilder()
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -114,6 +114,9 @@
 
         /** An endpoint has told another host that it leaves. */
         void leavesElsewhere(EndpointProcess process, long now);
+
+        /** Another host has a version of the configuration in force. */
+        void configuredElsewhere(long version, long now);
     }
 
     /**
@@ -249,6 +252,11 @@
         publish(now);
     }
 
+    /** Tells the other hosts which version of the configuration is in force here. */
+    void configured(long version) {
+        own.configured(version);
+    }
+
     /** Tells the other hosts that an endpoint leaves, until its process is gone. */
     void leaves(EndpointProcess process) {
         own.leaves(process);
@@ -327,6 +335,7 @@
     private void changed(RecordUpdate<StateKey, StateEntry> update, long now) {
         StateReader reader = new StateReader(update);
         requests.changed(reader.news());
+        reader.configuration().ifPresent(version -> listener.configuredElsewhere(version, now));
         reader.leaving().forEach(process -> listener.leavesElsewhere(process, now));
         reader.holdings().forEach(held -> holdings.stated(update.failureDomain(), update.host(), held, now));
         String reporter = update.host() + "/" + update.incarnation();
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StateKey.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StateKey.java
@@ -42,6 +42,11 @@
         return new StateKey(StateEntry.ValueCase.LEAVING, endpoint);
     }
 
+    /** Returns the key of the configuration that a host has in force. */
+    static StateKey configuration() {
+        return new StateKey(StateEntry.ValueCase.CONFIGURATION, "");
+    }
+
     /** Returns the key of an entry; a kind of a later version has no name. */
     static StateKey of(StateEntry entry) {
         ArtifactDemand demand = entry.getArtifact();
@@ -52,6 +57,7 @@
             case HOLDING -> holding(entry.getHolding().getEndpoint());
             case POSITION -> position(entry.getPosition().getCollection());
             case LEAVING -> leaving(entry.getLeaving().getEndpoint());
+            case CONFIGURATION -> configuration();
             default -> new StateKey(entry.getValueCase(), "");
         };
     }
@@ -66,6 +72,7 @@
             case HOLDING -> entry.getHoldingBuilder().setEndpoint(name);
             case POSITION -> entry.getPositionBuilder().setCollection(name);
             case LEAVING -> entry.getLeavingBuilder().setEndpoint(name);
+            case CONFIGURATION -> entry.getConfigurationBuilder();
             default -> throw new IllegalStateException("Entries of kind " + kind + " have no key");
         }
         return entry.build();
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StateReader.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StateReader.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 
 import org.gooseberryring.coordination.direct.EndpointUse;
 import org.gooseberryring.coordination.direct.PromptPlacement;
@@ -49,6 +50,14 @@
                 .toList();
     }
 
+    /** Returns the version of the configuration that the host has in force, if that has changed. */
+    OptionalLong configuration() {
+        return update.entries().values().stream()
+                .filter(StateEntry::hasConfiguration)
+                .mapToLong(entry -> entry.getConfiguration().getVersion())
+                .max();
+    }
+
     /** Returns processes of endpoints that have told the host that they leave. */
     List<EndpointProcess> leaving() {
         return update.entries().values().stream()
