Take nothing over from a relay that is older than what was read

Changes that a relay passed on late were applied to a newer list: an object that the host had read as gone came back into use, and one written again was removed. An endpoint that an older copy brought back counted once its time to lapse was over, although the answer that showed it was older. A change and the removal after it, read in one answer, were both carried out.

Changes at or before the known position and removals of an earlier state are left out; an answer counts by the newest change of each object; an object that came back counts once a call that was sent after its time to lapse still shows it.

A relay names the last change that it knows as the position after which changes are complete, instead of the revision of its watch. That revision rises with each empty answer, so that members of the relay's domain rejected the next change and asked the store themselves after 300 ms.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/CollectionFeed.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/CollectionFeed.java
@@ -67,8 +67,7 @@
         if (inContact) {
             objects.expire(now);
         }
-        boolean rests = following && !listing && now - behindSince <= BEHIND_MILLIS;
-        return open != null || rests || now < retryAt ? List.of() : next(now);
+        return open != null || rests(now) || now < retryAt ? List.of() : next(now);
     }
 
     /** Returns how far the collection was followed. */
@@ -199,6 +198,7 @@
             return next(now);
         }
         take(changes, now);
+        objects.confirmed(calledAt, now);
         if (now - calledAt < times.pauseMillis()) {
             retryAt = calledAt + times.pauseMillis();
             return List.of();
@@ -251,11 +251,13 @@
     }
 
     private void take(FeedChanges<T> changes, long now) {
-        for (FeedChanges.Change<T> change : changes.changes()) {
+        for (FeedChanges.Change<T> change : changes.newest()) {
+            FeedItem<T> item = change.item();
             if (change.removed()) {
-                objects.removed(change.item().name(), now);
-            } else {
-                objects.changed(change.item(), now);
+                objects.removed(item, now);
+            } else if (item.revision() > known.revision()) {
+                // What another host passes on may be older than what this one has read itself.
+                objects.changed(item, now);
             }
         }
         known = new StorePosition(
@@ -265,6 +267,12 @@
         }
     }
 
+    /** Returns whether another host provides all that is needed, so that no call is made. */
+    private boolean rests(long now) {
+        boolean upToDate = !listing && now - behindSince <= BEHIND_MILLIS;
+        return following && upToDate && !objects.isLapseDue(now);
+    }
+
     private List<FeedCall> proceed(long now) {
         return following ? List.of() : next(now);
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/FeedChanges.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/FeedChanges.java
@@ -1,6 +1,9 @@
 package org.gooseberryring.coordination.feed;
 
+import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 import org.gooseberryring.coordination.store.StorePosition;
 
@@ -16,10 +19,17 @@
         changes = List.copyOf(changes);
     }
 
+    /** Returns the newest change of each object, so that an object which is gone again is not taken over for a moment. */
+    public Collection<Change<T>> newest() {
+        Map<String, Change<T>> newest = new LinkedHashMap<>();
+        changes.forEach(change -> newest.put(change.item().name(), change));
+        return newest.values();
+    }
+
     /**
      * Change of one object.
      *
-     * @param item object after the change, or as it was last
+     * @param item object after the change, or as it was last, with a revision not before its last change
      * @param removed whether the object is gone
      * @param <T> type of the content
      */
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/KnownObjects.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/KnownObjects.java
@@ -3,7 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -12,7 +12,7 @@
  *
  * <p>After an outage or a restore of the store, objects that are missing are kept for a grace time, because their owners
  * may write them again. An object that was removed and that an older copy of the store brings back counts only once its
- * owner has written it again, or has had the time to let it lapse.
+ * owner has written it again, or once the store still holds it after the time in which it would have lapsed.
  *
  * @param <T> type of the content
  */
@@ -93,8 +93,16 @@
         }
     }
 
+    /** Takes out an object as it was last, unless it was written again since. */
+    void removed(FeedItem<T> last, long now) {
+        Long known = revisions.get(last.name());
+        if (known == null || known <= last.revision()) {
+            removed(last.name(), now);
+        }
+    }
+
     /** Takes out an object, or keeps it for the grace time. */
-    void removed(String name, long now) {
+    private void removed(String name, long now) {
         returned.remove(name);
         if (!revisions.containsKey(name)) {
             return;
@@ -116,18 +124,20 @@
         });
         over.forEach(name -> forget(name, now));
         removedAt.values().removeIf(at -> now - at > REMEMBERED_MILLIS);
-        takeReturned(now);
     }
 
-    private void takeReturned(long now) {
-        Iterator<Returned<T>> each = returned.values().iterator();
-        while (each.hasNext()) {
-            Returned<T> next = each.next();
-            if (now >= next.lapsesAt()) {
-                each.remove();
-                changed(next.item(), now);
-            }
-        }
+    /** Returns whether an object that an older copy brought back would have lapsed by now, which the store must confirm. */
+    boolean isLapseDue(long now) {
+        return returned.values().stream().anyMatch(each -> now >= each.lapsesAt());
+    }
+
+    /** Takes over the objects that an older copy brought back and that have not lapsed when a call was sent. */
+    void confirmed(long sentAt, long now) {
+        List<FeedItem<T>> alive = returned.values().stream()
+                .filter(each -> sentAt >= each.lapsesAt())
+                .map(Returned::item)
+                .toList();
+        alive.forEach(item -> changed(item, now));
     }
 
     private boolean isReturned(String name) {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/feed/CollectionFeedTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/feed/CollectionFeedTest.java
@@ -187,14 +187,55 @@
                 .id();
         restore(id, 96, 2_000, item("a", 90, "A"), item("b", 95, "B"), item("c", 95, "C"));
         assertThat(known).isEmpty();
-        feed.onChanges(openWatch(), changes(98, changed("b", 97, "B2"), removed("a")), 3_000);
+        long watch = openWatch();
+        watch = only(feed.onChanges(watch, changes(98, changed("b", 97, "B2"), removed("a")), 3_000))
+                .id();
         assertThat(known).containsExactly("b", "B2");
-        feed.onTick(5_500);
+        // The entry would have lapsed by 5,600, which the answer to a call that was sent before does not show.
+        for (long now = 4_000; now <= 6_000; now += 1_000) {
+            watch = only(feed.onChanges(watch, changes(98), now)).id();
+        }
         assertThat(known).containsExactly("b", "B2");
-        feed.onTick(5_700);
+        feed.onChanges(watch, changes(98), 7_000);
         assertThat(known).containsExactly("b", "B2", "c", "C");
     }
 
+    /**
+     * Guards against a host that asks the store itself for each change, because the relay has seen the store advance by
+     * changes of other collections since the last one.
+     */
+    @Test
+    void takesTheNextChangeAfterTheStoreHasAdvancedOtherwise() {
+        CollectionFeed<String> relay = new CollectionFeed<>(TIMES, new Recorder(), new SplittableRandom(8), 0);
+        FeedCall list = only(relay.onTick(0));
+        FeedCall watch = only(relay.onPage(list.id(), page(false, 100, item("a", 90, "A")), 0));
+        long id = listed(0, 100, item("a", 90, "A"));
+        feed.follow(relay.position(10), 10);
+        feed.onFailed(id, 10);
+
+        watch = only(relay.onChanges(watch.id(), changes(150), 2_000));
+        StorePosition from = relay.position(2_100).changed();
+        FeedChanges<String> next = changes(152, changed("b", 152, "B"));
+        relay.onChanges(watch.id(), next, 2_100);
+        known.remove("b");
+        feed.onPassedOn(from, next, 2_200);
+
+        assertThat(known).containsExactly("a", "A", "b", "B");
+        feed.follow(relay.position(2_300), 2_300);
+        assertThat(feed.onTick(2_700)).isEmpty();
+    }
+
+    /** Guards against changes that were passed on late and bring a removed object back, or remove one written since. */
+    @Test
+    void takesNothingOverThatIsOlderThanWhatItHasReadItself() {
+        long id = listed(0, 100, item("b", 99, "B2"));
+        feed.follow(new FeedPosition(new StorePosition(EPOCH, 100), true, true), 10);
+        feed.onFailed(id, 10);
+        FeedChanges.Change<String> oldRemoval = new FeedChanges.Change<>(item("b", 95, null), true);
+        feed.onPassedOn(new StorePosition(EPOCH, 90), changes(101, changed("a", 94, "gone"), oldRemoval), 20);
+        assertThat(known).containsExactly("b", "B2");
+    }
+
     /** Guards against a relay of one epoch and a host of another one that misjudge each other's revisions. */
     @Test
     void reliesOnARelayOfTheSameEpochOnly() {
@@ -246,7 +287,7 @@
     }
 
     private static FeedChanges.Change<String> removed(String name) {
-        return new FeedChanges.Change<>(item(name, 0, null), true);
+        return new FeedChanges.Change<>(item(name, Long.MAX_VALUE, null), true);
     }
 
     private static FeedItem<String> item(String name, long revision, String value) {
--- /dev/null
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/feed/FeedRestoreTest.java
@@ -0,0 +1,23 @@
+package org.gooseberryring.coordination.feed;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+class FeedRestoreTest {
+    private static final int SEEDS = 300;
+
+    /** Time after the last fault in which entries are written again or lapse, and all hosts have read them. */
+    private static final long CONVERGED_MILLIS = 12_000;
+
+    /** Guards against hosts that stay with an older state, or use an endpoint again that they have known to be gone. */
+    @Test
+    void allHostsKnowTheStoreAgainAndUseNothingThatIsGone() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            FeedRestoreSimulation simulation = new FeedRestoreSimulation(seed);
+            simulation.runTo(FeedRestoreSimulation.FAULTS_END_MILLIS + CONVERGED_MILLIS);
+            assertWithMessage("seed %s", seed).that(simulation.violations()).isEmpty();
+            assertWithMessage("seed %s", seed).that(simulation.differing()).isEmpty();
+        }
+    }
+}
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FeedRunner.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FeedRunner.java
@@ -135,7 +135,11 @@
                 FeedChanges<T> changes = answer.get().changes();
                 boolean sameEpoch = changes.at().epoch() == watch.from().epoch();
                 if (sameEpoch && !changes.changes().isEmpty()) {
-                    passing.pass(collection, watch.from(), answer.get().encoded(), now);
+                    passing.pass(
+                            collection,
+                            feed.position(now).changed(),
+                            answer.get().encoded(),
+                            now);
                 }
                 make(feed.onChanges(watch.id(), changes, now));
                 epochs.seen(changes.at().epoch(), now);
