Let a holder renew a lapsed lease that nobody else has taken

Calls for the lease waited up to 5 s after failures, and a holder whose lease had lapsed waited a whole lease more before it took it, although a write under the version that it knows shows that nobody else has.

A holder now goes on renewing under the known version, late as well, and looks at the lease at least every 0.8 s after failures.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/CollectionFeed.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/CollectionFeed.java
@@ -123,11 +123,6 @@
         }
     }
 
-    /** Returns the position up to which changes are known. */
-    public StorePosition known() {
-        return known;
-    }
-
     /** Takes over an epoch of the store that another call has shown; the collection is read anew if it is a later one. */
     public void onEpoch(long epoch, long now) {
         if (epoch > known.epoch()) {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/DomainLease.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/DomainLease.java
@@ -16,6 +16,9 @@
 public final class DomainLease {
     private static final int RENEWALS_PER_LEASE = 3;
 
+    /** Longest wait after failed calls; few hosts of a failure domain follow its lease. */
+    private static final long MAX_RETRY_MILLIS = 800;
+
     /** Bits of a fencing number below the epoch of the store, so that no number of an earlier epoch is given out again. */
     private static final int TERM_BITS = 24;
 
@@ -27,6 +30,9 @@
     private long seenSince;
     private long nextCallAt;
     private long renewedAt;
+    // Whether the document in the store is this host's as far as it knows. It may renew the lease then, even late: a
+    // write
+    // under the known version shows that nobody else has taken it.
     private boolean leading;
     private boolean candidate = true;
     private boolean left;
@@ -49,7 +55,8 @@
                 LeaseDocument.class,
                 () -> new LeaseDocument("", "", 0, 0, StorePosition.NO_EPOCH),
                 codec,
-                random);
+                random,
+                MAX_RETRY_MILLIS);
     }
 
     /** Returns the key of the lease in the store. */
@@ -121,9 +128,6 @@
     /** Returns the calls to the store that are due. */
     public List<OrderEffect> onTick(long now) {
         List<OrderEffect> effects = new ArrayList<>(cell.onTick(now));
-        if (leading && now - renewedAt >= leaseMillis) {
-            leading = false;
-        }
         if (!mayTake() && !leading || !cell.idle() || now < nextCallAt) {
             return effects;
         }
@@ -150,6 +154,7 @@
             case WRITTEN:
                 leading = true;
                 renewedAt = cell.putSentAt();
+                nextCallAt = now - renewedAt < leaseMillis / RENEWALS_PER_LEASE ? nextCallAt : now;
                 break;
             case LOST:
             case READ:
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/StoredObject.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/StoredObject.java
@@ -17,6 +17,8 @@
  */
 final class StoredObject<D extends Stamped> {
     private static final long MIN_RETRY_MILLIS = 100;
+
+    /** Longest wait after failed calls for an object of which there are as many as endpoints. */
     private static final long MAX_RETRY_MILLIS = 5_000;
 
     private final String key;
@@ -49,11 +51,22 @@
     }
 
     StoredObject(String key, Class<D> type, Supplier<D> whenAbsent, OrderCodec codec, RandomGenerator random) {
+        this(key, type, whenAbsent, codec, random, MAX_RETRY_MILLIS);
+    }
+
+    /** Creates an object with another longest wait after failed calls, in milliseconds. */
+    StoredObject(
+            String key,
+            Class<D> type,
+            Supplier<D> whenAbsent,
+            OrderCodec codec,
+            RandomGenerator random,
+            long maxRetryMillis) {
         this.key = key;
         this.type = type;
         this.whenAbsent = whenAbsent;
         this.codec = codec;
-        this.backoff = new Backoff(MIN_RETRY_MILLIS, MAX_RETRY_MILLIS, random);
+        this.backoff = new Backoff(MIN_RETRY_MILLIS, maxRetryMillis, random);
     }
 
     /**
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/order/DomainLeaseTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/order/DomainLeaseTest.java
@@ -19,6 +19,7 @@
     private long version;
     private int calls;
     private long epoch;
+    private boolean down;
 
     /** Guards against a failure domain without a controller for a whole lease after its hosts were restarted. */
     @Test
@@ -167,6 +168,40 @@
         assertThat(holder.leads(4 * LEASE_MILLIS - 100)).isFalse();
     }
 
+    /**
+     * Guards against a failure domain without a controller for many seconds after an outage of the store: the wait of the
+     * last failed calls, and then a whole lease, although nobody else can have taken it.
+     */
+    @Test
+    void theHolderLeadsAgainRightAfterAnOutage() {
+        DomainLease holder = lease("h1", 1);
+        run(holder, 0, 2 * LEASE_MILLIS);
+        long term = holder.term();
+        down = true;
+        run(holder, 2 * LEASE_MILLIS, 5 * LEASE_MILLIS);
+        assertThat(holder.leads(5 * LEASE_MILLIS)).isFalse();
+        down = false;
+
+        run(holder, 5 * LEASE_MILLIS, 5 * LEASE_MILLIS + 1_000);
+
+        assertThat(holder.leads(5 * LEASE_MILLIS + 1_000)).isTrue();
+        assertThat(holder.term()).isEqualTo(term);
+    }
+
+    /** Guards against a holder that goes on after an outage in which another host took the lease. */
+    @Test
+    void theHolderLosesALeaseThatAnotherHostTookMeanwhile() {
+        DomainLease holder = lease("h1", 1);
+        run(holder, 0, 2 * LEASE_MILLIS);
+        DomainLease other = lease("h2", 2);
+        run(other, 2 * LEASE_MILLIS, 5 * LEASE_MILLIS);
+        assertThat(other.leads(5 * LEASE_MILLIS)).isTrue();
+
+        run(holder, 5 * LEASE_MILLIS, 5 * LEASE_MILLIS + 1_000);
+
+        assertThat(holder.leads(5 * LEASE_MILLIS + 1_000)).isFalse();
+    }
+
     /** Brings the store back from a copy. */
     private void restore(byte[] copy, long copyVersion) {
         epoch++;
@@ -191,6 +226,9 @@
 
     private StoreReply answer(StoreRequest request) {
         calls++;
+        if (down) {
+            return new StoreReply(KEY, StoreOutcome.UNAVAILABLE, 0, null);
+        }
         if (request instanceof StoreRequest.Put put) {
             if (put.expectedVersion() != version) {
                 return new StoreReply(KEY, StoreOutcome.CONFLICT, 0, null, epoch);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FeedRunner.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FeedRunner.java
@@ -81,7 +81,7 @@
     /** Relies on another host if it has a fresh position, otherwise on the store; must be called on the control thread. */
     void rely(FeedPosition position, long now) {
         if (position != null) {
-            epochs.seen(position.changed().epoch(), now);
+            epochs.heard(position.changed().epoch(), now);
         }
         if (position != null && position.fresh()) {
             feed.follow(position, now);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StoreEpochs.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StoreEpochs.java
@@ -55,21 +55,28 @@
 
     /** Takes over the epoch that an answer of the store states. */
     void seen(long epoch, long now) {
-        if (epoch > newest) {
-            if (newest != StorePosition.NO_EPOCH) {
-                LogLine.event("store-restored")
-                        .with("epoch", epoch)
-                        .with("before", newest)
-                        .warn(LOG);
-            }
-            newest = epoch;
-            listeners.forEach(listener -> listener.onEpoch(epoch, now));
-        } else if (epoch < newest && now - loggedAt >= LOG_MILLIS) {
+        if (epoch < newest && now - loggedAt >= LOG_MILLIS) {
             loggedAt = now;
             LogLine.event("store-answer-outdated")
                     .with("epoch", epoch)
                     .with("newest", newest)
                     .warn(LOG);
         }
+        heard(epoch, now);
+    }
+
+    /** Takes over the epoch that another host has seen, which may be an earlier one. */
+    void heard(long epoch, long now) {
+        if (epoch <= newest) {
+            return;
+        }
+        if (newest != StorePosition.NO_EPOCH) {
+            LogLine.event("store-restored")
+                    .with("epoch", epoch)
+                    .with("before", newest)
+                    .warn(LOG);
+        }
+        newest = epoch;
+        listeners.forEach(listener -> listener.onEpoch(epoch, now));
     }
 }
