Pass on only changes of the present epoch

Cause, found by reading: after a return of the store was noticed, the answer to a watch of the earlier epoch was passed on under the last known position, which was of the later one already, so that members of the relay's domain would have taken old changes for present ones. The feed now decides what may be passed on.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/CollectionFeed.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/CollectionFeed.java
@@ -123,6 +123,15 @@
         }
     }
 
+    /**
+     * Returns the position after which the answer to a watch is complete for the hosts that rely on this one, or null if
+     * it must not be passed on; call before the answer is handled.
+     */
+    public StorePosition passedOnFrom(long id, FeedChanges<T> changes) {
+        boolean present = isOpen(id) && changes.at().epoch() == known.epoch();
+        return present && !listing && !changes.changes().isEmpty() ? changed : null;
+    }
+
     /** Takes over an epoch of the store that another call has shown; the collection is read anew if it is a later one. */
     public void onEpoch(long epoch, long now) {
         if (epoch > known.epoch()) {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/feed/CollectionFeedTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/feed/CollectionFeedTest.java
@@ -214,8 +214,8 @@
         feed.onFailed(id, 10);
 
         watch = only(relay.onChanges(watch.id(), changes(150), 2_000));
-        StorePosition from = relay.position(2_100).changed();
         FeedChanges<String> next = changes(152, changed("b", 152, "B"));
+        StorePosition from = relay.passedOnFrom(watch.id(), next);
         relay.onChanges(watch.id(), next, 2_100);
         known.remove("b");
         feed.onPassedOn(from, next, 2_200);
@@ -225,6 +225,20 @@
         assertThat(feed.onTick(2_700)).isEmpty();
     }
 
+    /** Guards against changes of an earlier epoch that a relay passes on as if they were of the present one. */
+    @Test
+    void passesNothingOnThatWasReadInAnEarlierEpoch() {
+        long id = listed(0, 100, item("a", 90, "A"));
+        FeedChanges<String> late = changes(120, changed("b", 119, "B"));
+        assertThat(feed.passedOnFrom(id, late)).isEqualTo(new StorePosition(EPOCH, 100));
+        feed.onEpoch(EPOCH + 1, 20);
+        assertThat(feed.passedOnFrom(id, late)).isNull();
+        epoch++;
+        long second = listed(400, 110, item("a", 90, "A"));
+        assertThat(feed.passedOnFrom(second, late)).isNull();
+        assertThat(feed.passedOnFrom(second, changes(110))).isNull();
+    }
+
     /** Guards against changes that were passed on late and bring a removed object back, or remove one written since. */
     @Test
     void takesNothingOverThatIsOlderThanWhatItHasReadItself() {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/feed/FeedRestoreSimulation.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/feed/FeedRestoreSimulation.java
@@ -262,8 +262,9 @@
         }
         FeedChanges<String> answer = new FeedChanges<>(changes, new StorePosition(epoch, revision));
         after(delay(), () -> {
-            if (host == hosts.get(0) && answer.at().epoch() == call.from().epoch()) {
-                passOn(host.feed.position(now).changed(), answer);
+            StorePosition passedFrom = host.feed.passedOnFrom(call.id(), answer);
+            if (host == hosts.get(0) && passedFrom != null) {
+                passOn(passedFrom, answer);
             }
             perform(host, host.feed.onChanges(call.id(), answer, now));
         });
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FeedRunner.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FeedRunner.java
@@ -133,13 +133,9 @@
                 make(feed.onHistoryGone(watch.id(), now));
             } else {
                 FeedChanges<T> changes = answer.get().changes();
-                boolean sameEpoch = changes.at().epoch() == watch.from().epoch();
-                if (sameEpoch && !changes.changes().isEmpty()) {
-                    passing.pass(
-                            collection,
-                            feed.position(now).changed(),
-                            answer.get().encoded(),
-                            now);
+                StorePosition from = feed.passedOnFrom(watch.id(), changes);
+                if (from != null) {
+                    passing.pass(collection, from, answer.get().encoded(), now);
                 }
                 make(feed.onChanges(watch.id(), changes, now));
                 epochs.seen(changes.at().epoch(), now);
