List the limit after a restart of all hosts as red

The new case of SharedLimitsTest shows it in virtual time: an organisation uses its whole limit, all hosts are killed, and they grant its rate from their start. Giving less than the rate after each start would refuse callers within their limits in every restart of a single host.

--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/SharedLimitsTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/SharedLimitsTest.java
@@ -152,6 +152,36 @@
                 .isAtMost((RATE * WINDOW_MILLIS / 1_000 + BURST) * (1 + OVERAGE) + SMALL_SLACK);
     }
 
+    /**
+     * Guards against the same where the organisation had asked for little and used the whole limit in the last seconds
+     * before the restart.
+     */
+    @Test
+    void staysWithinASmallToleranceWhenAllHostsAreRestartedAfterASurge() {
+        for (int seed = 1; seed <= 20; seed++) {
+            Random random = new Random(seed);
+            Hosts hosts = new Hosts(9, seed);
+            for (long now = 0; now < 30_000; now += 10) {
+                if (now == 14_000) {
+                    hosts.restart(now);
+                }
+                boolean up = now < 13_000 || now >= 14_000;
+                if (up) {
+                    hosts.tick(now, true, now >= 14_000 && now < 14_400);
+                }
+                boolean hot = now > 9_000;
+                for (int i = 0; up && i < (hot ? 5 : 1); i++) {
+                    if (hot || random.nextInt(4) == 0) {
+                        hosts.ask(random.nextInt(9), 300 + random.nextInt(800), now);
+                    }
+                }
+            }
+            assertWithMessage("most tokens in a window, seed %s", seed)
+                    .that((double) hosts.mostInWindow())
+                    .isAtMost((RATE * WINDOW_MILLIS / 1_000 + BURST) * (1 + OVERAGE) + SMALL_SLACK);
+        }
+    }
+
     /** Guards against a host that refuses organisations within their limits for many seconds after it was restarted. */
     @Test
     void refusesLittleWithinTheLimitAfterARestart() {
