Leave a started host an eighth of the burst

With a host that had just started refused the second request of an organisation far below its limit, because nothing of the burst was left and an eighth of the rate since the start was less than one request.

The eighth of the burst is back; that a host takes no more than an eighth of what may be left in its first second, and counts what hosts of its age have admitted, stays.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedBucket.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedBucket.java
@@ -18,7 +18,7 @@
     /** Past use is forgotten by half over this time. */
     private static final double HALF_LIFE_MILLIS = 4_000;
 
-    /** Part of the burst that a host assumes to be left of a new organisation, since others may use it at the same time. */
+    /** Part of the burst that a host assumes to be left when it does not know what was used. */
     private static final double START_SHARE = 0.125;
 
     /** Time after its start in which a host may not have heard of the others. */
@@ -85,7 +85,7 @@
         double newBurst = organisation.burstTokens();
         if (!configured) {
             configured = true;
-            startBurst = pastUnknown ? 0 : newBurst * START_SHARE;
+            startBurst = newBurst * START_SHARE;
         } else if (newRate < rate || newBurst < burst) {
             startBurst = Math.min(newBurst, remainder(now));
             limitedSince = now;
@@ -104,7 +104,7 @@
      * as after a restart of all hosts.
      */
     void joined(String host, long total, long now) {
-        if (isUnheard(now) && total <= rate * (now - limitedSince) / MILLIS_PER_SECOND) {
+        if (isUnheard(now) && total <= startBurst + rate * (now - limitedSince) / MILLIS_PER_SECOND) {
             used.add(total, now);
         }
         HostUse use = new HostUse();
