Let no shorter back-off of an endpoint end a longer one

Cause, found by reading: each 503 with Retry-After replaced the time before. An endpoint that had asked for 8 s and then answered a request under way with 1 s got requests again after 1 s. The later end counts now (EntryGateTest, failed first).

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EndpointNews.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EndpointNews.java
@@ -64,13 +64,13 @@
     private void backOff(EndpointProcess process, long millis) {
         long now = clock.getAsLong();
         backOffUntil.values().removeIf(until -> until <= now);
-        Long before = backOffUntil.put(process, now + millis);
-        if (before == null) {
+        if (!backOffUntil.containsKey(process)) {
             LogLine.event("endpoint-back-off")
                     .with("endpoint", process.endpoint())
                     .with("ms", millis)
                     .info(LOG);
         }
-        backOffs.backOff(process, now + millis);
+        // A shorter time, as in the answer to a request that was under way, does not end a longer one.
+        backOffs.backOff(process, backOffUntil.merge(process, now + millis, Math::max));
     }
 }
--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/entry/EntryGateTest.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/entry/EntryGateTest.java
@@ -1,5 +1,7 @@
 package org.gooseberryring.host.entry;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.BooleanSupplier;
 
 import org.gooseberryring.coordination.request.Handling;
@@ -12,6 +14,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 class EntryGateTest {
+    private final List<Long> toldUntil = new ArrayList<>();
     private long now;
 
     /** Guards against a request that an endpoint gets after its caller has stopped to wait for it. */
@@ -37,9 +40,20 @@
         assertThat(mayStart.getAsBoolean()).isTrue();
     }
 
+    /** Guards against a shorter wish, in the answer to a request that was under way, that ends a longer one. */
+    @Test
+    void aShorterBackOffDoesNotEndALongerOne() {
+        EntryGate gate = gate();
+        gate.signals("e1").accept(new EndpointSignals(false, 8_000));
+        gate.signals("e1").accept(new EndpointSignals(false, 1_000));
+        now = 7_999;
+        assertThat(gate.mayStart(spec(10_000), "e1").getAsBoolean()).isFalse();
+        assertThat(toldUntil).containsExactly(8_000L, 8_000L);
+    }
+
     private EntryGate gate() {
         InstallationView view = new InstallationView();
-        EndpointNews news = new EndpointNews(view, process -> {}, (process, until) -> {}, () -> now);
+        EndpointNews news = new EndpointNews(view, process -> {}, (process, until) -> toldUntil.add(until), () -> now);
         return new EntryGate((endpoint, target) -> {}, (endpoint, digest) -> {}, view::process, news, () -> now);
     }
 
