--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -375,7 +375,10 @@
         return best;
     }
 
-    /** Lets a request wait for room, unless it has missed its objective or so much waits that it would start far too late. */
+    /**
+     * Lets a request wait for room, unless it has missed its objective, so much waits that it would start far too late, or
+     * all endpoints want no request up to the time by which it must start.
+     */
     private static RouteChoice waiting(List<DirectEndpoint> holders, RouteQuery query, long now) {
         long soonest = Long.MAX_VALUE;
         long refused = Long.MAX_VALUE;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/KnownObjects.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/KnownObjects.java
@@ -50,7 +50,7 @@
         graceUntil = Math.max(graceUntil, until);
     }
 
-    /** Returns whether anything was ever known. */
+    /** Returns whether no object is known, nor remembered as removed. */
     boolean isEmpty() {
         return revisions.isEmpty() && removedAt.isEmpty();
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/DomainLease.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/DomainLease.java
@@ -30,10 +30,9 @@
     private long seenSince;
     private long nextCallAt;
     private long renewedAt;
-    // Whether the document in the store is this host's as far as it knows. It may renew the lease then, even late: a
-    // write
-    // under the known version shows that nobody else has taken it.
-    private boolean leading;
+    /** Whether the document in the store is of this process as far as it knows, also if the lease has lapsed. */
+    private boolean owned;
+
     private boolean candidate = true;
     private boolean left;
     private long stamps;
@@ -66,12 +65,12 @@
 
     /** Returns whether this host is the controller, as far as it knows. */
     public boolean leads(long now) {
-        return leading && now - renewedAt < leaseMillis;
+        return owned && now - renewedAt < leaseMillis;
     }
 
     /** Returns whether this host is the controller and renewed its lease within the given milliseconds. */
     public boolean renewedWithin(long millis, long now) {
-        return leading && now - renewedAt < millis;
+        return owned && now - renewedAt < millis;
     }
 
     /** Returns the time at which the renewal in force was sent. */
@@ -118,7 +117,7 @@
         if (newEpoch > epoch) {
             epoch = newEpoch;
             cell.restored(newEpoch);
-            leading = false;
+            owned = false;
             seen = null;
             seenSince = now;
             nextCallAt = now;
@@ -128,13 +127,14 @@
     /** Returns the calls to the store that are due. */
     public List<OrderEffect> onTick(long now) {
         List<OrderEffect> effects = new ArrayList<>(cell.onTick(now));
-        if (!mayTake() && !leading || !cell.idle() || now < nextCallAt) {
+        if (!mayTake() && !owned || !cell.idle() || now < nextCallAt) {
             return effects;
         }
         long period = leaseMillis / RENEWALS_PER_LEASE;
         nextCallAt = now + period / 2 + random.nextLong(period / 2 + 1);
         LeaseDocument doc = cell.doc();
-        if (leading) {
+        if (owned) {
+            // Also late: a write under the known version succeeds only if nobody else has taken the lease.
             effects.addAll(cell.put(new LeaseDocument(stamp(), self, doc.term(), doc.renewals() + 1, epoch), now));
         } else if (seen != null && now - seenSince >= leaseMillis) {
             effects.addAll(cell.put(new LeaseDocument(stamp(), self, nextTerm(), 0, epoch), now));
@@ -152,13 +152,13 @@
         }
         switch (cell.onReply(reply, now, effects)) {
             case WRITTEN:
-                leading = true;
+                owned = true;
                 renewedAt = cell.putSentAt();
                 nextCallAt = now - renewedAt < leaseMillis / RENEWALS_PER_LEASE ? nextCallAt : now;
                 break;
             case LOST:
             case READ:
-                leading = false;
+                owned = false;
                 break;
             default:
                 return effects;
@@ -179,7 +179,7 @@
      * back from an older copy.
      */
     private boolean isFree(LeaseDocument doc) {
-        boolean ownPast = !leading && doc.holder().equals(self);
+        boolean ownPast = !owned && doc.holder().equals(self);
         return doc.epoch() == epoch && (doc.holder().isEmpty() || ownPast);
     }
 
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -227,7 +227,7 @@
     }
 
     private void leaves(EndpointProcess process) {
-        control.put(now -> feeds.leaves(process, now));
+        control.put(now -> feeds.leaves(process));
     }
 
     private void backOff(EndpointProcess process, long until) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationFeeds.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/InstallationFeeds.java
@@ -97,7 +97,7 @@
                 "configurations",
                 installation.configurations(),
                 control,
-                times(settings.configurationMillis(), 0, 0, 0),
+                times(settings.configurationMillis(), 0, 0, REWRITE_GRACE_MILLIS, 0),
                 new Configurations(),
                 random,
                 now);
@@ -109,6 +109,7 @@
                         settings.endpointLeaveMillis(),
                         ENDPOINT_PAUSE_MILLIS,
                         REGISTRATION_GRACE_MILLIS,
+                        REGISTRATION_GRACE_MILLIS,
                         settings.registrationLapseMillis()),
                 new Endpoints(),
                 random,
@@ -117,7 +118,7 @@
                 "domain-exits",
                 installation.domainExits(),
                 control,
-                times(settings.domainLeaveMillis(), 0, 0, 0),
+                times(settings.domainLeaveMillis(), 0, 0, REWRITE_GRACE_MILLIS, 0),
                 new Exits(),
                 random,
                 now);
@@ -145,15 +146,15 @@
     }
 
     /** Takes over that an endpoint has stated that it leaves, and tells the other hosts; on the control thread. */
-    void leaves(EndpointProcess process, long now) {
-        if (takeLeaving(process, now)) {
+    void leaves(EndpointProcess process) {
+        if (takeLeaving(process)) {
             exchange.leaves(process);
         }
     }
 
     @Override
-    public void leavesElsewhere(EndpointProcess process, long now) {
-        takeLeaving(process, now);
+    public void leavesElsewhere(EndpointProcess process) {
+        takeLeaving(process);
     }
 
     @Override
@@ -163,18 +164,19 @@
         }
     }
 
-    /** Takes over that a process leaves; returns whether that is news. */
-    private boolean takeLeaving(EndpointProcess process, long now) {
+    /** Takes over that a process leaves; returns whether that is news of a process that is registered. */
+    private boolean takeLeaving(EndpointProcess process) {
         boolean news = leaving.add(process);
         EndpointRegistration known = view.registration(process.endpoint());
-        if (news && known != null && known.process().equals(process)) {
-            LogLine.event("endpoint-leaving")
-                    .with("endpoint", process.endpoint())
-                    .with("bornMs", process.bornMillis())
-                    .info(LOG);
-            take(known.asLeaving());
+        if (!news || known == null || !known.process().equals(process)) {
+            return false;
         }
-        return news;
+        LogLine.event("endpoint-leaving")
+                .with("endpoint", process.endpoint())
+                .with("bornMs", process.bornMillis())
+                .info(LOG);
+        take(known.asLeaving());
+        return true;
     }
 
     private void take(EndpointRegistration registration) {
@@ -200,7 +202,8 @@
         }
     }
 
-    private static FeedTimes times(long inForceMillis, long pauseMillis, long graceMillis, long lapseMillis) {
+    private static FeedTimes times(
+            long inForceMillis, long pauseMillis, long graceMillis, long restoreGraceMillis, long lapseMillis) {
         return new FeedTimes(
                 inForceMillis / WATCH_DIVISOR,
                 pauseMillis,
@@ -208,7 +211,7 @@
                 MAX_RETRY_MILLIS,
                 OUTAGE_MILLIS,
                 graceMillis,
-                lapseMillis > 0 ? graceMillis : REWRITE_GRACE_MILLIS,
+                restoreGraceMillis,
                 lapseMillis);
     }
 
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -113,7 +113,7 @@
         void passedOn(String collection, StorePosition from, byte[] encoded, long now);
 
         /** An endpoint has told another host that it leaves. */
-        void leavesElsewhere(EndpointProcess process, long now);
+        void leavesElsewhere(EndpointProcess process);
 
         /** Another host has a version of the configuration in force. */
         void configuredElsewhere(long version, long now);
@@ -336,7 +336,7 @@
         StateReader reader = new StateReader(update);
         requests.changed(reader.news());
         reader.configuration().ifPresent(version -> listener.configuredElsewhere(version, now));
-        reader.leaving().forEach(process -> listener.leavesElsewhere(process, now));
+        reader.leaving().forEach(listener::leavesElsewhere);
         reader.holdings().forEach(held -> holdings.stated(update.failureDomain(), update.host(), held, now));
         String reporter = update.host() + "/" + update.incarnation();
         reader.quarantined()
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/AnswerCopier.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/AnswerCopier.java
@@ -16,6 +16,9 @@
     /** Bytes copied before other connections of the I/O thread have their turn. */
     private static final long MAX_TURN_BYTES = 262_144;
 
+    /** Longest event in bytes, to tell a stream from bytes without end; an event holds the text of some tokens. */
+    private static final long MAX_EVENT_BYTES = 1_000_000;
+
     private final EndpointAttempt attempt;
     private final EndpointCall call;
     private final ClientExchange exchange;
@@ -56,7 +59,7 @@
         this.maxRecordedBytes = call.idempotent() ? 0 : client.limits().maxRecordedBytes();
         this.declaredLength = length(headers());
         this.maxBytes = declaredLength >= 0 ? declaredLength : call.maxAnswerBytes();
-        this.meter = protocol.carriesEvents(headers()) ? new EventMeter() : null;
+        this.meter = events == null && protocol.carriesEvents(headers()) ? new EventMeter() : null;
         this.allowance = allowance;
         allowance.allow(ReadAllowance.FRAMING_BYTES);
         buffer.limit(0);
@@ -141,12 +144,15 @@
                 attempt.active();
                 copied += count;
                 allowance.allow(ReadAllowance.FRAMING_BYTES);
-                if (isEndless()) {
-                    return -1;
-                }
                 tail.add(buffer);
                 record();
+                if (meter != null) {
+                    meter.add(buffer);
+                }
                 pending = events == null ? buffer : events.take(buffer);
+                if (isEndless()) {
+                    return -1;
+                }
             } else if (count < 0) {
                 finish();
             }
@@ -163,13 +169,21 @@
             attempt.endless("body");
             return true;
         }
-        if (meter != null && meter.exceeds(buffer)) {
+        if (pendingEventBytes() > MAX_EVENT_BYTES) {
             attempt.endless("event");
             return true;
         }
         return false;
     }
 
+    /** Returns the bytes of the event that has begun and not ended, 0 if the answer is no stream of events. */
+    private long pendingEventBytes() {
+        if (events != null) {
+            return events.pendingBytes();
+        }
+        return meter == null ? 0 : meter.pendingBytes();
+    }
+
     private void waitForBytes() {
         try {
             if (started) {
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventCursor.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventCursor.java
@@ -17,8 +17,8 @@
     private static final int MAX_ID_CHARS = 18;
 
     private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
+    private final EventBoundary boundary = new EventBoundary();
     private long lastId;
-    private boolean lineEmpty;
 
     /** Creates a cursor; {@code lastEventId} is the event after which the caller wants the stream to go on, if any. */
     public EventCursor(OptionalLong lastEventId) {
@@ -33,7 +33,7 @@
     /** Drops the beginning of an event whose end did not arrive, before another endpoint goes on. */
     public void restart() {
         partial.reset();
-        lineEmpty = false;
+        boundary.restart();
     }
 
     /** Returns whether an event has begun and not ended. */
@@ -41,19 +41,19 @@
         return partial.size() > 0;
     }
 
+    /** Returns the bytes of the event that has begun and not ended. */
+    long pendingBytes() {
+        return partial.size();
+    }
+
     /** Takes all remaining bytes of a buffer and returns the new whole events, empty if none ended. */
     public ByteBuffer take(ByteBuffer bytes) {
         ByteArrayOutputStream whole = new ByteArrayOutputStream();
         while (bytes.hasRemaining()) {
             byte b = bytes.get();
             partial.write(b);
-            if (b == '\n') {
-                if (lineEmpty) {
-                    pass(whole);
-                }
-                lineEmpty = true;
-            } else if (b != '\r') {
-                lineEmpty = false;
+            if (boundary.endsWith(b)) {
+                pass(whole);
             }
         }
         return ByteBuffer.wrap(whole.toByteArray());
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventMeter.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventMeter.java
@@ -2,31 +2,20 @@
 
 import java.nio.ByteBuffer;
 
-/** Measures how long the present event of a stream is, to tell a stream from bytes without end that hold no event. */
+/** Counts the bytes of the present event of a stream that is passed on as it comes. */
 final class EventMeter {
-    /** Longest event in bytes; an event holds the text of some tokens. */
-    private static final long MAX_EVENT_BYTES = 1_000_000;
+    private final EventBoundary boundary = new EventBoundary();
+    private long pendingBytes;
 
-    private long bytes;
-    private boolean lineEmpty;
-
-    /** Counts the remaining bytes of a buffer, without changing its position; returns whether an event is too long. */
-    boolean exceeds(ByteBuffer buffer) {
+    /** Counts the remaining bytes of a buffer, without changing its position. */
+    void add(ByteBuffer buffer) {
         for (int i = buffer.position(); i < buffer.limit(); i++) {
-            add(buffer.get(i));
+            pendingBytes = boundary.endsWith(buffer.get(i)) ? 0 : pendingBytes + 1;
         }
-        return bytes > MAX_EVENT_BYTES;
     }
 
-    private void add(byte b) {
-        bytes++;
-        if (b == '\n') {
-            if (lineEmpty) {
-                bytes = 0;
-            }
-            lineEmpty = true;
-        } else if (b != '\r') {
-            lineEmpty = false;
-        }
+    /** Returns the bytes of the event that has begun and not ended. */
+    long pendingBytes() {
+        return pendingBytes;
     }
 }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ReadAllowance.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ReadAllowance.java
@@ -72,7 +72,6 @@
 
     @Override
     public long read(ByteBuffer[] buffers, int offset, int length) throws IOException {
-        room(1);
         for (int i = offset; i < offset + length; i++) {
             if (buffers[i].hasRemaining()) {
                 return read(buffers[i]);
