Log which requests an endpoint was running when it crashed

The line of a probed endpoint now has the request, the parts of its prompt but the last, how long it had run and how long its answer; the count of a request that is passed on to the other hosts is logged as well. No change of behaviour.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/AttemptOutcome.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/AttemptOutcome.java
@@ -12,6 +12,7 @@
  * @param endpointLost whether the connection broke, as when the endpoint dies
  * @param firstTokenMillis milliseconds from dispatch to the first byte of the response, -1 if there was none
  * @param sent whether a byte of the request may have left this host
+ * @param runMillis milliseconds from dispatch to the end of the attempt
  */
 public record AttemptOutcome(
         Verdict verdict,
@@ -20,8 +21,9 @@
         boolean bytesReachedCaller,
         boolean endpointLost,
         long firstTokenMillis,
-        boolean sent) {
-    /** Creates the outcome of an attempt that was sent. */
+        boolean sent,
+        long runMillis) {
+    /** Creates the outcome of an attempt that was sent and whose duration is unknown. */
     public AttemptOutcome(
             Verdict verdict,
             int status,
@@ -29,11 +31,17 @@
             boolean bytesReachedCaller,
             boolean endpointLost,
             long firstTokenMillis) {
-        this(verdict, status, usedTokens, bytesReachedCaller, endpointLost, firstTokenMillis, true);
+        this(verdict, status, usedTokens, bytesReachedCaller, endpointLost, firstTokenMillis, true, 0);
     }
 
     /** Returns this outcome of an attempt whose endpoint does not count as lost. */
     public AttemptOutcome atLiveEndpoint() {
-        return new AttemptOutcome(verdict, status, usedTokens, bytesReachedCaller, false, firstTokenMillis, sent);
+        return new AttemptOutcome(
+                verdict, status, usedTokens, bytesReachedCaller, false, firstTokenMillis, sent, runMillis);
+    }
+
+    /** Returns the milliseconds from the first byte of the response to the end of the attempt, 0 if there was none. */
+    public long responseMillis() {
+        return firstTokenMillis < 0 ? 0 : runMillis - firstTokenMillis;
     }
 }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/retry/RouteRetriesTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/retry/RouteRetriesTest.java
@@ -96,7 +96,7 @@
     }
 
     private static AttemptOutcome outcome(Verdict verdict, boolean sent) {
-        return new AttemptOutcome(verdict, 0, 0, false, false, -1, sent);
+        return new AttemptOutcome(verdict, 0, 0, false, false, -1, sent, 0);
     }
 
     private static RequestSpec spec(boolean idempotent, int maxSends, boolean resumable) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/CrashProbe.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/CrashProbe.java
@@ -4,6 +4,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 
+import org.gooseberryring.coordination.retry.BrokenAttempt;
 import org.gooseberryring.host.log.LogLine;
 import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.EndpointRegistration;
@@ -15,7 +16,7 @@
 
     private final DeploymentView view;
     private final Health health;
-    private final BiConsumer<String, String> onCrash;
+    private final BiConsumer<String, BrokenAttempt> onCrash;
     private final Predicate<EndpointProcess> isBackingOff;
 
     /** Checks whether a process of an endpoint is alive; the future fails if its address does not respond. */
@@ -27,13 +28,13 @@
     /**
      * Creates a probe.
      *
-     * @param onCrash called with a crashed endpoint and the digest of the request that it was running
+     * @param onCrash called with a crashed endpoint and the attempt that it was running
      * @param isBackingOff tests whether an endpoint has asked this host to send no requests at present
      */
     CrashProbe(
             DeploymentView view,
             Health health,
-            BiConsumer<String, String> onCrash,
+            BiConsumer<String, BrokenAttempt> onCrash,
             Predicate<EndpointProcess> isBackingOff) {
         this.isBackingOff = isBackingOff;
         this.view = view;
@@ -42,10 +43,10 @@
     }
 
     /** Probes the endpoint; may be called on any thread. */
-    void probe(String endpoint, String digest) {
+    void probe(String endpoint, BrokenAttempt attempt) {
         EndpointRegistration registration = view.registration(endpoint);
         if (registration == null) {
-            onCrash.accept(endpoint, digest);
+            onCrash.accept(endpoint, attempt);
             return;
         }
         if (isBackingOff.test(registration.process())) {
@@ -57,10 +58,14 @@
             LogLine.event("endpoint-probed")
                     .with("endpoint", endpoint)
                     .with("crashed", crashed)
+                    .with("requestId", attempt.requestId())
+                    .with("parts", PartNames.of(attempt.sharedParts()))
+                    .with("runMs", attempt.runMillis())
+                    .with("responseMs", attempt.responseMillis())
                     .with("reason", failure == null ? null : failure.getMessage())
                     .info(LOG);
             if (crashed) {
-                onCrash.accept(endpoint, digest);
+                onCrash.accept(endpoint, attempt);
             }
         });
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryGate.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryGate.java
@@ -10,6 +10,7 @@
 import org.gooseberryring.coordination.request.AttemptOutcome;
 import org.gooseberryring.coordination.request.RequestSpec;
 import org.gooseberryring.coordination.request.RequestTarget;
+import org.gooseberryring.coordination.retry.BrokenAttempt;
 import org.gooseberryring.host.engine.AttemptGate;
 import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.transport.endpoint.EndpointSignals;
@@ -25,7 +26,7 @@
     private static final int MISDIRECTED = 421;
 
     private final BiConsumer<String, RequestTarget> onMissingArtifact;
-    private final BiConsumer<String, String> onBrokenConnection;
+    private final BiConsumer<String, BrokenAttempt> onBrokenConnection;
     private final Function<String, EndpointProcess> processes;
     private final EndpointSignalHandler signalHandler;
     private final LongSupplier clock;
@@ -34,14 +35,14 @@
      * Creates a gate.
      *
      * @param onMissingArtifact called with an endpoint and the target that it has not loaded
-     * @param onBrokenConnection called with an endpoint and the digest of the request whose connection to it broke
+     * @param onBrokenConnection called with an endpoint and the attempt whose connection to it broke
      * @param processes looks up the process of an endpoint
      * @param signalHandler handles the signals of endpoints
      * @param clock monotonic milliseconds
      */
     EntryGate(
             BiConsumer<String, RequestTarget> onMissingArtifact,
-            BiConsumer<String, String> onBrokenConnection,
+            BiConsumer<String, BrokenAttempt> onBrokenConnection,
             Function<String, EndpointProcess> processes,
             EndpointSignalHandler signalHandler,
             LongSupplier clock) {
@@ -75,7 +76,7 @@
             onMissingArtifact.accept(endpoint, spec.target());
         }
         if (outcome.endpointLost() && outcome.sent()) {
-            onBrokenConnection.accept(endpoint, spec.digest());
+            onBrokenConnection.accept(endpoint, BrokenAttempt.of(spec, outcome));
             return outcome.atLiveEndpoint();
         }
         return outcome;
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -242,7 +242,7 @@
         CrashProbe probe = new CrashProbe(
                 view,
                 (endpoint, path) -> isAlive(orders, endpoint, path),
-                (endpoint, digest) -> requests().onEndpointCrashed(endpoint, digest),
+                (endpoint, attempt) -> requests().onEndpointCrashed(endpoint, attempt.digest()),
                 process -> signalHandler.isBackingOff(process, clock.now()));
         CallerEffects effects = new CallerEffects(
                 open,
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -263,6 +263,10 @@
 
     /** Notifies the other hosts of a request that crashes endpoints; may be called on any thread. */
     void spreadQuarantine(RequestEffect.SpreadQuarantine quarantine) {
+        LogLine.event("request-suspected")
+                .with("digest", quarantine.digest())
+                .with("crashes", quarantine.endpointLosses())
+                .info(LOG);
         control.put(now -> localState.addNotice(PeerCodec.quarantined(quarantine)));
     }
 
--- a/gooseberryring-state/src/main/java/org/gooseberryring/state/PromptShape.java
+++ b/gooseberryring-state/src/main/java/org/gooseberryring/state/PromptShape.java
@@ -17,6 +17,11 @@
         parts = List.copyOf(parts);
     }
 
+    /** Returns the parts that other requests may have as well: all but the last, which belongs to the request itself. */
+    public List<Part> sharedParts() {
+        return parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
+    }
+
     /**
      * Part of a prompt.
      *
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -233,7 +233,14 @@
         boolean resumable = call.events() != null;
         listener.onAttemptEnded(
                 new AttemptOutcome(
-                        verdict, status, usedTokens, bytesReachedCaller, endpointLost, firstTokenMillis, sent),
+                        verdict,
+                        status,
+                        usedTokens,
+                        bytesReachedCaller,
+                        endpointLost,
+                        firstTokenMillis,
+                        sent,
+                        TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos)),
                 recorded);
         if (verdict != Verdict.COMPLETED && bytesReachedCaller && !resumable) {
             sink.abort();
