--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/crash/CrashEvents.java
@@ -0,0 +1,232 @@
+package org.gooseberryring.coordination.crash;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+
+import org.gooseberryring.state.EndpointProcess;
+
+/**
+ * Recent crashes of endpoints with the prompts that each endpoint was about to answer.
+ *
+ * <p>A crash is evidence against all parts of these prompts until an endpoint answers a request with the part. The parts
+ * that explain the crashes are those that occur in the most of them; a crash that one part explains is no evidence against
+ * the others. Crashes within a short time count once, unless there are many, since they may have a common cause such as
+ * the loss of a failure domain.
+ *
+ * <p>Two parts may crash endpoints at the same time, and one of them may explain all crashes. A part that no endpoint has
+ * ever answered and that was in several crashes in prompts without the explaining part is therefore found as well.
+ */
+final class CrashEvents {
+    /** Limits memory to some hundred kilobytes; the oldest crash is evicted first. */
+    static final int MAX_CRASHES = 128;
+
+    /** Maximum number of prompts that are kept for one crash. */
+    static final int MAX_PROMPTS = 32;
+
+    /** Maximum number of parts that are kept for one prompt. */
+    static final int MAX_PARTS = 16;
+
+    /** Time after which a crash is no evidence any more. */
+    static final long EXPIRY_MILLIS = 600_000;
+
+    /** A crash counts after this time, when other hosts have reported what they had running and what was answered. */
+    static final long SETTLE_MILLIS = 600;
+
+    /** Crashes within this time of each other may have a common cause. */
+    private static final long INCIDENT_MILLIS = 500;
+
+    /** Separate crashes that a part must explain. */
+    private static final int MIN_INCIDENTS = 3;
+
+    /** Crashes that a part must explain, or occur in, if they have occurred within a short time. */
+    private static final int MIN_CRASHES = 5;
+
+    /** Separate crashes that a part must explain if endpoints have answered requests with it before. */
+    private static final int MIN_INCIDENTS_OF_ANSWERED = 5;
+
+    private final LinkedHashMap<EndpointProcess, Crash> crashes = new LinkedHashMap<>();
+
+    /** Crash with the parts of each prompt, in order. */
+    private record Crash(long at, Set<List<PromptPart>> prompts) {
+        boolean has(PromptPart part) {
+            return prompts.stream().anyMatch(prompt -> prompt.contains(part));
+        }
+
+        void remove(PromptPart part) {
+            List<List<PromptPart>> affected =
+                    prompts.stream().filter(prompt -> prompt.contains(part)).toList();
+            affected.forEach(prompts::remove);
+            for (List<PromptPart> prompt : affected) {
+                List<PromptPart> rest =
+                        prompt.stream().filter(each -> !each.equals(part)).toList();
+                if (!rest.isEmpty()) {
+                    prompts.add(rest);
+                }
+            }
+        }
+    }
+
+    /**
+     * Part that explains crashes.
+     *
+     * @param part part of prompts
+     * @param crashes crashes that it explains
+     * @param incidents crashes without those that closely follow another one
+     * @param position last position in a prompt
+     * @param answeredBefore whether endpoints have answered requests with it before
+     */
+    record Explanation(PromptPart part, int crashes, int incidents, int position, boolean answeredBefore) {
+        private static final Comparator<Explanation> BEST = Comparator.comparing(
+                        (Explanation each) -> !each.answeredBefore())
+                .thenComparing(Explanation::crashes)
+                .thenComparing(Explanation::position)
+                .thenComparing(each -> each.part().id());
+
+        private boolean isSufficient() {
+            if (answeredBefore) {
+                return incidents >= MIN_INCIDENTS_OF_ANSWERED;
+            }
+            return incidents >= MIN_INCIDENTS || crashes >= MIN_CRASHES;
+        }
+
+        private boolean isFrequent() {
+            return !answeredBefore && crashes >= MIN_CRASHES;
+        }
+
+        /** Returns whether the crashes have occurred one after the other, so that no common cause explains them. */
+        boolean isSequence() {
+            return incidents >= MIN_INCIDENTS;
+        }
+    }
+
+    /** Adds a prompt that a crashed process was about to answer. */
+    void add(EndpointProcess process, List<PromptPart> prompt, long now) {
+        Crash crash = crashes.computeIfAbsent(process, key -> new Crash(now, new HashSet<>()));
+        if (crash.prompts().size() < MAX_PROMPTS) {
+            crash.prompts().add(List.copyOf(prompt.subList(0, Math.min(MAX_PARTS, prompt.size()))));
+        }
+        if (crashes.size() > MAX_CRASHES) {
+            removeOldest();
+        }
+    }
+
+    /** Removes a part from the crashes before an endpoint answered a request with it. */
+    void onAnswered(PromptPart part, long at) {
+        for (Crash crash : crashes.values()) {
+            if (crash.at() <= at) {
+                crash.remove(part);
+            }
+        }
+    }
+
+    /** Returns whether any crash is evidence against a part. */
+    boolean contains(PromptPart part) {
+        return crashes.values().stream().anyMatch(crash -> crash.has(part));
+    }
+
+    /** Returns the number of crashes that are evidence against a part. */
+    int count(PromptPart part) {
+        return (int) crashes.values().stream().filter(crash -> crash.has(part)).count();
+    }
+
+    /** Returns whether any crash does not count yet. */
+    boolean hasUnsettled(long now) {
+        return crashes.values().stream().anyMatch(crash -> now - crash.at() < SETTLE_MILLIS);
+    }
+
+    void expire(long now) {
+        while (!crashes.isEmpty() && now - crashes.values().iterator().next().at() > EXPIRY_MILLIS) {
+            removeOldest();
+        }
+    }
+
+    /**
+     * Returns the parts that explain the crashes, the one with the most evidence first.
+     *
+     * @param answeredBefore tests whether endpoints have answered requests with a part before
+     */
+    List<Explanation> explanations(Predicate<PromptPart> answeredBefore, long now) {
+        List<Crash> settled = new ArrayList<>();
+        for (Crash crash : crashes.values()) {
+            if (now - crash.at() >= SETTLE_MILLIS) {
+                settled.add(crash);
+            }
+        }
+        List<Explanation> found = new ArrayList<>();
+        List<Crash> unexplained = new ArrayList<>(settled);
+        Explanation best = best(unexplained, answeredBefore, Explanation::isSufficient);
+        while (best != null) {
+            found.add(best);
+            PromptPart part = best.part();
+            unexplained.removeIf(crash -> crash.has(part));
+            best = best(unexplained, answeredBefore, Explanation::isSufficient);
+        }
+        best = best(withoutPrompts(settled, found), answeredBefore, Explanation::isFrequent);
+        while (best != null) {
+            found.add(best);
+            best = best(withoutPrompts(settled, found), answeredBefore, Explanation::isFrequent);
+        }
+        return found;
+    }
+
+    /** Returns the crashes without the prompts that have an explaining part. */
+    private static List<Crash> withoutPrompts(List<Crash> crashes, List<Explanation> explanations) {
+        Set<PromptPart> explaining = new HashSet<>();
+        explanations.forEach(each -> explaining.add(each.part()));
+        List<Crash> rest = new ArrayList<>();
+        for (Crash crash : crashes) {
+            Set<List<PromptPart>> prompts = new HashSet<>(crash.prompts());
+            prompts.removeIf(prompt -> prompt.stream().anyMatch(explaining::contains));
+            rest.add(new Crash(crash.at(), prompts));
+        }
+        return rest;
+    }
+
+    private static Explanation best(
+            Collection<Crash> unexplained, Predicate<PromptPart> answeredBefore, Predicate<Explanation> isEnough) {
+        Map<PromptPart, List<Crash>> byPart = new HashMap<>();
+        for (Crash crash : unexplained) {
+            Set<PromptPart> parts = new HashSet<>();
+            crash.prompts().forEach(parts::addAll);
+            parts.forEach(part ->
+                    byPart.computeIfAbsent(part, key -> new ArrayList<>()).add(crash));
+        }
+        return byPart.entrySet().stream()
+                .map(each -> explanation(each.getKey(), each.getValue(), answeredBefore))
+                .filter(isEnough)
+                .max(Explanation.BEST)
+                .orElse(null);
+    }
+
+    private static Explanation explanation(
+            PromptPart part, List<Crash> explained, Predicate<PromptPart> answeredBefore) {
+        int incidents = 0;
+        int position = 0;
+        long lastIncident = Long.MIN_VALUE / 2;
+        for (Crash crash : explained) {
+            for (List<PromptPart> prompt : crash.prompts()) {
+                position = Math.max(position, prompt.indexOf(part));
+            }
+            if (crash.at() - lastIncident >= INCIDENT_MILLIS) {
+                incidents++;
+                lastIncident = crash.at();
+            }
+        }
+        return new Explanation(part, explained.size(), incidents, position, answeredBefore.test(part));
+    }
+
+    private void removeOldest() {
+        Iterator<Crash> oldest = crashes.values().iterator();
+        oldest.next();
+        oldest.remove();
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/crash/CrashingParts.java
@@ -0,0 +1,200 @@
+package org.gooseberryring.coordination.crash;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import org.gooseberryring.coordination.membership.Rendezvous;
+import org.gooseberryring.coordination.request.RequestSpec;
+import org.gooseberryring.state.EndpointProcess;
+
+/**
+ * Detects prompt parts that crash the endpoints that answer them, and rejects the requests that have them.
+ *
+ * <p>Each host reports which parts a crashed endpoint was about to answer for it, and, of the parts under suspicion, which
+ * ones an endpoint has answered. All hosts evaluate the same evidence, and adopt the verdicts of each other. All methods
+ * are called from one thread.
+ */
+public final class CrashingParts {
+    /**
+     * Time for which a response must have run so that the endpoint has answered. An endpoint that crashes when it begins to
+     * answer may have written some bytes before.
+     */
+    public static final long ANSWERED_MILLIS = 500;
+
+    /** Time since a host was last seen up to which it counts as alive. */
+    private static final long LIVE_MILLIS = 1_000;
+
+    private static final String TRIAL_ROLE = "trial/";
+
+    private final String host;
+    private final CrashEvents crashes = new CrashEvents();
+    private final AnsweredParts answered = new AnsweredParts();
+    private final PartVerdicts verdicts = new PartVerdicts();
+    private Map<String, Long> hostAges = Map.of();
+    private List<PartEvent> events = new ArrayList<>();
+    private boolean isEvidenceNew;
+
+    /** Creates a detector without evidence on the given host. */
+    public CrashingParts(String host) {
+        this.host = host;
+    }
+
+    /** Sets the milliseconds since each other host was last seen. */
+    public void setHostAges(Map<String, Long> ages) {
+        hostAges = ages;
+    }
+
+    /** Returns and clears the events since the last call. */
+    public List<PartEvent> takeEvents() {
+        if (events.isEmpty()) {
+            return List.of();
+        }
+        List<PartEvent> taken = events;
+        events = new ArrayList<>();
+        return taken;
+    }
+
+    /** Returns the verdicts of this host, ended ones included. */
+    public List<PartVerdict> verdicts() {
+        return verdicts.all();
+    }
+
+    /** Handles the crash of an endpoint that was running a request of this host. */
+    public void onCrash(EndpointProcess process, BrokenAttempt attempt, long now) {
+        if (attempt.parts().isEmpty() || attempt.responseMillis() >= ANSWERED_MILLIS) {
+            return;
+        }
+        addCrash(process, attempt.parts(), now);
+        events.add(new PartEvent.Crashed(process, attempt.parts()));
+        for (PromptPart part : attempt.parts()) {
+            if (verdicts.isRejected(part) && verdicts.wasTrial(part, attempt.requestId())) {
+                changed(verdicts.onTrialCrashed(part, now), null);
+            }
+        }
+    }
+
+    /** Handles a crash that another host reported. */
+    public void onCrashReported(EndpointProcess process, List<PromptPart> parts, long now) {
+        addCrash(process, parts, now);
+    }
+
+    /** Handles an answer to a request of this host. */
+    public void onAnswered(RequestSpec spec, long now) {
+        for (PromptPart part : PromptPart.of(spec)) {
+            answered.record(part, now);
+            if (crashes.contains(part) || verdicts.isRejected(part)) {
+                onAnswered(part, now, now);
+                tell(part, now);
+            }
+        }
+    }
+
+    /** Handles an answer that another host reported. */
+    public void onAnswerReported(PromptPart part, long ageMillis, long now) {
+        long at = now - ageMillis;
+        answered.recordTold(part, at);
+        onAnswered(part, at, now);
+    }
+
+    /** Handles a verdict that another host reported. */
+    public void onVerdictReported(String reporter, PartVerdict verdict, long now) {
+        if (verdicts.onReported(verdict, now)) {
+            changed(verdict, reporter);
+        }
+    }
+
+    /** Handles a new request; it becomes the trial of its rejected part if one is due on this host. */
+    public void onArrived(RequestSpec spec, long now) {
+        if (verdicts.isEmpty()) {
+            return;
+        }
+        List<PromptPart> rejected = rejectedParts(spec);
+        if (rejected.size() != 1) {
+            // The result would not tell which of several parts crashes endpoints.
+            return;
+        }
+        PromptPart part = rejected.get(0);
+        if (verdicts.isTrialDue(part, now) && isTrialHost(part)) {
+            verdicts.startTrial(part, spec.id(), now);
+            events.add(new PartEvent.TrialStarted(part, spec.id()));
+        }
+    }
+
+    /** Handles a failed attempt; a trial is sent once only. */
+    public void onAttemptFailed(RequestSpec spec) {
+        if (!verdicts.isEmpty()) {
+            rejectedParts(spec).forEach(part -> verdicts.endTrial(part, spec.id()));
+        }
+    }
+
+    /** Returns whether a request has a rejected part and is not the trial of that part. */
+    public boolean isRejected(RequestSpec spec) {
+        return !verdicts.isEmpty() && rejectedParts(spec).stream().anyMatch(part -> !verdicts.isTrial(part, spec.id()));
+    }
+
+    /** Records that a request is rejected because of its parts. */
+    public void onRejected(RequestSpec spec) {
+        rejectedParts(spec).forEach(part -> events.add(new PartEvent.RequestRejected(part, spec.id())));
+    }
+
+    /** Evaluates the evidence; called several times a second. */
+    public void tick(long now) {
+        crashes.expire(now);
+        verdicts.expire(now);
+        if (!isEvidenceNew) {
+            return;
+        }
+        for (CrashEvents.Explanation explanation : crashes.explanations(answered::contains, now)) {
+            if (!verdicts.isRejected(explanation.part())) {
+                boolean firm = explanation.isSequence() && !explanation.answeredBefore();
+                int confidence = firm ? PartVerdicts.FIRM : PartVerdicts.DOUBTFUL;
+                changed(verdicts.reject(explanation.part(), confidence, now), null);
+            }
+        }
+        isEvidenceNew = crashes.hasUnsettled(now);
+    }
+
+    private void addCrash(EndpointProcess process, List<PromptPart> parts, long now) {
+        crashes.add(process, parts, now);
+        isEvidenceNew = true;
+        for (PromptPart part : parts) {
+            if (answered.contains(part) && !answered.isTold(part)) {
+                tell(part, now);
+            }
+        }
+    }
+
+    private void onAnswered(PromptPart part, long at, long now) {
+        crashes.onAnswered(part, at);
+        if (verdicts.isRejected(part) && verdicts.isChangedBefore(part, at)) {
+            changed(verdicts.end(part, now), null);
+        }
+    }
+
+    private void tell(PromptPart part, long now) {
+        long at = answered.lastAt(part);
+        answered.recordTold(part, at);
+        events.add(new PartEvent.Answered(part, now - at));
+    }
+
+    private void changed(PartVerdict verdict, String reporter) {
+        events.add(new PartEvent.VerdictChanged(verdict, crashes.count(verdict.part()), reporter));
+    }
+
+    private List<PromptPart> rejectedParts(RequestSpec spec) {
+        return PromptPart.of(spec).stream().filter(verdicts::isRejected).toList();
+    }
+
+    /** Returns whether this host sends the trials of a part; all hosts that see the same hosts alive choose one. */
+    private boolean isTrialHost(PromptPart part) {
+        List<String> live = new ArrayList<>();
+        live.add(host);
+        hostAges.forEach((other, age) -> {
+            if (age <= LIVE_MILLIS) {
+                live.add(other);
+            }
+        });
+        return Rendezvous.top(live, TRIAL_ROLE + part, 1).get(0).equals(host);
+    }
+}
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/crash/package-info.java
@@ -0,0 +1,2 @@
+/** Detection of prompt parts that crash the endpoints that process them. */
+package org.gooseberryring.coordination.crash;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/AttemptOutcome.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/AttemptOutcome.java
@@ -23,6 +23,9 @@
         long firstTokenMillis,
         boolean sent,
         long runMillis) {
+    private static final int STATUS_CLASS = 100;
+    private static final int SUCCESS_CLASS = 2;
+
     /** Creates the outcome of an attempt that was sent and whose duration is unknown. */
     public AttemptOutcome(
             Verdict verdict,
@@ -40,6 +43,11 @@
                 verdict, status, usedTokens, bytesReachedCaller, false, firstTokenMillis, sent, runMillis);
     }
 
+    /** Returns whether the endpoint has answered the request completely and with success. */
+    public boolean isAnswered() {
+        return verdict == Verdict.COMPLETED && firstTokenMillis >= 0 && status / STATUS_CLASS == SUCCESS_CLASS;
+    }
+
     /** Returns the milliseconds from the first byte of the response to the end of the attempt, 0 if there was none. */
     public long responseMillis() {
         return firstTokenMillis < 0 ? 0 : runMillis - firstTokenMillis;
--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/CrashGuard.java
@@ -0,0 +1,114 @@
+package org.gooseberryring.coordination.request;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.gooseberryring.coordination.crash.BrokenAttempt;
+import org.gooseberryring.coordination.crash.CrashingParts;
+import org.gooseberryring.coordination.crash.PartEvent;
+import org.gooseberryring.coordination.retry.CrashSuspects;
+import org.gooseberryring.state.EndpointProcess;
+import org.gooseberryring.state.Verdict;
+
+/** Decides which requests must not run, or only alone, because endpoints have crashed. */
+final class CrashGuard {
+    private final CrashSuspects suspects;
+    private final CrashingParts parts;
+    private final Set<String> runningSuspects = new HashSet<>();
+
+    CrashGuard(CrashSuspects suspects, CrashingParts parts) {
+        this.suspects = suspects;
+        this.parts = parts;
+    }
+
+    void tick(long now) {
+        suspects.expire(now);
+        parts.tick(now);
+    }
+
+    void onArrived(RequestSpec spec, long now) {
+        parts.onArrived(spec, now);
+    }
+
+    /** Returns why a request is rejected, null if it is not. */
+    RefusalReason rejection(RequestSpec spec) {
+        if (suspects.isQuarantined(spec.digest())) {
+            return RefusalReason.QUARANTINED;
+        }
+        return parts.isRejected(spec) ? RefusalReason.CRASHING_PART : null;
+    }
+
+    void onRejected(RequestSpec spec, RefusalReason reason) {
+        if (reason == RefusalReason.CRASHING_PART) {
+            parts.onRejected(spec);
+        }
+    }
+
+    /** Returns whether a request may crash its endpoint and must run alone there. */
+    boolean isSuspect(RequestSpec spec) {
+        return suspects.isSuspect(spec.digest());
+    }
+
+    /** Returns whether a suspect must wait for another copy, or for the reports of other hosts. */
+    boolean mustWait(RequestSpec spec, long now) {
+        String digest = spec.digest();
+        return suspects.isSuspect(digest) && (runningSuspects.contains(digest) || suspects.isHeld(digest, now));
+    }
+
+    void onStartedAlone(RequestSpec spec) {
+        runningSuspects.add(spec.digest());
+    }
+
+    void onEndedAlone(RequestSpec spec) {
+        runningSuspects.remove(spec.digest());
+    }
+
+    void onCompletedAlone(RequestSpec spec) {
+        suspects.onCompletedAlone(spec.digest());
+    }
+
+    void onAttemptEnded(RequestSpec spec, AttemptOutcome outcome, long now) {
+        if (outcome.isAnswered()) {
+            parts.onAnswered(spec, now);
+        } else if (outcome.verdict() != Verdict.COMPLETED) {
+            parts.onAttemptFailed(spec);
+        }
+    }
+
+    /** Handles a running response; {@code state} is the request, which is running. */
+    void onRunning(RequestState state, long now) {
+        if (state.takeAnswered(CrashingParts.ANSWERED_MILLIS, now)) {
+            parts.onAnswered(state.spec(), now);
+        }
+    }
+
+    /** Counts an endpoint that was lost under a request; returns the notice for the other hosts. */
+    RequestEffect onEndpointLost(String digest, String loss, long now) {
+        return new RequestEffect.SpreadQuarantine(digest, suspects.onEndpointLost(digest, loss, now));
+    }
+
+    /** Handles the crash of a process while it was running an attempt. */
+    void onCrash(EndpointProcess process, BrokenAttempt attempt, long now) {
+        parts.onCrash(process, attempt, now);
+    }
+
+    /** Applies the count of another host; returns whether the request was no suspect before. */
+    boolean onLossesReported(String reporter, String digest, int losses, long now) {
+        boolean isNew = !suspects.isSuspect(digest);
+        suspects.onLossesReported(reporter, digest, losses, now);
+        return isNew;
+    }
+
+    /** Returns and clears the observations that other hosts need. */
+    List<RequestEffect> takeEvents() {
+        List<PartEvent> events = parts.takeEvents();
+        if (events.isEmpty()) {
+            return List.of();
+        }
+        List<RequestEffect> effects = new ArrayList<>(events.size());
+        events.forEach(event -> effects.add(new RequestEffect.SpreadPartEvent(event)));
+        return effects;
+    }
+}
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RefusalReason.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RefusalReason.java
@@ -18,6 +18,7 @@
     ALREADY_CLAIMED(ErrorCode.ALREADY_CLAIMED, "the idempotency key was used before and may have run"),
     KEY_REUSED(ErrorCode.IDEMPOTENCY_KEY_REUSED, "the idempotency key was used with a different request"),
     QUARANTINED(ErrorCode.QUARANTINED, "the request was in flight when several endpoints were lost"),
+    CRASHING_PART(ErrorCode.QUARANTINED, "a part of the prompt crashed several endpoints"),
     TIMEOUT(ErrorCode.ENDPOINT_TIMEOUT, "the endpoint did not answer before the deadline"),
     INCOMPLETE(ErrorCode.INCOMPLETE_ANSWER, "the endpoint's answer ended before it was complete");
 
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEffect.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEffect.java
@@ -1,5 +1,6 @@
 package org.gooseberryring.coordination.request;
 
+import org.gooseberryring.coordination.crash.PartEvent;
 import org.gooseberryring.coordination.route.RouteForecast;
 import org.gooseberryring.state.ErrorCode;
 import org.gooseberryring.state.Verdict;
@@ -79,4 +80,11 @@
      * @param endpointLosses endpoints lost while they ran it
      */
     record SpreadQuarantine(String digest, int endpointLosses) implements RequestEffect {}
+
+    /**
+     * Notifies all hosts of an observation about prompt parts.
+     *
+     * @param event observation
+     */
+    record SpreadPartEvent(PartEvent event) implements RequestEffect {}
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -1,13 +1,13 @@
 package org.gooseberryring.coordination.request;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 import org.gooseberryring.coordination.claim.ClaimResult;
+import org.gooseberryring.coordination.crash.BrokenAttempt;
+import org.gooseberryring.coordination.crash.CrashingParts;
 import org.gooseberryring.coordination.limit.Admission;
 import org.gooseberryring.coordination.limit.TokenAdmission;
 import org.gooseberryring.coordination.queue.QueueItem;
@@ -17,6 +17,7 @@
 import org.gooseberryring.coordination.route.EndpointRouter;
 import org.gooseberryring.coordination.route.RouteChoice;
 import org.gooseberryring.coordination.route.RouteQuery;
+import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.Verdict;
 
 /**
@@ -39,10 +40,9 @@
     private final RequestQueue queue;
     private final EndpointRouter router;
     private final Retries retries;
-    private final CrashSuspects suspects;
+    private final CrashGuard crashes;
     private final long maxRunMillis;
     private final Map<String, RequestState> requests = new LinkedHashMap<>();
-    private final Set<String> runningSuspects = new HashSet<>();
     private final AbandonedClaims abandonedClaims = new AbandonedClaims();
     private boolean shuttingDown;
     private List<RequestEffect> effects = new ArrayList<>();
@@ -55,6 +55,7 @@
      * @param router chooses endpoints
      * @param retries decides on retries
      * @param suspects requests that may crash endpoints
+     * @param parts prompt parts that may crash endpoints
      * @param maxRunMillis longest time that an attempt may run before it is cancelled
      */
     public RequestEngine(
@@ -63,12 +64,13 @@
             EndpointRouter router,
             Retries retries,
             CrashSuspects suspects,
+            CrashingParts parts,
             long maxRunMillis) {
         this.admission = admission;
         this.queue = queue;
         this.router = router;
         this.retries = retries;
-        this.suspects = suspects;
+        this.crashes = new CrashGuard(suspects, parts);
         this.maxRunMillis = maxRunMillis;
     }
 
@@ -106,7 +108,7 @@
     public List<RequestEffect> onResponseStarted(String requestId, int attempt, long now) {
         RequestState state = requests.get(requestId);
         if (state != null && state.isRunning(attempt)) {
-            state.onResponseStarted();
+            state.onResponseStarted(now);
             if (state.endpoint() != null) {
                 router.onFirstByte(state.endpoint(), state.query(), now);
             }
@@ -122,11 +124,12 @@
         }
         state.attemptEnded(outcome);
         if (state.query().alone()) {
-            runningSuspects.remove(state.spec().digest());
+            crashes.onEndedAlone(state.spec());
         }
         if (state.endpoint() != null) {
             countAtEndpoint(state, outcome, now);
         }
+        crashes.onAttemptEnded(state.spec(), outcome, now);
         if (state.isCompleted() || outcome.verdict() == Verdict.COMPLETED) {
             end(state, outcome.verdict(), now);
         } else {
@@ -152,7 +155,7 @@
 
     /** Processes timers; called at least every 100 ms. */
     public List<RequestEffect> tick(long now) {
-        suspects.expire(now);
+        crashes.tick(now);
         router.tick(now);
         for (RequestSpec spec : queue.expire(now)) {
             refuse(requests.get(spec.id()), RefusalReason.DEADLINE, RETRY_AFTER_MILLIS, now);
@@ -170,9 +173,7 @@
 
     /** Handles losses of endpoints that another host reported; see {@link CrashSuspects#onLossesReported}. */
     public List<RequestEffect> quarantined(String reporter, String digest, int losses, long now) {
-        boolean known = suspects.isSuspect(digest);
-        suspects.onLossesReported(reporter, digest, losses, now);
-        if (!known) {
+        if (crashes.onLossesReported(reporter, digest, losses, now)) {
             isolateInQueue(digest, now);
         }
         return done(now);
@@ -181,12 +182,14 @@
     /**
      * Handles the crash of an endpoint that is detected after an attempt there has ended.
      *
-     * @param digest digest of the request
-     * @param endpoint identifier of the start of the endpoint that crashed
+     * @param process process that crashed
+     * @param attempt attempt that broke
      */
-    public List<RequestEffect> endpointCrashed(String digest, String endpoint, long now) {
+    public List<RequestEffect> endpointCrashed(EndpointProcess process, BrokenAttempt attempt, long now) {
+        String endpoint = process.endpoint();
         router.onEndpointLost(endpoint, router.lossEpoch(endpoint), now);
-        effects.add(new RequestEffect.SpreadQuarantine(digest, suspects.onEndpointLost(digest, endpoint, now)));
+        effects.add(crashes.onEndpointLost(attempt.digest(), endpoint, now));
+        crashes.onCrash(process, attempt, now);
         return done(now);
     }
 
@@ -216,10 +219,11 @@
             return done(now);
         }
         requests.put(state.id(), state);
+        crashes.onArrived(state.spec(), now);
         if (shuttingDown) {
             refuse(state, RefusalReason.SHUTDOWN, RETRY_AFTER_MILLIS, now);
-        } else if (suspects.isQuarantined(state.spec().digest())) {
-            refuse(state, RefusalReason.QUARANTINED, 0, now);
+        } else if (crashes.rejection(state.spec()) != null) {
+            refuse(state, crashes.rejection(state.spec()), 0, now);
         } else if (state.spec().deadline() <= now) {
             refuse(state, RefusalReason.DEADLINE, RETRY_AFTER_MILLIS, now);
         } else if (choose(state, now).kind() == RouteChoice.Kind.UNREACHABLE) {
@@ -293,8 +297,7 @@
 
     private void enqueue(RequestState state, long now) {
         state.step(RequestState.Step.QUEUE);
-        QueueOffer<RequestSpec> offer =
-                queue.offer(state.spec(), suspects.isSuspect(state.spec().digest()), now);
+        QueueOffer<RequestSpec> offer = queue.offer(state.spec(), crashes.isSuspect(state.spec()), now);
         for (QueueItem<RequestSpec> item : offer.evicted()) {
             refuse(requests.get(item.id()), RefusalReason.QUEUE_FULL, RETRY_AFTER_MILLIS, now);
         }
@@ -320,8 +323,8 @@
         RequestSpec spec = queue.poll(now, candidate -> canLeaveQueue(requests.get(candidate.id()), now));
         while (spec != null) {
             RequestState state = requests.get(spec.id());
-            if (suspects.isQuarantined(spec.digest())) {
-                refuse(state, RefusalReason.QUARANTINED, 0, now);
+            if (crashes.rejection(spec) != null) {
+                refuse(state, crashes.rejection(spec), 0, now);
             } else if (state.choice().kind() == RouteChoice.Kind.UNREACHABLE) {
                 refuse(state, state.unreachableReason(), state.availableMillis(RETRY_AFTER_MILLIS), now);
             } else {
@@ -332,18 +335,14 @@
     }
 
     private boolean canLeaveQueue(RequestState state, long now) {
-        String digest = state.spec().digest();
-        if (suspects.isQuarantined(digest)) {
+        if (crashes.rejection(state.spec()) != null) {
             return true;
         }
-        if (suspects.isSuspect(digest) && (runningSuspects.contains(digest) || suspects.isHeld(digest, now))) {
-            return false;
-        }
-        return choose(state, now).kind() != RouteChoice.Kind.WAIT;
+        return !crashes.mustWait(state.spec(), now) && choose(state, now).kind() != RouteChoice.Kind.WAIT;
     }
 
     private RouteChoice choose(RequestState state, long now) {
-        RouteQuery query = state.createQuery(suspects.isSuspect(state.spec().digest()));
+        RouteQuery query = state.createQuery(crashes.isSuspect(state.spec()));
         RouteChoice choice = router.choose(query, now);
         state.setChoice(choice, query);
         return choice;
@@ -354,7 +353,7 @@
             retries.firstAttempt(state.spec(), now);
         }
         if (state.query().alone()) {
-            runningSuspects.add(state.spec().digest());
+            crashes.onStartedAlone(state.spec());
         }
         String endpoint = state.endpoint();
         if (endpoint == null) {
@@ -370,21 +369,20 @@
 
     private void countAtEndpoint(RequestState state, AttemptOutcome outcome, long now) {
         String endpoint = state.endpoint();
-        String digest = state.spec().digest();
         if (outcome.endpointLost()) {
             router.onEndpointLost(endpoint, state.lossEpoch(), now);
             if (outcome.verdict() != Verdict.NOT_RUN) {
-                boolean known = suspects.isSuspect(digest);
-                int losses = suspects.onEndpointLost(digest, endpoint + '#' + state.lossEpoch(), now);
+                boolean known = crashes.isSuspect(state.spec());
+                String digest = state.spec().digest();
+                effects.add(crashes.onEndpointLost(digest, endpoint + '#' + state.lossEpoch(), now));
                 if (!known) {
                     isolateInQueue(digest, now);
                 }
-                effects.add(new RequestEffect.SpreadQuarantine(digest, losses));
             }
         } else if (outcome.verdict() == Verdict.COMPLETED) {
             router.onAttemptSucceeded(endpoint, outcome.firstTokenMillis(), now);
             if (state.query().alone()) {
-                suspects.onCompletedAlone(digest);
+                crashes.onCompletedAlone(state.spec());
             }
         } else if (!state.isCancelled()) {
             router.onAttemptFailed(endpoint, now);
@@ -396,8 +394,8 @@
         RequestSpec spec = state.spec();
         boolean bytes = outcome.bytesReachedCaller() || state.hasResponseStarted();
         state.step(RequestState.Step.QUEUE);
-        if (suspects.isQuarantined(spec.digest())) {
-            refuse(state, RefusalReason.QUARANTINED, 0, now);
+        if (crashes.rejection(spec) != null) {
+            refuse(state, crashes.rejection(spec), 0, now);
         } else if (retries.retry(spec, outcome, bytes, state.sends(), now)) {
             enqueue(state, now);
         } else if (state.verdict() == Verdict.NOT_RUN) {
@@ -413,6 +411,7 @@
                 !state.hasResponseStarted() && now >= state.spec().handling().startBy();
         boolean isOverdue = startOverdue || now >= state.spec().deadline();
         if (state.step() == RequestState.Step.RUNNING) {
+            crashes.onRunning(state, now);
             boolean isAbortable =
                     !state.hasResponseStarted() || state.spec().handling().endsAtDeadline();
             if (isOverdue && !state.isCompleted() && isAbortable) {
@@ -457,6 +456,7 @@
 
     /** Sends the final response at once; a running attempt is tracked until it ends. */
     private void refuse(RequestState state, RefusalReason reason, long retryAfterMillis, long now) {
+        crashes.onRejected(state.spec(), reason);
         effects.add(reason.refusal(state.id(), state.verdict(), retryAfterMillis));
         state.completed();
         if (state.step() != RequestState.Step.RUNNING) {
@@ -484,6 +484,7 @@
 
     private List<RequestEffect> done(long now) {
         dispatchWaiting(now);
+        effects.addAll(crashes.takeEvents());
         List<RequestEffect> result = effects;
         effects = new ArrayList<>();
         return result;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestState.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestState.java
@@ -34,6 +34,8 @@
     private long dispatchedAt;
     private long lossEpoch;
     private boolean responseStarted;
+    private long responseStartedAt;
+    private boolean answeredRecorded;
     private boolean anyResponseStarted;
     private boolean cancelled;
     private boolean completed;
@@ -143,6 +145,7 @@
         dispatchedAt = now;
         lossEpoch = epoch;
         responseStarted = false;
+        answeredRecorded = false;
         cancelled = false;
     }
 
@@ -167,8 +170,9 @@
         return lossEpoch;
     }
 
-    void onResponseStarted() {
+    void onResponseStarted(long now) {
         responseStarted = true;
+        responseStartedAt = now;
         anyResponseStarted = true;
     }
 
@@ -181,6 +185,13 @@
         return anyResponseStarted;
     }
 
+    /** Returns, once for each attempt, that its response has run for the given time. */
+    boolean takeAnswered(long answeredMillis, long now) {
+        boolean isNew = responseStarted && !answeredRecorded && now - responseStartedAt >= answeredMillis;
+        answeredRecorded |= isNew;
+        return isNew;
+    }
+
     void cancelled() {
         cancelled = true;
     }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/retry/PartHost.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/crash/PartHost.java
@@ -1,4 +1,4 @@
-package org.gooseberryring.coordination.retry;
+package org.gooseberryring.coordination.crash;
 
 import java.util.HashMap;
 import java.util.List;
@@ -16,6 +16,10 @@
 import org.gooseberryring.coordination.request.RequestEffect;
 import org.gooseberryring.coordination.request.RequestEngine;
 import org.gooseberryring.coordination.request.RequestSpec;
+import org.gooseberryring.coordination.retry.CrashSuspects;
+import org.gooseberryring.coordination.retry.RetryAllowance;
+import org.gooseberryring.coordination.retry.RouteRetries;
+import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.EngineProfile;
 import org.gooseberryring.state.ModelProfile;
@@ -31,6 +35,7 @@
 
     private final String id;
     private final DirectRouter router;
+    private final CrashingParts parts;
     private final RequestEngine engine;
     private final Map<String, RequestSpec> specs = new HashMap<>();
 
@@ -46,12 +51,14 @@
         router.configured(configuration());
         RouteRetries retries = new RouteRetries(new RetryAllowance(10_000, 0.2, 54));
         retries.setHostCount(hosts);
+        parts = new CrashingParts(id);
         engine = new RequestEngine(
                 new SharedLimits(8_000),
                 new FairRequestQueue(QueueSettings.defaults()),
                 router,
                 retries,
                 new CrashSuspects(QUARANTINE_LOSSES),
+                parts,
                 600_000);
     }
 
@@ -85,13 +92,37 @@
     }
 
     List<RequestEffect> onEndpointCrashed(String endpoint, RequestSpec spec, AttemptOutcome outcome, long now) {
-        return engine.endpointCrashed(BrokenAttempt.of(spec, outcome).digest(), endpoint, now);
+        return engine.endpointCrashed(new EndpointProcess(endpoint, 1), BrokenAttempt.of(spec, outcome), now);
     }
 
     List<RequestEffect> onQuarantineReported(String reporter, RequestEffect.SpreadQuarantine notice, long now) {
         return engine.quarantined(reporter, notice.digest(), notice.endpointLosses(), now);
     }
 
+    /** Handles an observation of another host about prompt parts. */
+    List<RequestEffect> onPartEvent(PartEvent event, long now) {
+        if (event instanceof PartEvent.Crashed crashed) {
+            parts.onCrashReported(crashed.process(), crashed.parts(), now);
+        } else if (event instanceof PartEvent.Answered answered) {
+            parts.onAnswerReported(answered.part(), answered.ageMillis(), now);
+        }
+        return engine.changed(now);
+    }
+
+    List<PartVerdict> verdicts() {
+        return parts.verdicts();
+    }
+
+    /** Handles the verdicts in the state of another host. */
+    List<RequestEffect> onVerdicts(String reporter, List<PartVerdict> verdicts, long now) {
+        verdicts.forEach(verdict -> parts.onVerdictReported(reporter, verdict, now));
+        return engine.changed(now);
+    }
+
+    void setHostAges(Map<String, Long> ages) {
+        parts.setHostAges(ages);
+    }
+
     List<RequestEffect> onEndpointRegistered(String endpoint, int slots, long now) {
         List<ResidentModel> models = List.of(new ResidentModel("m", Set.of()));
         router.onEndpointRegistered(
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/retry/PartWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/crash/PartWorld.java
@@ -1,12 +1,16 @@
-package org.gooseberryring.coordination.retry;
+package org.gooseberryring.coordination.crash;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import org.gooseberryring.coordination.request.AttemptOutcome;
 import org.gooseberryring.coordination.request.RequestEffect;
@@ -33,6 +37,13 @@
 
     private static final int SYSTEM_PARTS = 3;
     private static final int ORGANISATIONS = 30;
+
+    /** Share of the sound requests that are of the organisation of the crashing ones, beyond its usual share. */
+    private static final double RELATED_SHARE = 0.1;
+
+    /** Number of requests from which a share counts. */
+    private static final int MIN_REQUESTS = 20;
+
     private static final long CRASHING_PART = 0xdead_0000L;
     private static final long OWN_PARTS = 1_000_000;
     private static final long TICK_MILLIS = 50;
@@ -95,6 +106,12 @@
         private Engine(String id) {
             this.id = id;
         }
+
+        /** Removes the requests of a host whose connections have closed. */
+        private void remove(PartHost host) {
+            running.removeIf(run -> run.host == host);
+            waiting.removeIf(run -> run.host == host);
+        }
     }
 
     /** Sound request that shares the organisation of the crashing ones. */
@@ -105,8 +122,12 @@
     private final List<PartHost> hosts = new ArrayList<>();
     private final Map<String, Engine> engines = new LinkedHashMap<>();
     private final Map<String, Related> related = new HashMap<>();
-    private final List<Long> crashes = new ArrayList<>();
-    private final List<Long> crashingSentAt = new ArrayList<>();
+    private final Map<Long, List<Long>> crashesByPart = new TreeMap<>();
+    private final Map<Long, List<Long>> arrivalsByPart = new TreeMap<>();
+    private final Map<PartHost, Long> frozenUntil = new HashMap<>();
+    private final Map<PartHost, Long> cutUntil = new HashMap<>();
+    private final Map<String, Long> troubledUntil = new HashMap<>();
+    private boolean soundPartRejected;
     private final PriorityQueue<Event> events = new PriorityQueue<>(
             (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
     private long now;
@@ -121,17 +142,63 @@
         for (int i = 0; i < settings.hosts(); i++) {
             hosts.add(new PartHost("host" + i, settings.hosts(), seed + i));
         }
+        setHostAges();
         for (int i = 0; i < settings.endpoints(); i++) {
             startEngine();
         }
     }
 
+    /** Suspends a host; what happens to it meanwhile takes effect afterwards. */
+    void freeze(int host, long millis) {
+        frozenUntil.put(hosts.get(host), now + millis);
+        troubledUntil.put(hosts.get(host).id(), now + millis);
+    }
+
+    /** Cuts a host off from the other hosts, not from the endpoints and its callers. */
+    void cutOff(int host, long millis) {
+        PartHost cut = hosts.get(host);
+        cutUntil.put(cut, now + millis);
+        later(millis + 1, () -> exchangeVerdicts(cut));
+    }
+
+    /** Kills hosts at the same time; each is replaced by a process that knows nothing, and the others tell it. */
+    void restart(List<Integer> indices) {
+        for (int index : indices) {
+            PartHost killed = hosts.get(index);
+            engines.values().forEach(engine -> engine.remove(killed));
+            PartHost started = new PartHost(killed.id(), settings.hosts(), random.nextLong());
+            hosts.set(index, started);
+            troubledUntil.put(killed.id(), now);
+            engines.keySet().forEach(engine -> started.onEndpointRegistered(engine, settings.slots(), now));
+        }
+        setHostAges();
+        indices.forEach(index -> later(300, () -> exchangeVerdicts(hosts.get(index))));
+    }
+
+    /** Crashes endpoints at the same time without a request as the cause. */
+    void loseEndpoints(int count) {
+        List<Engine> lost = new ArrayList<>(engines.values());
+        Collections.shuffle(lost, random);
+        lost.stream().filter(engine -> engine.up).limit(count).forEach(this::crash);
+    }
+
+    /** Returns whether any host has rejected a part that crashes nothing. */
+    boolean isSoundPartRejected() {
+        return soundPartRejected;
+    }
+
     /** Sends crashing requests from now until the given time from now. */
     void crashFor(long millis) {
         crashingFrom = now;
         crashingUntil = now + millis;
     }
 
+    private void setHostAges() {
+        List<String> ids = hosts.stream().map(PartHost::id).toList();
+        hosts.forEach(host -> host.setHostAges(
+                ids.stream().filter(id -> !id.equals(host.id())).collect(Collectors.toMap(id -> id, id -> 0L))));
+    }
+
     void run(long millis) {
         long end = now + millis;
         long nextTick = now;
@@ -148,52 +215,70 @@
             }
             if (now >= nextTick) {
                 nextTick = now + TICK_MILLIS;
-                hosts.forEach(host -> apply(host, host.tick(now)));
+                List.copyOf(hosts).forEach(host -> at(host, 0, () -> host.tick(now)));
             }
         }
     }
 
-    /** Returns the crashing requests that reached endpoints and were sent after the bound, 0 before the fifth crash. */
+    /**
+     * Returns how many requests with a crashing part reached endpoints after the bound, 0 if the part crashed fewer
+     * endpoints than decide; the largest number over all parts.
+     */
     int requestsAfterBound() {
-        if (crashes.size() < DECIDING_CRASH) {
-            return 0;
+        int most = 0;
+        for (Map.Entry<Long, List<Long>> each : crashesByPart.entrySet()) {
+            if (each.getValue().size() >= DECIDING_CRASH) {
+                long bound = each.getValue().get(DECIDING_CRASH - 1) + CONTACT_MILLIS;
+                List<Long> arrivals = arrivalsByPart.get(each.getKey());
+                most = Math.max(
+                        most, (int) arrivals.stream().filter(at -> at > bound).count());
+            }
         }
-        long bound = crashes.get(DECIDING_CRASH - 1) + CONTACT_MILLIS;
-        return (int) crashingSentAt.stream().filter(at -> at > bound).count();
+        return most;
     }
 
+    /** Returns the number of crashes that requests with crashing parts have caused. */
     int crashes() {
-        return crashes.size();
+        return crashesByPart.values().stream().mapToInt(List::size).sum();
     }
 
-    /** Returns the share of the sound requests of the organisation that began before the first crashing request. */
-    double begunBefore() {
-        return begun(0, crashingFrom);
-    }
-
-    /** Returns the share that began from the time on at which service must be back, while crashing requests come. */
-    double begunAfterBound() {
-        long decisive = crashes.get(Math.min(crashes.size(), DECIDING_CRASH) - 1);
-        return begun(decisive + 2 * CONTACT_MILLIS, crashingUntil);
+    /**
+     * Returns whether sound requests of the organisation begin half as often as before the first crashing request, from the
+     * time on at which service must be back. Few requests do not count.
+     */
+    boolean isServiceBack() {
+        long decisive = 0;
+        for (List<Long> crashes : crashesByPart.values()) {
+            decisive = Math.max(decisive, crashes.get(Math.min(crashes.size(), DECIDING_CRASH) - 1));
+        }
+        List<Related> before = sent(0, crashingFrom);
+        List<Related> after = sent(decisive + 2 * CONTACT_MILLIS, crashingUntil);
+        boolean counts = before.size() >= MIN_REQUESTS && after.size() >= MIN_REQUESTS;
+        return !counts || begunShare(after) >= begunShare(before) / 2;
     }
 
-    private double begun(long from, long until) {
-        List<Related> sent = related.values().stream()
+    private List<Related> sent(long from, long until) {
+        return related.values().stream()
                 .filter(each -> each.at() >= from && each.at() < until)
                 .toList();
-        return sent.stream().filter(each -> each.begun()[0]).count() / (double) Math.max(1, sent.size());
+    }
+
+    private static double begunShare(List<Related> sent) {
+        return sent.stream().filter(each -> each.begun()[0]).count() / (double) sent.size();
     }
 
     private void request() {
         boolean crashing = now >= crashingFrom && now < crashingUntil && random.nextDouble() < settings.crashingShare();
-        int organisation = crashing ? 0 : random.nextInt(ORGANISATIONS);
+        boolean isRelated = crashing || random.nextDouble() < RELATED_SHARE;
+        int organisation = isRelated ? 0 : random.nextInt(ORGANISATIONS);
         PartHost host = hosts.get(random.nextInt(hosts.size()));
         String id = "r" + order++;
         List<Long> parts = parts(organisation, crashing);
         if (!crashing && organisation == 0) {
             related.put(id, new Related(now, new boolean[1]));
         }
-        apply(host, host.arrived(spec(id, "o" + organisation, parts, now), now));
+        RequestSpec spec = spec(id, "o" + organisation, parts, now);
+        at(host, 0, () -> host.arrived(spec, now));
     }
 
     private List<Long> parts(int organisation, boolean crashing) {
@@ -221,29 +306,71 @@
                 later(1 + random.nextInt(5), () -> arrive(host, dispatch));
             } else if (effect instanceof RequestEffect.SpreadQuarantine notice) {
                 toOthers(host, other -> other.onQuarantineReported(host.id(), notice, now));
+            } else if (effect instanceof RequestEffect.SpreadPartEvent spread) {
+                spread(host, spread.event());
             }
         }
     }
 
+    /** Passes observations to the other hosts, and verdicts as a part of the state of this host. */
+    private void spread(PartHost host, PartEvent event) {
+        if (event instanceof PartEvent.VerdictChanged changed) {
+            soundPartRejected |= !changed.verdict().ended()
+                    && !isCrashing(changed.verdict().part().id());
+            List<PartVerdict> verdicts = host.verdicts();
+            toOthers(host, other -> other.onVerdicts(host.id(), verdicts, now));
+        } else {
+            toOthers(host, other -> other.onPartEvent(event, now));
+        }
+    }
+
     /** Passes a notice to the other hosts. */
     private void toOthers(PartHost host, PartHost.Delivery delivery) {
         for (PartHost other : hosts) {
-            if (other != host) {
-                later(50 + random.nextInt(400), () -> apply(other, delivery.deliver(other)));
+            if (other != host && isConnected(host, other)) {
+                at(other, 50 + random.nextInt(400), () -> delivery.deliver(other));
+            }
+        }
+    }
+
+    /** Exchanges the verdicts of a host that was cut off or has started with those of the others. */
+    private void exchangeVerdicts(PartHost host) {
+        for (PartHost other : hosts) {
+            if (other != host && isConnected(host, other)) {
+                List<PartVerdict> own = host.verdicts();
+                List<PartVerdict> others = other.verdicts();
+                at(other, 50 + random.nextInt(400), () -> other.onVerdicts(host.id(), own, now));
+                at(host, 50 + random.nextInt(400), () -> host.onVerdicts(other.id(), others, now));
             }
         }
     }
 
+    private boolean isConnected(PartHost one, PartHost other) {
+        return cutUntil.getOrDefault(one, 0L) <= now && cutUntil.getOrDefault(other, 0L) <= now;
+    }
+
+    /** Runs an action of a host after a delay, later if the host is frozen, never if it was killed. */
+    private void at(PartHost host, long delay, Supplier<List<RequestEffect>> action) {
+        long thawsAt = frozenUntil.getOrDefault(host, 0L);
+        if (delay == 0 && thawsAt <= now) {
+            if (hosts.contains(host)) {
+                apply(host, action.get());
+            }
+            return;
+        }
+        later(Math.max(delay, thawsAt - now), () -> at(host, 0, action));
+    }
+
     private void arrive(PartHost host, RequestEffect.Dispatch dispatch) {
         RequestSpec spec = host.spec(dispatch.requestId());
         Engine engine = engines.get(dispatch.endpoint());
         if (engine == null || !engine.up) {
             AttemptOutcome refused = new AttemptOutcome(Verdict.NOT_RUN, 0, 0, false, false, -1, false, 0);
-            apply(host, host.attemptEnded(dispatch, refused, now));
+            at(host, 0, () -> host.attemptEnded(dispatch, refused, now));
             return;
         }
-        if (isCrashing(spec)) {
-            crashingSentAt.add(now);
+        if (now - troubledUntil.getOrDefault(host.id(), -CONTACT_MILLIS) >= CONTACT_MILLIS) {
+            record(arrivalsByPart, crashingPart(spec));
         }
         engine.waiting.add(new Run(host, spec, dispatch.attempt(), now));
         startWaiting(engine);
@@ -261,8 +388,8 @@
         if (!engine.running.contains(run)) {
             return;
         }
-        if (isCrashing(run.spec)) {
-            crashes.add(now);
+        if (crashingPart(run.spec) != null) {
+            record(crashesByPart, crashingPart(run.spec));
             crash(engine);
             return;
         }
@@ -270,7 +397,7 @@
         if (related.containsKey(run.spec.id())) {
             related.get(run.spec.id()).begun()[0] = true;
         }
-        apply(run.host, run.host.onResponseStarted(run.spec.id(), run.attempt, now));
+        at(run.host, 0, () -> run.host.onResponseStarted(run.spec.id(), run.attempt, now));
         later(200 + random.nextInt(1_200), () -> complete(engine, run));
     }
 
@@ -279,7 +406,7 @@
             long firstToken = run.startedAt - run.sentAt;
             AttemptOutcome outcome =
                     new AttemptOutcome(Verdict.COMPLETED, 200, 0, true, false, firstToken, true, now - run.sentAt);
-            apply(run.host, run.host.attemptEnded(run.spec.id(), run.attempt, outcome, now));
+            at(run.host, 0, () -> run.host.attemptEnded(run.spec.id(), run.attempt, outcome, now));
             startWaiting(engine);
         }
     }
@@ -295,16 +422,12 @@
             long firstToken = run.startedAt < 0 ? -1 : run.startedAt - run.sentAt;
             AttemptOutcome outcome = new AttemptOutcome(
                     Verdict.MAY_HAVE_RUN, 0, 0, firstToken >= 0, false, firstToken, true, now - run.sentAt);
-            later(
-                    1 + random.nextInt(10),
-                    () -> apply(run.host, run.host.attemptEnded(run.spec.id(), run.attempt, outcome, now)));
-            later(
-                    15 + random.nextInt(60),
-                    () -> apply(run.host, run.host.onEndpointCrashed(engine.id, run.spec, outcome, now)));
+            at(run.host, 1 + random.nextInt(10), () -> run.host.attemptEnded(run.spec.id(), run.attempt, outcome, now));
+            at(run.host, 15 + random.nextInt(60), () -> run.host.onEndpointCrashed(engine.id, run.spec, outcome, now));
         }
         later(DOWN_MILLIS, () -> {
             engines.remove(engine.id);
-            hosts.forEach(host -> apply(host, host.onEndpointGone(engine.id, now)));
+            List.copyOf(hosts).forEach(host -> at(host, 0, () -> host.onEndpointGone(engine.id, now)));
             startEngine();
         });
     }
@@ -312,12 +435,27 @@
     private void startEngine() {
         Engine engine = new Engine("e" + starts++);
         engines.put(engine.id, engine);
-        hosts.forEach(host -> apply(host, host.onEndpointRegistered(engine.id, settings.slots(), now)));
+        List.copyOf(hosts)
+                .forEach(host -> at(host, 0, () -> host.onEndpointRegistered(engine.id, settings.slots(), now)));
+    }
+
+    private void record(Map<Long, List<Long>> times, Long part) {
+        if (part != null) {
+            times.computeIfAbsent(part, key -> new ArrayList<>()).add(now);
+        }
     }
 
-    private boolean isCrashing(RequestSpec spec) {
+    /** Returns the part of a request that crashes endpoints, null if it has none. */
+    private Long crashingPart(RequestSpec spec) {
         return spec.handling().prompt().parts().stream()
-                .anyMatch(part -> part.id() >= CRASHING_PART && part.id() < CRASHING_PART + settings.crashingParts());
+                .map(PromptShape.Part::id)
+                .filter(this::isCrashing)
+                .findFirst()
+                .orElse(null);
+    }
+
+    private boolean isCrashing(long part) {
+        return part >= CRASHING_PART && part < CRASHING_PART + settings.crashingParts();
     }
 
     private void later(long delay, Runnable action) {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EngineWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EngineWorld.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 
 import org.gooseberryring.coordination.claim.ClaimResult;
+import org.gooseberryring.coordination.crash.CrashingParts;
 import org.gooseberryring.coordination.limit.Admission;
 import org.gooseberryring.coordination.limit.TokenAdmission;
 import org.gooseberryring.coordination.queue.QueueSettings;
@@ -72,7 +73,13 @@
         Router router = new Router("d0", new Random(seed), new UnsharedCredits());
         RequestQueue queue = new FairRequestQueue(new QueueSettings(8, 5, 50, Map.of()));
         engine = new RequestEngine(
-                this, queue, router, new RetryPolicy(new RetryBudget()), new CrashSuspects(), MAX_RUN_MILLIS);
+                this,
+                queue,
+                router,
+                new RetryPolicy(new RetryBudget()),
+                new CrashSuspects(),
+                new CrashingParts("h"),
+                MAX_RUN_MILLIS);
         fleet = new FleetUpdateHandler(engine, router, queue);
         configure();
     }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
@@ -6,6 +6,8 @@
 import java.util.Random;
 import java.util.TreeMap;
 
+import org.gooseberryring.coordination.crash.BrokenAttempt;
+import org.gooseberryring.coordination.crash.CrashingParts;
 import org.gooseberryring.coordination.direct.DirectRouter;
 import org.gooseberryring.coordination.direct.PermittedChoice;
 import org.gooseberryring.coordination.limit.SharedLimits;
@@ -14,6 +16,7 @@
 import org.gooseberryring.coordination.retry.RetryAllowance;
 import org.gooseberryring.coordination.retry.RouteRetries;
 import org.gooseberryring.coordination.route.RouteForecast;
+import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.PriorityClass;
 import org.gooseberryring.state.PromptShape;
@@ -37,6 +40,7 @@
             router,
             new RouteRetries(new RetryAllowance(10_000, 0.2, 54)),
             new CrashSuspects(3),
+            new CrashingParts("h"),
             600_000);
 
     EntryEngineTest() {
@@ -115,7 +119,8 @@
     void refusesRequestThatCrashedThreeEndpoints() {
         register("e1", 4);
         for (int i = 0; i < 3; i++) {
-            engine.endpointCrashed("digest", "start-" + i, i);
+            BrokenAttempt attempt = new BrokenAttempt("p", "digest", List.of(), 10, 0);
+            engine.endpointCrashed(new EndpointProcess("start-" + i, 1), attempt, i);
         }
         RequestEffect.Refuse refused = (RequestEffect.Refuse)
                 engine.arrived(spec("q", true, false), 5_000).get(0);
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/retry/CrashWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/retry/CrashWorld.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 
+import org.gooseberryring.coordination.crash.CrashingParts;
 import org.gooseberryring.coordination.limit.Admission;
 import org.gooseberryring.coordination.limit.TokenAdmission;
 import org.gooseberryring.coordination.queue.QueueSettings;
@@ -79,7 +80,13 @@
             RequestQueue queue = new FairRequestQueue(QueueSettings.defaults());
             Router router = new Router("d", new Random(seed + i), new UnsharedCredits());
             hosts.add(new RequestEngine(
-                    new Unlimited(), queue, router, new RetryPolicy(new RetryBudget()), new CrashSuspects(), 60_000));
+                    new Unlimited(),
+                    queue,
+                    router,
+                    new RetryPolicy(new RetryBudget()),
+                    new CrashSuspects(),
+                    new CrashingParts("host" + i),
+                    60_000));
             fleets.add(new FleetUpdateHandler(hosts.get(i), router, queue));
             fleets.get(i).configured(configuration, now);
         }
--- a/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/explain/TimelineBuilder.java
+++ b/gooseberryring-ctl/src/main/java/org/gooseberryring/ctl/explain/TimelineBuilder.java
@@ -23,6 +23,8 @@
     private static final String NO_EVENTS = "no event of this request in these files";
     private static final String LIMIT = "endpoint-limit";
     private static final String LIMIT_ENDED = "endpoint-limit-ended";
+    private static final String PART_REJECTED = "part-rejected";
+    private static final String PART_ACCEPTED = "part-accepted";
     private static final Set<String> ENDPOINT_EVENTS =
             Set.of("endpoint-registered", "endpoint-gone", "endpoint-probed", LIMIT, LIMIT_ENDED);
     private static final Set<String> MODEL_EVENTS = Set.of("artifact-wanted", "order-answered");
@@ -89,6 +91,8 @@
                 scope.endpoints.contains(event.field("endpoint")) ? "endpoint " + event.field("endpoint") : null;
             case LIMIT, LIMIT_ENDED ->
                 scope.endpoints.contains(event.field("endpoint")) ? "limit of " + event.field("endpoint") : null;
+            case PART_REJECTED, PART_ACCEPTED ->
+                scope.parts.contains(event.field("part")) ? "part " + event.field("part") : null;
             default -> null;
         };
     }
@@ -128,7 +132,7 @@
         return missing;
     }
 
-    /** Hosts, endpoints, models and time span of the events of a request. */
+    /** Hosts, endpoints, models, prompt parts and time span of the events of a request. */
     private static final class Scope {
         /** Index of the model and of the adapter among the parts of a target, which are separated by slashes. */
         private static final int MODEL = 1;
@@ -139,6 +143,7 @@
         private final Set<String> endpoints = new HashSet<>();
         private final Set<String> models = new HashSet<>();
         private final Set<String> adapters = new HashSet<>();
+        private final Set<String> parts = new HashSet<>();
         private long fromMillis = Long.MAX_VALUE;
         private long toMillis = Long.MIN_VALUE;
 
@@ -150,6 +155,9 @@
                 if (!line.field("endpoint").isEmpty()) {
                     endpoints.add(line.field("endpoint"));
                 }
+                if (!line.field("part").isEmpty()) {
+                    parts.add(line.field("part"));
+                }
                 String[] target = line.field("target").split("/");
                 if (target.length > MODEL) {
                     models.add(target[MODEL]);
--- a/gooseberryring-ctl/src/test/java/org/gooseberryring/ctl/explain/TimelineBuilderTest.java
+++ b/gooseberryring-ctl/src/test/java/org/gooseberryring/ctl/explain/TimelineBuilderTest.java
@@ -82,6 +82,25 @@
         assertThat(names(timeline.relatedEvents())).containsExactly("endpoint-limit-ended");
     }
 
+    /** Guards against a rejection for a part of the prompt whose cause cannot be seen. */
+    @Test
+    void showsTheVerdictThatRejectedARequest() {
+        List<String> rejected = List.of(
+                "at=1000 level=info event=host-started host=h1",
+                "at=7000 level=info event=part-rejected part=llm/dead generation=1 confidence=1 crashes=3",
+                "at=7100 level=info event=part-rejected part=llm/beef generation=1 confidence=1 crashes=3",
+                "at=9000 level=debug event=request-part-rejected requestId=r1 part=llm/dead",
+                "at=9000 level=debug event=request-refused requestId=r1 code=quarantined verdict=not-run",
+                "at=9002 level=info event=request-ended requestId=r1 status=503 whole=true");
+
+        RequestTimeline timeline = builder(rejected, List.of()).build("r1");
+
+        assertThat(timeline.knownStates().stream().map(state -> state.event().text("") + " " + state.ageMillis()))
+                .containsExactly(
+                        "host-started host=h1 8000",
+                        "part-rejected part=llm/dead generation=1 confidence=1 crashes=3 2000");
+    }
+
     /** Guards against state from before the last start of a host. */
     @Test
     void discardsStateFromBeforeHostStart() {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/RequestPath.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/RequestPath.java
@@ -4,6 +4,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 
+import org.gooseberryring.coordination.crash.CrashingParts;
 import org.gooseberryring.coordination.limit.TokenMessage;
 import org.gooseberryring.coordination.limit.TokenPool;
 import org.gooseberryring.coordination.queue.QueueSettings;
@@ -56,6 +57,7 @@
                 router,
                 new RetryPolicy(new RetryBudget()),
                 new CrashSuspects(),
+                new CrashingParts(failureDomain),
                 limits.maxRunMillis());
         FleetUpdateHandler fleetUpdates = new FleetUpdateHandler(engine, router, queue);
         this.tokenPool = new TokenPoolInputs(tokenPool, messages);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -93,6 +93,8 @@
             remoteEffects.replay(openRequests.get(replay.requestId()));
         } else if (effect instanceof RequestEffect.SpreadQuarantine quarantine) {
             remoteEffects.spreadQuarantine(quarantine);
+        } else if (effect instanceof RequestEffect.SpreadPartEvent spread) {
+            remoteEffects.spreadPartEvent(spread.event());
         }
     }
 
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RemoteEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RemoteEffects.java
@@ -1,5 +1,6 @@
 package org.gooseberryring.host.caller;
 
+import org.gooseberryring.coordination.crash.PartEvent;
 import org.gooseberryring.coordination.request.RequestEffect;
 
 /** Effects of the request engine that involve other hosts or the store; called on the request thread. */
@@ -16,6 +17,9 @@
     /** Notifies all hosts of a request that crashes endpoints. */
     void spreadQuarantine(RequestEffect.SpreadQuarantine quarantine);
 
+    /** Notifies all hosts of an observation about prompt parts; requests without such parts cause none. */
+    default void spreadPartEvent(PartEvent event) {}
+
     /** Cancels a request at a model engine because its response is no longer needed. */
     void cancelAtEngine(String address, String requestId);
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/CrashProbe.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/CrashProbe.java
@@ -4,7 +4,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 
-import org.gooseberryring.coordination.retry.BrokenAttempt;
+import org.gooseberryring.coordination.crash.BrokenAttempt;
 import org.gooseberryring.host.log.LogLine;
 import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.EndpointRegistration;
@@ -16,7 +16,7 @@
 
     private final DeploymentView view;
     private final Health health;
-    private final BiConsumer<String, BrokenAttempt> onCrash;
+    private final BiConsumer<EndpointProcess, BrokenAttempt> onCrash;
     private final Predicate<EndpointProcess> isBackingOff;
 
     /** Checks whether a process of an endpoint is alive; the future fails if its address does not respond. */
@@ -28,13 +28,13 @@
     /**
      * Creates a probe.
      *
-     * @param onCrash called with a crashed endpoint and the attempt that it was running
+     * @param onCrash called with a crashed process of an endpoint and the attempt that it was running
      * @param isBackingOff tests whether an endpoint has asked this host to send no requests at present
      */
     CrashProbe(
             DeploymentView view,
             Health health,
-            BiConsumer<String, BrokenAttempt> onCrash,
+            BiConsumer<EndpointProcess, BrokenAttempt> onCrash,
             Predicate<EndpointProcess> isBackingOff) {
         this.isBackingOff = isBackingOff;
         this.view = view;
@@ -46,7 +46,8 @@
     void probe(String endpoint, BrokenAttempt attempt) {
         EndpointRegistration registration = view.registration(endpoint);
         if (registration == null) {
-            onCrash.accept(endpoint, attempt);
+            // An endpoint that has left the registry may have ended as planned.
+            onCrash.accept(new EndpointProcess(endpoint, 0), attempt.withoutParts());
             return;
         }
         if (isBackingOff.test(registration.process())) {
@@ -59,13 +60,14 @@
                     .with("endpoint", endpoint)
                     .with("crashed", crashed)
                     .with("requestId", attempt.requestId())
-                    .with("parts", PartNames.of(attempt.sharedParts()))
+                    .with("parts", PartNames.of(attempt.parts()))
                     .with("runMs", attempt.runMillis())
                     .with("responseMs", attempt.responseMillis())
                     .with("reason", failure == null ? null : failure.getMessage())
                     .info(LOG);
             if (crashed) {
-                onCrash.accept(endpoint, attempt);
+                boolean mayHaveLeft = view.registration(endpoint) == null || registration.leaving();
+                onCrash.accept(registration.process(), mayHaveLeft ? attempt.withoutParts() : attempt);
             }
         });
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryGate.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryGate.java
@@ -6,11 +6,11 @@
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 
+import org.gooseberryring.coordination.crash.BrokenAttempt;
 import org.gooseberryring.coordination.ratelimit.RateLimit;
 import org.gooseberryring.coordination.request.AttemptOutcome;
 import org.gooseberryring.coordination.request.RequestSpec;
 import org.gooseberryring.coordination.request.RequestTarget;
-import org.gooseberryring.coordination.retry.BrokenAttempt;
 import org.gooseberryring.host.engine.AttemptGate;
 import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.transport.endpoint.EndpointSignals;
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -242,14 +242,16 @@
         CrashProbe probe = new CrashProbe(
                 view,
                 (endpoint, path) -> isAlive(orders, endpoint, path),
-                (endpoint, attempt) -> requests().onEndpointCrashed(endpoint, attempt.digest()),
+                (process, attempt) -> requests().onEndpointCrashed(process, attempt),
                 process -> signalHandler.isBackingOff(process, clock.now()));
         CallerEffects effects = new CallerEffects(
                 open,
                 view::endpoint,
                 new EndpointClient(worker, ENDPOINT_LIMITS, deployment.endpointProtocol()),
                 metrics,
-                new EntryRemoteEffects(quarantine -> exchange().spreadQuarantine(quarantine)),
+                new EntryRemoteEffects(
+                        quarantine -> exchange().spreadQuarantine(quarantine),
+                        event -> exchange().spreadPartEvent(event)),
                 null,
                 new EntryGate(
                         (endpoint, target) -> requests().onMissingArtifact(endpoint, target),
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRemoteEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRemoteEffects.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 
+import org.gooseberryring.coordination.crash.PartEvent;
 import org.gooseberryring.coordination.request.RequestEffect;
 import org.gooseberryring.host.caller.OpenRequest;
 import org.gooseberryring.host.caller.RemoteEffects;
@@ -15,10 +16,17 @@
     private static final String NO_KEYS = "Requests of an entry host have no idempotency key";
 
     private final Consumer<RequestEffect.SpreadQuarantine> quarantineNotifier;
-
-    /** Creates the effects; {@code quarantineNotifier} notifies the other hosts of a request that crashes endpoints. */
-    EntryRemoteEffects(Consumer<RequestEffect.SpreadQuarantine> quarantineNotifier) {
+    private final Consumer<PartEvent> partNotifier;
+
+    /**
+     * Creates the effects.
+     *
+     * @param quarantineNotifier notifies the other hosts of a request that crashes endpoints
+     * @param partNotifier notifies the other hosts of an observation about prompt parts
+     */
+    EntryRemoteEffects(Consumer<RequestEffect.SpreadQuarantine> quarantineNotifier, Consumer<PartEvent> partNotifier) {
         this.quarantineNotifier = quarantineNotifier;
+        this.partNotifier = partNotifier;
     }
 
     @Override
@@ -41,6 +49,11 @@
         quarantineNotifier.accept(quarantine);
     }
 
+    @Override
+    public void spreadPartEvent(PartEvent event) {
+        partNotifier.accept(event);
+    }
+
     @Override
     public void cancelAtEngine(String address, String requestId) {
         // Closing the connection cancels the request.
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
@@ -8,6 +8,10 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
+import org.gooseberryring.coordination.crash.BrokenAttempt;
+import org.gooseberryring.coordination.crash.CrashingParts;
+import org.gooseberryring.coordination.crash.PartEvent;
+import org.gooseberryring.coordination.crash.PartVerdict;
 import org.gooseberryring.coordination.direct.DirectRouter;
 import org.gooseberryring.coordination.direct.EndpointUse;
 import org.gooseberryring.coordination.direct.FleetShare;
@@ -49,6 +53,7 @@
     private final DirectRouter router;
     private final SharedLimits limits;
     private final RouteRetries retries;
+    private final CrashingParts parts;
     private final RequestLoop loop;
     private final HostChangeQueue hostChanges = new HostChangeQueue();
 
@@ -66,12 +71,14 @@
         router = new DirectRouter(settings.failureDomain(), permitted);
         limits = new SharedLimits(settings.limitWindowMillis());
         retries = new RouteRetries(settings.retries());
+        parts = new CrashingParts(settings.hostId());
         RequestEngine engine = new RequestEngine(
                 limits,
                 new FairRequestQueue(QueueSettings.defaults()),
                 router,
                 retries,
                 new CrashSuspects(QUARANTINE_LOSSES),
+                parts,
                 MAX_RUN_MILLIS);
         loop = new RequestLoop(RING_SIZE, engine, new AfterInputs(limits, router, permitted, listener), effects, clock);
         effects.connect(loop);
@@ -180,9 +187,24 @@
         });
     }
 
-    /** Records that an endpoint crashed while it was running a request. */
-    void onEndpointCrashed(String endpoint, String digest) {
-        loop.put((engine, now) -> engine.endpointCrashed(digest, endpoint, now));
+    /** Records that a process of an endpoint crashed while it was running a request. */
+    void onEndpointCrashed(EndpointProcess process, BrokenAttempt attempt) {
+        loop.put((engine, now) -> engine.endpointCrashed(process, attempt, now));
+    }
+
+    /** Applies the observations and verdicts of another host on prompt parts. */
+    void onPartsReported(String reporter, List<PartEvent> events, List<PartVerdict> verdicts) {
+        loop.put((engine, now) -> {
+            for (PartEvent event : events) {
+                if (event instanceof PartEvent.Crashed crashed) {
+                    parts.onCrashReported(crashed.process(), crashed.parts(), now);
+                } else if (event instanceof PartEvent.Answered answered) {
+                    parts.onAnswerReported(answered.part(), answered.ageMillis(), now);
+                }
+            }
+            verdicts.forEach(verdict -> parts.onVerdictReported(reporter, verdict, now));
+            return engine.changed(now);
+        });
     }
 
     /** Updates how many endpoints a request has crashed, as counted by another host. */
@@ -229,8 +251,8 @@
     /** Passes a snapshot of the state of the request thread to the receiver, on that thread. */
     void snapshot(Consumer<HostSnapshot> receiver) {
         loop.offer((engine, now) -> {
-            receiver.accept(
-                    new HostSnapshot(router.uses(now), router.takePlacements(), limits.used(), router.demands(now)));
+            receiver.accept(new HostSnapshot(
+                    router.uses(now), router.takePlacements(), limits.used(), router.demands(now), parts.verdicts()));
             return List.of();
         });
     }
@@ -251,6 +273,9 @@
         batch.gone().forEach(router::onHostRemoved);
         batch.gone().forEach(limits::removeHost);
         batch.ages().forEach((host, age) -> limits.recordUpdateAge(host, age, now));
+        if (!batch.ages().isEmpty()) {
+            parts.setHostAges(batch.ages());
+        }
         return batch.changes().isEmpty() ? List.of() : engine.changed(now);
     }
 
@@ -261,12 +286,14 @@
      * @param placements prompt parts that endpoints have processed since the last snapshot
      * @param usedTokens tokens admitted since the start of the process, by organisation
      * @param artifacts demand by model and adapter
+     * @param verdicts verdicts on prompt parts
      */
     record HostSnapshot(
             Map<String, EndpointUse> uses,
             List<PromptPlacement> placements,
             Map<String, Long> usedTokens,
-            Map<RequestTarget.RoutedTarget, ArtifactUse> artifacts) {}
+            Map<RequestTarget.RoutedTarget, ArtifactUse> artifacts,
+            List<PartVerdict> verdicts) {}
 
     private record AfterInputs(
             SharedLimits limits, DirectRouter router, PermittedChoice permitted, RequestListener listener)
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/LocalState.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/LocalState.java
@@ -56,6 +56,11 @@
         snapshot.artifacts()
                 .forEach((target, use) ->
                         addOrReuse(usage, next, key(target), rounded(use), value -> PeerCodec.artifact(target, value)));
+        snapshot.verdicts().forEach(verdict -> {
+            StateKey key =
+                    StateKey.verdict(verdict.part().service(), verdict.part().id());
+            addOrReuse(usage, next, key, verdict, PartCodec::encode);
+        });
         usage = next;
         snapshot.placements().forEach(placement -> notices.add(PeerCodec.parts(placement)));
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PartNames.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PartNames.java
@@ -3,12 +3,14 @@
 import java.util.Collection;
 import java.util.stream.Collectors;
 
+import org.gooseberryring.coordination.crash.PromptPart;
+
 /** Formats prompt parts for the log. */
 final class PartNames {
     private PartNames() {}
 
     /** Returns the identifiers of parts in hexadecimal, as callers write them, separated by commas. */
-    static String of(Collection<Long> parts) {
-        return parts.stream().map(Long::toHexString).collect(Collectors.joining(","));
+    static String of(Collection<PromptPart> parts) {
+        return parts.stream().map(part -> Long.toHexString(part.id())).collect(Collectors.joining(","));
     }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -8,6 +8,8 @@
 import java.util.function.IntSupplier;
 
 import com.google.protobuf.ByteString;
+import org.gooseberryring.coordination.crash.PartEvent;
+import org.gooseberryring.coordination.crash.PartVerdict;
 import org.gooseberryring.coordination.direct.FleetShare;
 import org.gooseberryring.coordination.exchange.ExchangeEffect;
 import org.gooseberryring.coordination.exchange.ExchangeMember;
@@ -270,6 +272,16 @@
         control.put(now -> localState.addNotice(PeerCodec.quarantined(quarantine)));
     }
 
+    /** Logs an observation about prompt parts and notifies the other hosts; may be called on any thread. */
+    void spreadPartEvent(PartEvent event) {
+        PartLog.log(event);
+        if (event instanceof PartEvent.Crashed crashed) {
+            control.put(now -> localState.addNotice(PartCodec.encode(crashed)));
+        } else if (event instanceof PartEvent.Answered answered) {
+            control.put(now -> localState.addNotice(PartCodec.encode(answered)));
+        }
+    }
+
     /** Requests artifacts that requests of this host wait for from the controllers; may be called on any thread. */
     void requestArtifacts(List<RequestTarget.RoutedTarget> targets) {
         control.offer(now -> artifactRequests.request(targets, now));
@@ -397,6 +409,11 @@
         reader.heldEndpoints()
                 .forEach(held -> reportedEndpoints.onReport(update.failureDomain(), update.host(), held, now));
         String reporter = update.host() + "/" + update.incarnation();
+        List<PartEvent> partEvents = reader.partEvents();
+        List<PartVerdict> verdicts = reader.verdicts();
+        if (!partEvents.isEmpty() || !verdicts.isEmpty()) {
+            requests.onPartsReported(update.host(), partEvents, verdicts);
+        }
         reader.quarantined()
                 .forEach(digest ->
                         requests.onQuarantineReported(reporter, digest.getDigest(), digest.getEndpointLosses()));
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StateKey.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StateKey.java
@@ -1,6 +1,7 @@
 package org.gooseberryring.host.entry;
 
 import org.gooseberryring.protocol.peer.ArtifactDemand;
+import org.gooseberryring.protocol.peer.PartVerdict;
 import org.gooseberryring.protocol.peer.StateEntry;
 
 /**
@@ -11,6 +12,7 @@
  */
 record StateKey(StateEntry.ValueCase kind, String name) {
     private static final char SEPARATOR = '/';
+    private static final int HEX_RADIX = 16;
 
     /** Returns the key of the usage of an endpoint by the requests of a host. */
     static StateKey endpoint(String endpoint) {
@@ -47,6 +49,11 @@
         return new StateKey(StateEntry.ValueCase.RATE_LIMIT, endpoint);
     }
 
+    /** Returns the key of the verdict on a prompt part. */
+    static StateKey verdict(String service, long part) {
+        return new StateKey(StateEntry.ValueCase.VERDICT, service + SEPARATOR + Long.toHexString(part));
+    }
+
     /** Returns the key of the configuration that a host has in force. */
     static StateKey configuration() {
         return new StateKey(StateEntry.ValueCase.CONFIGURATION, "");
@@ -63,6 +70,8 @@
             case POSITION -> position(entry.getPosition().getCollection());
             case LEAVING -> leaving(entry.getLeaving().getEndpoint());
             case RATE_LIMIT -> rateLimit(entry.getRateLimit().getEndpoint());
+            case VERDICT ->
+                verdict(entry.getVerdict().getService(), entry.getVerdict().getPart());
             case CONFIGURATION -> configuration();
             default -> new StateKey(entry.getValueCase(), "");
         };
@@ -79,12 +88,21 @@
             case POSITION -> entry.getPositionBuilder().setCollection(name);
             case LEAVING -> entry.getLeavingBuilder().setEndpoint(name);
             case RATE_LIMIT -> entry.getRateLimitBuilder().setEndpoint(name);
+            case VERDICT -> entry.setVerdict(verdict(name));
             case CONFIGURATION -> entry.getConfigurationBuilder();
             default -> throw new IllegalStateException("Entries of kind " + kind + " have no key");
         }
         return entry.build();
     }
 
+    private static PartVerdict verdict(String name) {
+        int last = name.lastIndexOf(SEPARATOR);
+        return PartVerdict.newBuilder()
+                .setService(name.substring(0, last))
+                .setPart(Long.parseUnsignedLong(name.substring(last + 1), HEX_RADIX))
+                .build();
+    }
+
     private static ArtifactDemand demand(String name) {
         int first = name.indexOf(SEPARATOR);
         int last = name.lastIndexOf(SEPARATOR);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StateReader.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StateReader.java
@@ -1,10 +1,13 @@
 package org.gooseberryring.host.entry;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 
+import org.gooseberryring.coordination.crash.PartEvent;
+import org.gooseberryring.coordination.crash.PartVerdict;
 import org.gooseberryring.coordination.direct.EndpointUse;
 import org.gooseberryring.coordination.direct.PromptPlacement;
 import org.gooseberryring.coordination.exchange.RecordUpdate;
@@ -85,6 +88,27 @@
                 .toList();
     }
 
+    /** Returns the observations of the host on prompt parts. */
+    List<PartEvent> partEvents() {
+        List<PartEvent> events = new ArrayList<>();
+        for (StateEntry notice : update.notices()) {
+            if (notice.hasCrashed()) {
+                events.add(PartCodec.decode(notice.getCrashed()));
+            } else if (notice.hasAnswered()) {
+                events.add(PartCodec.decode(notice.getAnswered()));
+            }
+        }
+        return events;
+    }
+
+    /** Returns the verdicts of the host on prompt parts that have changed. */
+    List<PartVerdict> verdicts() {
+        return update.entries().values().stream()
+                .filter(StateEntry::hasVerdict)
+                .map(entry -> PartCodec.decode(entry.getVerdict()))
+                .toList();
+    }
+
     private List<PromptPlacement> placements() {
         return update.notices().stream()
                 .filter(StateEntry::hasParts)
