Abort streams that end inside an event also where none may continue them

What callers saw: a stream that its endpoint broke off inside an event ended as a complete one, on routes whose streams may not be continued. Cause: whether an event is open was known only for streams that another endpoint may continue, which are passed on event by event; the others are passed on as they come. Their events are counted for the size limit, so the open event is known there too. EventCursor#hasPartialEvent is gone; its test asks for the open bytes instead.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventCursor.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventCursor.java
@@ -36,12 +36,7 @@
         boundary.reset();
     }
 
-    /** Returns whether the stream is in the middle of an event. */
-    public boolean hasPartialEvent() {
-        return partial.size() > 0;
-    }
-
-    /** Returns the isNumber of buffered bytes of the incomplete event. */
+    /** Returns the number of buffered bytes of the incomplete event. */
     long pendingBytes() {
         return partial.size();
     }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseCopier.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseCopier.java
@@ -214,7 +214,7 @@
                 declaredLength,
                 headers().contains(Headers.TRANSFER_ENCODING),
                 tail.endsWithFinalEvent(),
-                events != null && events.hasPartialEvent());
+                pendingEventBytes() > 0);
         return protocol.isComplete(call, exchange.getResponse().getResponseCode(), headers(), end);
     }
 
--- a/gooseberryring-transport/src/test/java/org/gooseberryring/transport/endpoint/EventCursorTest.java
+++ b/gooseberryring-transport/src/test/java/org/gooseberryring/transport/endpoint/EventCursorTest.java
@@ -15,11 +15,11 @@
     @Test
     void passesOnOnlyCompleteEvents() {
         assertThat(consume("id: 1\ndata: a\n\nid: 2\nda")).isEqualTo("id: 1\ndata: a\n\n");
-        assertThat(cursor.hasPartialEvent()).isTrue();
+        assertThat(cursor.pendingBytes()).isAtLeast(1L);
         assertThat(cursor.lastEventId()).isEqualTo("1");
         cursor.discardPartialEvent();
         assertThat(consume("id: 2\ndata: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
-        assertThat(cursor.hasPartialEvent()).isFalse();
+        assertThat(cursor.pendingBytes()).isEqualTo(0L);
     }
 
     /** Guards against duplicate events when another endpoint resumes at an earlier event. */
