Log the software version of endpoints and the take-up of streams

The version of an entry is read and logged with its registration, and a line says which request a caller resumes and after which event. Nothing decides by them yet.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/DeploymentFeeds.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/DeploymentFeeds.java
@@ -301,6 +301,7 @@
                     .with("leaving", current.leaving())
                     .with("coldMs", value.coldMillis())
                     .with("models", value.models().size())
+                    .with("version", value.softwareVersion())
                     .info(LOG);
         }
 
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
@@ -137,6 +137,7 @@
         receiver.receiveFullBytes(
                 (e, body) -> {
                     timer.remove();
+                    logResumption(arrival.head());
                     OpenRequest request = factory.create(e, arrival, admitted, body);
                     intake.accept(e, request, requests);
                 },
@@ -183,6 +184,16 @@
         protocol.responseFormat().refusals().write(exchange, id, refusal);
     }
 
+    private static void logResumption(RequestHead head) {
+        if (head.lastEventId().isPresent()) {
+            LogLine.event("stream-resumed")
+                    .with("requestId", head.requestId())
+                    .with("resumes", head.resumedRequest())
+                    .with("lastEventId", head.lastEventId().getAsLong())
+                    .info(LOG);
+        }
+    }
+
     private void logEnd(HttpServerExchange exchange, Arrival arrival, Admitted admitted) {
         long millis = clock.getAsLong() - arrival.at();
         metrics.timer(DURATION).update(millis, TimeUnit.MILLISECONDS);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RequestHead.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RequestHead.java
@@ -16,6 +16,7 @@
  * @param prompt parts and size of the prompt
  * @param sizeTokens tokens that the request counts for, if specified
  * @param lastEventId event after which the caller resumes a stream, if specified
+ * @param resumedRequest identifier of the request that brought the first event of that stream, null if not specified
  */
 public record RequestHead(
         String requestId,
@@ -26,4 +27,5 @@
         String adapter,
         PromptShape prompt,
         OptionalLong sizeTokens,
-        OptionalLong lastEventId) {}
+        OptionalLong lastEventId,
+        String resumedRequest) {}
--- a/gooseberryring-state/src/main/java/org/gooseberryring/state/EndpointRegistration.java
+++ b/gooseberryring-state/src/main/java/org/gooseberryring/state/EndpointRegistration.java
@@ -14,6 +14,7 @@
  * @param coldMillis duration of its cold phase from the registration, in milliseconds
  * @param bornMillis start time of the process in milliseconds since the Unix epoch, 0 if unknown
  * @param models models that it has loaded
+ * @param softwareVersion version of the software of the process, empty if unknown
  */
 public record EndpointRegistration(
         String id,
@@ -24,11 +25,26 @@
         boolean leaving,
         long coldMillis,
         long bornMillis,
-        List<ResidentModel> models) {
+        List<ResidentModel> models,
+        String softwareVersion) {
     public EndpointRegistration {
         models = List.copyOf(models);
     }
 
+    /** Creates the registration of an endpoint whose software version is unknown. */
+    public EndpointRegistration(
+            String id,
+            String service,
+            String address,
+            String failureDomain,
+            int slots,
+            boolean leaving,
+            long coldMillis,
+            long bornMillis,
+            List<ResidentModel> models) {
+        this(id, service, address, failureDomain, slots, leaving, coldMillis, bornMillis, models, "");
+    }
+
     /** Returns the process that registered. */
     public EndpointProcess process() {
         return new EndpointProcess(id, bornMillis);
@@ -37,6 +53,6 @@
     /** Returns a copy of this registration that is marked as draining. */
     public EndpointRegistration asLeaving() {
         return new EndpointRegistration(
-                id, service, address, failureDomain, slots, true, coldMillis, bornMillis, models);
+                id, service, address, failureDomain, slots, true, coldMillis, bornMillis, models, softwareVersion);
     }
 }
