--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -165,6 +165,11 @@
         return !stopping && view.isComplete();
     }
 
+    /** Returns the number of registered endpoints that the host knows. */
+    public int endpointCount() {
+        return view.endpointCount();
+    }
+
     /** Applies the settings that may change while the host runs: the shutdown time and the retry allowance of services. */
     public void reconfigure(EntrySettings changed) {
         requests.setRetryAllowance(changed.retries());
