Keep the verdicts on prompt parts for hosts that are all killed at once

What callers saw: after all hosts were killed, a part that had been rejected crashed endpoints again until the hosts had found it anew. Cause: verdicts were in memory only, and what must last lives in the platform's store. Evidence: the property requestsAreStoppedAfterAllHostsWereKilled failed without the change, 4 requests after the bound of 3 (third try). Cost: one read for each start of a host, one write for each verdict.

--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/crash/CrashingPartsTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/crash/CrashingPartsTest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Random;
+import java.util.stream.IntStream;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -20,6 +21,7 @@
     private static final int FAULTS = 5;
     private static final int LOSSES = 8;
     private static final long SOUND_MILLIS = 10_000;
+    private static final long STORE_RETRY_MILLIS = 1_000;
     private static final long CRASHING_MILLIS = 25_000;
 
     /** Guards against requests that differ except for one part of their prompts, which crash endpoint after endpoint. */
@@ -83,6 +85,26 @@
         checkStopped(world);
     }
 
+    /** Guards against further crashes because all hosts were killed at once and none of them knows the part any more. */
+    @Property(tries = 40, seed = "3604", shrinking = ShrinkingMode.OFF)
+    void requestsAreStoppedAfterAllHostsWereKilled(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 1, max = 10) int crashingPercent,
+            @ForAll boolean storeIsDownBefore) {
+        PartWorld world = new PartWorld(
+                new PartWorld.Settings(HOSTS, 12, 64, 20, crashingPercent / 100.0, 1, PartWorld.Position.LAST), seed);
+        world.run(SOUND_MILLIS);
+        world.setStoreDown(storeIsDownBefore);
+        world.crashFor(2 * CRASHING_MILLIS);
+        world.run(CRASHING_MILLIS);
+        world.setStoreDown(false);
+        world.run(STORE_RETRY_MILLIS);
+        world.restart(IntStream.range(0, HOSTS).boxed().toList());
+        world.run(CRASHING_MILLIS);
+
+        checkStopped(world);
+    }
+
     /** Guards against rejecting sound requests because endpoints crash for another reason, up to a third at a time. */
     @Property(tries = 60, seed = "3603", shrinking = ShrinkingMode.OFF)
     void crashesWithoutACauseCondemnNoPart(
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/crash/PartHost.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/crash/PartHost.java
@@ -19,6 +19,8 @@
 import org.gooseberryring.coordination.retry.CrashSuspects;
 import org.gooseberryring.coordination.retry.RetryAllowance;
 import org.gooseberryring.coordination.retry.RouteRetries;
+import org.gooseberryring.coordination.store.StoreReply;
+import org.gooseberryring.coordination.store.StoreRequest;
 import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.EngineProfile;
@@ -36,6 +38,7 @@
     private final String id;
     private final DirectRouter router;
     private final CrashingParts parts;
+    private final StoredVerdicts stored = new StoredVerdicts("verdicts", new TextVerdictCodec());
     private final RequestEngine engine;
     private final Map<String, RequestSpec> specs = new HashMap<>();
 
@@ -119,6 +122,15 @@
         return engine.changed(now);
     }
 
+    /** Returns the store call that is due, null if none is. */
+    StoreRequest nextStoreCall(boolean isWriter, long now) {
+        return stored.next(parts.verdicts(), isWriter, now);
+    }
+
+    List<RequestEffect> onStoreReply(StoreReply reply, long now) {
+        return onVerdicts("store", stored.onReply(reply, now), now);
+    }
+
     void setHostAges(Map<String, Long> ages) {
         parts.setHostAges(ages);
     }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/crash/PartWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/crash/PartWorld.java
@@ -17,6 +17,8 @@
 import org.gooseberryring.coordination.request.RequestPolicy;
 import org.gooseberryring.coordination.request.RequestSpec;
 import org.gooseberryring.coordination.request.RequestTarget;
+import org.gooseberryring.coordination.store.StoreReply;
+import org.gooseberryring.coordination.store.StoreRequest;
 import org.gooseberryring.state.PriorityClass;
 import org.gooseberryring.state.PromptShape;
 import org.gooseberryring.state.Verdict;
@@ -127,6 +129,7 @@
     private final Map<PartHost, Long> frozenUntil = new HashMap<>();
     private final Map<PartHost, Long> cutUntil = new HashMap<>();
     private final Map<String, Long> troubledUntil = new HashMap<>();
+    private final VerdictStore store = new VerdictStore();
     private boolean soundPartRejected;
     private final PriorityQueue<Event> events = new PriorityQueue<>(
             (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
@@ -175,6 +178,11 @@
         indices.forEach(index -> later(300, () -> exchangeVerdicts(hosts.get(index))));
     }
 
+    /** Makes the store stop or resume responding. */
+    void setStoreDown(boolean down) {
+        store.setDown(down);
+    }
+
     /** Crashes endpoints at the same time without a request as the cause. */
     void loseEndpoints(int count) {
         List<Engine> lost = new ArrayList<>(engines.values());
@@ -216,6 +224,7 @@
             if (now >= nextTick) {
                 nextTick = now + TICK_MILLIS;
                 List.copyOf(hosts).forEach(host -> at(host, 0, () -> host.tick(now)));
+                List.copyOf(hosts).forEach(this::callStore);
             }
         }
     }
@@ -349,6 +358,17 @@
         return cutUntil.getOrDefault(one, 0L) <= now && cutUntil.getOrDefault(other, 0L) <= now;
     }
 
+    /** Makes the store call of a host that is due; the first host writes. */
+    private void callStore(PartHost host) {
+        StoreRequest request = host.nextStoreCall(host == hosts.get(0), now);
+        if (request != null) {
+            later(1 + random.nextInt(20), () -> {
+                StoreReply reply = store.call(request);
+                at(host, 1 + random.nextInt(20), () -> host.onStoreReply(reply, now));
+            });
+        }
+    }
+
     /** Runs an action of a host after a delay, later if the host is frozen, never if it was killed. */
     private void at(PartHost host, long delay, Supplier<List<RequestEffect>> action) {
         long thawsAt = frozenUntil.getOrDefault(host, 0L);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -81,6 +81,7 @@
     private final StoreEpochs epochs = new StoreEpochs();
     private final PermittedCalls calls = new PermittedCalls();
     private final RateLimitControl rateLimits;
+    private final VerdictControl verdicts;
     private final ResidencyControl residency;
     private final DeploymentFeeds feeds;
     private final ScheduledExecutorService timer;
@@ -104,6 +105,7 @@
         requests = requests(deployment, orders);
         exchange = new PeerExchange(settings, incarnation, control, requests, controller, open::count, clock.now());
         mesh = new PeerMesh(settings, incarnation, storeExecutor, control, metrics, exchange, epochs, random.split());
+        verdicts = new VerdictControl(settings.hostId(), storeExecutor, control, requests, exchange, epochs);
         residency = new ResidencyControl(
                 settings,
                 controller,
@@ -239,6 +241,7 @@
         control.onTick(feeds::tick);
         control.onTick(mesh::tick);
         control.onTick(exchange::tick);
+        control.onTick(verdicts::tick);
         control.onTick(residency::tick);
         control.onTick(rateLimits::tick);
     }
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/JsonVerdictCodec.java
@@ -0,0 +1,54 @@
+package org.gooseberryring.host.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.gooseberryring.coordination.crash.PartVerdict;
+import org.gooseberryring.coordination.crash.PromptPart;
+import org.gooseberryring.coordination.crash.VerdictCodec;
+import org.gooseberryring.protocol.Json;
+
+/** JSON form of verdicts on prompt parts in the store. */
+final class JsonVerdictCodec implements VerdictCodec {
+    private static final int HEX_RADIX = 16;
+    private static final String VERDICTS = "verdicts";
+    private static final String SERVICE = "service";
+    private static final String PART = "part";
+    private static final String GENERATION = "generation";
+    private static final String ENDED = "ended";
+    private static final String CONFIDENCE = "confidence";
+
+    @Override
+    public byte[] encode(List<PartVerdict> verdicts) {
+        ObjectNode document = Json.mapper().createObjectNode();
+        ArrayNode list = document.putArray(VERDICTS);
+        for (PartVerdict verdict : verdicts) {
+            list.addObject()
+                    .put(SERVICE, verdict.part().service())
+                    .put(PART, Long.toHexString(verdict.part().id()))
+                    .put(GENERATION, verdict.generation())
+                    .put(ENDED, verdict.ended())
+                    .put(CONFIDENCE, verdict.confidence());
+        }
+        return Json.write(document);
+    }
+
+    @Override
+    public List<PartVerdict> decode(byte[] content) {
+        List<PartVerdict> verdicts = new ArrayList<>();
+        for (JsonNode each : Json.readTree(content).path(VERDICTS)) {
+            String part = each.path(PART).asText();
+            if (part.matches("[0-9a-f]{1,16}") && each.path(SERVICE).isTextual()) {
+                verdicts.add(new PartVerdict(
+                        new PromptPart(each.path(SERVICE).textValue(), Long.parseUnsignedLong(part, HEX_RADIX)),
+                        Math.max(1, each.path(GENERATION).asInt()),
+                        each.path(ENDED).asBoolean(),
+                        Math.max(0, each.path(CONFIDENCE).asInt())));
+            }
+        }
+        return verdicts;
+    }
+}
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -94,6 +94,7 @@
     private long nextAgesAt;
     private long nextSurveyAt;
     private FleetShare share = FleetShare.ALONE;
+    private List<PartVerdict> verdicts = List.of();
 
     /** Creates the exchange of a host; {@code open} gives the number of requests that are open on it. */
     PeerExchange(
@@ -320,6 +321,11 @@
                 PermitCodec.encode(process, limit).setStatedMillis(statedMillis).build());
     }
 
+    /** Returns the verdicts of this host on prompt parts. */
+    List<PartVerdict> verdicts() {
+        return verdicts;
+    }
+
     /** Returns the milliseconds since each other known host was last seen. */
     Map<String, Long> ages(long now) {
         return exchange.ages(now);
@@ -364,6 +370,7 @@
 
     private void publish(EntryRequests.HostSnapshot snapshot, long now) {
         controller.onHostDemand(hostId, snapshot.artifacts(), now);
+        verdicts = snapshot.verdicts();
         localState.updateRequests(snapshot);
         publish(now);
         carryOut(exchange.onTick(now), now);
