Read the store again when it was restored while a verdict was written

The reply to a write that carries the newer epoch was taken for the reply to a read, whose missing content would have ended the control thread's task; found by reading. What is pending is kept apart now, and the write is repeated after a read. The choice of one host among those alive stood in two places and is now in Rendezvous.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/crash/CrashingParts.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/crash/CrashingParts.java
@@ -188,13 +188,6 @@
 
     /** Returns whether this host sends the trials of a part; all hosts that see the same hosts alive choose one. */
     private boolean isTrialHost(PromptPart part) {
-        List<String> live = new ArrayList<>();
-        live.add(host);
-        hostAges.forEach((other, age) -> {
-            if (age <= LIVE_MILLIS) {
-                live.add(other);
-            }
-        });
-        return Rendezvous.top(live, TRIAL_ROLE + part, 1).get(0).equals(host);
+        return Rendezvous.isFirstAlive(host, hostAges, LIVE_MILLIS, TRIAL_ROLE + part);
     }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/crash/StoredVerdicts.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/crash/StoredVerdicts.java
@@ -24,6 +24,7 @@
     private List<PartVerdict> written = List.of();
     private boolean isRead;
     private boolean isCallPending;
+    private boolean isWritePending;
     private long version = StoreRequest.Put.ABSENT;
     private long retryAt = Long.MIN_VALUE;
 
@@ -51,6 +52,7 @@
             return null;
         }
         isCallPending = true;
+        isWritePending = true;
         written = merge(verdicts);
         return new StoreRequest.Put(key, version, codec.encode(written));
     }
@@ -58,7 +60,8 @@
     /** Handles the reply to a call; returns the verdicts that were read. */
     public List<PartVerdict> onReply(StoreReply reply, long now) {
         isCallPending = false;
-        if (isRead) {
+        if (isWritePending) {
+            isWritePending = false;
             onWritten(reply, now);
             return List.of();
         }
@@ -80,11 +83,11 @@
     }
 
     private void onWritten(StoreReply reply, long now) {
-        if (reply.outcome() == StoreOutcome.OK) {
+        if (reply.outcome() == StoreOutcome.OK && isRead) {
             version = reply.version();
             setStored(written);
         } else {
-            // Another host has written, or the outcome is not known.
+            // Another host has written, the outcome is not known, or the store was restored meanwhile.
             isRead = false;
             retryAt = now + RETRY_MILLIS;
         }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/membership/Rendezvous.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/membership/Rendezvous.java
@@ -8,6 +8,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 
 /** Selects hosts or endpoints by rendezvous hashing, so that few selections change when one is added or removed. */
 public final class Rendezvous {
@@ -30,6 +31,26 @@
         return scored.stream().limit(count).map(Scored::candidate).toList();
     }
 
+    /**
+     * Returns whether a host is the one that is selected for a role among the hosts that are alive. Hosts that see the same
+     * hosts alive select the same one.
+     *
+     * @param self the host
+     * @param ages milliseconds since each other host was last seen
+     * @param liveMillis age up to which another host counts as alive
+     * @param role purpose of the selection
+     */
+    public static boolean isFirstAlive(String self, Map<String, Long> ages, long liveMillis, String role) {
+        List<String> live = new ArrayList<>();
+        live.add(self);
+        ages.forEach((host, age) -> {
+            if (age <= liveMillis) {
+                live.add(host);
+            }
+        });
+        return top(live, role, 1).get(0).equals(self);
+    }
+
     private static long score(MessageDigest digest, String candidate, String role) {
         digest.update(role.getBytes(StandardCharsets.UTF_8));
         digest.update((byte) 0);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/RequestPath.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/RequestPath.java
@@ -51,13 +51,15 @@
             LongSupplier clock) {
         Router router = new Router(failureDomain, new Random(seed), credits.source());
         RequestQueue queue = new FairRequestQueue(QueueSettings.defaults());
+        // Requests of the product's own interface name no prompt parts, so nothing is detected.
+        CrashingParts parts = new CrashingParts(failureDomain);
         RequestEngine engine = new RequestEngine(
                 tokenPool,
                 queue,
                 router,
                 new RetryPolicy(new RetryBudget()),
                 new CrashSuspects(),
-                new CrashingParts(failureDomain),
+                parts,
                 limits.maxRunMillis());
         FleetUpdateHandler fleetUpdates = new FleetUpdateHandler(engine, router, queue);
         this.tokenPool = new TokenPoolInputs(tokenPool, messages);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/VerdictControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/VerdictControl.java
@@ -1,6 +1,5 @@
 package org.gooseberryring.host.entry;
 
-import java.util.ArrayList;
 import java.util.List;
 
 import org.gooseberryring.coordination.crash.PartVerdict;
@@ -48,7 +47,9 @@
     /** Makes the store call that is due. */
     void tick(long now) {
         List<PartVerdict> verdicts = exchange.verdicts();
-        StoreRequest request = stored.next(verdicts, !verdicts.isEmpty() && isWriter(now), now);
+        boolean isWriter =
+                !verdicts.isEmpty() && Rendezvous.isFirstAlive(hostId, exchange.ages(now), LIVE_MILLIS, WRITER_ROLE);
+        StoreRequest request = stored.next(verdicts, isWriter, now);
         if (request != null) {
             storeExecutor.submit(
                     request,
@@ -61,16 +62,4 @@
                     }));
         }
     }
-
-    /** Returns whether this host writes; all hosts that see the same hosts alive choose one. */
-    private boolean isWriter(long now) {
-        List<String> live = new ArrayList<>();
-        live.add(hostId);
-        exchange.ages(now).forEach((host, age) -> {
-            if (age <= LIVE_MILLIS) {
-                live.add(host);
-            }
-        });
-        return Rendezvous.top(live, WRITER_ROLE, 1).get(0).equals(hostId);
-    }
 }
