--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/crash/CrashEvents.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/crash/CrashEvents.java
@@ -42,16 +42,16 @@
     static final long SETTLE_MILLIS = 600;
 
     /** Crashes within this time of each other may have a common cause. */
-    private static final long INCIDENT_MILLIS = 500;
+    private static final long SEPARATION_MILLIS = 500;
 
     /** Separate crashes that a part must explain. */
-    private static final int MIN_INCIDENTS = 3;
+    private static final int MIN_SEPARATE = 3;
 
     /** Crashes that a part must explain, or occur in, if they have occurred within a short time. */
     private static final int MIN_CRASHES = 5;
 
     /** Separate crashes that a part must explain if endpoints have answered requests with it before. */
-    private static final int MIN_INCIDENTS_OF_ANSWERED = 5;
+    private static final int MIN_SEPARATE_OF_ANSWERED = 5;
 
     private final LinkedHashMap<EndpointProcess, Crash> crashes = new LinkedHashMap<>();
 
@@ -80,11 +80,11 @@
      *
      * @param part part of prompts
      * @param crashes crashes that it explains
-     * @param incidents crashes without those that closely follow another one
+     * @param separate crashes that do not closely follow another one
      * @param position last position in a prompt
      * @param answeredBefore whether endpoints have answered requests with it before
      */
-    record Explanation(PromptPart part, int crashes, int incidents, int position, boolean answeredBefore) {
+    record Explanation(PromptPart part, int crashes, int separate, int position, boolean answeredBefore) {
         private static final Comparator<Explanation> BEST = Comparator.comparing(
                         (Explanation each) -> !each.answeredBefore())
                 .thenComparing(Explanation::crashes)
@@ -93,9 +93,9 @@
 
         private boolean isSufficient() {
             if (answeredBefore) {
-                return incidents >= MIN_INCIDENTS_OF_ANSWERED;
+                return separate >= MIN_SEPARATE_OF_ANSWERED;
             }
-            return incidents >= MIN_INCIDENTS || crashes >= MIN_CRASHES;
+            return separate >= MIN_SEPARATE || crashes >= MIN_CRASHES;
         }
 
         private boolean isFrequent() {
@@ -104,7 +104,7 @@
 
         /** Returns whether the crashes have occurred one after the other, so that no common cause explains them. */
         boolean isSequence() {
-            return incidents >= MIN_INCIDENTS;
+            return separate >= MIN_SEPARATE;
         }
     }
 
@@ -209,19 +209,19 @@
 
     private static Explanation explanation(
             PromptPart part, List<Crash> explained, Predicate<PromptPart> answeredBefore) {
-        int incidents = 0;
+        int separate = 0;
         int position = 0;
-        long lastIncident = Long.MIN_VALUE / 2;
+        long lastSeparate = Long.MIN_VALUE / 2;
         for (Crash crash : explained) {
             for (List<PromptPart> prompt : crash.prompts()) {
                 position = Math.max(position, prompt.indexOf(part));
             }
-            if (crash.at() - lastIncident >= INCIDENT_MILLIS) {
-                incidents++;
-                lastIncident = crash.at();
+            if (crash.at() - lastSeparate >= SEPARATION_MILLIS) {
+                separate++;
+                lastSeparate = crash.at();
             }
         }
-        return new Explanation(part, explained.size(), incidents, position, answeredBefore.test(part));
+        return new Explanation(part, explained.size(), separate, position, answeredBefore.test(part));
     }
 
     private void removeOldest() {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/CrashGuard.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/CrashGuard.java
@@ -77,8 +77,8 @@
         }
     }
 
-    /** Handles a running response; {@code state} is the request, which is running. */
-    void onRunning(RequestState state, long now) {
+    /** Records that the endpoint has answered a running request if its response has run for long enough. */
+    void recordIfAnswered(RequestState state, long now) {
         if (state.takeAnswered(CrashingParts.ANSWERED_MILLIS, now)) {
             parts.onAnswered(state.spec(), now);
         }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -411,7 +411,7 @@
                 !state.hasResponseStarted() && now >= state.spec().handling().startBy();
         boolean isOverdue = startOverdue || now >= state.spec().deadline();
         if (state.step() == RequestState.Step.RUNNING) {
-            crashes.onRunning(state, now);
+            crashes.recordIfAnswered(state, now);
             boolean isAbortable =
                     !state.hasResponseStarted() || state.spec().handling().endsAtDeadline();
             if (isOverdue && !state.isCompleted() && isAbortable) {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestState.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestState.java
@@ -185,7 +185,7 @@
         return anyResponseStarted;
     }
 
-    /** Returns, once for each attempt, that its response has run for the given time. */
+    /** Returns whether the response of the attempt has run for the given time, true only once for each attempt. */
     boolean takeAnswered(long answeredMillis, long now) {
         boolean isNew = responseStarted && !answeredRecorded && now - responseStartedAt >= answeredMillis;
         answeredRecorded |= isNew;
