Send the trial of a rejected part again if it has not run

Cause: the trial before the kill had ended without result. It chose an endpoint that had just crashed, could not connect, and was then rejected, because any failed attempt ended a trial. The verdict stayed doubtful for 10 s, and hosts that start with a doubtful verdict send a trial after 2 s.

An attempt that certainly has not run now leaves the trial open, so that it is sent to another endpoint; if the request ends without having run, the next request with the part is the trial. Both tests are new; the one with the engine failed before (no second attempt).

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/crash/CrashingParts.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/crash/CrashingParts.java
@@ -135,13 +135,20 @@
         }
     }
 
-    /** Handles a failed attempt; a trial is sent once only. */
+    /** Handles a failed attempt that may have run; a trial runs once only. */
     public void onAttemptFailed(RequestSpec spec) {
         if (!verdicts.isEmpty()) {
             rejectedParts(spec).forEach(part -> verdicts.endTrial(part, spec.id()));
         }
     }
 
+    /** Handles the end of a request that no endpoint has run; if it was a trial, the next request is one. */
+    public void onNotRun(RequestSpec spec, long now) {
+        if (!verdicts.isEmpty()) {
+            rejectedParts(spec).forEach(part -> verdicts.repeatTrial(part, spec.id(), now));
+        }
+    }
+
     /** Returns whether a request has a rejected part and is not the trial of that part. */
     public boolean isRejected(RequestSpec spec) {
         return !verdicts.isEmpty() && rejectedParts(spec).stream().anyMatch(part -> !verdicts.isTrial(part, spec.id()));
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/crash/PartVerdicts.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/crash/PartVerdicts.java
@@ -113,6 +113,15 @@
         }
     }
 
+    /** Makes the next trial of a part due if the given request is its trial and has not run. */
+    void repeatTrial(PromptPart part, String requestId, long now) {
+        if (isTrial(part, requestId)) {
+            Entry entry = entries.get(part);
+            entry.isTrialOpen = false;
+            entry.nextTrialAt = now;
+        }
+    }
+
     /** Returns whether a request may be sent as the trial of a part. */
     boolean isTrial(PromptPart part, String requestId) {
         return wasTrial(part, requestId) && entries.get(part).isTrialOpen;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/CrashGuard.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/CrashGuard.java
@@ -72,11 +72,18 @@
     void onAttemptEnded(RequestSpec spec, AttemptOutcome outcome, long now) {
         if (outcome.isAnswered()) {
             parts.onAnswered(spec, now);
-        } else if (outcome.verdict() != Verdict.COMPLETED) {
+        } else if (outcome.verdict() == Verdict.MAY_HAVE_RUN) {
             parts.onAttemptFailed(spec);
         }
     }
 
+    /** Records the end of a request, with the verdict over all its attempts. */
+    void onEnded(RequestSpec spec, Verdict verdict, long now) {
+        if (verdict == Verdict.NOT_RUN) {
+            parts.onNotRun(spec, now);
+        }
+    }
+
     /** Records that the endpoint has answered a running request if its response has run for long enough. */
     void recordIfAnswered(RequestState state, long now) {
         if (state.takeAnswered(CrashingParts.ANSWERED_MILLIS, now)) {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -468,6 +468,7 @@
     private void end(RequestState state, Verdict verdict, long now) {
         requests.remove(state.id());
         router.onRequestEnded(state.id());
+        crashes.onEnded(state.spec(), verdict, now);
         if (state.step() == RequestState.Step.QUEUE) {
             queue.remove(state.spec());
         }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/crash/PartTrialTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/crash/PartTrialTest.java
@@ -63,6 +63,18 @@
         assertThat(trials).isAtLeast(2);
     }
 
+    /** Guards against a wrong verdict that lasts longer because its trial found no endpoint. */
+    @Test
+    void trialThatDidNotRunIsFollowedByAnother() {
+        crashAtOnce(PART);
+        RequestSpec trial = arrive(PART, SETTLED + 2_500);
+
+        parts.onNotRun(trial, SETTLED + 2_600);
+
+        assertThat(isRejected(PART, SETTLED + 2_700)).isFalse();
+        assertThat(isRejected(PART, SETTLED + 2_800)).isTrue();
+    }
+
     /** Guards against a trial whose result does not tell which of two parts crashed the endpoint. */
     @Test
     void requestWithTwoRejectedPartsIsNoTrial() {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
@@ -8,6 +8,8 @@
 
 import org.gooseberryring.coordination.crash.BrokenAttempt;
 import org.gooseberryring.coordination.crash.CrashingParts;
+import org.gooseberryring.coordination.crash.PartVerdict;
+import org.gooseberryring.coordination.crash.PromptPart;
 import org.gooseberryring.coordination.direct.DirectRouter;
 import org.gooseberryring.coordination.direct.PermittedChoice;
 import org.gooseberryring.coordination.limit.SharedLimits;
@@ -33,6 +35,10 @@
 class EntryEngineTest {
     private static final RequestTarget TARGET = new RequestTarget.RoutedTarget("s", null, null);
 
+    private static final PromptShape CRASHING_PROMPT =
+            new PromptShape(List.of(new PromptShape.Part(7, 10), new PromptShape.Part(8, 10)), 20, 1);
+
+    private final CrashingParts parts = new CrashingParts("h");
     private final DirectRouter router = new DirectRouter("a", new PermittedChoice(new Random(1)));
     private final RequestEngine engine = new RequestEngine(
             new SharedLimits(8_000),
@@ -40,7 +46,7 @@
             router,
             new RouteRetries(new RetryAllowance(10_000, 0.2, 54)),
             new CrashSuspects(3),
-            new CrashingParts("h"),
+            parts,
             600_000);
 
     EntryEngineTest() {
@@ -127,6 +133,27 @@
         assertThat(refused.verdict()).isEqualTo(Verdict.NOT_RUN);
     }
 
+    /** Guards against a trial request that is rejected because the first endpoint chosen for it has just gone. */
+    @Test
+    void trialThatDidNotReachAnEndpointIsSentToAnother() {
+        register("e1", 4);
+        register("e2", 4);
+        PartVerdict doubtful = new PartVerdict(new PromptPart("s", 7), 1, false, 0);
+        parts.onVerdictReported("other", doubtful, 0);
+        RequestPolicy handling =
+                new RequestPolicy("s", 2, true, false, true, true, 1, 9_000, Long.MAX_VALUE, CRASHING_PROMPT);
+        RequestSpec trial =
+                new RequestSpec("q", null, TARGET, PriorityClass.NORMAL, 0, 0, "d", false, null, 12_000, handling);
+        assertThat(engine.arrived(trial, 3_000).stream().filter(RequestEffect.Dispatch.class::isInstance))
+                .hasSize(1);
+
+        AttemptOutcome notConnected = new AttemptOutcome(Verdict.NOT_RUN, 0, 0, false, true, -1, false, 1);
+
+        assertThat(engine.attemptEnded("q", 1, notConnected, 3_010).stream()
+                        .filter(RequestEffect.Dispatch.class::isInstance))
+                .hasSize(1);
+    }
+
     /** Guards against a response that continues past the deadline of its route. */
     @Test
     void abortsResponseAtItsDeadline() {
