--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
@@ -92,6 +92,11 @@
         }
     }
 
+    /** Returns whether this endpoint has a software version, or any if the version is null. */
+    boolean hasSoftwareVersion(String version) {
+        return version == null || version.equals(registration.softwareVersion());
+    }
+
     /** Applies the list of loaded models that the controller reported. */
     void onControllerReport(List<ResidentModel> models, long now) {
         controllerSeenAt = now;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -61,7 +61,7 @@
 
     private final String failureDomain;
     private final Map<String, DirectEndpoint> endpoints = new LinkedHashMap<>();
-    private final Map<String, List<DirectEndpoint>> byService = new HashMap<>();
+    private final EndpointIndex index = new EndpointIndex();
     private final Map<String, ReadRate> readRates = new HashMap<>();
     private final TargetDemand demand = new TargetDemand();
     private final UnregisteredEndpoints unregistered = new UnregisteredEndpoints();
@@ -106,7 +106,7 @@
         } else {
             endpoint.onRegistered(registration, now);
         }
-        index();
+        index.set(endpoints.values());
     }
 
     /** Removes an endpoint permanently; its state is kept until its last request has ended. */
@@ -115,7 +115,7 @@
         if (known != null) {
             known.onRemoved();
             removeIfIdle(known);
-            index();
+            index.set(endpoints.values());
         }
     }
 
@@ -254,12 +254,11 @@
             return RouteChoice.UNREACHABLE;
         }
         List<DirectEndpoint> inService = inService(target.service());
-        List<DirectEndpoint> holders = new ArrayList<>();
-        for (DirectEndpoint endpoint : inService) {
-            if (endpoint.hasLoaded(target)) {
-                holders.add(endpoint);
-            }
+        LoadedEndpoints loaded = LoadedEndpoints.of(inService, target, query.softwareVersion());
+        if (loaded.lacksVersion()) {
+            return RouteChoice.unreachable(RouteChoice.Cause.NO_VERSION, 0);
         }
+        List<DirectEndpoint> holders = loaded.endpoints();
         if (holders.isEmpty()) {
             return missing(query, target, !inService.isEmpty(), now);
         }
@@ -332,6 +331,12 @@
         return known == null ? 0 : known.health().lossEpoch();
     }
 
+    @Override
+    public String softwareVersion(String endpoint) {
+        DirectEndpoint known = endpoints.get(endpoint);
+        return known == null ? "" : known.registration().softwareVersion();
+    }
+
     @Override
     public void onEndpointLost(String endpoint, long epochAtDispatch, long now) {
         DirectEndpoint known = endpoints.get(endpoint);
@@ -351,13 +356,7 @@
     }
 
     private List<DirectEndpoint> inService(String service) {
-        List<DirectEndpoint> inService = new ArrayList<>();
-        for (DirectEndpoint endpoint : byService.getOrDefault(service, List.of())) {
-            if (endpoint.isInService(domainsOut)) {
-                inService.add(endpoint);
-            }
-        }
-        return inService;
+        return index.inService(service, domainsOut);
     }
 
     /** Returns the endpoints with free capacity and their costs. */
@@ -486,13 +485,4 @@
             endpoints.remove(endpoint.registration().id(), endpoint);
         }
     }
-
-    private void index() {
-        byService.clear();
-        for (DirectEndpoint endpoint : endpoints.values()) {
-            byService
-                    .computeIfAbsent(endpoint.registration().service(), service -> new ArrayList<>())
-                    .add(endpoint);
-        }
-    }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RefusalReason.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RefusalReason.java
@@ -19,6 +19,8 @@
     KEY_REUSED(ErrorCode.IDEMPOTENCY_KEY_REUSED, "the idempotency key was used with a different request"),
     QUARANTINED(ErrorCode.QUARANTINED, "the request was in flight when several endpoints were lost"),
     CRASHING_PART(ErrorCode.QUARANTINED, "a part of the prompt crashed several endpoints"),
+    UNKNOWN_VERSION(ErrorCode.NO_ENDPOINT, "the software version that began the stream is not known"),
+    NO_VERSION(ErrorCode.NO_ENDPOINT, "no endpoint of the software version that began the stream can continue it"),
     TIMEOUT(ErrorCode.ENDPOINT_TIMEOUT, "the endpoint did not answer before the deadline"),
     INCOMPLETE(ErrorCode.INCOMPLETE_ANSWER, "the endpoint's answer ended before it was complete");
 
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEffect.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEffect.java
@@ -2,6 +2,7 @@
 
 import org.gooseberryring.coordination.crash.PartEvent;
 import org.gooseberryring.coordination.route.RouteForecast;
+import org.gooseberryring.coordination.stream.StreamRecord;
 import org.gooseberryring.state.ErrorCode;
 import org.gooseberryring.state.Verdict;
 
@@ -87,4 +88,26 @@
      * @param event observation
      */
     record SpreadPartEvent(PartEvent event) implements RequestEffect {}
+
+    /**
+     * Notifies all hosts of a stream that broke off, because its caller may take it up at any of them.
+     *
+     * @param stream stream with the software version that began it
+     */
+    record SpreadStream(StreamRecord stream) implements RequestEffect {}
+
+    /**
+     * Reads the streams that other hosts have written to the store.
+     *
+     * @param requestId request that takes up a stream which this host does not know
+     */
+    record ReadStreams(String requestId) implements RequestEffect {}
+
+    /**
+     * Logs the software version to which a request that takes up a stream is bound.
+     *
+     * @param requestId request that takes up the stream
+     * @param softwareVersion software version that began the stream, null if it is not known
+     */
+    record StreamTakenUp(String requestId, String softwareVersion) implements RequestEffect {}
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -17,6 +17,7 @@
 import org.gooseberryring.coordination.route.EndpointRouter;
 import org.gooseberryring.coordination.route.RouteChoice;
 import org.gooseberryring.coordination.route.RouteQuery;
+import org.gooseberryring.coordination.stream.StreamVersions;
 import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.Verdict;
 
@@ -33,14 +34,13 @@
     /** Time after which another endpoint or more capacity can be expected; load reports arrive within a second. */
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
-    /** Organisation under which the idempotency keys of open routes are claimed. */
-    private static final String OPEN_ROUTE = "";
-
     private final TokenAdmission admission;
     private final RequestQueue queue;
     private final EndpointRouter router;
     private final Retries retries;
     private final CrashGuard crashes;
+    private final StreamGuard streams;
+    private final StalledRequests stalled;
     private final long maxRunMillis;
     private final Map<String, RequestState> requests = new LinkedHashMap<>();
     private final AbandonedClaims abandonedClaims = new AbandonedClaims();
@@ -56,6 +56,7 @@
      * @param retries decides on retries
      * @param suspects requests that may crash endpoints
      * @param parts prompt parts that may crash endpoints
+     * @param versions software versions that began streams
      * @param maxRunMillis longest time that an attempt may run before it is cancelled
      */
     public RequestEngine(
@@ -65,23 +66,26 @@
             Retries retries,
             CrashSuspects suspects,
             CrashingParts parts,
+            StreamVersions versions,
             long maxRunMillis) {
         this.admission = admission;
         this.queue = queue;
         this.router = router;
         this.retries = retries;
         this.crashes = new CrashGuard(suspects, parts);
+        this.streams = new StreamGuard(versions);
+        this.stalled = new StalledRequests(router);
         this.maxRunMillis = maxRunMillis;
     }
 
     /** Handles a caller's request with a valid key; it is ignored if a request with its identifier is open. */
     public List<RequestEffect> arrived(RequestSpec spec, long now) {
-        return begin(new RequestState(spec, false), now);
+        return begin(new RequestState(spec, false, now), now);
     }
 
     /** Handles a request from a host of another failure domain, which has admitted and claimed it. */
     public List<RequestEffect> relayed(RequestSpec spec, long now) {
-        return begin(new RequestState(spec, true), now);
+        return begin(new RequestState(spec, true, now), now);
     }
 
     /** Handles the decision of the limiter on a pending request. */
@@ -109,6 +113,7 @@
         RequestState state = requests.get(requestId);
         if (state != null && state.isRunning(attempt)) {
             state.onResponseStarted(now);
+            streams.onResponseStarted(state, now);
             if (state.endpoint() != null) {
                 router.onFirstByte(state.endpoint(), state.query(), now);
             }
@@ -129,6 +134,7 @@
         if (state.endpoint() != null) {
             countAtEndpoint(state, outcome, now);
         }
+        streams.onAttemptEnded(state, outcome, now);
         crashes.onAttemptEnded(state.spec(), outcome, now);
         if (state.isCompleted() || outcome.verdict() == Verdict.COMPLETED) {
             end(state, outcome.verdict(), now);
@@ -156,6 +162,7 @@
     /** Processes timers; called at least every 100 ms. */
     public List<RequestEffect> tick(long now) {
         crashes.tick(now);
+        streams.tick(now);
         router.tick(now);
         for (RequestSpec spec : queue.expire(now)) {
             refuse(requests.get(spec.id()), RefusalReason.DEADLINE, RETRY_AFTER_MILLIS, now);
@@ -166,6 +173,16 @@
         return done(now);
     }
 
+    /** Handles reports of other hosts on streams that requests may wait for. */
+    public List<RequestEffect> streamsReported(long now) {
+        for (RequestState state : List.copyOf(requests.values())) {
+            if (state.step() == RequestState.Step.VERSION) {
+                bindOrReject(state, now);
+            }
+        }
+        return done(now);
+    }
+
     /** Dispatches the requests that can be sent after the state of the router or the queue has changed. */
     public List<RequestEffect> changed(long now) {
         return done(now);
@@ -226,7 +243,31 @@
             refuse(state, crashes.rejection(state.spec()), 0, now);
         } else if (state.spec().deadline() <= now) {
             refuse(state, RefusalReason.DEADLINE, RETRY_AFTER_MILLIS, now);
-        } else if (choose(state, now).kind() == RouteChoice.Kind.UNREACHABLE) {
+        } else {
+            state.step(RequestState.Step.VERSION);
+            bindOrReject(state, now);
+        }
+        return done(now);
+    }
+
+    /** Continues with a request whose software version is known; rejects one whose version will not become known. */
+    private void bindOrReject(RequestState state, long now) {
+        if (streams.bind(state, now)) {
+            state.step(RequestState.Step.ADMISSION);
+            admit(state, now);
+        } else if (streams.isHopeless(state, now)) {
+            effects.add(new RequestEffect.StreamTakenUp(state.id(), null));
+            refuse(state, RefusalReason.UNKNOWN_VERSION, RETRY_AFTER_MILLIS, now);
+        } else {
+            effects.add(new RequestEffect.ReadStreams(state.id()));
+        }
+    }
+
+    private void admit(RequestState state, long now) {
+        if (state.softwareVersion() != null) {
+            effects.add(new RequestEffect.StreamTakenUp(state.id(), state.softwareVersion()));
+        }
+        if (choose(state, now).kind() == RouteChoice.Kind.UNREACHABLE) {
             refuse(state, state.unreachableReason(), state.availableMillis(RETRY_AFTER_MILLIS), now);
         } else {
             Admission decision = Admission.admitted();
@@ -236,7 +277,6 @@
             }
             afterAdmission(state, decision, now);
         }
-        return done(now);
     }
 
     private void afterAdmission(RequestState state, Admission decision, long now) {
@@ -255,49 +295,28 @@
 
     private void claimOrQueue(RequestState state, long now) {
         if (state.needsClaim()) {
-            RequestSpec spec = state.spec();
             state.step(RequestState.Step.CLAIM);
-            String organisation = spec.organisation() == null ? OPEN_ROUTE : spec.organisation();
-            effects.add(new RequestEffect.Claim(spec.id(), organisation, spec.idempotencyKey(), spec.digest()));
+            effects.add(ClaimEffects.claim(state.spec()));
         } else {
             enqueue(state, now);
         }
     }
 
     private void afterClaim(RequestState state, ClaimResult claimResult, long now) {
-        switch (claimResult.decision()) {
-            case GRANTED -> {
-                state.claimed(true);
-                enqueue(state, now);
-            }
-            case RECORDED -> {
-                effects.add(new RequestEffect.Replay(state.id()));
-                endAtClaim(state, now);
-            }
-            case MAY_HAVE_RUN -> {
-                effects.add(RefusalReason.ALREADY_CLAIMED.refusal(state.id(), Verdict.MAY_HAVE_RUN, 0));
-                endAtClaim(state, now);
-            }
-            case KEY_REUSED -> {
-                effects.add(RefusalReason.KEY_REUSED.refusal(state.id(), Verdict.NOT_RUN, 0));
-                endAtClaim(state, now);
-            }
-            default -> {
-                long after = Math.max(RETRY_AFTER_MILLIS, claimResult.retryAfterMillis());
-                effects.add(RefusalReason.CLAIM_UNAVAILABLE.refusal(state.id(), Verdict.NOT_RUN, after));
-                endAtClaim(state, now);
-            }
+        if (claimResult.decision() == ClaimResult.Decision.GRANTED) {
+            state.claimed(true);
+            enqueue(state, now);
+            return;
         }
-    }
-
-    private void endAtClaim(RequestState state, long now) {
+        effects.add(ClaimEffects.response(state.id(), claimResult, RETRY_AFTER_MILLIS));
         state.step(RequestState.Step.ADMISSION);
         end(state, Verdict.NOT_RUN, now);
     }
 
     private void enqueue(RequestState state, long now) {
         state.step(RequestState.Step.QUEUE);
-        QueueOffer<RequestSpec> offer = queue.offer(state.spec(), crashes.isSuspect(state.spec()), now);
+        boolean isolated = crashes.isSuspect(state.spec()) || streams.mustIsolate(state, now);
+        QueueOffer<RequestSpec> offer = queue.offer(state.spec(), isolated, now);
         for (QueueItem<RequestSpec> item : offer.evicted()) {
             refuse(requests.get(item.id()), RefusalReason.QUEUE_FULL, RETRY_AFTER_MILLIS, now);
         }
@@ -357,11 +376,11 @@
         }
         String endpoint = state.endpoint();
         if (endpoint == null) {
-            state.dispatched(0, now);
+            state.dispatched(0, "", now);
             effects.add(new RequestEffect.Relay(
                     state.id(), state.attempt(), state.choice().id()));
         } else {
-            state.dispatched(router.lossEpoch(endpoint), now);
+            state.dispatched(router.lossEpoch(endpoint), router.softwareVersion(endpoint), now);
             effects.add(new RequestEffect.Dispatch(
                     state.id(), state.attempt(), endpoint, router.onAttemptStarted(endpoint, state.query(), now)));
         }
@@ -396,7 +415,7 @@
         state.step(RequestState.Step.QUEUE);
         if (crashes.rejection(spec) != null) {
             refuse(state, crashes.rejection(spec), 0, now);
-        } else if (retries.retry(spec, outcome, bytes, state.sends(), now)) {
+        } else if (streams.mayContinue(state) && retries.retry(spec, outcome, bytes, state.sends(), now)) {
             enqueue(state, now);
         } else if (state.verdict() == Verdict.NOT_RUN) {
             refuse(state, RefusalReason.NO_ENDPOINT, RETRY_AFTER_MILLIS, now);
@@ -406,10 +425,7 @@
     }
 
     private void checkTime(RequestState state, long now) {
-        // Callers abandon a stream that does not start; a refusal before that gives them the outcome.
-        boolean startOverdue =
-                !state.hasResponseStarted() && now >= state.spec().handling().startBy();
-        boolean isOverdue = startOverdue || now >= state.spec().deadline();
+        boolean isOverdue = state.isOverdue(now);
         if (state.step() == RequestState.Step.RUNNING) {
             crashes.recordIfAnswered(state, now);
             boolean isAbortable =
@@ -418,26 +434,16 @@
                 refuse(state, RefusalReason.TIMEOUT, RETRY_AFTER_MILLIS, now);
                 cancelIfUnused(state);
             }
-            if (now - state.dispatchedAt() >= maxRunMillis || shouldMoveToOtherEndpoint(state, now)) {
+            if (now - state.dispatchedAt() >= maxRunMillis || stalled.shouldMove(state, now)) {
                 cancel(state);
             }
         } else if (isOverdue && state.step() != RequestState.Step.QUEUE) {
             refuse(state, RefusalReason.DEADLINE, RETRY_AFTER_MILLIS, now);
+        } else if (state.step() == RequestState.Step.VERSION) {
+            bindOrReject(state, now);
         }
     }
 
-    /** Returns whether a repeatable request is stalled at its endpoint while another one has free capacity. */
-    private boolean shouldMoveToOtherEndpoint(RequestState state, long now) {
-        RequestSpec spec = state.spec();
-        boolean waits = !state.isCompleted() && !state.hasAnyResponseStarted() && state.endpoint() != null;
-        boolean repeats =
-                spec.idempotent() && state.sends() + 1 < spec.handling().maxSends();
-        return waits
-                && repeats
-                && router.isStalled(state.endpoint(), state.query(), now)
-                && router.choose(state.query(), now).kind() == RouteChoice.Kind.ENDPOINT;
-    }
-
     /** Cancels a running request, unless it must not run twice and its outcome is to be recorded. */
     private void cancelIfUnused(RequestState state) {
         if (state.spec().idempotent() || state.spec().handling().cancelsUnused()) {
@@ -469,6 +475,7 @@
         requests.remove(state.id());
         router.onRequestEnded(state.id());
         crashes.onEnded(state.spec(), verdict, now);
+        effects.addAll(streams.onEnded(state, verdict, now));
         if (state.step() == RequestState.Step.QUEUE) {
             queue.remove(state.spec());
         }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestPolicy.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestPolicy.java
@@ -1,5 +1,6 @@
 package org.gooseberryring.coordination.request;
 
+import org.gooseberryring.coordination.stream.StreamReference;
 import org.gooseberryring.state.PromptShape;
 
 /**
@@ -17,6 +18,7 @@
  * @param objective monotonic time in milliseconds by which the response should start
  * @param startBy monotonic time in milliseconds by which a response must start before its caller disconnects
  * @param prompt parts of the prompt
+ * @param stream stream that the request begins or takes up, null if another endpoint may not continue its response
  */
 public record RequestPolicy(
         String service,
@@ -28,7 +30,8 @@
         int rank,
         long objective,
         long startBy,
-        PromptShape prompt) {
+        PromptShape prompt,
+        StreamReference stream) {
     private static final int STANDARD_SENDS = 3;
 
     private static final int STANDARD_RANK = 5;
@@ -45,4 +48,30 @@
             Long.MAX_VALUE,
             Long.MAX_VALUE,
             PromptShape.NONE);
+
+    /** Creates the policy of a request whose stream, if it is one, has no key. */
+    public RequestPolicy(
+            String service,
+            int maxSends,
+            boolean retriesNotRun,
+            boolean resumable,
+            boolean endsAtDeadline,
+            boolean cancelsUnused,
+            int rank,
+            long objective,
+            long startBy,
+            PromptShape prompt) {
+        this(
+                service,
+                maxSends,
+                retriesNotRun,
+                resumable,
+                endsAtDeadline,
+                cancelsUnused,
+                rank,
+                objective,
+                startBy,
+                prompt,
+                resumable ? new StreamReference(StreamReference.UNKNOWN_KEY, false) : null);
+    }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestState.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestState.java
@@ -11,6 +11,8 @@
 final class RequestState {
     /** Processing step of a request. */
     enum Step {
+        /** Waits for the software version that began the stream which it takes up. */
+        VERSION,
         /** Waits for the decision of the limiter. */
         ADMISSION,
         /** Waits for the result of its claim. */
@@ -23,6 +25,7 @@
 
     private final RequestSpec spec;
     private final boolean relayed;
+    private final long arrivedAt;
     private final Set<String> failedAt = new HashSet<>();
     private Step step = Step.ADMISSION;
     private boolean tokensReserved;
@@ -41,10 +44,32 @@
     private boolean completed;
     private boolean mayHaveRun;
     private long usedTokens;
+    private String softwareVersion;
+    private String endpointVersion;
 
-    RequestState(RequestSpec spec, boolean relayed) {
+    RequestState(RequestSpec spec, boolean relayed, long now) {
         this.spec = spec;
         this.relayed = relayed;
+        this.arrivedAt = now;
+    }
+
+    long arrivedAt() {
+        return arrivedAt;
+    }
+
+    /** Binds the request to a software version of its endpoints; null binds it to none. */
+    void bind(String version) {
+        softwareVersion = version;
+    }
+
+    /** Returns the software version that must serve the request, null if any may. */
+    String softwareVersion() {
+        return softwareVersion;
+    }
+
+    /** Returns the software version that the endpoint of the running attempt had when the attempt started. */
+    String endpointVersion() {
+        return endpointVersion;
     }
 
     RequestSpec spec() {
@@ -103,7 +128,8 @@
                 spec.handling().prompt(),
                 spec.handling().objective(),
                 Math.min(spec.deadline(), spec.handling().startBy()),
-                failedAt());
+                failedAt(),
+                softwareVersion);
     }
 
     /** Sets the choice of the router, which is valid until the next event. */
@@ -131,6 +157,7 @@
             case BUSY -> RefusalReason.BUSY;
             case BACK_OFF -> RefusalReason.BACK_OFF;
             case RATE_LIMITED -> RefusalReason.ENDPOINT_LIMIT;
+            case NO_VERSION -> RefusalReason.NO_VERSION;
             case NONE -> RefusalReason.NO_ENDPOINT;
         };
     }
@@ -139,8 +166,9 @@
         return query;
     }
 
-    void dispatched(long epoch, long now) {
+    void dispatched(long epoch, String version, long now) {
         step = Step.RUNNING;
+        endpointVersion = version;
         attempt++;
         dispatchedAt = now;
         lossEpoch = epoch;
@@ -237,6 +265,13 @@
         return mayHaveRun || step == Step.RUNNING ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
     }
 
+    /** Returns whether the response has not started in time, or has not ended in time. */
+    boolean isOverdue(long now) {
+        // Callers abandon a stream that does not start; a refusal before that gives them the outcome.
+        boolean startOverdue = !responseStarted && now >= spec.handling().startBy();
+        return startOverdue || now >= spec.deadline();
+    }
+
     /** Returns the tokens to charge: all reserved tokens if the request may have run and the use is unknown. */
     long tokensToCharge() {
         if (!mayHaveRun) {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/EndpointRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/EndpointRouter.java
@@ -27,6 +27,11 @@
     /** Returns the number of losses of an endpoint so far; callers store it with each request sent to the endpoint. */
     long lossEpoch(String endpoint);
 
+    /** Returns the software version of an endpoint, empty if it is not known. */
+    default String softwareVersion(String endpoint) {
+        return "";
+    }
+
     /** Returns whether the response to a request is far later than predicted. */
     default boolean isStalled(String endpoint, RouteQuery query, long now) {
         return false;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/RouteChoice.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/RouteChoice.java
@@ -32,7 +32,9 @@
         /** The endpoints that have loaded the model or adapter are in back-off for this host. */
         BACK_OFF,
         /** The rate limits of the endpoints that have loaded the model or adapter would start the request too late. */
-        RATE_LIMITED
+        RATE_LIMITED,
+        /** No endpoint of the software version that began the stream has loaded the model or adapter. */
+        NO_VERSION
     }
 
     public static final RouteChoice WAIT = new RouteChoice(Kind.WAIT, null);
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/RouteQuery.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/RouteQuery.java
@@ -17,6 +17,7 @@
  * @param objective monotonic time in milliseconds by which the response should start
  * @param startBy monotonic time in milliseconds by which the response must start
  * @param failedAt endpoints at which an attempt of this request failed
+ * @param softwareVersion software version that the endpoint must have, null for any
  */
 public record RouteQuery(
         String requestId,
@@ -27,7 +28,22 @@
         PromptShape prompt,
         long objective,
         long startBy,
-        Set<String> failedAt) {
+        Set<String> failedAt,
+        String softwareVersion) {
+    /** Creates a query for an endpoint of any software version. */
+    public RouteQuery(
+            String requestId,
+            RequestTarget target,
+            long prefixHash,
+            boolean alone,
+            boolean relayed,
+            PromptShape prompt,
+            long objective,
+            long startBy,
+            Set<String> failedAt) {
+        this(requestId, target, prefixHash, alone, relayed, prompt, objective, startBy, failedAt, null);
+    }
+
     /** Creates a query for a request whose prompt parts are not known and that has not failed yet. */
     public RouteQuery(RequestTarget target, long prefixHash, boolean alone, boolean relayed) {
         this("", target, prefixHash, alone, relayed, PromptShape.NONE, Long.MAX_VALUE, Long.MAX_VALUE, Set.of());
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/crash/PartHost.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/crash/PartHost.java
@@ -21,6 +21,7 @@
 import org.gooseberryring.coordination.retry.RouteRetries;
 import org.gooseberryring.coordination.store.StoreReply;
 import org.gooseberryring.coordination.store.StoreRequest;
+import org.gooseberryring.coordination.stream.StreamVersions;
 import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.EngineProfile;
@@ -62,6 +63,7 @@
                 retries,
                 new CrashSuspects(QUARANTINE_LOSSES),
                 parts,
+                new StreamVersions(),
                 600_000);
     }
 
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EngineWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EngineWorld.java
@@ -20,6 +20,7 @@
 import org.gooseberryring.coordination.route.ArtifactLoad;
 import org.gooseberryring.coordination.route.Router;
 import org.gooseberryring.coordination.route.UnsharedCredits;
+import org.gooseberryring.coordination.stream.StreamVersions;
 import org.gooseberryring.state.Artifact;
 import org.gooseberryring.state.Endpoint;
 import org.gooseberryring.state.EndpointKind;
@@ -79,6 +80,7 @@
                 new RetryPolicy(new RetryBudget()),
                 new CrashSuspects(),
                 new CrashingParts("h"),
+                new StreamVersions(),
                 MAX_RUN_MILLIS);
         fleet = new FleetUpdateHandler(engine, router, queue);
         configure();
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
@@ -18,6 +18,7 @@
 import org.gooseberryring.coordination.retry.RetryAllowance;
 import org.gooseberryring.coordination.retry.RouteRetries;
 import org.gooseberryring.coordination.route.RouteForecast;
+import org.gooseberryring.coordination.stream.StreamVersions;
 import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.PriorityClass;
@@ -47,6 +48,7 @@
             new RouteRetries(new RetryAllowance(10_000, 0.2, 54)),
             new CrashSuspects(3),
             parts,
+            new StreamVersions(),
             600_000);
 
     EntryEngineTest() {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/retry/CrashWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/retry/CrashWorld.java
@@ -23,6 +23,7 @@
 import org.gooseberryring.coordination.request.RequestTarget;
 import org.gooseberryring.coordination.route.Router;
 import org.gooseberryring.coordination.route.UnsharedCredits;
+import org.gooseberryring.coordination.stream.StreamVersions;
 import org.gooseberryring.state.Artifact;
 import org.gooseberryring.state.Endpoint;
 import org.gooseberryring.state.EndpointKind;
@@ -86,6 +87,7 @@
                     new RetryPolicy(new RetryBudget()),
                     new CrashSuspects(),
                     new CrashingParts("host" + i),
+                    new StreamVersions(),
                     60_000));
             fleets.add(new FleetUpdateHandler(hosts.get(i), router, queue));
             fleets.get(i).configured(configuration, now);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/RequestPath.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/RequestPath.java
@@ -16,6 +16,7 @@
 import org.gooseberryring.coordination.retry.RetryBudget;
 import org.gooseberryring.coordination.retry.RetryPolicy;
 import org.gooseberryring.coordination.route.Router;
+import org.gooseberryring.coordination.stream.StreamVersions;
 import org.gooseberryring.host.caller.CallerEffects;
 import org.gooseberryring.host.engine.FleetInputs;
 import org.gooseberryring.host.engine.RequestCredits;
@@ -60,6 +61,7 @@
                 new RetryPolicy(new RetryBudget()),
                 new CrashSuspects(),
                 parts,
+                new StreamVersions(),
                 limits.maxRunMillis());
         FleetUpdateHandler fleetUpdates = new FleetUpdateHandler(engine, router, queue);
         this.tokenPool = new TokenPoolInputs(tokenPool, messages);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -91,13 +91,33 @@
             remoteEffects.settle(openRequests.get(settle.requestId()), settle);
         } else if (effect instanceof RequestEffect.Replay replay) {
             remoteEffects.replay(openRequests.get(replay.requestId()));
-        } else if (effect instanceof RequestEffect.SpreadQuarantine quarantine) {
+        } else {
+            acceptReport(effect);
+        }
+    }
+
+    /** Carries out an effect that concerns no caller's response. */
+    private void acceptReport(RequestEffect effect) {
+        if (effect instanceof RequestEffect.SpreadQuarantine quarantine) {
             remoteEffects.spreadQuarantine(quarantine);
         } else if (effect instanceof RequestEffect.SpreadPartEvent spread) {
             remoteEffects.spreadPartEvent(spread.event());
+        } else if (effect instanceof RequestEffect.SpreadStream spread) {
+            remoteEffects.spreadStream(spread.stream());
+        } else if (effect instanceof RequestEffect.ReadStreams) {
+            remoteEffects.readStreams();
+        } else if (effect instanceof RequestEffect.StreamTakenUp takenUp) {
+            log(takenUp);
         }
     }
 
+    private static void log(RequestEffect.StreamTakenUp takenUp) {
+        LogLine.event("stream-version")
+                .with("requestId", takenUp.requestId())
+                .with("version", takenUp.softwareVersion())
+                .info(LOG);
+    }
+
     private void dispatch(RequestEffect.Dispatch dispatch) {
         OpenRequest request = openRequests.get(dispatch.requestId());
         Endpoint endpoint = endpoints.apply(dispatch.endpoint());
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/Digests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/Digests.java
@@ -43,6 +43,17 @@
         return HexFormat.of().formatHex(digest);
     }
 
+    /**
+     * Returns the first 64 bits of the digest that identifies a request of a caller.
+     *
+     * @param owner organisation of the caller, or a placeholder if there is none
+     * @param requestId identifier that the caller gave
+     */
+    public static long ofRequestId(String owner, String requestId) {
+        byte[] digest = sha256(owner.getBytes(StandardCharsets.UTF_8), requestId.getBytes(StandardCharsets.UTF_8));
+        return ByteBuffer.wrap(digest).getLong();
+    }
+
     private static MessageDigest newDigest() {
         try {
             return MessageDigest.getInstance("SHA-256");
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/Deployment.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/Deployment.java
@@ -2,6 +2,7 @@
 
 import java.util.function.BiConsumer;
 
+import org.gooseberryring.coordination.stream.StreamTable;
 import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.ServingConfiguration;
@@ -29,6 +30,9 @@
     /** Returns the collection in which the hosts register. */
     CollectionSource<HostRegistration> hosts();
 
+    /** Returns the collection in which the hosts write the streams that they begin. */
+    CollectionSource<StreamTable> streams();
+
     /** Returns the store of the state that hosts must agree on. */
     ObjectStore objects();
 
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/DeploymentFeeds.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/DeploymentFeeds.java
@@ -50,6 +50,9 @@
     /** Time after its start in which a host requires the configuration version that other hosts have in force. */
     private static final long CATCH_UP_MILLIS = 5_000;
 
+    /** Time within which all hosts must have been heard so that their endpoints are known without the store. */
+    private static final long MAX_HOST_SILENCE_MILLIS = 1_000;
+
     private final DeploymentView view;
     private final EntryRequests requests;
     private final ResidencyController controller;
@@ -65,6 +68,7 @@
     private final PeerExchange exchange;
     private final StoreEpochs epochs;
     private final long startedAt;
+    private boolean registryCurrent;
     private boolean endpointsListed;
     private boolean drainsListed;
 
@@ -208,6 +212,17 @@
         Map<String, FeedPosition> positions = new HashMap<>();
         runners.forEach(runner -> positions.put(runner.collection(), runner.position(now)));
         exchange.setPositions(positions);
+        updateRegistryCurrent(now);
+    }
+
+    /** While the store does not respond, no host knows more than the others, if this one hears all of them. */
+    private void updateRegistryCurrent(long now) {
+        boolean current = endpointsListed
+                && (endpoints.position(now).fresh() || exchange.hasSeenAllHosts(MAX_HOST_SILENCE_MILLIS, now));
+        if (current != registryCurrent) {
+            registryCurrent = current;
+            requests.setRegistryCurrent(current);
+        }
     }
 
     private void updateListed() {
@@ -294,6 +309,9 @@
             }
             EndpointRegistration current = leaving.withLeaving(value);
             applyRegistration(current);
+            if (before == null || !before.softwareVersion().equals(value.softwareVersion())) {
+                exchange.requestSnapshot();
+            }
             LogLine.event("endpoint-registered")
                     .with("endpoint", name)
                     .with("service", value.service())
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -77,11 +77,13 @@
     private final EntryRequests requests;
     private final StoreCallExecutor storeExecutor;
     private final PeerExchange exchange;
+    private final PeerNotices notices;
     private final PeerMesh mesh;
     private final StoreEpochs epochs = new StoreEpochs();
     private final PermittedCalls calls = new PermittedCalls();
     private final RateLimitControl rateLimits;
     private final VerdictControl verdicts;
+    private final StreamControl streams;
     private final ResidencyControl residency;
     private final DeploymentFeeds feeds;
     private final ScheduledExecutorService timer;
@@ -104,20 +106,12 @@
         EndpointOrders orders = orders(deployment);
         requests = requests(deployment, orders);
         exchange = new PeerExchange(settings, incarnation, control, requests, controller, open::count, clock.now());
+        notices = new PeerNotices(control, exchange);
         mesh = new PeerMesh(settings, incarnation, storeExecutor, control, metrics, exchange, epochs, random.split());
         verdicts = new VerdictControl(settings.hostId(), storeExecutor, control, requests, exchange, epochs);
-        residency = new ResidencyControl(
-                settings,
-                controller,
-                storeExecutor,
-                control,
-                orders,
-                calls,
-                view,
-                exchange,
-                epochs,
-                clock::wallMillis,
-                random.split());
+        streams = new StreamControl(
+                settings.hostId(), deployment.streams(), storeExecutor, control, requests, exchange, epochs);
+        residency = residency(controller, orders, random.split());
         rateLimits = rateLimits(controller);
         feeds = new DeploymentFeeds(
                 deployment,
@@ -213,6 +207,21 @@
                 process -> signalHandler.limit(process).isLimited());
     }
 
+    private ResidencyControl residency(ResidencyController controller, EndpointOrders orders, RandomGenerator random) {
+        return new ResidencyControl(
+                settings,
+                controller,
+                storeExecutor,
+                control,
+                orders,
+                calls,
+                view,
+                exchange,
+                epochs,
+                clock::wallMillis,
+                random);
+    }
+
     private RateLimitControl rateLimits(ResidencyController controller) {
         return new RateLimitControl(
                 settings,
@@ -242,6 +251,7 @@
         control.onTick(mesh::tick);
         control.onTick(exchange::tick);
         control.onTick(verdicts::tick);
+        control.onTick(streams::tick);
         control.onTick(residency::tick);
         control.onTick(rateLimits::tick);
     }
@@ -258,8 +268,10 @@
                 new EndpointClient(worker, ENDPOINT_LIMITS, deployment.endpointProtocol()),
                 metrics,
                 new EntryRemoteEffects(
-                        quarantine -> exchange().spreadQuarantine(quarantine),
-                        event -> exchange().spreadPartEvent(event)),
+                        quarantine -> notices().spreadQuarantine(quarantine),
+                        event -> notices().spreadPartEvent(event),
+                        stream -> notices().spreadStream(stream),
+                        () -> streams().read()),
                 null,
                 new EntryGate(
                         (endpoint, target) -> requests().onMissingArtifact(endpoint, target),
@@ -335,9 +347,14 @@
         requests.backOff(process, until);
     }
 
-    /** Returns the exchange, for callbacks that are created before it. */
-    private PeerExchange exchange() {
-        return exchange;
+    /** Returns the notices, for callbacks that are created before them. */
+    private PeerNotices notices() {
+        return notices;
+    }
+
+    /** Returns the reader of streams, for callbacks that are created before it. */
+    private StreamControl streams() {
+        return streams;
     }
 
     private FrontHandler frontHandler(CallerProtocol protocol, RandomGenerator random) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRemoteEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRemoteEffects.java
@@ -4,6 +4,7 @@
 
 import org.gooseberryring.coordination.crash.PartEvent;
 import org.gooseberryring.coordination.request.RequestEffect;
+import org.gooseberryring.coordination.stream.StreamRecord;
 import org.gooseberryring.host.caller.OpenRequest;
 import org.gooseberryring.host.caller.RemoteEffects;
 
@@ -17,16 +18,26 @@
 
     private final Consumer<RequestEffect.SpreadQuarantine> quarantineNotifier;
     private final Consumer<PartEvent> partNotifier;
+    private final Consumer<StreamRecord> streamNotifier;
+    private final Runnable streamReader;
 
     /**
      * Creates the effects.
      *
      * @param quarantineNotifier notifies the other hosts of a request that crashes endpoints
      * @param partNotifier notifies the other hosts of an observation about prompt parts
+     * @param streamNotifier notifies the other hosts of a stream that broke off
+     * @param streamReader reads the streams of other hosts from the store
      */
-    EntryRemoteEffects(Consumer<RequestEffect.SpreadQuarantine> quarantineNotifier, Consumer<PartEvent> partNotifier) {
+    EntryRemoteEffects(
+            Consumer<RequestEffect.SpreadQuarantine> quarantineNotifier,
+            Consumer<PartEvent> partNotifier,
+            Consumer<StreamRecord> streamNotifier,
+            Runnable streamReader) {
         this.quarantineNotifier = quarantineNotifier;
         this.partNotifier = partNotifier;
+        this.streamNotifier = streamNotifier;
+        this.streamReader = streamReader;
     }
 
     @Override
@@ -54,6 +65,16 @@
         partNotifier.accept(event);
     }
 
+    @Override
+    public void spreadStream(StreamRecord stream) {
+        streamNotifier.accept(stream);
+    }
+
+    @Override
+    public void readStreams() {
+        streamReader.run();
+    }
+
     @Override
     public void cancelAtEngine(String address, String requestId) {
         // Closing the connection cancels the request.
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
@@ -31,6 +31,10 @@
 import org.gooseberryring.coordination.retry.CrashSuspects;
 import org.gooseberryring.coordination.retry.RetryAllowance;
 import org.gooseberryring.coordination.retry.RouteRetries;
+import org.gooseberryring.coordination.stream.StoredStreams;
+import org.gooseberryring.coordination.stream.StreamRecord;
+import org.gooseberryring.coordination.stream.StreamTable;
+import org.gooseberryring.coordination.stream.StreamVersions;
 import org.gooseberryring.host.caller.CallerEffects;
 import org.gooseberryring.host.engine.LimiterInputs;
 import org.gooseberryring.host.engine.RequestLoop;
@@ -54,6 +58,7 @@
     private final SharedLimits limits;
     private final RouteRetries retries;
     private final CrashingParts parts;
+    private final StreamVersions streams = new StreamVersions();
     private final RequestLoop loop;
     private final HostChangeQueue hostChanges = new HostChangeQueue();
 
@@ -79,6 +84,7 @@
                 retries,
                 new CrashSuspects(QUARANTINE_LOSSES),
                 parts,
+                streams,
                 MAX_RUN_MILLIS);
         loop = new RequestLoop(RING_SIZE, engine, new AfterInputs(limits, router, permitted, listener), effects, clock);
         effects.connect(loop);
@@ -111,6 +117,7 @@
         loop.put((engine, now) -> {
             limits.configure(organisations, now);
             router.configured(configuration);
+            streams.setStreamMillis(configuration.routes().maxResumableMillis());
             return engine.changed(now);
         });
     }
@@ -119,6 +126,7 @@
     void onEndpointRegistered(EndpointRegistration registration) {
         loop.put((engine, now) -> {
             router.onEndpointRegistered(registration, now);
+            streams.onRegistered(registration, now);
             return engine.changed(now);
         });
     }
@@ -127,6 +135,7 @@
     void onEndpointUnregistered(String endpoint) {
         loop.put((engine, now) -> {
             router.onEndpointRemoved(endpoint);
+            streams.onRemoved(endpoint, now);
             return engine.changed(now);
         });
     }
@@ -194,6 +203,9 @@
 
     /** Applies the observations and verdicts of another host on prompt parts. */
     void onPartsReported(String reporter, List<PartEvent> events, List<PartVerdict> verdicts) {
+        if (events.isEmpty() && verdicts.isEmpty()) {
+            return;
+        }
         loop.put((engine, now) -> {
             for (PartEvent event : events) {
                 if (event instanceof PartEvent.Crashed crashed) {
@@ -207,6 +219,41 @@
         });
     }
 
+    /** Records streams that broke off on another host. */
+    void onStreamsReported(List<StreamRecord> reported) {
+        if (reported.isEmpty()) {
+            return;
+        }
+        loop.put((engine, now) -> {
+            reported.forEach(stream -> streams.onReported(stream, now));
+            return engine.streamsReported(now);
+        });
+    }
+
+    /**
+     * Records the streams that were read from the store.
+     *
+     * @param tables tables that have changed
+     * @param complete whether all tables have been read
+     */
+    void onStreamsRead(List<StoredStreams.ReadTable> tables, boolean complete) {
+        loop.put((engine, now) -> {
+            tables.forEach(each -> streams.onStored(each.table(), each.own(), now));
+            if (complete) {
+                streams.onStoreRead();
+            }
+            return engine.streamsReported(now);
+        });
+    }
+
+    /** Sets whether this host knows all endpoints that the other hosts know. */
+    void setRegistryCurrent(boolean current) {
+        loop.put((engine, now) -> {
+            streams.setRegistryCurrent(current);
+            return List.of();
+        });
+    }
+
     /** Updates how many endpoints a request has crashed, as counted by another host. */
     void onQuarantineReported(String reporter, String digest, int losses) {
         loop.put((engine, now) -> engine.quarantined(reporter, digest, losses, now));
@@ -252,7 +299,12 @@
     void snapshot(Consumer<HostSnapshot> receiver) {
         loop.offer((engine, now) -> {
             receiver.accept(new HostSnapshot(
-                    router.uses(now), router.takePlacements(), limits.used(), router.demands(now), parts.verdicts()));
+                    router.uses(now),
+                    router.takePlacements(),
+                    limits.used(),
+                    router.demands(now),
+                    parts.verdicts(),
+                    streams.table(now)));
             return List.of();
         });
     }
@@ -287,13 +339,15 @@
      * @param usedTokens tokens admitted since the start of the process, by organisation
      * @param artifacts demand by model and adapter
      * @param verdicts verdicts on prompt parts
+     * @param streams streams that the store must have
      */
     record HostSnapshot(
             Map<String, EndpointUse> uses,
             List<PromptPlacement> placements,
             Map<String, Long> usedTokens,
             Map<RequestTarget.RoutedTarget, ArtifactUse> artifacts,
-            List<PartVerdict> verdicts) {}
+            List<PartVerdict> verdicts,
+            StreamTable streams) {}
 
     private record AfterInputs(
             SharedLimits limits, DirectRouter router, PermittedChoice permitted, RequestListener listener)
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -8,7 +8,6 @@
 import java.util.function.IntSupplier;
 
 import com.google.protobuf.ByteString;
-import org.gooseberryring.coordination.crash.PartEvent;
 import org.gooseberryring.coordination.crash.PartVerdict;
 import org.gooseberryring.coordination.direct.FleetShare;
 import org.gooseberryring.coordination.exchange.ExchangeEffect;
@@ -23,11 +22,11 @@
 import org.gooseberryring.coordination.ratelimit.PermitRequest;
 import org.gooseberryring.coordination.ratelimit.RateLimit;
 import org.gooseberryring.coordination.request.ArtifactUse;
-import org.gooseberryring.coordination.request.RequestEffect;
 import org.gooseberryring.coordination.request.RequestTarget;
 import org.gooseberryring.coordination.residency.ResidencyController;
 import org.gooseberryring.coordination.residency.ResidencyEffect;
 import org.gooseberryring.coordination.store.StorePosition;
+import org.gooseberryring.coordination.stream.StreamTable;
 import org.gooseberryring.host.control.ControlLoop;
 import org.gooseberryring.host.log.LogLine;
 import org.gooseberryring.protocol.peer.EndpointRateLimit;
@@ -95,6 +94,7 @@
     private long nextSurveyAt;
     private FleetShare share = FleetShare.ALONE;
     private List<PartVerdict> verdicts = List.of();
+    private StreamTable streams = StreamTable.NONE;
 
     /** Creates the exchange of a host; {@code open} gives the number of requests that are open on it. */
     PeerExchange(
@@ -264,23 +264,15 @@
         }
     }
 
-    /** Notifies the other hosts of a request that crashes endpoints; may be called on any thread. */
-    void spreadQuarantine(RequestEffect.SpreadQuarantine quarantine) {
-        LogLine.event("request-suspected")
-                .with("digest", quarantine.digest())
-                .with("crashes", quarantine.endpointLosses())
-                .info(LOG);
-        control.put(now -> localState.addNotice(PeerCodec.quarantined(quarantine)));
+    /** Adds a notice for the other hosts, which is sent with the next update of this host's state. */
+    void addNotice(StateEntry notice) {
+        localState.addNotice(notice);
     }
 
-    /** Logs an observation about prompt parts and notifies the other hosts; may be called on any thread. */
-    void spreadPartEvent(PartEvent event) {
-        PartLog.log(event);
-        if (event instanceof PartEvent.Crashed crashed) {
-            control.put(now -> localState.addNotice(PartCodec.encode(crashed)));
-        } else if (event instanceof PartEvent.Answered answered) {
-            control.put(now -> localState.addNotice(PartCodec.encode(answered)));
-        }
+    /** Sends what has changed in the state of this host at once. */
+    void publishNow(long now) {
+        publish(now);
+        carryOut(exchange.onTick(now), now);
     }
 
     /** Requests artifacts that requests of this host wait for from the controllers; may be called on any thread. */
@@ -326,6 +318,21 @@
         return verdicts;
     }
 
+    /** Takes the next snapshot of the request thread at the next tick, because the store needs it soon. */
+    void requestSnapshot() {
+        lastSnapshotAt = Long.MIN_VALUE / 2;
+    }
+
+    /** Returns the streams of this host that the store must have. */
+    StreamTable streams() {
+        return streams;
+    }
+
+    /** Returns whether all other hosts were seen within the given time. */
+    boolean hasSeenAllHosts(long withinMillis, long now) {
+        return exchange.ages(now).values().stream().allMatch(age -> age <= withinMillis);
+    }
+
     /** Returns the milliseconds since each other known host was last seen. */
     Map<String, Long> ages(long now) {
         return exchange.ages(now);
@@ -371,9 +378,9 @@
     private void publish(EntryRequests.HostSnapshot snapshot, long now) {
         controller.onHostDemand(hostId, snapshot.artifacts(), now);
         verdicts = snapshot.verdicts();
+        streams = snapshot.streams();
         localState.updateRequests(snapshot);
-        publish(now);
-        carryOut(exchange.onTick(now), now);
+        publishNow(now);
     }
 
     private void publish(long now) {
@@ -416,11 +423,8 @@
         reader.heldEndpoints()
                 .forEach(held -> reportedEndpoints.onReport(update.failureDomain(), update.host(), held, now));
         String reporter = update.host() + "/" + update.incarnation();
-        List<PartEvent> partEvents = reader.partEvents();
-        List<PartVerdict> verdicts = reader.verdicts();
-        if (!partEvents.isEmpty() || !verdicts.isEmpty()) {
-            requests.onPartsReported(update.host(), partEvents, verdicts);
-        }
+        requests.onPartsReported(update.host(), reader.partEvents(), reader.verdicts());
+        requests.onStreamsReported(reader.brokenStreams());
         reader.quarantined()
                 .forEach(digest ->
                         requests.onQuarantineReported(reporter, digest.getDigest(), digest.getEndpointLosses()));
--- /dev/null
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerNotices.java
@@ -0,0 +1,48 @@
+package org.gooseberryring.host.entry;
+
+import org.gooseberryring.coordination.crash.PartEvent;
+import org.gooseberryring.coordination.request.RequestEffect;
+import org.gooseberryring.coordination.stream.StreamRecord;
+import org.gooseberryring.host.control.ControlLoop;
+import org.gooseberryring.host.log.LogLine;
+import org.jboss.logging.Logger;
+
+/** Logs what requests of this host have shown and notifies the other hosts; may be used on any thread. */
+final class PeerNotices {
+    private static final Logger LOG = Logger.getLogger(PeerNotices.class);
+
+    private final ControlLoop control;
+    private final PeerExchange exchange;
+
+    PeerNotices(ControlLoop control, PeerExchange exchange) {
+        this.control = control;
+        this.exchange = exchange;
+    }
+
+    /** Notifies the other hosts of a request that crashes endpoints. */
+    void spreadQuarantine(RequestEffect.SpreadQuarantine quarantine) {
+        LogLine.event("request-suspected")
+                .with("digest", quarantine.digest())
+                .with("crashes", quarantine.endpointLosses())
+                .info(LOG);
+        control.put(now -> exchange.addNotice(PeerCodec.quarantined(quarantine)));
+    }
+
+    /** Notifies the other hosts of an observation about prompt parts. */
+    void spreadPartEvent(PartEvent event) {
+        PartLog.log(event);
+        if (event instanceof PartEvent.Crashed crashed) {
+            control.put(now -> exchange.addNotice(PartCodec.encode(crashed)));
+        } else if (event instanceof PartEvent.Answered answered) {
+            control.put(now -> exchange.addNotice(PartCodec.encode(answered)));
+        }
+    }
+
+    /** Notifies the other hosts at once of a stream that broke off, since its caller may take it up at any of them. */
+    void spreadStream(StreamRecord stream) {
+        control.put(now -> {
+            exchange.addNotice(StreamCodec.encode(stream));
+            exchange.publishNow(now);
+        });
+    }
+}
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RequestFactory.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RequestFactory.java
@@ -7,6 +7,7 @@
 import org.gooseberryring.coordination.request.RequestPolicy;
 import org.gooseberryring.coordination.request.RequestSpec;
 import org.gooseberryring.coordination.request.RequestTarget;
+import org.gooseberryring.coordination.stream.StreamReference;
 import org.gooseberryring.host.caller.Destination;
 import org.gooseberryring.host.caller.Digests;
 import org.gooseberryring.host.caller.OpenRequest;
@@ -101,7 +102,8 @@
                 rank,
                 arrival.at() + route.objectiveMillis(),
                 responseStartDeadline(route, arrival.at()),
-                head.prompt());
+                head.prompt(),
+                stream(head, route, owner));
         return new RequestSpec(
                 uniqueId(head.requestId()),
                 organisation,
@@ -116,6 +118,17 @@
                 policy);
     }
 
+    /** Returns the stream that a request begins or takes up, null if no other endpoint may continue it. */
+    private static StreamReference stream(RequestHead head, Route route, String owner) {
+        if (route.kind() != RequestKind.STREAM || !route.resumable()) {
+            return null;
+        }
+        boolean takenUp = head.lastEventId().isPresent() || head.resumedRequest() != null;
+        String firstRequest = takenUp ? head.resumedRequest() : head.requestId();
+        return new StreamReference(
+                firstRequest == null ? StreamReference.UNKNOWN_KEY : Digests.ofRequestId(owner, firstRequest), takenUp);
+    }
+
     /** Returns the time by which a response must start; callers abandon a stream that does not start. */
     private static long responseStartDeadline(Route route, long arrivedAt) {
         if (route.kind() != RequestKind.STREAM) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StateReader.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StateReader.java
@@ -11,6 +11,7 @@
 import org.gooseberryring.coordination.direct.EndpointUse;
 import org.gooseberryring.coordination.direct.PromptPlacement;
 import org.gooseberryring.coordination.exchange.RecordUpdate;
+import org.gooseberryring.coordination.stream.StreamRecord;
 import org.gooseberryring.protocol.peer.EndpointRateLimit;
 import org.gooseberryring.protocol.peer.HeldEndpoint;
 import org.gooseberryring.protocol.peer.QuarantinedDigest;
@@ -101,6 +102,14 @@
         return events;
     }
 
+    /** Returns the streams of the host that broke off. */
+    List<StreamRecord> brokenStreams() {
+        return update.notices().stream()
+                .filter(StateEntry::hasBrokenStream)
+                .map(notice -> StreamCodec.decode(notice.getBrokenStream()))
+                .toList();
+    }
+
     /** Returns the verdicts of the host on prompt parts that have changed. */
     List<PartVerdict> verdicts() {
         return update.entries().values().stream()
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/VerdictControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/VerdictControl.java
@@ -56,9 +56,7 @@
                     reply -> control.put(at -> {
                         epochs.observe(reply, at);
                         List<PartVerdict> read = stored.onReply(epochs.rejectOutdated(reply), at);
-                        if (!read.isEmpty()) {
-                            requests.onPartsReported(STORE, List.of(), read);
-                        }
+                        requests.onPartsReported(STORE, List.of(), read);
                     }));
         }
     }
--- a/gooseberryring-state/src/main/java/org/gooseberryring/state/RouteTable.java
+++ b/gooseberryring-state/src/main/java/org/gooseberryring/state/RouteTable.java
@@ -43,6 +43,16 @@
         return null;
     }
 
+    /** Returns the longest time-out of a route whose streams another endpoint may continue, 0 if there is none. */
+    public long maxResumableMillis() {
+        return byHost.values().stream()
+                .flatMap(List::stream)
+                .filter(route -> route.kind() == RequestKind.STREAM && route.resumable())
+                .mapToLong(Route::timeoutMillis)
+                .max()
+                .orElse(0);
+    }
+
     /** Returns the number of routes. */
     public int size() {
         return size;
