Take the registry as current as soon as the endpoints are listed

The state is now set when the list is applied; the engine's test states that its registry is current, and a new one that nothing is continued while it is not.

--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
@@ -40,6 +40,7 @@
             new PromptShape(List.of(new PromptShape.Part(7, 10), new PromptShape.Part(8, 10)), 20, 1);
 
     private final CrashingParts parts = new CrashingParts("h");
+    private final StreamVersions versions = new StreamVersions();
     private final DirectRouter router = new DirectRouter("a", new PermittedChoice(new Random(1)));
     private final RequestEngine engine = new RequestEngine(
             new SharedLimits(8_000),
@@ -48,10 +49,11 @@
             new RouteRetries(new RetryAllowance(10_000, 0.2, 54)),
             new CrashSuspects(3),
             parts,
-            new StreamVersions(),
+            versions,
             600_000);
 
     EntryEngineTest() {
+        versions.setRegistryCurrent(true);
         TreeMap<String, ServiceProfile> services = new TreeMap<>();
         services.put("s", new ServiceProfile("s", "/h", 100, 0, 0, null));
         router.configured(new ServingConfiguration(
@@ -94,6 +96,19 @@
         assertThat(engine.tick(5_000)).isEmpty();
     }
 
+    /** Guards against an endpoint of another software version that has the identifier or address of a known one. */
+    @Test
+    void abortsBrokenStreamWhileTheRegistryIsNotCurrent() {
+        register("e1", 4);
+        register("e2", 4);
+        versions.setRegistryCurrent(false);
+        engine.arrived(spec("q", true, true), 0);
+        engine.onResponseStarted("q", 1, 10);
+        List<RequestEffect> effects =
+                engine.attemptEnded("q", 1, new AttemptOutcome(Verdict.MAY_HAVE_RUN, 200, 0, true, false, 5), 20);
+        assertThat(effects.get(0)).isInstanceOf(RequestEffect.Refuse.class);
+    }
+
     /** Guards against a repeatable request that waits at a hanging endpoint until its caller disconnects. */
     @Test
     void movesRequestFromHangingEndpoint() {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/DeploymentFeeds.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/DeploymentFeeds.java
@@ -340,6 +340,7 @@
         @Override
         public void onListed(StorePosition at, long now) {
             endpointsListed = true;
+            updateRegistryCurrent(now);
             updateListed();
             LogLine.event("endpoints-listed")
                     .with("at", at)
