Load models on the software version that a broken stream needs

What callers would see: streams that only endpoints of one version may continue are rejected although two of them serve, since a model is mostly loaded on one or two endpoints, and the one that began the stream has just crashed.

Cause: a missing model is requested from the controllers without saying which endpoints may load it, and is not missing while another version has it.

A request that is bound to a version now asks for a replica on that version and waits for it as long as a load may take, twice at most; then, or if no endpoint of the version is in service, it is rejected. Controllers choose among the endpoints of the version. Tests: the router's two and the controller's are new; before, the first request was rejected at once (NO_VERSION) and no order went out.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/ArrivalEstimate.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/ArrivalEstimate.java
@@ -3,7 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 
-import org.gooseberryring.coordination.request.RequestTarget;
+import org.gooseberryring.coordination.request.RequestedArtifact;
 
 /** Estimates when a missing artifact will be loaded, from the time at which it was first requested. */
 final class ArrivalEstimate {
@@ -13,12 +13,12 @@
     /** If no request for an artifact arrives for this time, the next one starts a new estimate. */
     private static final long RESET_AFTER_MILLIS = 10_000;
 
-    private final Map<RequestTarget.RoutedTarget, Missing> missing = new HashMap<>();
+    private final Map<RequestedArtifact, Missing> missing = new HashMap<>();
 
     private record Missing(long missingSince, long lastRequestedAt) {}
 
     /** Returns the milliseconds until the artifact is expected, given the duration of its load. */
-    long millisToArrival(RequestTarget.RoutedTarget target, long loadMillis, long now) {
+    long millisToArrival(RequestedArtifact target, long loadMillis, long now) {
         Missing known = missing.get(target);
         boolean isFirst = known == null || now - known.lastRequestedAt() > RESET_AFTER_MILLIS;
         long missingSince = isFirst ? now : known.missingSince();
@@ -27,7 +27,7 @@
     }
 
     /** Clears the estimate after an endpoint has loaded the artifact. */
-    void onLoaded(RequestTarget.RoutedTarget target) {
+    void onLoaded(RequestedArtifact target) {
         missing.remove(target);
     }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/AwaitedReplicas.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/AwaitedReplicas.java
@@ -3,7 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 
-import org.gooseberryring.coordination.request.RequestTarget;
+import org.gooseberryring.coordination.request.RequestedArtifact;
 
 /** Replicas of models whose endpoints are too limited for the requests for them, while controllers load them. */
 final class AwaitedReplicas {
@@ -13,7 +13,7 @@
     /** If no request needs a replica for this time, the next one begins to wait for it anew. */
     private static final long RESET_AFTER_MILLIS = 10_000;
 
-    private final Map<RequestTarget.RoutedTarget, Awaited> models = new HashMap<>();
+    private final Map<RequestedArtifact, Awaited> models = new HashMap<>();
 
     private record Awaited(long since, long lastRequestedAt) {}
 
@@ -22,7 +22,7 @@
      *
      * @param loadMillis duration of a load of the model
      */
-    boolean isExpectedBy(RequestTarget.RoutedTarget model, long loadMillis, long time, long now) {
+    boolean isExpectedBy(RequestedArtifact model, long loadMillis, long time, long now) {
         Awaited known = models.get(model);
         boolean isFirst = known == null || now - known.lastRequestedAt() > RESET_AFTER_MILLIS;
         long since = isFirst ? now : known.since();
@@ -35,7 +35,7 @@
     }
 
     /** Handles that an endpoint without a limit has loaded a model. */
-    void onLoaded(RequestTarget.RoutedTarget model) {
+    void onLoaded(RequestedArtifact model) {
         models.remove(model);
     }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -10,6 +10,7 @@
 
 import org.gooseberryring.coordination.request.ArtifactUse;
 import org.gooseberryring.coordination.request.RequestTarget;
+import org.gooseberryring.coordination.request.RequestedArtifact;
 import org.gooseberryring.coordination.route.EndpointRouter;
 import org.gooseberryring.coordination.route.RouteChoice;
 import org.gooseberryring.coordination.route.RouteForecast;
@@ -36,20 +37,6 @@
      */
     private static final int MIN_COLD_SHARES = 8;
 
-    /**
-     * Cost in tokens of another failure domain, because transferring a body there takes longer than within the domain.
-     */
-    private static final double OTHER_DOMAIN_TOKENS = 60;
-
-    /** Cost in tokens of an endpoint with all slots in use, since running requests share each step of the engine. */
-    private static final double FULL_SLOTS_TOKENS = 4_000;
-
-    /** Cost in tokens of an endpoint that fails all its requests. */
-    private static final double FAILING_TOKENS = 50_000;
-
-    /** Cost in tokens of an endpoint at which an attempt of the same request has failed. */
-    private static final double FAILED_BEFORE_TOKENS = 200_000;
-
     /** Time that a controller takes to load an adapter on an endpoint that has loaded its model. */
     private static final long ADAPTER_MILLIS = 150;
 
@@ -59,7 +46,7 @@
     /** Time for which a request may always wait. */
     private static final long MIN_WAIT_MILLIS = 200;
 
-    private final String failureDomain;
+    private final EndpointCost cost;
     private final Map<String, DirectEndpoint> endpoints = new LinkedHashMap<>();
     private final EndpointIndex index = new EndpointIndex();
     private final Map<String, ReadRate> readRates = new HashMap<>();
@@ -80,7 +67,7 @@
      * @param permitted chooses by cost, within the rate limits of endpoints
      */
     public DirectRouter(String failureDomain, PermittedChoice permitted) {
-        this.failureDomain = failureDomain;
+        this.cost = new EndpointCost(failureDomain);
         this.permitted = permitted;
     }
 
@@ -243,8 +230,8 @@
         return demand.uses(inFlight, now);
     }
 
-    /** Returns and clears the targets that requests wait for and that no endpoint has loaded. */
-    public List<RequestTarget.RoutedTarget> takeRequestedArtifacts() {
+    /** Returns and clears the artifacts that requests wait for and that no endpoint has loaded. */
+    public List<RequestedArtifact> takeRequestedArtifacts() {
         return requestedArtifacts.take();
     }
 
@@ -258,6 +245,9 @@
         if (loaded.lacksVersion()) {
             return RouteChoice.unreachable(RouteChoice.Cause.NO_VERSION, 0);
         }
+        if (loaded.isOnlyInOtherVersions()) {
+            return replicaOfVersion(query, target, now);
+        }
         List<DirectEndpoint> holders = loaded.endpoints();
         if (holders.isEmpty()) {
             return missing(query, target, !inService.isEmpty(), now);
@@ -268,9 +258,9 @@
         if (choice.cause() == RouteChoice.Cause.RATE_LIMITED) {
             return rateLimited(choice, query, target, now);
         }
-        arrivals.onLoaded(target);
+        arrivals.onLoaded(new RequestedArtifact(target, query.softwareVersion()));
         if (!awaitedReplicas.isEmpty() && !holders.stream().allMatch(permitted::isLimited)) {
-            awaitedReplicas.onLoaded(target.withoutAdapter());
+            awaitedReplicas.onLoaded(new RequestedArtifact(target.withoutAdapter(), query.softwareVersion()));
         }
         return choice;
     }
@@ -364,7 +354,7 @@
         List<PermittedChoice.Candidate> candidates = new ArrayList<>();
         for (DirectEndpoint endpoint : holders) {
             if (endpoint.hasFreeCapacity(query, coldShare(), now)) {
-                candidates.add(new PermittedChoice.Candidate(endpoint, cost(endpoint, query)));
+                candidates.add(new PermittedChoice.Candidate(endpoint, cost.of(endpoint, query)));
             }
         }
         return candidates;
@@ -395,18 +385,31 @@
         if (hasReplica && target.adapter() != null) {
             return missing(query, target, true, now);
         }
-        ModelProfile model = model(target);
-        if (model != null) {
-            requestedArtifacts.add(base);
-            if (awaitedReplicas.isExpectedBy(base, model.storeLoadMillis(), query.startBy(), now)) {
-                permitted.recordWait(query);
-                return RouteChoice.WAIT;
-            }
+        if (isReplicaExpected(new RequestedArtifact(base, query.softwareVersion()), query, now)) {
+            permitted.recordWait(query);
+            return RouteChoice.WAIT;
         }
         permitted.recordRejection();
         return choice;
     }
 
+    /** Lets a request wait for a replica of its model on an endpoint of the software version that began its stream. */
+    private RouteChoice replicaOfVersion(RouteQuery query, RequestTarget.RoutedTarget target, long now) {
+        return isReplicaExpected(new RequestedArtifact(target, query.softwareVersion()), query, now)
+                ? RouteChoice.WAIT
+                : RouteChoice.unreachable(RouteChoice.Cause.NO_VERSION, 0);
+    }
+
+    /** Requests a replica; returns whether it can be expected before a request must start. */
+    private boolean isReplicaExpected(RequestedArtifact artifact, RouteQuery query, long now) {
+        ModelProfile model = model(artifact.target());
+        if (model == null) {
+            return false;
+        }
+        requestedArtifacts.add(artifact);
+        return awaitedReplicas.isExpectedBy(artifact, model.storeLoadMillis(), query.startBy(), now);
+    }
+
     /**
      * Lets a request wait for free capacity. Rejects it if it has missed its objective, if the backlog would start it
      * far too late, or if all endpoints stay in back-off past the time by which it must start.
@@ -436,8 +439,9 @@
         if (model == null) {
             return RouteChoice.UNREACHABLE;
         }
-        requestedArtifacts.add(target);
-        long available = arrivals.millisToArrival(target, loadMillis(target, model), now);
+        RequestedArtifact artifact = new RequestedArtifact(target, query.softwareVersion());
+        requestedArtifacts.add(artifact);
+        long available = arrivals.millisToArrival(artifact, loadMillis(target, model), now);
         return now + available > query.startBy()
                 ? RouteChoice.unreachable(RouteChoice.Cause.NOT_HELD, available)
                 : RouteChoice.WAIT;
@@ -452,15 +456,6 @@
         return model.storeLoadMillis();
     }
 
-    private double cost(DirectEndpoint endpoint, RouteQuery query) {
-        double cost = endpoint.tokensAhead(query) + FULL_SLOTS_TOKENS * endpoint.utilisation();
-        cost += FAILING_TOKENS * endpoint.health().failureShare();
-        if (!endpoint.registration().failureDomain().equals(failureDomain)) {
-            cost += OTHER_DOMAIN_TOKENS;
-        }
-        return query.failedAt().contains(endpoint.registration().id()) ? cost + FAILED_BEFORE_TOKENS : cost;
-    }
-
     /** Returns the model of a target if the configuration contains it and its adapter, otherwise null. */
     private ModelProfile model(RequestTarget.RoutedTarget target) {
         ServiceProfile service = configuration.services().get(target.service());
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/LoadedEndpoints.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/LoadedEndpoints.java
@@ -9,9 +9,10 @@
  * Endpoints in service that have loaded the target of a request.
  *
  * @param endpoints those of the software version that the request needs
- * @param lacksVersion whether only endpoints of other versions can serve the request now
+ * @param lacksVersion whether only endpoints of other versions are in service
+ * @param isOnlyInOtherVersions whether only endpoints of other versions have loaded the target
  */
-record LoadedEndpoints(List<DirectEndpoint> endpoints, boolean lacksVersion) {
+record LoadedEndpoints(List<DirectEndpoint> endpoints, boolean lacksVersion, boolean isOnlyInOtherVersions) {
     /**
      * Selects endpoints.
      *
@@ -31,7 +32,7 @@
                 loaded.add(endpoint);
             }
         }
-        boolean othersOnly = isLoadedByOthers || !inService.isEmpty() && !isVersionInService;
-        return new LoadedEndpoints(loaded, loaded.isEmpty() && othersOnly);
+        return new LoadedEndpoints(
+                loaded, !inService.isEmpty() && !isVersionInService, loaded.isEmpty() && isLoadedByOthers);
     }
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/Fleet.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/Fleet.java
@@ -10,6 +10,8 @@
 import java.util.TreeMap;
 
 import org.gooseberryring.coordination.ratelimit.RateLimit;
+import org.gooseberryring.coordination.request.RequestTarget;
+import org.gooseberryring.coordination.request.RequestedArtifact;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.EngineProfile;
 import org.gooseberryring.state.ResidentModel;
@@ -106,6 +108,18 @@
         return found;
     }
 
+    /** Returns the endpoints of a service that accept requests and have a software version, null for any. */
+    List<EndpointRegistration> inService(String service, String softwareVersion) {
+        return inService(service).stream()
+                .filter(registration -> hasVersion(registration, softwareVersion))
+                .toList();
+    }
+
+    /** Returns whether an endpoint has a software version, or any if the version is null. */
+    static boolean hasVersion(EndpointRegistration registration, String softwareVersion) {
+        return softwareVersion == null || softwareVersion.equals(registration.softwareVersion());
+    }
+
     boolean hasModel(String endpoint, String model) {
         return models.getOrDefault(endpoint, Set.of()).contains(model);
     }
@@ -116,8 +130,14 @@
 
     /** Returns the number of endpoints in service with a model, without those with a low rate limit. */
     int replicas(String service, String model) {
-        return (int) inService(service).stream()
-                .filter(registration -> hasModel(registration.id(), model) && !isLimited(registration.id()))
+        return replicas(RequestedArtifact.ofAnyVersion(new RequestTarget.RoutedTarget(service, model, null)));
+    }
+
+    /** Returns the number of endpoints in service that may provide an artifact, without those with a low rate limit. */
+    int replicas(RequestedArtifact artifact) {
+        RequestTarget.RoutedTarget target = artifact.target();
+        return (int) inService(target.service(), artifact.softwareVersion()).stream()
+                .filter(registration -> hasModel(registration.id(), target.model()) && !isLimited(registration.id()))
                 .count();
     }
 
@@ -128,9 +148,11 @@
                         !other.id().equals(endpoint.id()) && hasModel(other.id(), model) && !isLimited(other.id()));
     }
 
-    /** Returns whether any endpoint in service has a model. */
-    boolean isHeld(String service, String model) {
-        return inService(service).stream().anyMatch(registration -> hasModel(registration.id(), model));
+    /** Returns whether any endpoint in service that may provide an artifact has its model. */
+    boolean isHeld(RequestedArtifact artifact) {
+        RequestTarget.RoutedTarget target = artifact.target();
+        return inService(target.service(), artifact.softwareVersion()).stream()
+                .anyMatch(registration -> hasModel(registration.id(), target.model()));
     }
 
     /** Returns the number of failure domains with endpoints. */
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/residency/ResidencyController.java
@@ -15,6 +15,7 @@
 import org.gooseberryring.coordination.ratelimit.RateLimit;
 import org.gooseberryring.coordination.request.ArtifactUse;
 import org.gooseberryring.coordination.request.RequestTarget;
+import org.gooseberryring.coordination.request.RequestedArtifact;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.EngineProfile;
 import org.gooseberryring.state.ServingConfiguration;
@@ -74,7 +75,7 @@
     private final StoreLoadBudget storeLoads = new StoreLoadBudget();
     private final Map<String, EndpointLedger> ledgers = new TreeMap<>();
     private final Map<String, Move> moves = new TreeMap<>();
-    private final Map<RequestTarget.RoutedTarget, PendingRequest> pendingRequests = new LinkedHashMap<>();
+    private final Map<RequestedArtifact, PendingRequest> pendingRequests = new LinkedHashMap<>();
     private long term;
     private boolean leading;
     private long rebalanceAt;
@@ -130,11 +131,11 @@
     }
 
     /** Records that requests wait for artifacts. */
-    public void onArtifactsRequested(Collection<RequestTarget.RoutedTarget> targets, long now) {
-        for (RequestTarget.RoutedTarget target : targets) {
-            demand.recordUse(target, now);
+    public void onArtifactsRequested(Collection<RequestedArtifact> artifacts, long now) {
+        for (RequestedArtifact artifact : artifacts) {
+            demand.recordUse(artifact.target(), now);
             pendingRequests.merge(
-                    target, new PendingRequest(now, now), (old, latest) -> new PendingRequest(old.since(), now));
+                    artifact, new PendingRequest(now, now), (old, latest) -> new PendingRequest(old.since(), now));
         }
     }
 
@@ -144,10 +145,11 @@
      * <p>For an adapter, all hosts choose the same endpoint among those with its model, so that the adapters are spread
      * over these endpoints. A model that is not loaded is requested from all controllers.
      */
-    public Providers providers(RequestTarget.RoutedTarget target) {
+    public Providers providers(RequestedArtifact requested) {
+        RequestTarget.RoutedTarget target = requested.target();
         Set<String> all = new TreeSet<>();
         Map<String, String> domainsByEndpoint = new TreeMap<>();
-        for (EndpointRegistration endpoint : fleet.inService(target.service())) {
+        for (EndpointRegistration endpoint : fleet.inService(target.service(), requested.softwareVersion())) {
             all.add(endpoint.failureDomain());
             if (fleet.hasModel(endpoint.id(), target.model()) && !fleet.isLimited(endpoint.id())) {
                 domainsByEndpoint.put(endpoint.id(), endpoint.failureDomain());
@@ -245,18 +247,16 @@
     }
 
     private void orderRequestedArtifacts(List<ResidencyEffect> effects, long now) {
-        Iterator<Map.Entry<RequestTarget.RoutedTarget, PendingRequest>> each =
+        Iterator<Map.Entry<RequestedArtifact, PendingRequest>> each =
                 pendingRequests.entrySet().iterator();
         while (each.hasNext()) {
-            Map.Entry<RequestTarget.RoutedTarget, PendingRequest> entry = each.next();
-            RequestTarget.RoutedTarget target = entry.getKey();
-            boolean isModel = target.adapter() == null;
-            boolean present = isModel
-                    ? fleet.replicas(target.service(), target.model()) > 0
-                    : fleet.isHeld(target.service(), target.model());
+            Map.Entry<RequestedArtifact, PendingRequest> entry = each.next();
+            RequestedArtifact artifact = entry.getKey();
+            boolean isModel = artifact.target().adapter() == null;
+            boolean present = isModel ? fleet.replicas(artifact) > 0 : fleet.isHeld(artifact);
             boolean done = present
-                    ? isModel || loadAdapter(target, effects, now)
-                    : loadRequestedModel(target, entry.getValue().since(), now);
+                    ? isModel || loadAdapter(artifact, effects, now)
+                    : loadRequestedModel(artifact, entry.getValue().since(), now);
             if (done) {
                 each.remove();
             }
@@ -264,44 +264,58 @@
     }
 
     /** Sends the next order for an adapter; returns whether no further order is needed. */
-    private boolean loadAdapter(RequestTarget.RoutedTarget target, List<ResidencyEffect> effects, long now) {
-        AdapterPlacer.Step step = adapters.next(target, ledgers.values(), now);
+    private boolean loadAdapter(RequestedArtifact artifact, List<ResidencyEffect> effects, long now) {
+        AdapterPlacer.Step step = adapters.next(artifact.target(), ledgers(artifact), now);
         if (step.ledger() != null) {
             sendOrder(step.ledger(), step.action(), step.model(), step.adapter(), effects);
         }
         return step.last();
     }
 
+    /** Returns the endpoints of this failure domain that may provide an artifact. */
+    private List<EndpointLedger> ledgers(RequestedArtifact artifact) {
+        return ledgers.values().stream()
+                .filter(ledger -> Fleet.hasVersion(ledger.registration(), artifact.softwareVersion()))
+                .toList();
+    }
+
     /** Starts to load a model that no endpoint without a low rate limit has; returns true if it cannot be loaded. */
-    private boolean loadRequestedModel(RequestTarget.RoutedTarget target, long since, long now) {
+    private boolean loadRequestedModel(RequestedArtifact artifact, long since, long now) {
+        RequestTarget.RoutedTarget target = artifact.target();
         EngineProfile engine = fleet.engine(target.service());
         if (engine == null || !engine.models().containsKey(target.model())) {
             return true;
         }
-        boolean moving = moves.values().stream().anyMatch(move -> move.model().equals(target.model()));
-        boolean expected = ledgers.values().stream()
-                .anyMatch(ledger -> ledger.isExpecting(target.model())
-                        && !fleet.isLimited(ledger.registration().id()));
-        if (moving || expected) {
+        boolean expected = ledgers(artifact).stream()
+                .anyMatch(ledger -> isMovingTo(ledger, target.model())
+                        || ledger.isExpecting(target.model())
+                                && !fleet.isLimited(ledger.registration().id()));
+        if (expected) {
             return false;
         }
-        ModelPlacer.Place place = place(target, since, now);
+        ModelPlacer.Place place = place(artifact, since, now);
         if (place != null) {
             startMove(place, target.model(), now);
         }
         return false;
     }
 
+    private boolean isMovingTo(EndpointLedger ledger, String model) {
+        Move move = moves.get(ledger.registration().id());
+        return move != null && move.model().equals(model);
+    }
+
     /** Returns where to load a requested model, or null if there is no place. */
-    private ModelPlacer.Place place(RequestTarget.RoutedTarget target, long since, long now) {
-        Predicate<EndpointRegistration> usable = usable(target, since, now);
+    private ModelPlacer.Place place(RequestedArtifact artifact, long since, long now) {
+        RequestTarget.RoutedTarget target = artifact.target();
+        Predicate<EndpointRegistration> usable = usable(artifact, since, now);
         ModelPlacer.UnloadCondition unneeded = (endpoint, model) -> canUnload(endpoint, model, IDLE_MODEL_MILLIS, now);
         ModelPlacer.Place place = place(target, usable.and(this::isUnlimited), unneeded, now);
         if (place != null) {
             return place;
         }
-        return fleet.isHeld(target.service(), target.model())
-                ? placeOfRarerModel(target, since + EXCHANGE_DELAY_MILLIS, now)
+        return fleet.isHeld(artifact)
+                ? placeOfRarerModel(artifact, since + EXCHANGE_DELAY_MILLIS, now)
                 : place(target, usable, unneeded, now);
     }
 
@@ -309,21 +323,22 @@
      * Returns the place of a model with less demand than a model that only limited endpoints have, or null if there is
      * none. The former is then loaded to a limited endpoint when it is requested.
      */
-    private ModelPlacer.Place placeOfRarerModel(RequestTarget.RoutedTarget target, long since, long now) {
+    private ModelPlacer.Place placeOfRarerModel(RequestedArtifact artifact, long since, long now) {
         if (now < since) {
             return null;
         }
+        RequestTarget.RoutedTarget target = artifact.target();
         double maxDemand = demand.modelDemand(target.service(), target.model(), now) / MIN_EXCHANGE_FACTOR;
         ModelPlacer.UnloadCondition rarer = (endpoint, model) -> canUnload(endpoint, model, IDLE_MODEL_MILLIS, now)
                 || !moves.containsKey(endpoint.id()) && demand.modelDemand(endpoint.service(), model, now) < maxDemand;
-        return place(target, usable(target, since, now).and(this::isUnlimited), rarer, now);
+        return place(target, usable(artifact, since, now).and(this::isUnlimited), rarer, now);
     }
 
     /** Returns the endpoints to choose from: all, or only the own ones once another failure domain should have acted. */
-    private Predicate<EndpointRegistration> usable(RequestTarget.RoutedTarget target, long since, long now) {
-        boolean anywhere =
-                now - since < REMOTE_LOAD_TIMEOUT_MILLIS + FALLBACK_INTERVAL_MILLIS * fallbackPosition(target);
-        return endpoint -> anywhere || isOwn(endpoint);
+    private Predicate<EndpointRegistration> usable(RequestedArtifact artifact, long since, long now) {
+        boolean anywhere = now - since
+                < REMOTE_LOAD_TIMEOUT_MILLIS + FALLBACK_INTERVAL_MILLIS * fallbackPosition(artifact.target());
+        return endpoint -> (anywhere || isOwn(endpoint)) && Fleet.hasVersion(endpoint, artifact.softwareVersion());
     }
 
     private ModelPlacer.Place place(
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/DirectRouterTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/DirectRouterTest.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 
 import org.gooseberryring.coordination.request.RequestTarget;
+import org.gooseberryring.coordination.request.RequestedArtifact;
 import org.gooseberryring.coordination.route.RouteChoice;
 import org.gooseberryring.coordination.route.RouteQuery;
 import org.gooseberryring.state.EndpointProcess;
@@ -156,12 +157,40 @@
     @Test
     void requestsLoadOfMissingAdapterAndWaits() {
         assertThat(router.choose(query(ADAPTER, PROMPT), 0)).isEqualTo(RouteChoice.WAIT);
-        assertThat(router.takeRequestedArtifacts()).containsExactly(ADAPTER);
+        assertThat(router.takeRequestedArtifacts()).containsExactly(RequestedArtifact.ofAnyVersion(ADAPTER));
         assertThat(router.takeRequestedArtifacts()).isEmpty();
         router.onResidentModelsReported("e2", List.of(new ResidentModel("m", Set.of("a1"))), 20);
         assertThat(router.choose(query(ADAPTER, PROMPT), 20).id()).isEqualTo("e2");
     }
 
+    /** Guards against a stream that cannot go on because no endpoint of its software version has loaded its model. */
+    @Test
+    void requestsReplicaOnTheSoftwareVersionOfTheStream() {
+        RequestTarget.RoutedTarget other = new RequestTarget.RoutedTarget("llm", "n", null);
+        router.onEndpointRegistered(engine("e3", "a", "v2", "n"), 0);
+        router.onEndpointRegistered(engine("e4", "a", "v1", "m"), 0);
+        RouteQuery bound = new RouteQuery("r", other, 0, false, false, PROMPT, 9_000, 20_000, Set.of(), "v1");
+
+        assertThat(router.choose(bound, 0)).isEqualTo(RouteChoice.WAIT);
+        assertThat(router.takeRequestedArtifacts()).containsExactly(new RequestedArtifact(other, "v1"));
+        router.onResidentModelsReported("e4", List.of(new ResidentModel("n", Set.of())), 2_000);
+        assertThat(router.choose(bound, 2_000).id()).isEqualTo("e4");
+    }
+
+    /** Guards against a caller that waits although no endpoint of the software version of its stream will serve it. */
+    @Test
+    void rejectsStreamWhoseSoftwareVersionCannotServeIt() {
+        RequestTarget.RoutedTarget other = new RequestTarget.RoutedTarget("llm", "n", null);
+        router.onEndpointRegistered(engine("e3", "a", "v2", "n"), 0);
+        RouteQuery gone = new RouteQuery("r", other, 0, false, false, PROMPT, 9_000, 20_000, Set.of(), "v1");
+        assertThat(router.choose(gone, 0).cause()).isEqualTo(RouteChoice.Cause.NO_VERSION);
+
+        router.onEndpointRegistered(engine("e4", "a", "v1", "m"), 0);
+        assertThat(router.choose(gone, 0)).isEqualTo(RouteChoice.WAIT);
+        // The load takes 4 s; one that has not come after twice the time is not expected any more.
+        assertThat(router.choose(gone, 8_000).cause()).isEqualTo(RouteChoice.Cause.NO_VERSION);
+    }
+
     /** Guards against callers that wait for a model whose load takes longer than their time-out. */
     @Test
     void rejectsAtOnceIfModelCannotBeLoadedInTime() {
@@ -170,7 +199,7 @@
         RouteChoice refused = router.choose(impatient, 0);
         assertThat(refused.kind()).isEqualTo(RouteChoice.Kind.UNREACHABLE);
         assertThat(refused.availableMillis()).isEqualTo(4_000);
-        assertThat(router.takeRequestedArtifacts()).containsExactly(absent);
+        assertThat(router.takeRequestedArtifacts()).containsExactly(RequestedArtifact.ofAnyVersion(absent));
         RouteQuery patient = new RouteQuery("r", absent, 0, false, false, PROMPT, 4_000, 16_000, Set.of());
         assertThat(router.choose(patient, 0)).isEqualTo(RouteChoice.WAIT);
         RequestTarget.RoutedTarget unknown = new RequestTarget.RoutedTarget("llm", "x", null);
@@ -277,6 +306,11 @@
         return new EndpointRegistration(id, "llm", "10.0.0.1:80", domain, 64, false, coldMillis, bornMillis, models);
     }
 
+    private static EndpointRegistration engine(String id, String domain, String version, String model) {
+        List<ResidentModel> models = List.of(new ResidentModel(model, Set.of()));
+        return new EndpointRegistration(id, "llm", "10.0.0.1:80", domain, 64, false, 0, 1, models, version);
+    }
+
     private static EndpointRegistration service(String id) {
         return new EndpointRegistration(id, "orders", "10.0.0.2:80", "a", 6, false, 0, 0, List.of());
     }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/PermittedChoiceTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/PermittedChoiceTest.java
@@ -11,6 +11,7 @@
 import org.gooseberryring.coordination.ratelimit.PermitRequest;
 import org.gooseberryring.coordination.ratelimit.RateLimit;
 import org.gooseberryring.coordination.request.RequestTarget;
+import org.gooseberryring.coordination.request.RequestedArtifact;
 import org.gooseberryring.coordination.route.RouteChoice;
 import org.gooseberryring.coordination.route.RouteQuery;
 import org.gooseberryring.state.EndpointProcess;
@@ -92,7 +93,7 @@
         assertThat(second.availableMillis()).isEqualTo(2_000);
         assertThat(permitted.takeLimitedRequests())
                 .contains(new LimitedRequest("r2", "e1", LimitedRequest.Action.REJECTED, 2_000));
-        assertThat(router.takeRequestedArtifacts()).containsExactly(MODEL);
+        assertThat(router.takeRequestedArtifacts()).containsExactly(RequestedArtifact.ofAnyVersion(MODEL));
     }
 
     /** Guards against requests that are rejected although another endpoint loads their model before their deadline. */
@@ -102,7 +103,7 @@
         permitted.onGrant(grant(takeRequest(100), 0, 60_000), 110);
         assertThat(router.choose(urgent("r1", 9_000), 110)).isEqualTo(RouteChoice.WAIT);
         assertThat(router.choose(urgent("r2", 4_000), 110).cause()).isEqualTo(RouteChoice.Cause.RATE_LIMITED);
-        assertThat(router.takeRequestedArtifacts()).containsExactly(MODEL);
+        assertThat(router.takeRequestedArtifacts()).containsExactly(RequestedArtifact.ofAnyVersion(MODEL));
         assertThat(permitted.takeLimitedRequests().stream().map(LimitedRequest::action))
                 .containsExactly(LimitedRequest.Action.HELD, LimitedRequest.Action.REJECTED)
                 .inOrder();
@@ -130,7 +131,7 @@
         router.choose(query, 100);
         permitted.onGrant(grant(takeRequest(100), 0, 5_000), 110);
         assertThat(router.choose(query, 110)).isEqualTo(RouteChoice.WAIT);
-        assertThat(router.takeRequestedArtifacts()).containsExactly(adapter);
+        assertThat(router.takeRequestedArtifacts()).containsExactly(RequestedArtifact.ofAnyVersion(adapter));
         assertThat(permitted.takeLimitedRequests().stream().map(LimitedRequest::action))
                 .doesNotContain(LimitedRequest.Action.REJECTED);
         router.onResidentModelsReported("e2", List.of(new ResidentModel("m", Set.of("a1"))), 200);
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyControllerTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyControllerTest.java
@@ -15,6 +15,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 import org.gooseberryring.coordination.request.RequestTarget;
+import org.gooseberryring.coordination.request.RequestedArtifact;
+import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.ResidentModel;
 import org.junit.jupiter.api.Test;
 
@@ -70,7 +72,7 @@
         for (long now = 0; now < 2_250; now += 50) {
             List<ResidencyEffect.Announce> announced = new ArrayList<>();
             for (ResidencyController controller : controllers.values()) {
-                controller.onArtifactsRequested(List.of(requested), now);
+                controller.onArtifactsRequested(List.of(RequestedArtifact.ofAnyVersion(requested)), now);
                 for (ResidencyEffect effect : controller.onTick(1, now)) {
                     if (effect instanceof ResidencyEffect.RequestStatus request) {
                         controller.onStatus(
@@ -158,7 +160,9 @@
                 controller.onConfigurationChanged(ResidencyWorld.configuration());
                 controller.onEndpointRegistered(ResidencyWorld.registration("e0", "a", List.of("m0")));
                 controller.onEndpointRegistered(ResidencyWorld.registration("e1", "b", List.of("m0")));
-                results.add(controller.providers(target).domains());
+                results.add(controller
+                        .providers(RequestedArtifact.ofAnyVersion(target))
+                        .domains());
             }
             assertThat(results).hasSize(1);
             perDomain[results.iterator().next().get(0).equals("a") ? 0 : 1]++;
@@ -287,12 +291,62 @@
         ResidencyController controller = new ResidencyController("a");
         controller.onConfigurationChanged(ResidencyWorld.configuration());
         controller.onEndpointRegistered(ResidencyWorld.registration("e0", "a", List.of("m0")));
-        controller.onArtifactsRequested(Set.of(new RequestTarget.RoutedTarget(ResidencyWorld.SERVICE, "m9", null)), 0);
+        controller.onArtifactsRequested(
+                Set.of(RequestedArtifact.ofAnyVersion(
+                        new RequestTarget.RoutedTarget(ResidencyWorld.SERVICE, "m9", null))),
+                0);
         for (long now = 0; now < 5_000; now += 20) {
             assertThat(controller.onTick(0, now)).isEmpty();
         }
     }
 
+    /** Guards against a replica on another software version than the stream needs that waits for it. */
+    @Test
+    void loadsARequestedModelOnTheRequestedSoftwareVersion() {
+        ResidencyController controller = new ResidencyController("a");
+        controller.onConfigurationChanged(ResidencyWorld.configuration());
+        controller.onEndpointRegistered(registration("e0", "v2", "m9"));
+        controller.onEndpointRegistered(registration("e1", "v2", "m0"));
+        controller.onEndpointRegistered(registration("e2", "v1", "m0"));
+        RequestedArtifact requested = new RequestedArtifact(model("m9"), "v1");
+        assertThat(controller.providers(requested).domains()).containsExactly("a");
+        Set<String> ordered = new TreeSet<>();
+        for (long now = 0; now < 2_000; now += 50) {
+            controller.onArtifactsRequested(List.of(requested), now);
+            for (ResidencyEffect effect : controller.onTick(1, now)) {
+                if (effect instanceof ResidencyEffect.RequestStatus request) {
+                    String model = request.endpoint().equals("e0") ? "m9" : "m0";
+                    controller.onStatus(
+                            new EndpointStatus(
+                                    request.endpoint(),
+                                    0,
+                                    false,
+                                    List.of(new ResidentModel(model, Set.of())),
+                                    List.of(),
+                                    Set.of()),
+                            now);
+                } else if (effect instanceof ResidencyEffect.Send send) {
+                    ordered.add(send.order().endpoint() + " " + send.order().model());
+                }
+            }
+        }
+        assertThat(ordered).containsExactly("e2 m9");
+    }
+
+    private static EndpointRegistration registration(String id, String version, String model) {
+        return new EndpointRegistration(
+                id,
+                ResidencyWorld.SERVICE,
+                "10.0.0.1:80",
+                "a",
+                64,
+                false,
+                0,
+                1,
+                List.of(new ResidentModel(model, Set.of())),
+                version);
+    }
+
     private static Map<RequestTarget.RoutedTarget, Double> unevenDemand(long seed) {
         List<Integer> ranks = new ArrayList<>();
         for (int i = 0; i < MODELS; i++) {
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/residency/ResidencyWorld.java
@@ -14,6 +14,7 @@
 import org.gooseberryring.coordination.ratelimit.RateLimit;
 import org.gooseberryring.coordination.request.ArtifactUse;
 import org.gooseberryring.coordination.request.RequestTarget;
+import org.gooseberryring.coordination.request.RequestedArtifact;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.EngineProfile;
 import org.gooseberryring.state.ModelProfile;
@@ -126,7 +127,10 @@
 
     /** Simulates requests for an artifact now. */
     void request(RequestTarget.RoutedTarget target) {
-        controllers.values().forEach(controller -> controller.onArtifactsRequested(Set.of(target), now));
+        controllers
+                .values()
+                .forEach(controller ->
+                        controller.onArtifactsRequested(Set.of(RequestedArtifact.ofAnyVersion(target)), now));
     }
 
     /** Sets the demand from now on in tokens per second. */
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ArtifactRequests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ArtifactRequests.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.function.BiConsumer;
 
-import org.gooseberryring.coordination.request.RequestTarget;
+import org.gooseberryring.coordination.request.RequestedArtifact;
 import org.gooseberryring.coordination.residency.ResidencyController;
 import org.gooseberryring.host.log.LogLine;
 import org.jboss.logging.Logger;
@@ -30,8 +30,8 @@
 
     private final ResidencyController controller;
     private final Controllers controllers;
-    private final BiConsumer<String, List<RequestTarget.RoutedTarget>> sender;
-    private final Map<RequestTarget.RoutedTarget, RequestTimes> requestTimes = new HashMap<>();
+    private final BiConsumer<String, List<RequestedArtifact>> sender;
+    private final Map<RequestedArtifact, RequestTimes> requestTimes = new HashMap<>();
 
     private record RequestTimes(long firstAt, long lastAt) {
         long round() {
@@ -43,7 +43,7 @@
     ArtifactRequests(
             ResidencyController controller,
             Controllers controllers,
-            BiConsumer<String, List<RequestTarget.RoutedTarget>> sender) {
+            BiConsumer<String, List<RequestedArtifact>> sender) {
         this.controller = controller;
         this.controllers = controllers;
         this.sender = sender;
@@ -55,16 +55,16 @@
     }
 
     /** Requests the artifacts, unless they were requested a moment ago. */
-    void request(List<RequestTarget.RoutedTarget> targets, long now) {
-        Map<String, List<RequestTarget.RoutedTarget>> byHost = new HashMap<>();
-        for (RequestTarget.RoutedTarget target : targets) {
-            RequestTimes previous = requestTimes.get(target);
+    void request(List<RequestedArtifact> artifacts, long now) {
+        Map<String, List<RequestedArtifact>> byHost = new HashMap<>();
+        for (RequestedArtifact artifact : artifacts) {
+            RequestTimes previous = requestTimes.get(artifact);
             if (previous == null || now - previous.lastAt() >= REQUEST_INTERVAL_MILLIS) {
                 RequestTimes times = new RequestTimes(previous == null ? now : previous.firstAt(), now);
-                requestTimes.put(target, times);
+                requestTimes.put(artifact, times);
                 boolean newRound = previous == null || times.round() != previous.round();
-                for (String host : providers(target, times, newRound, now)) {
-                    byHost.computeIfAbsent(host, key -> new ArrayList<>()).add(target);
+                for (String host : providers(artifact, times, newRound, now)) {
+                    byHost.computeIfAbsent(host, key -> new ArrayList<>()).add(artifact);
                 }
             }
         }
@@ -72,13 +72,14 @@
     }
 
     /** Returns the controllers to send the request to: all of them, or the one of the current round. */
-    private List<String> providers(RequestTarget.RoutedTarget target, RequestTimes times, boolean newRound, long now) {
-        ResidencyController.Providers providers = controller.providers(target);
+    private List<String> providers(RequestedArtifact artifact, RequestTimes times, boolean newRound, long now) {
+        ResidencyController.Providers providers = controller.providers(artifact);
         if (newRound) {
             LogLine.event("artifact-wanted")
-                    .with("service", target.service())
-                    .with("model", target.model())
-                    .with("adapter", target.adapter())
+                    .with("service", artifact.target().service())
+                    .with("model", artifact.target().model())
+                    .with("adapter", artifact.target().adapter())
+                    .with("version", artifact.softwareVersion())
                     .with("providers", providers.domains())
                     .with("missedMs", times.lastAt() - times.firstAt())
                     .info(LOG);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -16,7 +16,7 @@
 import org.gooseberryring.coordination.direct.LimitedRequest;
 import org.gooseberryring.coordination.ratelimit.PermitRequest;
 import org.gooseberryring.coordination.ratelimit.RateLimit;
-import org.gooseberryring.coordination.request.RequestTarget;
+import org.gooseberryring.coordination.request.RequestedArtifact;
 import org.gooseberryring.coordination.residency.ResidencyController;
 import org.gooseberryring.host.HostClock;
 import org.gooseberryring.host.HostMetrics;
@@ -304,8 +304,8 @@
         LimitedRequestLog limitedLog = new LimitedRequestLog(metrics);
         return new RequestListener() {
             @Override
-            public void onArtifactsMissing(List<RequestTarget.RoutedTarget> targets) {
-                exchange.requestArtifacts(targets);
+            public void onArtifactsMissing(List<RequestedArtifact> artifacts) {
+                exchange.requestArtifacts(artifacts);
             }
 
             @Override
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
@@ -28,6 +28,7 @@
 import org.gooseberryring.coordination.request.RequestEngine;
 import org.gooseberryring.coordination.request.RequestSpec;
 import org.gooseberryring.coordination.request.RequestTarget;
+import org.gooseberryring.coordination.request.RequestedArtifact;
 import org.gooseberryring.coordination.retry.CrashSuspects;
 import org.gooseberryring.coordination.retry.RetryAllowance;
 import org.gooseberryring.coordination.retry.RouteRetries;
@@ -363,7 +364,7 @@
          */
         @Override
         public void settle(RequestEngine engine, Consumer<RequestEffect> effects, long now) {
-            List<RequestTarget.RoutedTarget> lacking = router.takeRequestedArtifacts();
+            List<RequestedArtifact> lacking = router.takeRequestedArtifacts();
             if (!lacking.isEmpty()) {
                 listener.onArtifactsMissing(lacking);
             }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerCodec.java
@@ -17,6 +17,7 @@
 import org.gooseberryring.coordination.request.ArtifactUse;
 import org.gooseberryring.coordination.request.RequestEffect;
 import org.gooseberryring.coordination.request.RequestTarget;
+import org.gooseberryring.coordination.request.RequestedArtifact;
 import org.gooseberryring.coordination.residency.ResidencyEffect;
 import org.gooseberryring.coordination.store.StorePosition;
 import org.gooseberryring.protocol.peer.AdoptedConfiguration;
@@ -226,14 +227,21 @@
                 .build();
     }
 
-    static ArtifactsWanted wanted(Collection<RequestTarget.RoutedTarget> targets) {
+    static ArtifactsWanted wanted(Collection<RequestedArtifact> artifacts) {
         ArtifactsWanted.Builder wanted = ArtifactsWanted.newBuilder();
-        targets.forEach(target -> wanted.addArtifacts(encode(target, new ArtifactUse(0, 0))));
+        for (RequestedArtifact artifact : artifacts) {
+            String version = artifact.softwareVersion() == null ? "" : artifact.softwareVersion();
+            wanted.addArtifacts(
+                    encode(artifact.target(), new ArtifactUse(0, 0)).toBuilder().setSoftwareVersion(version));
+        }
         return wanted.build();
     }
 
-    static List<RequestTarget.RoutedTarget> targets(ArtifactsWanted wanted) {
-        return wanted.getArtifactsList().stream().map(PeerCodec::target).toList();
+    static List<RequestedArtifact> artifacts(ArtifactsWanted wanted) {
+        return wanted.getArtifactsList().stream()
+                .map(each -> new RequestedArtifact(
+                        target(each), each.getSoftwareVersion().isEmpty() ? null : each.getSoftwareVersion()))
+                .toList();
     }
 
     private static ArtifactDemand encode(RequestTarget.RoutedTarget target, ArtifactUse use) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -23,6 +23,7 @@
 import org.gooseberryring.coordination.ratelimit.RateLimit;
 import org.gooseberryring.coordination.request.ArtifactUse;
 import org.gooseberryring.coordination.request.RequestTarget;
+import org.gooseberryring.coordination.request.RequestedArtifact;
 import org.gooseberryring.coordination.residency.ResidencyController;
 import org.gooseberryring.coordination.residency.ResidencyEffect;
 import org.gooseberryring.coordination.store.StorePosition;
@@ -241,10 +242,10 @@
                         now));
             }
             case ARTIFACTS_WANTED -> {
-                List<RequestTarget.RoutedTarget> targets = PeerCodec.targets(message.getArtifactsWanted());
+                List<RequestedArtifact> artifacts = PeerCodec.artifacts(message.getArtifactsWanted());
                 control.offer(now -> {
-                    requestedByOthers.recordRequest(sender, targets, now);
-                    onArtifactsRequested(targets, now);
+                    requestedByOthers.recordRequest(sender, artifacts, now);
+                    onArtifactsRequested(artifacts, now);
                 });
             }
             case HELD_ENDPOINT ->
@@ -276,8 +277,8 @@
     }
 
     /** Requests artifacts that requests of this host wait for from the controllers; may be called on any thread. */
-    void requestArtifacts(List<RequestTarget.RoutedTarget> targets) {
-        control.offer(now -> artifactRequests.request(targets, now));
+    void requestArtifacts(List<RequestedArtifact> artifacts) {
+        control.offer(now -> artifactRequests.request(artifacts, now));
     }
 
     /** Publishes the models of endpoints to all hosts, on behalf of the controller of this failure domain. */
@@ -460,16 +461,16 @@
         return uses;
     }
 
-    private void sendArtifactRequest(String host, List<RequestTarget.RoutedTarget> targets) {
+    private void sendArtifactRequest(String host, List<RequestedArtifact> artifacts) {
         if (host.equals(hostId)) {
-            control.put(now -> onArtifactsRequested(targets, now));
+            control.put(now -> onArtifactsRequested(artifacts, now));
         } else {
-            mesh.send(host, PeerMessage.newBuilder().setArtifactsWanted(PeerCodec.wanted(targets)));
+            mesh.send(host, PeerMessage.newBuilder().setArtifactsWanted(PeerCodec.wanted(artifacts)));
         }
     }
 
-    private void onArtifactsRequested(List<RequestTarget.RoutedTarget> targets, long now) {
-        controller.onArtifactsRequested(targets, now);
+    private void onArtifactsRequested(List<RequestedArtifact> artifacts, long now) {
+        controller.onArtifactsRequested(artifacts, now);
         onArtifactRequested.run();
     }
 
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/WantedArtifacts.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/WantedArtifacts.java
@@ -7,6 +7,7 @@
 import java.util.TreeSet;
 
 import org.gooseberryring.coordination.request.RequestTarget;
+import org.gooseberryring.coordination.request.RequestedArtifact;
 import org.gooseberryring.state.ResidentModel;
 
 /**
@@ -22,9 +23,10 @@
     private final Map<RequestTarget.RoutedTarget, Map<String, Long>> requestedAt = new HashMap<>();
 
     /** Records that a host requests artifacts. */
-    void recordRequest(String host, List<RequestTarget.RoutedTarget> targets, long now) {
-        targets.forEach(target ->
-                requestedAt.computeIfAbsent(target, key -> new HashMap<>()).put(host, now));
+    void recordRequest(String host, List<RequestedArtifact> artifacts, long now) {
+        artifacts.forEach(artifact -> requestedAt
+                .computeIfAbsent(artifact.target(), key -> new HashMap<>())
+                .put(host, now));
     }
 
     /** Returns the hosts that recently requested one of the models or their adapters. */
