Read each entry of the registry on its own

What callers would see: no host serves any more. With one entry of another writer among those of the endpoints, a host did not get ready within 20 s, and one that ran saw no later endpoint.

Cause: a list, or a change, was parsed as one document. A number of thousands of digits, 100,000 levels or a byte that is no text made all of it unreadable. Ports up to 99,999 and addresses like 999.1.1.1 were taken, and figures that overflow where they are added up.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FeedRunner.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FeedRunner.java
@@ -60,7 +60,7 @@
         this.control = control;
         this.forwarder = forwarder;
         this.epochs = epochs;
-        this.feed = new CollectionFeed<>(times, listener, random, now);
+        this.feed = new CollectionFeed<>(times, new IsolatingListener<>(collection, listener), random, now);
         epochs.onChange(feed::onEpoch);
     }
 
