Treat endpoints without a version as unknown beside others

Two endpoints that state no version counted as one version beside others that state theirs; a version that changes between a request and its first response counted as the earlier one; the times of broken connections were kept for endpoints that had left; a read of the store that began before a write took its result back until the next conflict. One constant for the time of a take-up instead of two.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -415,7 +415,7 @@
         state.step(RequestState.Step.QUEUE);
         if (crashes.rejection(spec) != null) {
             refuse(state, crashes.rejection(spec), 0, now);
-        } else if (streams.mayContinue(state) && retries.retry(spec, outcome, bytes, state.sends(), now)) {
+        } else if (streams.mayContinue(state, now) && retries.retry(spec, outcome, bytes, state.sends(), now)) {
             enqueue(state, now);
         } else if (state.verdict() == Verdict.NOT_RUN) {
             refuse(state, RefusalReason.NO_ENDPOINT, RETRY_AFTER_MILLIS, now);
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/StreamGuard.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/StreamGuard.java
@@ -12,9 +12,6 @@
     /** Time for which a request waits for a report of the version that began its stream. */
     private static final long FIND_MILLIS = 400;
 
-    /** Time after its deadline for which a stream may be taken up; a caller may allow more time for a further request. */
-    private static final long TAKE_UP_MILLIS = 10_000;
-
     private final StreamVersions versions;
 
     StreamGuard(StreamVersions versions) {
@@ -31,15 +28,14 @@
         if (stream == null || !stream.takenUp() || state.softwareVersion() != null) {
             return true;
         }
-        if (versions.mayContinue()) {
-            state.bind(versions.find(stream, service(state), now));
-        }
+        state.bind(versions.find(stream, service(state), now));
         return state.softwareVersion() != null;
     }
 
     /** Returns whether a request whose response broke off may be sent to another endpoint. */
-    boolean mayContinue(RequestState state) {
-        return state.softwareVersion() == null || versions.mayContinue();
+    boolean mayContinue(RequestState state, long now) {
+        String version = state.softwareVersion();
+        return version == null || versions.mayContinue(version, service(state), now);
     }
 
     /** Returns whether a request must be rejected, because no report of the version that began its stream can come. */
@@ -88,7 +84,7 @@
     }
 
     private static long takenUpUntil(RequestState state) {
-        return state.spec().deadline() + TAKE_UP_MILLIS;
+        return state.spec().deadline() + StreamVersions.TAKE_UP_MILLIS;
     }
 
     private static String service(RequestState state) {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/stream/ServiceVersions.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/stream/ServiceVersions.java
@@ -20,6 +20,11 @@
         return byEndpoint.remove(endpoint);
     }
 
+    /** Returns whether an endpoint has a version, or is not registered any more. */
+    boolean hasVersion(String endpoint, String version) {
+        return version.equals(byEndpoint.getOrDefault(endpoint, version));
+    }
+
     /** Counts a version as one that may have begun streams until a time, even if no endpoint has it. */
     void keep(String version, long until) {
         seenUntil.merge(version, until, Math::max);
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/stream/StoredStreams.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/stream/StoredStreams.java
@@ -119,12 +119,7 @@
             }
         }
         if (!page.more() || page.items().isEmpty()) {
-            isReading = false;
-            if (!isOwnSeen && !isWriting) {
-                version = StoreRequest.Put.ABSENT;
-                stored = StreamTable.NONE;
-            }
-            isVersionKnown = true;
+            onReadEnd();
         }
         return changed;
     }
@@ -179,9 +174,20 @@
         isReadWanted = true;
     }
 
+    private void onReadEnd() {
+        isReading = false;
+        if (!isVersionKnown && !isOwnSeen && !isWriting) {
+            version = StoreRequest.Put.ABSENT;
+            stored = StreamTable.NONE;
+        }
+        isVersionKnown = true;
+    }
+
     private void onOwn(FeedItem<StreamTable> item) {
         isOwnSeen = true;
-        if (!isWriting) {
+        // The page may have been read before the last write.
+        boolean isCurrent = !isVersionKnown || item.revision() >= version;
+        if (!isWriting && isCurrent) {
             version = item.revision();
             stored = item.value() == null ? StreamTable.NONE : item.value();
         }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/stream/StreamVersions.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/stream/StreamVersions.java
@@ -19,15 +19,15 @@
  * other one while the stream can have begun; otherwise its version is unknown. All methods are called from one thread.
  */
 public final class StreamVersions {
+    /** Time after its deadline for which a stream may be taken up; a caller may allow more time for a further request. */
+    public static final long TAKE_UP_MILLIS = 10_000;
+
     /** Limits memory to a few megabytes; the stream that was recorded first is evicted. */
     static final int MAX_STREAMS = 16_384;
 
     /** Time by which a change of an endpoint may be known late; streams that began within it may be of either version. */
     static final long REGISTRY_DELAY_MILLIS = 5_000;
 
-    /** Time for which a stream may be taken up after the time-out of its route. */
-    private static final long TAKE_UP_MILLIS = 10_000;
-
     /** Longest lifetime of a stream while no configuration states one. */
     private static final long DEFAULT_STREAM_MILLIS = 60_000;
 
@@ -123,8 +123,9 @@
         if (stream.hasKey()) {
             Long lastBreak = brokenAt.get(endpoint);
             boolean settled = lastBreak == null || now - lastBreak > REGISTRY_DELAY_MILLIS;
-            Sender sender = new Sender(endpoint, now, settled);
-            record(new StreamId(service, stream.key()), new Stream(version, true, sender, expiresAt), now);
+            Stream began = new Stream(version, true, new Sender(endpoint, now, settled), expiresAt);
+            boolean hasChanged = !service(service).hasVersion(endpoint, version);
+            record(new StreamId(service, stream.key()), hasChanged ? began.uncertain() : began, now);
         }
     }
 
@@ -168,21 +169,25 @@
     }
 
     /**
-     * Returns whether streams may be continued: while this host may lack changes of endpoints, another process with another
-     * version may have the identifier or the address of an endpoint.
+     * Returns whether a stream may be continued by its version. While this host may lack changes of endpoints, another
+     * process with another version may have the identifier or the address of an endpoint. Endpoints that state no version
+     * have the same one only if no other endpoint of the service states any.
      */
-    public boolean mayContinue() {
-        return registryCurrent;
+    public boolean mayContinue(String version, String service, long now) {
+        return registryCurrent && (!version.isEmpty() || !isMixed(service, now));
     }
 
-    /** Returns the software version that began a stream which a caller takes up, null if it is not known. */
+    /** Returns the software version that must continue a stream which a caller takes up, null if none may. */
     public String find(StreamReference stream, String service, long now) {
         Stream known = known(stream, service, now);
-        if (known != null) {
-            return known.version();
-        }
+        String version = known == null ? onlyVersion(service, now) : known.version();
+        return version != null && mayContinue(version, service, now) ? version : null;
+    }
+
+    /** Returns the only version that can have begun streams which can still be taken up, null if there are several. */
+    private String onlyVersion(String service, long now) {
         ServiceVersions versions = services.get(service);
-        if (versions == null || !storeRead || !registryCurrent) {
+        if (versions == null || !storeRead) {
             return null;
         }
         Set<String> possible = versions.possible(now);
@@ -234,6 +239,7 @@
         }
         nextExpiryAt = now + EXPIRY_INTERVAL_MILLIS;
         streams.values().removeIf(stream -> stream.expiresAt() < now);
+        brokenAt.values().removeIf(at -> now - at > REGISTRY_DELAY_MILLIS);
         services.values().forEach(versions -> versions.expire(now));
         services.values().removeIf(ServiceVersions::isEmpty);
     }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/stream/StreamVersionsTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/stream/StreamVersionsTest.java
@@ -165,6 +165,32 @@
         assertThat(versions.find(nameless, "s", 100_000)).isEqualTo("v2");
     }
 
+    /** Guards against two endpoints that state no version and count as one version beside others that state theirs. */
+    @Test
+    void endpointsWithoutAVersionContinueNoStreamBesideOthers() {
+        StreamVersions versions = currentVersions();
+        StreamReference stream = new StreamReference(7, false);
+        versions.onRegistered(registration("e1", ""), 0);
+        versions.onBegan(stream, "s", "e1", "", DEADLINE, 0);
+        assertThat(versions.find(stream, "s", 10)).isEmpty();
+
+        versions.onRegistered(registration("e2", "v2"), 20);
+
+        assertThat(versions.find(stream, "s", 30)).isNull();
+    }
+
+    /** Guards against a version that changes between the request for a stream and its first response. */
+    @Test
+    void streamThatBeginsAfterAChangeOfItsEndpointIsOfNoVersion() {
+        StreamVersions versions = currentVersions();
+        StreamReference stream = new StreamReference(8, false);
+        versions.onRegistered(registration("e1", "v1"), 0);
+        versions.onRegistered(registration("e1", "v2"), 10);
+        versions.onBegan(stream, "s", "e1", "v1", DEADLINE, 20);
+
+        assertThat(versions.find(stream, "s", 30)).isNull();
+    }
+
     /** Guards against two streams under one identifier, of which one is continued by the version of the other. */
     @Test
     void reusedIdentifierOfTwoVersionsIsOfNone() {
