Allow for the pause between two calls when the registry counts as current

A watch of the endpoints may follow the last response after a pause of 300 ms and a tick, and then wait for its full time: up to 100 ms longer than a position counts as fresh for other hosts. In that time, on a host that did not hear all others, streams were not continued. A feed now counts as current for 1 s beyond its longest wait.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/CollectionFeed.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/CollectionFeed.java
@@ -24,6 +24,9 @@
     /** Time beyond the longest wait after which other hosts must no longer rely on the last response. */
     private static final long FRESH_TOLERANCE_MILLIS = 300;
 
+    /** Time beyond the longest wait in which the next call is made and answered while the store responds. */
+    private static final long CURRENT_TOLERANCE_MILLIS = 1_000;
+
     /** Time allowed for a change that the followed host knows to arrive. */
     private static final long BEHIND_MILLIS = 300;
 
@@ -77,6 +80,11 @@
         return new FeedPosition(changed, fresh, inContact);
     }
 
+    /** Returns whether all changes are known but for the last seconds, from the store or from the followed host. */
+    public boolean isCurrent(long now) {
+        return !listing && now - lastResponseAt <= times.waitMillis() + CURRENT_TOLERANCE_MILLIS;
+    }
+
     /** Follows another host at the given position; called several times a second while that host can be followed. */
     public void follow(FeedPosition position, long now) {
         onEpoch(position.changed().epoch(), now);
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/feed/CollectionFeedTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/feed/CollectionFeedTest.java
@@ -50,6 +50,17 @@
         assertThat(known).containsExactly("a", "A", "b", "B");
     }
 
+    /** Guards against a pause between two calls that counts as changes which are not known. */
+    @Test
+    void isCurrentWhileTheStoreRespondsWithinItsWait() {
+        assertThat(feed.isCurrent(0)).isFalse();
+        long id = listed(0, 10, item("a", 9, "A"));
+        assertThat(feed.isCurrent(2_900)).isTrue();
+        assertThat(feed.isCurrent(3_100)).isFalse();
+        feed.onChanges(id, changes(11), 3_200);
+        assertThat(feed.isCurrent(3_300)).isTrue();
+    }
+
     /** Guards against a stale response that restores older content. */
     @Test
     void ignoresChangesOlderThanTheKnownState() {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/DeploymentFeeds.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/DeploymentFeeds.java
@@ -217,8 +217,8 @@
 
     /** While the store does not respond, no host knows more than the others, if this one hears all of them. */
     private void updateRegistryCurrent(long now) {
-        boolean current = endpointsListed
-                && (endpoints.position(now).fresh() || exchange.hasSeenAllHosts(MAX_HOST_SILENCE_MILLIS, now));
+        boolean current =
+                endpointsListed && (endpoints.isCurrent(now) || exchange.hasSeenAllHosts(MAX_HOST_SILENCE_MILLIS, now));
         if (current != registryCurrent) {
             registryCurrent = current;
             requests.setRegistryCurrent(current);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FeedRunner.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FeedRunner.java
@@ -78,6 +78,11 @@
         return feed.position(now);
     }
 
+    /** Returns whether all changes are known but for the last seconds; must be called on the control thread. */
+    boolean isCurrent(long now) {
+        return feed.isCurrent(now);
+    }
+
     /**
      * Follows the relay if it has a fresh position, otherwise the store; must be called on the control thread.
      *
