Count the registry as current for half a second less

600 tries by hand of the property with hosts that are cut off found three streams of two versions, 2 allowed (seed 13986): a host that had just been cut off took the next process of an endpoint for the earlier one.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/CollectionFeed.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/CollectionFeed.java
@@ -25,7 +25,7 @@
     private static final long FRESH_TOLERANCE_MILLIS = 300;
 
     /** Time beyond the longest wait in which the next call is made and answered while the store responds. */
-    private static final long CURRENT_TOLERANCE_MILLIS = 1_000;
+    private static final long CURRENT_TOLERANCE_MILLIS = 500;
 
     /** Time allowed for a change that the followed host knows to arrive. */
     private static final long BEHIND_MILLIS = 300;
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/feed/CollectionFeedTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/feed/CollectionFeedTest.java
@@ -55,10 +55,10 @@
     void isCurrentWhileTheStoreRespondsWithinItsWait() {
         assertThat(feed.isCurrent(0)).isFalse();
         long id = listed(0, 10, item("a", 9, "A"));
-        assertThat(feed.isCurrent(2_900)).isTrue();
-        assertThat(feed.isCurrent(3_100)).isFalse();
-        feed.onChanges(id, changes(11), 3_200);
-        assertThat(feed.isCurrent(3_300)).isTrue();
+        assertThat(feed.isCurrent(2_400)).isTrue();
+        assertThat(feed.isCurrent(2_600)).isFalse();
+        feed.onChanges(id, changes(11), 2_650);
+        assertThat(feed.isCurrent(2_700)).isTrue();
     }
 
     /** Guards against a stale response that restores older content. */
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/stream/StreamVersionsTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/stream/StreamVersionsTest.java
@@ -82,6 +82,12 @@
         runWithFaults(seed, true, true);
     }
 
+    /** Guards against hosts that were cut off a moment ago and take the next process of an endpoint for the earlier one. */
+    @Test
+    void streamsAreContinuedByTheirVersionRightAfterHostsWereCutOff() {
+        runWithFaults(13_986, false, true);
+    }
+
     private static void runWithFaults(long seed, boolean storeFails, boolean sameIdentifiers) {
         StreamWorld world = oldWorld(seed, HOSTS);
         Random random = new Random(seed);
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/stream/StreamWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/stream/StreamWorld.java
@@ -38,7 +38,7 @@
     private static final long ABANDON_MILLIS = 2_000;
 
     /** Time without a response of the store, or without a sign of another host, after which a host may lag behind. */
-    private static final long FRESH_MILLIS = 2_600;
+    private static final long FRESH_MILLIS = 2_100;
 
     /** Time without a fault from which a host or the store counts. */
     private static final long CONTACT_MILLIS = 3_000;
