Read and send streams once for all requests that need it

Each request that waited for the version of its stream asked the control thread for a read at each tick, and each stream that broke off made it publish the state of the host: hundreds of events in the moment when an endpoint ends or callers come back after a kill of all hosts. The store calls were bounded before, the work of the control thread was not.

The cost before is by reading, not measured. Names and comments: the software version of a request, the streams of a table, the head of a test.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestState.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestState.java
@@ -57,7 +57,7 @@
         return arrivedAt;
     }
 
-    /** Binds the request to a software version of its endpoints; null binds it to none. */
+    /** Sets the software version that must serve the request, null if any may or it is not known. */
     void bind(String version) {
         softwareVersion = version;
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/stream/StreamVersions.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/stream/StreamVersions.java
@@ -222,8 +222,8 @@
         }
         streams.forEach((id, stream) -> {
             SortedMap<String, Set<Long>> byVersion = table.get(id.service());
-            boolean isTold = stream.own() && stream.version() != null;
-            if (byVersion != null && isTold && now <= stream.expiresAt()) {
+            boolean isWritten = stream.own() && stream.version() != null;
+            if (byVersion != null && isWritten && now <= stream.expiresAt()) {
                 byVersion
                         .computeIfAbsent(stream.version(), version -> new HashSet<>())
                         .add(id.key());
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
@@ -150,7 +150,7 @@
         assertThat(refused.verdict()).isEqualTo(Verdict.NOT_RUN);
     }
 
-    /** Guards against a trial request that is rejected because the first endpoint chosen for it has just gone. */
+    /** Guards against a trial request that is rejected because its first endpoint has just gone. */
     @Test
     void trialThatDidNotReachAnEndpointIsSentToAnother() {
         register("e1", 4);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerNotices.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerNotices.java
@@ -1,5 +1,8 @@
 package org.gooseberryring.host.entry;
 
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
 import org.gooseberryring.coordination.crash.PartEvent;
 import org.gooseberryring.coordination.request.RequestEffect;
 import org.gooseberryring.coordination.stream.StreamRecord;
@@ -13,10 +16,13 @@
 
     private final ControlLoop control;
     private final PeerExchange exchange;
+    private final Queue<StreamRecord> brokenStreams = new ConcurrentLinkedQueue<>();
+    private final CoalescedTask streamSender;
 
     PeerNotices(ControlLoop control, PeerExchange exchange) {
         this.control = control;
         this.exchange = exchange;
+        streamSender = new CoalescedTask(control::put, this::sendBrokenStreams);
     }
 
     /** Notifies the other hosts of a request that crashes endpoints. */
@@ -40,9 +46,15 @@
 
     /** Notifies the other hosts at once of a stream that broke off, since its caller may take it up at any of them. */
     void spreadStream(StreamRecord stream) {
-        control.put(now -> {
+        brokenStreams.add(stream);
+        streamSender.request();
+    }
+
+    /** Sends all broken streams together; an endpoint that ends breaks many at the same time. */
+    private void sendBrokenStreams(long now) {
+        for (StreamRecord stream = brokenStreams.poll(); stream != null; stream = brokenStreams.poll()) {
             exchange.addNotice(StreamCodec.encode(stream));
-            exchange.publishNow(now);
-        });
+        }
+        exchange.publishNow(now);
     }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StreamControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/StreamControl.java
@@ -26,6 +26,7 @@
     private final PeerExchange exchange;
     private final StoreEpochs epochs;
     private final StoredStreams stored;
+    private final CoalescedTask reader;
     private Set<String> mixedServices = Set.of();
     private boolean isFirstRead = true;
 
@@ -44,6 +45,7 @@
         this.exchange = exchange;
         this.epochs = epochs;
         stored = new StoredStreams(STREAMS, hostId, StreamCodec::encode);
+        reader = new CoalescedTask(control::put, this::readUnknown);
         epochs.onChange((epoch, now) -> stored.onStoreRestored());
     }
 
@@ -68,10 +70,12 @@
 
     /** Reads the streams because a caller takes up one that this host does not know; may be called on any thread. */
     void read() {
-        control.put(now -> {
-            stored.onStreamUnknown();
-            tick(now);
-        });
+        reader.request();
+    }
+
+    private void readUnknown(long now) {
+        stored.onStreamUnknown();
+        tick(now);
     }
 
     private int hosts(long now) {
