--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -248,6 +248,7 @@
                     .with("verdict", outcome.verdict().wireName())
                     .with("status", outcome.status())
                     .with("sent", outcome.sent())
+                    .with("lost", outcome.endpointLost())
                     .with("firstByteMs", outcome.firstTokenMillis())
                     .with("ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos))
                     .debug(LOG);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
@@ -31,6 +31,10 @@
 final class FrontHandler implements HttpHandler {
     private static final Logger LOG = Logger.getLogger(FrontHandler.class);
     private static final String DURATION = "request.duration";
+
+    /** Logged in place of the status if the caller left before its response started. */
+    private static final int NO_RESPONSE = 0;
+
     private static final String BUSY = "Too many requests are open on this host";
     private static final String NOT_CONFIGURED = "This host has not loaded the state of the deployment yet";
     private static final String STOPPING = "This host is shutting down";
@@ -201,7 +205,7 @@
                 .with("requestId", arrival.head().requestId())
                 .with("route", admitted.route().id())
                 .with("configuration", view.configuration().version())
-                .with("status", exchange.getStatusCode())
+                .with("status", exchange.isResponseStarted() ? exchange.getStatusCode() : NO_RESPONSE)
                 .with("whole", exchange.isResponseComplete())
                 .with("ms", millis)
                 .info(LOG);
