Authenticate relayed requests in a class of its own

RelayHandler verified the signature, the age and the identity of relayed requests itself. Another handler will need the same. No behaviour changes; RelayHandlerTest passes.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayHandler.java
@@ -1,8 +1,6 @@
 package org.gooseberryring.host.caller;
 
 import java.util.HexFormat;
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.function.LongSupplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -21,15 +19,10 @@
 import org.gooseberryring.state.GooseberryringException;
 import org.gooseberryring.transport.endpoint.EndpointAttempt;
 import org.gooseberryring.transport.endpoint.EndpointCall;
-import org.gooseberryring.transport.peer.FrameSigner;
 import org.xnio.IoUtils;
 
 /** Handles requests that hosts of other failure domains have authenticated, admitted and claimed. */
 public final class RelayHandler implements HttpHandler {
-    // Wall clocks of hosts differ by less than one second; the remainder allows for delay in transit.
-    private static final long MAX_AGE_MILLIS = 30_000;
-    // At 1,000 relayed requests/s this covers twice the maximum age.
-    private static final int MAX_SEEN_ATTEMPTS = 65_536;
     private static final HttpString PRIORITY = new HttpString("X-Request-Priority");
     private static final HttpString SALT = new HttpString("X-Cache-Salt");
 
@@ -38,15 +31,7 @@
     private final RequestIntake intake;
     private final RequestLoop loop;
     private final LongSupplier clock;
-    private final LongSupplier wallClock;
-    private final Map<String, Boolean> seenAttempts = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > MAX_SEEN_ATTEMPTS;
-        }
-    };
+    private final RelayAuthenticator authenticator;
 
     /** Creates a handler; the clocks return monotonic milliseconds and milliseconds since the Unix epoch. */
     public RelayHandler(
@@ -61,7 +46,7 @@
         this.intake = intake;
         this.loop = loop;
         this.clock = clock;
-        this.wallClock = wallClock;
+        this.authenticator = new RelayAuthenticator(settings::peerSecret, wallClock);
     }
 
     @Override
@@ -102,11 +87,10 @@
 
     private OpenRequest createRequest(HttpServerExchange exchange, String id, byte[] body) {
         String method = exchange.getRequestMethod().toString();
-        String query = exchange.getQueryString();
-        String path = exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
+        String path = RelayAuthenticator.path(exchange);
         HeaderMap headers = exchange.getRequestHeaders();
-        RelayHead head = RelayHead.of(headers, new FrameSigner(settings.peerSecret()), method, path, body);
-        if (head == null || !head.requestId().equals(id) || head.hops() != 1 || isExpiredOrReplayed(head)) {
+        RelayHead head = authenticator.authenticate(exchange, body);
+        if (!head.requestId().equals(id)) {
             throw new RefusedException(
                     Refusal.of(ErrorCode.UNAUTHENTICATED, "The request does not come from an authenticated host"));
         }
@@ -133,14 +117,6 @@
         return new OpenRequest(spec, destination, exchange, toEndpoint);
     }
 
-    /** Returns whether the head is too old, or whether its attempt was received before, as in a replay attack. */
-    private boolean isExpiredOrReplayed(RelayHead head) {
-        synchronized (seenAttempts) {
-            return Math.abs(wallClock.getAsLong() - head.wallMillis()) > MAX_AGE_MILLIS
-                    || seenAttempts.put(head.requestId() + "/" + head.attempt(), true) != null;
-        }
-    }
-
     private static Artifact artifact(byte[] body) {
         try {
             JsonNode model = Json.readTree(body).path("model");
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayHead.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayHead.java
@@ -58,6 +58,11 @@
         }
     }
 
+    /** Returns a text that no two relayed attempts share. */
+    String identity() {
+        return requestId + "/" + attempt;
+    }
+
     private String text() {
         return String.join(
                 SEPARATOR,
