--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.gooseberryring.coordination.path.EndpointPaths;
 import org.gooseberryring.coordination.request.RequestTarget;
 import org.gooseberryring.coordination.route.RouteChoice;
 import org.gooseberryring.coordination.route.RouteForecast;
@@ -342,6 +343,17 @@
         return (int) running.values().stream().filter(each -> !isCutOff(each)).count();
     }
 
+    /**
+     * Returns whether the endpoint is stalled although its path is known to be up; has the path checked if it is stalled.
+     */
+    boolean isStalled(EndpointPaths paths, long now) {
+        if (!isStalled(now)) {
+            return false;
+        }
+        paths.requestCheck(registration.id(), now);
+        return paths.isSound(registration.id(), now);
+    }
+
     private long unreadTokensOf(RouteQuery query) {
         int cached = query.target() instanceof RequestTarget.RoutedTarget target
                 ? cache.cachedTokens(target, query.prompt())
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -18,11 +18,9 @@
 import org.gooseberryring.coordination.route.RouteQuery;
 import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.EndpointRegistration;
-import org.gooseberryring.state.EngineProfile;
 import org.gooseberryring.state.ModelProfile;
 import org.gooseberryring.state.PromptShape;
 import org.gooseberryring.state.ResidentModel;
-import org.gooseberryring.state.ServiceProfile;
 import org.gooseberryring.state.ServingConfiguration;
 
 /**
@@ -42,12 +40,6 @@
     /** Time that a controller takes to load an adapter on an endpoint that has loaded its model. */
     private static final long ADAPTER_MILLIS = 150;
 
-    /** A request is rejected at once if it would start later than this multiple of the time to its objective. */
-    private static final long MAX_START_DELAY_FACTOR = 2;
-
-    /** Time for which a request may always wait. */
-    private static final long MIN_WAIT_MILLIS = 200;
-
     /** Time after which a path to an endpoint may be back, or a host that passes requests on may have been found. */
     private static final long PATH_RETRY_MILLIS = 500;
 
@@ -175,7 +167,7 @@
         Map<String, EndpointUse> uses = new HashMap<>();
         endpoints.forEach((id, endpoint) -> {
             if (endpoint.own().inFlight() > 0) {
-                uses.put(id, endpoint.own().stalled(isStalled(endpoint, now)));
+                uses.put(id, endpoint.own().stalled(endpoint.isStalled(paths, now)));
             }
         });
         return uses;
@@ -281,8 +273,9 @@
             return RouteChoice.unreachable(RouteChoice.Cause.NO_PATH, PATH_RETRY_MILLIS);
         }
         List<PermittedChoice.Candidate> candidates = candidates(holders, query, now);
-        RouteChoice choice =
-                candidates.isEmpty() ? waiting(holders, query, now) : choose(candidates, holders, query, now);
+        RouteChoice choice = candidates.isEmpty()
+                ? Backlog.waitOrReject(holders, query, now)
+                : choose(candidates, holders, query, now);
         if (choice.cause() == RouteChoice.Cause.RATE_LIMITED) {
             return rateLimited(choice, query, target, now);
         }
@@ -399,18 +392,6 @@
                 .toList();
     }
 
-    /**
-     * Returns whether an endpoint is stalled, and has its path checked if so. Only the endpoint is to blame if the path
-     * is known to be up.
-     */
-    private boolean isStalled(DirectEndpoint endpoint, long now) {
-        if (!endpoint.isStalled(now)) {
-            return false;
-        }
-        paths.requestCheck(endpoint.registration().id(), now);
-        return paths.isSound(endpoint.registration().id(), now);
-    }
-
     private List<DirectEndpoint> inService(String service) {
         return index.inService(service, domainsOut);
     }
@@ -430,14 +411,15 @@
     private RouteChoice choose(
             List<PermittedChoice.Candidate> candidates, List<DirectEndpoint> holders, RouteQuery query, long now) {
         boolean hasOthers = candidates.size() < holders.size();
-        RouteChoice choice = permitted.choose(candidates, query, query.latestStart(MIN_WAIT_MILLIS), hasOthers, now);
+        RouteChoice choice =
+                permitted.choose(candidates, query, query.latestStart(Backlog.MIN_WAIT_MILLIS), hasOthers, now);
         if (choice != null) {
             return choice;
         }
         List<DirectEndpoint> others = holders.stream()
                 .filter(holder -> candidates.stream().noneMatch(candidate -> candidate.isFor(holder)))
                 .toList();
-        return waiting(others, query, now);
+        return Backlog.waitOrReject(others, query, now);
     }
 
     /**
@@ -468,7 +450,7 @@
 
     /** Requests a replica; returns whether it can be expected before a request must start. */
     private boolean isReplicaExpected(RequestedArtifact artifact, RouteQuery query, long now) {
-        ModelProfile model = model(artifact.target());
+        ModelProfile model = ConfiguredModels.find(configuration, artifact.target());
         if (model == null) {
             return false;
         }
@@ -476,32 +458,9 @@
         return awaitedReplicas.isExpectedBy(artifact, model.storeLoadMillis(), query.startBy(), now);
     }
 
-    /**
-     * Lets a request wait for free capacity. Rejects it if it has missed its objective, if the backlog would start it
-     * far too late, or if all endpoints stay in back-off past the time by which it must start.
-     */
-    private static RouteChoice waiting(List<DirectEndpoint> holders, RouteQuery query, long now) {
-        long earliestStartMillis = Long.MAX_VALUE;
-        long minBackOffMillis = Long.MAX_VALUE;
-        for (DirectEndpoint endpoint : holders) {
-            earliestStartMillis = Math.min(earliestStartMillis, endpoint.millisToStart(query));
-            minBackOffMillis = Math.min(minBackOffMillis, endpoint.backOffMillis(now));
-        }
-        if (minBackOffMillis > 0 && now + minBackOffMillis > query.startBy()) {
-            return RouteChoice.unreachable(RouteChoice.Cause.BACK_OFF, minBackOffMillis);
-        }
-        long maxWaitMillis = MAX_START_DELAY_FACTOR * Math.max(query.objective() - now, 0) + MIN_WAIT_MILLIS;
-        boolean isLate = now > query.objective() + MIN_WAIT_MILLIS;
-        boolean cannotMeetDeadline =
-                query.prompt().inputTokens() > 0 && (isLate || earliestStartMillis > maxWaitMillis);
-        return cannotMeetDeadline
-                ? RouteChoice.unreachable(RouteChoice.Cause.BUSY, Math.max(earliestStartMillis, MIN_WAIT_MILLIS))
-                : RouteChoice.WAIT;
-    }
-
     /** Lets a request wait for a model or adapter that no endpoint has loaded, if it can be loaded in time. */
     private RouteChoice missing(RouteQuery query, RequestTarget.RoutedTarget target, boolean serviceRuns, long now) {
-        ModelProfile model = serviceRuns ? model(target) : null;
+        ModelProfile model = serviceRuns ? ConfiguredModels.find(configuration, target) : null;
         if (model == null) {
             return RouteChoice.UNREACHABLE;
         }
@@ -522,17 +481,6 @@
         return model.storeLoadMillis();
     }
 
-    /** Returns the model of a target if the configuration contains it and its adapter, otherwise null. */
-    private ModelProfile model(RequestTarget.RoutedTarget target) {
-        ServiceProfile service = configuration.services().get(target.service());
-        EngineProfile engine = service == null ? null : service.engine();
-        ModelProfile model = engine == null || target.model() == null
-                ? null
-                : engine.models().get(target.model());
-        boolean known = model != null && (target.adapter() == null || model.hasAdapter(target.adapter()));
-        return known ? model : null;
-    }
-
     private FleetShare coldShare() {
         return share.ofAtLeast(MIN_COLD_SHARES);
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -382,12 +382,7 @@
         } else {
             state.dispatched(router.lossEpoch(endpoint), router.softwareVersion(endpoint), now);
             String via = router.via(endpoint, now);
-            effects.add(new RequestEffect.Dispatch(
-                    state.id(),
-                    state.attempt(),
-                    endpoint,
-                    via,
-                    router.onAttemptStarted(endpoint, via, state.query(), now)));
+            effects.add(state.dispatch(via, router.onAttemptStarted(endpoint, via, state.query(), now)));
         }
     }
 
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestState.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestState.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 
 import org.gooseberryring.coordination.route.RouteChoice;
+import org.gooseberryring.coordination.route.RouteForecast;
 import org.gooseberryring.coordination.route.RouteQuery;
 import org.gooseberryring.state.Verdict;
 
@@ -178,6 +179,11 @@
         cancelled = false;
     }
 
+    /** Returns the effect that sends the running attempt to its endpoint, through another host if one is given. */
+    RequestEffect.Dispatch dispatch(String via, RouteForecast forecast) {
+        return new RequestEffect.Dispatch(id(), attempt, endpoint(), via, forecast);
+    }
+
     int attempt() {
         return attempt;
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -110,11 +110,7 @@
                 new SplittableRandom(incarnation ^ settings.hostId().hashCode());
         ResidencyController controller = new ResidencyController(settings.failureDomain());
         EndpointOrders orders = orders(deployment);
-        pathChecker = new PathChecker(
-                view,
-                new ConnectionCheck(worker),
-                ENDPOINT_LIMITS.connectMillis(),
-                (endpoint, connected) -> requests().onPathChecked(endpoint, connected));
+        pathChecker = pathChecker();
         requests = requests(deployment, orders);
         exchange = new PeerExchange(settings, incarnation, control, requests, controller, open::count, clock.now());
         notices = new PeerNotices(control, exchange);
@@ -149,18 +145,7 @@
                 settings.maxConnections(),
                 limits,
                 frontHandler(deployment.callerProtocol(), random.split()));
-        relayListener = new RelayListener(
-                settings,
-                deployment,
-                view,
-                worker,
-                ENDPOINT_LIMITS,
-                open,
-                mesh::secret,
-                exchange::reach,
-                metrics,
-                clock::now,
-                clock::wallMillis);
+        relayListener = relayListener(deployment);
         readiness = new FrontListener(worker, settings.readyAddress(), SERVICE_CONNECTIONS, limits, this::handleReady);
         metricsListener = settings.metricsPort() == 0
                 ? null
@@ -309,6 +294,29 @@
         return new EntryRequests(settings, effects, requestListener(), incarnation, clock::now);
     }
 
+    private PathChecker pathChecker() {
+        return new PathChecker(
+                view,
+                new ConnectionCheck(worker),
+                ENDPOINT_LIMITS.connectMillis(),
+                (endpoint, connected) -> requests().onPathChecked(endpoint, connected));
+    }
+
+    private RelayListener relayListener(Deployment deployment) {
+        return new RelayListener(
+                settings,
+                deployment,
+                view,
+                worker,
+                ENDPOINT_LIMITS,
+                open,
+                mesh::secret,
+                exchange::reach,
+                metrics,
+                clock::now,
+                clock::wallMillis);
+    }
+
     private EndpointRelays endpointRelays(Deployment deployment) {
         RelayedEndpointProtocol protocol = new RelayedEndpointProtocol(deployment.endpointProtocol());
         return new EndpointRelays(
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -30,7 +30,6 @@
 import org.gooseberryring.coordination.store.StorePosition;
 import org.gooseberryring.coordination.stream.StreamTable;
 import org.gooseberryring.host.control.ControlLoop;
-import org.gooseberryring.host.fleet.HostDirectory;
 import org.gooseberryring.host.log.LogLine;
 import org.gooseberryring.protocol.peer.EndpointRateLimit;
 import org.gooseberryring.protocol.peer.FeedChanges;
@@ -79,13 +78,12 @@
     private final EntryRequests requests;
     private final ResidencyController controller;
     private final IntSupplier open;
-    private final String relayAddress;
-    private final double processors;
     private final long busySnapshotMillis;
     private final Map<RecordUpdate<StateKey, StateEntry>, HostUpdate> encoded = new IdentityHashMap<>();
     private final WantedArtifacts requestedByOthers = new WantedArtifacts();
     private final StateExchange<StateKey, StateEntry> exchange;
     private final LocalState localState = new LocalState();
+    private final PublishedReach reach;
     private final Controllers controllers = new Controllers();
     private final RegisteredHosts registeredHosts = new RegisteredHosts();
     private final ReportedEndpoints reportedEndpoints;
@@ -100,7 +98,6 @@
     private FleetShare share = FleetShare.ALONE;
     private List<PartVerdict> verdicts = List.of();
     private StreamTable streams = StreamTable.NONE;
-    private volatile OwnReach reach = OwnReach.ALL;
 
     /** Creates the exchange of a host; {@code open} gives the number of requests that are open on it. */
     PeerExchange(
@@ -117,9 +114,7 @@
         this.requests = requests;
         this.controller = controller;
         this.open = open;
-        this.relayAddress = HostDirectory.text(settings.relayAddress());
-        this.processors = settings.processors();
-        localState.setReach(relayAddress, processors, reach);
+        this.reach = new PublishedReach(settings, localState);
         this.busySnapshotMillis = snapshotMillis(settings.processors());
         ExchangeMember self = new ExchangeMember(hostId, failureDomain, settings.processors());
         this.exchange = new StateExchange<>(self, incarnation, ExchangeTimes.defaults(), now);
@@ -329,7 +324,7 @@
 
     /** Returns the endpoints that this host does not reach itself; may be called on any thread. */
     OwnReach reach() {
-        return reach;
+        return reach.current();
     }
 
     /** Takes the next snapshot of the request thread at the next tick, because the store needs it soon. */
@@ -393,24 +388,11 @@
         controller.onHostDemand(hostId, snapshot.artifacts(), now);
         verdicts = snapshot.verdicts();
         streams = snapshot.streams();
-        updateReach(snapshot.reach());
+        reach.update(snapshot.reach());
         localState.updateRequests(snapshot);
         publishNow(now);
     }
 
-    /** Publishes which endpoints this host reaches itself, if that has changed. */
-    private void updateReach(OwnReach newReach) {
-        if (newReach.equals(reach)) {
-            return;
-        }
-        LogLine.event("paths-changed")
-                .with("isolated", newReach.isolated())
-                .with("unreachable", newReach.unreachable())
-                .info(LOG);
-        reach = newReach;
-        localState.setReach(relayAddress, processors, reach);
-    }
-
     private void publish(long now) {
         exchange.publish(localState.entries(), localState.takeNotices(), now);
     }
