Count a broken connection as a crash only if no other host reaches the endpoint

A request was rejected by all hosts (503, quarantined) after one host had lost its path three times while the request was running. The host checked the endpoint over the path that it had just lost, and took the failed check for the end of the process.

A check that gets no response is now repeated by up to two other hosts that have not reported the loss of their paths; one of them that reaches the endpoint is enough. If none replies, the host's own check decides, unless it reaches no endpoint at all.

PlatformReachabilityTest#brokenPathIsNoCrash failed before (503 on the reaching host) and passes; PlatformCrashTest passes as before.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -30,7 +29,6 @@
 import org.gooseberryring.host.control.StoreCallExecutor;
 import org.gooseberryring.host.log.LogLine;
 import org.gooseberryring.state.EndpointProcess;
-import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.RequestLimits;
 import org.gooseberryring.state.ServingConfiguration;
 import org.gooseberryring.transport.endpoint.EndpointClient;
@@ -87,6 +85,7 @@
     private final StoreEpochs epochs = new StoreEpochs();
     private final PermittedCalls calls = new PermittedCalls();
     private final RateLimitControl rateLimits;
+    private final EndpointChecks checks;
     private final VerdictControl verdicts;
     private final StreamControl streams;
     private final ResidencyControl residency;
@@ -111,10 +110,11 @@
         ResidencyController controller = new ResidencyController(settings.failureDomain());
         EndpointOrders orders = orders(deployment);
         pathChecker = pathChecker();
-        requests = requests(deployment, orders);
+        requests = requests(deployment);
         exchange = new PeerExchange(settings, incarnation, control, requests, controller, open::count, clock.now());
         notices = new PeerNotices(control, exchange);
         mesh = new PeerMesh(settings, incarnation, storeExecutor, control, metrics, exchange, epochs, random.split());
+        checks = new EndpointChecks(view, orders, calls, control, exchange, mesh);
         verdicts = new VerdictControl(settings.hostId(), storeExecutor, control, requests, exchange, epochs);
         streams = new StreamControl(
                 settings.hostId(), deployment.streams(), storeExecutor, control, requests, exchange, epochs);
@@ -255,7 +255,8 @@
 
     /** Connects the components of the control thread; must be called before the thread starts. */
     private void connectControl() {
-        exchange.connect(mesh, residency::onArtifactRequested, feeds, rateLimits);
+        exchange.connect(mesh, residency::onArtifactRequested, feeds, rateLimits, checks.peers());
+        control.onTick(checks.peers()::tick);
         control.onTick(feeds::tick);
         control.onTick(mesh::tick);
         control.onTick(exchange::tick);
@@ -265,10 +266,10 @@
         control.onTick(rateLimits::tick);
     }
 
-    private EntryRequests requests(Deployment deployment, EndpointOrders orders) {
+    private EntryRequests requests(Deployment deployment) {
         CrashProbe probe = new CrashProbe(
                 view,
-                (endpoint, path) -> isAlive(orders, endpoint, path),
+                (endpoint, path) -> checks().isAlive(endpoint, path),
                 (process, attempt) -> requests().onEndpointCrashed(process, attempt),
                 process -> signalHandler.isBackingOff(process, clock.now()));
         CallerEffects effects = new CallerEffects(
@@ -342,23 +343,6 @@
         };
     }
 
-    /** Checks the health of an endpoint when its rate limit allows; one that is not checked in time counts as alive. */
-    private CompletableFuture<Boolean> isAlive(EndpointOrders orders, EndpointRegistration endpoint, String path) {
-        CompletableFuture<Boolean> alive = new CompletableFuture<>();
-        control.put(now -> calls.run(
-                endpoint.process(),
-                at -> orders.isAlive(endpoint, path).whenComplete((result, failure) -> {
-                    if (failure == null) {
-                        alive.complete(result);
-                    } else {
-                        alive.completeExceptionally(failure);
-                    }
-                }),
-                at -> alive.complete(true),
-                now));
-        return alive;
-    }
-
     private RequestListener requestListener() {
         LimitedRequestLog limitedLog = new LimitedRequestLog(metrics);
         return new RequestListener() {
@@ -403,6 +387,11 @@
         return requests;
     }
 
+    /** Returns the checks of endpoints, for callbacks that are created before them. */
+    private EndpointChecks checks() {
+        return checks;
+    }
+
     /** Returns the links to the other hosts, for callbacks that are created before them. */
     private PeerMesh mesh() {
         return mesh;
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -48,15 +48,6 @@
 final class PeerExchange {
     private static final Logger LOG = Logger.getLogger(PeerExchange.class);
 
-    /** Minimum interval between two snapshots of the request thread while requests are open. */
-    private static final long MIN_SNAPSHOT_MILLIS = 100;
-
-    /** Interval between snapshots, divided by the number of processor cores, so that a small host takes them less often. */
-    private static final double SNAPSHOT_PROCESSOR_MILLIS = 50;
-
-    /** Maximum interval between two snapshots while requests are open. */
-    private static final long MAX_SNAPSHOT_MILLIS = 300;
-
     /** Interval between two snapshots while no request is open and only the rates of past demand decay. */
     private static final long IDLE_SNAPSHOT_MILLIS = 500;
 
@@ -83,6 +74,7 @@
     private final WantedArtifacts requestedByOthers = new WantedArtifacts();
     private final StateExchange<StateKey, StateEntry> exchange;
     private final LocalState localState = new LocalState();
+    private final ReachingHosts reachingHosts;
     private final PublishedReach reach;
     private final Controllers controllers = new Controllers();
     private final RegisteredHosts registeredHosts = new RegisteredHosts();
@@ -92,6 +84,7 @@
     private Runnable onArtifactRequested = () -> {};
     private FleetListener listener;
     private RateLimitListener rateLimitListener;
+    private PeerHealth peerHealth;
     private long lastSnapshotAt;
     private long nextAgesAt;
     private long nextSurveyAt;
@@ -115,9 +108,10 @@
         this.controller = controller;
         this.open = open;
         this.reach = new PublishedReach(settings, localState);
-        this.busySnapshotMillis = snapshotMillis(settings.processors());
+        this.busySnapshotMillis = SnapshotInterval.busyMillis(settings.processors());
         ExchangeMember self = new ExchangeMember(hostId, failureDomain, settings.processors());
         this.exchange = new StateExchange<>(self, incarnation, ExchangeTimes.defaults(), now);
+        this.reachingHosts = new ReachingHosts(exchange);
         this.reportedEndpoints = new ReportedEndpoints(controllers, this::onModelsReported, controller::onAnnouncement);
         this.artifactRequests = new ArtifactRequests(controller, controllers, this::sendArtifactRequest);
     }
@@ -153,16 +147,19 @@
      * @param artifactRequestedCallback called when requests wait for an artifact of the own failure domain
      * @param fleetListener notified of reports of other hosts
      * @param limitListener notified of rate limits and permits
+     * @param health handles checks of endpoints that other hosts do not reach
      */
     void connect(
             PeerMesh peerMesh,
             Runnable artifactRequestedCallback,
             FleetListener fleetListener,
-            RateLimitListener limitListener) {
+            RateLimitListener limitListener,
+            PeerHealth health) {
         mesh = peerMesh;
         onArtifactRequested = artifactRequestedCallback;
         listener = fleetListener;
         rateLimitListener = limitListener;
+        peerHealth = health;
     }
 
     /** Forwards changes of a collection of the store to the hosts that use this one as their relay. */
@@ -262,6 +259,8 @@
                 PermitGrant grant = PermitCodec.decode(message.getPermitGrant());
                 control.offer(now -> rateLimitListener.onPermitGrant(sender, grant, now));
             }
+            case HEALTH_REQUEST -> control.offer(now -> peerHealth.onRequest(sender, message.getHealthRequest()));
+            case HEALTH_REPLY -> control.offer(now -> peerHealth.onReply(message.getHealthReply()));
             default -> {
                 // Ignores messages of later versions of the program and messages that do not concern this host.
             }
@@ -347,6 +346,11 @@
         return exchange.ages(now);
     }
 
+    /** Returns at most the given number of live hosts, at random, that have not reported the loss of all their paths. */
+    List<String> hostsWithPaths(int count, long now) {
+        return reachingHosts.select(count, now);
+    }
+
     /** Returns the number of other registered hosts that may be alive. */
     int registeredHosts(long now) {
         return registeredHosts.count(now);
@@ -482,9 +486,4 @@
         controller.onArtifactsRequested(artifacts, now);
         onArtifactRequested.run();
     }
-
-    private static long snapshotMillis(double processors) {
-        double interval = processors > 0 ? SNAPSHOT_PROCESSOR_MILLIS / processors : MIN_SNAPSHOT_MILLIS;
-        return (long) Math.max(MIN_SNAPSHOT_MILLIS, Math.min(MAX_SNAPSHOT_MILLIS, interval));
-    }
 }
