Leave the lease of a failure domain to a host that reaches its endpoints

Cause: the right to order endpoints was kept as a matter of the store alone, whether or not the holder reached the endpoints.

A host that reaches no endpoint, while another live host of its failure domain may do so, neither acquires nor renews the lease; it expires as after a crash, so that orders of two holders keep their distance. Such hosts do not count among the candidates. If all hosts of the domain are isolated, the holder keeps it.

DomainLeaseTest#suspendedHolderLeavesTheLeaseToAnotherHost and StateExchangeTest#hostsThatDoNotCountLeaveTheirPlaceToLaterOnes.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/StateExchange.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/exchange/StateExchange.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 /**
  * Distributes the state of each host to all hosts.
@@ -137,13 +138,14 @@
     }
 
     /**
-     * Returns whether fewer than the given number of live hosts precede this one in its failure domain.
+     * Returns whether fewer than the given number of live hosts that count precede this one in its failure domain.
      *
      * <p>A host that was just started considers the hosts live of which it has no state yet.
      */
-    public boolean isAmongFirst(int count, long now) {
+    public boolean isAmongFirst(int count, Predicate<String> counts, long now) {
         boolean starting = now - startedAt <= times.probeMillis();
         long preceding = relays.precedingHosts().stream()
+                .filter(counts)
                 .filter(host -> table.record(host) == null
                         ? starting
                         : table.record(host).ageMillis(now) <= MAX_UNANSWERED_PROBES * times.probeMillis())
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/DomainLease.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/order/DomainLease.java
@@ -37,6 +37,7 @@
 
     private boolean candidate = true;
     private boolean withdrawn;
+    private boolean suspended;
     private long stamps;
     private long epoch = StorePosition.NO_EPOCH;
     private long highestTerm;
@@ -95,6 +96,14 @@
         candidate = isCandidate;
     }
 
+    /**
+     * Sets whether this host leaves the lease to others, because it does not reach the endpoints that it would order.
+     * Meanwhile it neither acquires nor renews the lease; one that it holds expires.
+     */
+    public void setSuspended(boolean isSuspended) {
+        suspended = isSuspended;
+    }
+
     /** Stops acquiring the lease, even if an earlier process of this host holds it. */
     public void withdraw() {
         withdrawn = true;
@@ -129,7 +138,7 @@
     /** Returns the calls to the store that are due. */
     public List<OrderEffect> onTick(long now) {
         List<OrderEffect> effects = new ArrayList<>(storedLease.onTick(now));
-        if (!canAcquire() && !ownsLease || !storedLease.isIdle() || now < nextCallAt) {
+        if (suspended || !canAcquire() && !ownsLease || !storedLease.isIdle() || now < nextCallAt) {
             return effects;
         }
         long period = leaseMillis / RENEWALS_PER_LEASE;
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/exchange/StateExchangeTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/exchange/StateExchangeTest.java
@@ -225,4 +225,14 @@
                 .findFirst()
                 .orElseThrow();
     }
+
+    /** Guards against a failure domain without candidates for its lease, because hosts that cannot act come first. */
+    @Test
+    void hostsThatDoNotCountLeaveTheirPlaceToLaterOnes() {
+        StateExchange<String, String> exchange =
+                new StateExchange<>(new ExchangeMember("h2", "d", 1), 1, ExchangeTimes.defaults(), 0);
+        exchange.addOrUpdateMember(new ExchangeMember("h1", "d", 1));
+        assertThat(exchange.isAmongFirst(1, host -> true, 0)).isFalse();
+        assertThat(exchange.isAmongFirst(1, host -> !host.equals("h1"), 0)).isTrue();
+    }
 }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/order/DomainLeaseTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/order/DomainLeaseTest.java
@@ -72,6 +72,24 @@
         assertThat(other.isLeader(1_000 + 3 * LEASE_MILLIS)).isTrue();
     }
 
+    /** Guards against a controller that keeps its lease while it does not reach the endpoints that it orders. */
+    @Test
+    void suspendedHolderLeavesTheLeaseToAnotherHost() {
+        DomainLease holder = lease("h1", 1);
+        run(holder, 0, 1_000);
+        DomainLease other = lease("h2", 2);
+        holder.setSuspended(true);
+        for (long at = 1_000; at <= 1_000 + 3 * LEASE_MILLIS; at += 50) {
+            run(holder, at, at);
+            run(other, at, at);
+            assertThat(holder.isLeader(at) && other.isLeader(at)).isFalse();
+        }
+        assertThat(other.isLeader(1_000 + 3 * LEASE_MILLIS)).isTrue();
+        holder.setSuspended(false);
+        run(holder, 1_000 + 3 * LEASE_MILLIS, 1_000 + 3 * LEASE_MILLIS);
+        assertThat(holder.isLeader(1_000 + 3 * LEASE_MILLIS)).isFalse();
+    }
+
     /**
      * Guards against a second holder that acquires an expired lease from a restored copy although the first holder
      * renewed it after the copy was made.
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerExchange.java
@@ -204,7 +204,12 @@
 
     /** Returns whether this host is a candidate for the lease of its failure domain; a few candidates are enough. */
     boolean mayControl(int candidates, long now) {
-        return exchange.isAmongFirst(candidates, now);
+        return exchange.isAmongFirst(candidates, host -> !reachingHosts.isIsolated(host), now);
+    }
+
+    /** Returns whether this host reaches no endpoint while another live host of its failure domain may do so. */
+    boolean isReplaceable(long now) {
+        return reach().isolated() && reachingHosts.hasAnyIn(failureDomain, now);
     }
 
     /** Runs the periodic work that is due. */
@@ -457,7 +462,7 @@
         requests.setControlledDomains(controllers.updateAges(ages, now));
         reportedEndpoints.repeat();
         // A candidate for the lease must know the demand for models before it becomes the controller.
-        if (exchange.isAmongFirst(ResidencyControl.CANDIDATES, now)) {
+        if (mayControl(ResidencyControl.CANDIDATES, now)) {
             ages.keySet().stream()
                     .filter(host -> !host.equals(hostId))
                     .forEach(host -> controller.onHostDemand(host, demand(host), now));
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ReachingHosts.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ReachingHosts.java
@@ -22,14 +22,28 @@
     List<String> select(int count, long now) {
         List<String> hosts = new ArrayList<>();
         exchange.ages(now).forEach((host, age) -> {
-            StateEntry entry = exchange.entry(host, StateKey.reachability());
-            if (age <= MAX_SILENT_MILLIS
-                    && entry != null
-                    && !entry.getReachability().getIsolated()) {
+            if (isReaching(host, age)) {
                 hosts.add(host);
             }
         });
         Collections.shuffle(hosts);
         return hosts.subList(0, Math.min(count, hosts.size()));
     }
+
+    /** Returns whether a live host of a failure domain has not reported the loss of all its paths. */
+    boolean hasAnyIn(String failureDomain, long now) {
+        return exchange.ages(now).entrySet().stream()
+                .anyMatch(each -> failureDomain.equals(exchange.failureDomain(each.getKey()))
+                        && isReaching(each.getKey(), each.getValue()));
+    }
+
+    /** Returns whether a host has reported the loss of all its paths. */
+    boolean isIsolated(String host) {
+        StateEntry entry = exchange.entry(host, StateKey.reachability());
+        return entry != null && entry.getReachability().getIsolated();
+    }
+
+    private boolean isReaching(String host, long age) {
+        return age <= MAX_SILENT_MILLIS && exchange.entry(host, StateKey.reachability()) != null && !isIsolated(host);
+    }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/ResidencyControl.java
@@ -74,6 +74,7 @@
 
     /** Advances the lease and the controller; must be called on the control thread. */
     void tick(long now) {
+        lease.setSuspended(exchange.isReplaceable(now));
         lease.setCandidate(exchange.mayControl(CANDIDATES, now));
         lease.recordUsedTerm(exchange.controllerTerm());
         boolean mayOrder = permission.isGranted(now);
