--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EndpointRelayHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EndpointRelayHandler.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 
@@ -18,8 +19,10 @@
 import org.gooseberryring.transport.endpoint.EndpointCall;
 import org.gooseberryring.transport.endpoint.EndpointClient;
 import org.gooseberryring.transport.endpoint.EndpointProtocol;
+import org.gooseberryring.transport.endpoint.EndpointSignals;
 import org.jboss.logging.Logger;
 import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
 
 /**
  * Passes requests of other hosts on to the endpoints that these hosts have chosen and do not reach.
@@ -44,7 +47,6 @@
     private final AtomicInteger relayed = new AtomicInteger();
 
     /** Looks up the endpoints to which this host passes requests on. */
-    @FunctionalInterface
     public interface Targets {
         /**
          * Returns the address of an endpoint as {@code ip:port}.
@@ -52,6 +54,9 @@
          * @throws RefusedException if this host must not or cannot send requests to it
          */
         String address(String endpoint);
+
+        /** Returns the consumer of the signals in the response of an endpoint, which concern this host as well. */
+        Consumer<EndpointSignals> signals(String endpoint);
     }
 
     /**
@@ -90,7 +95,6 @@
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
-        exchange.setPersistent(false);
         if (relayed.get() >= maxRelayed || !openRequests.tryAcquire()) {
             ErrorCode code = openRequests.isDraining() ? ErrorCode.SHUTTING_DOWN : ErrorCode.OVERLOADED;
             refuse(exchange, Refusal.retry(code, BUSY_RETRY_MILLIS, "This host takes no requests of other hosts"));
@@ -151,7 +155,7 @@
                 // Only a host states a verdict.
                 to.remove(EndpointAttempt.VERDICT);
             });
-            RelayedListener listener = new RelayedListener(this::onEnded);
+            RelayedListener listener = new RelayedListener(targets.signals(head.endpoint()), this::onEnded);
             EndpointAttempt attempt = client.send(
                     address,
                     call(body, now),
@@ -159,13 +163,23 @@
                     sink,
                     listener,
                     () -> !ended && clock.getAsLong() < deadline);
+            XnioExecutor.Key timer = exchange.getIoThread()
+                    .executeAfter(attempt::cancel, Math.max(1, deadline - now), TimeUnit.MILLISECONDS);
             exchange.addExchangeCompleteListener((e, next) -> {
                 ended = true;
+                timer.remove();
                 attempt.cancel();
                 next.proceed();
             });
-            CallerWatch.start(exchange, () -> IoUtils.safeClose(exchange.getConnection()));
-            exchange.getIoThread().executeAfter(attempt::cancel, Math.max(1, deadline - now), TimeUnit.MILLISECONDS);
+            CallerWatch.start(exchange, () -> onDisconnect(attempt));
+        }
+
+        /** Cancels the attempt, because the host that sent the request needs no response any more. */
+        private void onDisconnect(EndpointAttempt attempt) {
+            ended = true;
+            attempt.cancel();
+            IoUtils.safeClose(exchange.getConnection());
+            exchange.endExchange();
         }
 
         private EndpointCall call(byte[] body, long now) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayedListener.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayedListener.java
@@ -1,11 +1,15 @@
 package org.gooseberryring.host.caller;
 
+import java.util.function.Consumer;
+
 import org.gooseberryring.coordination.request.AttemptOutcome;
 import org.gooseberryring.state.Verdict;
 import org.gooseberryring.transport.endpoint.AttemptListener;
+import org.gooseberryring.transport.endpoint.EndpointSignals;
 
 /** Listener for an attempt that this host makes for another one, which handles its response. */
 final class RelayedListener implements AttemptListener {
+    private final Consumer<EndpointSignals> signals;
     private final EndHandler handler;
 
     /** Handles the end of an attempt. */
@@ -21,10 +25,16 @@
         void onEnded(Verdict verdict, boolean lost, boolean bytesPassedOn);
     }
 
-    RelayedListener(EndHandler handler) {
+    RelayedListener(Consumer<EndpointSignals> signals, EndHandler handler) {
+        this.signals = signals;
         this.handler = handler;
     }
 
+    @Override
+    public void onSignalsReceived(EndpointSignals received) {
+        signals.accept(received);
+    }
+
     @Override
     public void onResponseStarted() {
         // The host that sent the request sees the response itself.
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -308,6 +308,7 @@
                 settings,
                 deployment,
                 view,
+                signalHandler,
                 worker,
                 ENDPOINT_LIMITS,
                 open,
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RelayListener.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RelayListener.java
@@ -1,19 +1,23 @@
 package org.gooseberryring.host.entry;
 
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import org.gooseberryring.coordination.path.OwnReach;
+import org.gooseberryring.coordination.ratelimit.RateLimit;
 import org.gooseberryring.host.HostMetrics;
 import org.gooseberryring.host.caller.EndpointRelayHandler;
 import org.gooseberryring.host.caller.OpenRequests;
 import org.gooseberryring.host.caller.RefusedException;
 import org.gooseberryring.host.caller.RelayAuthenticator;
+import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.RequestLimits;
 import org.gooseberryring.transport.endpoint.EndpointClient;
 import org.gooseberryring.transport.endpoint.EndpointLimits;
+import org.gooseberryring.transport.endpoint.EndpointSignals;
 import org.gooseberryring.transport.endpoint.PassThroughProtocol;
 import org.gooseberryring.transport.http.HttpWorker;
 
@@ -26,7 +30,9 @@
     private static final int IDLE_MILLIS = 5_000;
 
     private final DeploymentView view;
+    private final EndpointSignalHandler signalHandler;
     private final Supplier<OwnReach> reach;
+    private final LongSupplier clock;
     private final FrontListener listener;
 
     /**
@@ -42,6 +48,7 @@
             EntrySettings settings,
             Deployment deployment,
             DeploymentView view,
+            EndpointSignalHandler signalHandler,
             HttpWorker worker,
             EndpointLimits endpointLimits,
             OpenRequests open,
@@ -51,6 +58,8 @@
             LongSupplier clock,
             LongSupplier wallClock) {
         this.view = view;
+        this.signalHandler = signalHandler;
+        this.clock = clock;
         this.reach = reach;
         PassThroughProtocol protocol = new PassThroughProtocol(deployment.endpointProtocol());
         IntSupplier maxBodyBytes = () -> view.configuration().limits().bodyBytes();
@@ -59,7 +68,7 @@
                 open,
                 new EndpointClient(worker, endpointLimits, protocol),
                 protocol,
-                this::address,
+                targets(),
                 deployment.callerProtocol().responseFormat().headers(),
                 maxBodyBytes,
                 metrics,
@@ -74,13 +83,30 @@
         listener.close();
     }
 
+    private EndpointRelayHandler.Targets targets() {
+        return new EndpointRelayHandler.Targets() {
+            @Override
+            public String address(String endpoint) {
+                return RelayListener.this.address(endpoint, clock.getAsLong());
+            }
+
+            @Override
+            public Consumer<EndpointSignals> signals(String endpoint) {
+                EndpointProcess process = view.process(endpoint);
+                RateLimit knownWhenSent = signalHandler.limit(process);
+                return signals -> signalHandler.handle(process, signals, knownWhenSent);
+            }
+        };
+    }
+
     /** Returns the address of an endpoint unless this host must not send requests to it, or does not reach it. */
-    private String address(String endpoint) {
+    private String address(String endpoint, long now) {
         EndpointRegistration registration = view.registration(endpoint);
         OwnReach own = reach.get();
         boolean refused = registration == null
                 || registration.leaving()
                 || view.isOut(registration.failureDomain())
+                || signalHandler.isBackingOff(registration.process(), now)
                 || own.isolated()
                 || own.unreachable().contains(endpoint);
         if (refused) {
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/PassThroughProtocol.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/PassThroughProtocol.java
@@ -43,6 +43,11 @@
         return null;
     }
 
+    @Override
+    public EndpointSignals signals(int status, HeaderMap headers) {
+        return endpoint.signals(status, headers);
+    }
+
     @Override
     public HttpString deadlineHeader() {
         return endpoint.deadlineHeader();
