Close the socket of a finished or cancelled request at once

Cause: closing a connection of the HTTP client ends neither its writes nor its socket in that state; the client first drains the connection, until the peer closes it or for 10 s. Connections of answered requests stayed open in the same way. The tests awaited the end of the run for up to 20 s and did not measure it.

The socket is closed directly.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -18,7 +18,6 @@
 import org.gooseberryring.transport.http.BodyWriter;
 import org.gooseberryring.transport.http.ReadAllowance;
 import org.jboss.logging.Logger;
-import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
@@ -112,7 +111,7 @@
         if (client.protocol().keepsConnections()) {
             client.connector().release(address, unused);
         } else {
-            IoUtils.safeClose(unused);
+            ReadAllowance.closeSocket(unused);
         }
     }
 
@@ -185,7 +184,7 @@
         if (reusable && (writer == null || writer.done())) {
             releaseOrClose(used);
         } else {
-            IoUtils.safeClose(used);
+            ReadAllowance.closeSocket(used);
         }
         end(Verdict.COMPLETED, false, recorded);
     }
@@ -226,7 +225,7 @@
         if (slotAcquired) {
             client.releaseSlot(address);
         }
-        IoUtils.safeClose(connection);
+        ReadAllowance.closeSocket(connection);
         boolean bytesReachedCaller = copier != null && copier.isStarted();
         if (copier != null) {
             copier.close();
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/HttpCall.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/HttpCall.java
@@ -13,7 +13,6 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.Headers;
-import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -133,7 +132,7 @@
         var response = exchange.getResponse();
         boolean close = "close".equalsIgnoreCase(response.getResponseHeaders().getFirst(Headers.CONNECTION));
         if (close || forceNew || (writer != null && !writer.done())) {
-            IoUtils.safeClose(connection);
+            ReadAllowance.closeSocket(connection);
         } else {
             connector.release(authority, connection);
         }
@@ -146,7 +145,7 @@
             return;
         }
         ended = true;
-        IoUtils.safeClose(connection);
+        ReadAllowance.closeSocket(connection);
         result.completeExceptionally(new HttpCallException(message, sent, cause));
     }
 
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ReadAllowance.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ReadAllowance.java
@@ -30,16 +30,17 @@
 
     private static final AttachmentKey<ReadAllowance> KEY = AttachmentKey.create(ReadAllowance.class);
 
+    private final StreamConnection connection;
     private long remainingBytes = HEAD_BYTES;
 
-    private ReadAllowance(StreamSourceConduit next) {
-        super(next);
+    private ReadAllowance(StreamConnection connection) {
+        super(connection.getSourceChannel().getConduit());
+        this.connection = connection;
     }
 
     /** Installs an allowance on a connection that was just opened. */
     static ReadAllowance on(StreamConnection connection) {
-        ReadAllowance allowance =
-                new ReadAllowance(connection.getSourceChannel().getConduit());
+        ReadAllowance allowance = new ReadAllowance(connection);
         connection.getSourceChannel().setConduit(allowance);
         return allowance;
     }
@@ -54,6 +55,20 @@
         return ((Attachable) connection).getAttachment(KEY);
     }
 
+    /**
+     * Closes the socket of a connection that a {@link ClientConnector} opened. The HTTP client would only close it when
+     * the peer does, or after 10 s.
+     *
+     * @param client connection, null if none was opened
+     */
+    public static void closeSocket(ClientConnection client) {
+        if (client == null) {
+            return;
+        }
+        ReadAllowance allowance = of(client);
+        IoUtils.safeClose(allowance == null ? client : allowance.connection);
+    }
+
     /** Sets the number of bytes that may be read from now on. */
     public void allow(long bytes) {
         remainingBytes = bytes;
