Share the slots of a brittle endpoint between the hosts

Endpoints may state Server-Brittle = N: they fall over when they must reject more than N requests a second for want of room (LIMIT). Each host sent requests while it saw a free slot, so that bursts at several hosts overfilled an endpoint together: 19 rejections in a second with three hosts and N = 1. Nothing read the statement.

While an endpoint states it, a host has a part of its slots in flight, the remainder going to other hosts at each endpoint, so that all of them fit in however late they learn of each other. The statement ends with an answer that lacks it.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectEndpoint.java
@@ -50,6 +50,7 @@
     // The same query instance identifies a request from dispatch to end.
     private final Map<RouteQuery, Running> running = new IdentityHashMap<>();
     private final ReadRate rate;
+    private final BrittleLimit brittleLimit;
     private EndpointRegistration registration;
     private ServiceProfile profile;
     private EndpointUse own = EndpointUse.NONE;
@@ -73,6 +74,7 @@
     /** Creates an endpoint; {@code typicalRate} is the rate at which endpoints of its service process prompts. */
     DirectEndpoint(EndpointRegistration registration, ReadRate typicalRate, long now) {
         this.rate = new ReadRate(typicalRate);
+        this.brittleLimit = new BrittleLimit(registration.id());
         this.choice = new RouteChoice(RouteChoice.Kind.ENDPOINT, registration.id());
         onRegistered(registration, now);
     }
@@ -86,6 +88,7 @@
             cache.clear();
             reportedModels = null;
             health.reset();
+            brittleLimit.setBrittle(false);
             backOffUntil = Long.MIN_VALUE / 2;
         }
         boolean hasControllerReport = now - controllerSeenAt < CONTROLLER_REPORT_VALID_MILLIS;
@@ -228,6 +231,11 @@
         return adapters != null && (target.adapter() == null || adapters.contains(target.adapter()));
     }
 
+    /** Returns the limit on requests in flight while the endpoint is brittle. */
+    BrittleLimit brittleLimit() {
+        return brittleLimit;
+    }
+
     boolean hasFreeCapacity(RouteQuery query, FleetShare share, long now) {
         EndpointUse all = own.plus(otherHostsUse);
         boolean free = all.inFlight() < registration.slots();
@@ -238,7 +246,8 @@
                 && hasFreeMemory(all, query.prompt())
                 && canStartInTime(all, query, now)
                 && health.isUsable(responsive(), now)
-                && coldLimiter.canSend(coldRate(), share, now);
+                && brittleLimit.canSend(own.inFlight(), all.inFlight(), registration.slots(), share, now)
+                && coldLimiter.canSend(coldRate(), share.ofColdEndpoint(), now);
     }
 
     /** Returns the predicted milliseconds until a request would start on this endpoint. */
@@ -278,7 +287,7 @@
         if (query.target() instanceof RequestTarget.RoutedTarget target) {
             cache.add(target, query.prompt());
         }
-        coldLimiter.recordSent(coldRate(), share, now);
+        coldLimiter.recordSent(coldRate(), share.ofColdEndpoint(), now);
         return forecast;
     }
 
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -31,12 +31,6 @@
  * request goes to the endpoint of its service with the lowest slot utilisation. All methods are called from one thread.
  */
 public final class DirectRouter implements EndpointRouter {
-    /**
-     * Minimum number of hosts to divide the rate of a cold endpoint by, so that a new host does not use the complete
-     * rate.
-     */
-    private static final int MIN_COLD_SHARES = 8;
-
     /** Time that a controller takes to load an adapter on an endpoint that has loaded its model. */
     private static final long ADAPTER_MILLIS = 150;
 
@@ -229,6 +223,14 @@
         }
     }
 
+    /** Sets whether a process of an endpoint fails when it must reject many requests. */
+    public void setBrittle(EndpointProcess process, boolean brittle) {
+        DirectEndpoint known = endpoints.get(process.endpoint());
+        if (known != null && known.registration().process().equals(process)) {
+            known.brittleLimit().setBrittle(brittle);
+        }
+    }
+
     /** Adds the work of a request that arrived to the demand, regardless of its outcome. */
     public void recordDemand(RequestTarget target, PromptShape prompt, long now) {
         if (target instanceof RequestTarget.RoutedTarget routed && routed.model() != null) {
@@ -306,7 +308,7 @@
             paths.onRelayStarted(via);
         }
         permitted.onAttemptStarted(known.registration().process(), query, now);
-        return known.onAttemptStarted(via, query, coldShare(), now);
+        return known.onAttemptStarted(via, query, share, now);
     }
 
     @Override
@@ -349,6 +351,7 @@
         // A request rejected during back-off is no sign that the endpoint fails the requests that it accepts.
         if (known != null && known.backOffMillis(now) == 0) {
             known.health().onAttemptFailed();
+            known.brittleLimit().onRejected(now);
         }
     }
 
@@ -400,7 +403,7 @@
     private List<PermittedChoice.Candidate> candidates(List<DirectEndpoint> holders, RouteQuery query, long now) {
         List<PermittedChoice.Candidate> candidates = new ArrayList<>();
         for (DirectEndpoint endpoint : holders) {
-            if (endpoint.hasFreeCapacity(query, coldShare(), now)) {
+            if (endpoint.hasFreeCapacity(query, share, now)) {
                 candidates.add(new PermittedChoice.Candidate(endpoint, cost.of(endpoint, query)));
             }
         }
@@ -481,10 +484,6 @@
         return model.storeLoadMillis();
     }
 
-    private FleetShare coldShare() {
-        return share.ofAtLeast(MIN_COLD_SHARES);
-    }
-
     private void configure(DirectEndpoint endpoint) {
         endpoint.setProfile(configuration.services().get(endpoint.registration().service()));
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/FleetShare.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/FleetShare.java
@@ -10,8 +10,14 @@
     /** Share of a host that knows no other host. */
     public static final FleetShare ALONE = new FleetShare(0, 1);
 
-    /** Returns a share with the same rank and at least the given number of hosts. */
-    FleetShare ofAtLeast(int least) {
-        return hosts >= least ? this : new FleetShare(rank, least);
+    /**
+     * Minimum number of hosts to divide the rate of a cold endpoint by, so that a new host does not use the complete
+     * rate.
+     */
+    private static final int MIN_COLD_SHARES = 8;
+
+    /** Returns the share of the rate of a cold endpoint. */
+    FleetShare ofColdEndpoint() {
+        return hosts >= MIN_COLD_SHARES ? this : new FleetShare(rank, MIN_COLD_SHARES);
     }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EndpointSignalHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EndpointSignalHandler.java
@@ -1,6 +1,7 @@
 package org.gooseberryring.host.entry;
 
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -8,6 +9,7 @@
 import org.gooseberryring.coordination.ratelimit.RateLimit;
 import org.gooseberryring.host.log.LogLine;
 import org.gooseberryring.state.EndpointProcess;
+import org.gooseberryring.transport.endpoint.BrittleStatement;
 import org.gooseberryring.transport.endpoint.EndpointSignals;
 import org.gooseberryring.transport.endpoint.RateStatement;
 import org.jboss.logging.Logger;
@@ -25,6 +27,8 @@
     private final Consumer<EndpointProcess> onLeaving;
     private final BackOffReceiver backOffs;
     private final RateReceiver rates;
+    private final BrittleReceiver brittleReceiver;
+    private final Set<EndpointProcess> brittle = ConcurrentHashMap.newKeySet();
     private final LongSupplier clock;
     private final Map<EndpointProcess, Long> backOffUntil = new ConcurrentHashMap<>();
     private final Map<EndpointProcess, RateLimit> limits = new ConcurrentHashMap<>();
@@ -55,14 +59,22 @@
             Consumer<EndpointProcess> onLeaving,
             BackOffReceiver backOffs,
             RateReceiver rates,
+            BrittleReceiver brittleReceiver,
             LongSupplier clock) {
         this.view = view;
         this.onLeaving = onLeaving;
         this.backOffs = backOffs;
         this.rates = rates;
+        this.brittleReceiver = brittleReceiver;
         this.clock = clock;
     }
 
+    /** Receives whether an endpoint fails when it must reject many requests; called on I/O threads. */
+    @FunctionalInterface
+    interface BrittleReceiver {
+        void setBrittle(EndpointProcess process, boolean brittle);
+    }
+
     /** Handles the signals in a response of a process, except that it states no limit. */
     void handle(EndpointProcess process, EndpointSignals signals) {
         if (signals.leaving() && !view.isLeaving(process)) {
@@ -88,6 +100,20 @@
         if (unlimited && knownWhenSent.isLimited() && knownWhenSent.equals(limit(process))) {
             rates.onNotStated(process, knownWhenSent);
         }
+        handle(process, signals.brittle());
+    }
+
+    private void handle(EndpointProcess process, BrittleStatement statement) {
+        boolean isBrittle = statement == BrittleStatement.BRITTLE;
+        boolean changed =
+                statement != BrittleStatement.UNKNOWN && (isBrittle ? brittle.add(process) : brittle.remove(process));
+        if (changed) {
+            LogLine.event("endpoint-brittle")
+                    .with("endpoint", process.endpoint())
+                    .with("brittle", isBrittle)
+                    .info(LOG);
+            brittleReceiver.setBrittle(process, isBrittle);
+        }
     }
 
     /** Returns the rate limit of a process as far as it is known. */
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -70,8 +70,8 @@
     private final long incarnation = clock.wallMillis();
     private final HostMetrics metrics = new HostMetrics();
     private final DeploymentView view = new DeploymentView();
-    private final EndpointSignalHandler signalHandler =
-            new EndpointSignalHandler(view, this::onEndpointLeaving, this::onBackOff, rateReceiver(), clock::now);
+    private final EndpointSignalHandler signalHandler = new EndpointSignalHandler(
+            view, this::onEndpointLeaving, this::onBackOff, rateReceiver(), this::setBrittle, clock::now);
     private final OpenRequests open = new OpenRequests(MAX_OPEN_REQUESTS);
     private final CountDownLatch closed = new CountDownLatch(1);
     private final HttpWorker worker;
@@ -402,6 +402,10 @@
         control.put(now -> feeds.onEndpointLeaving(process));
     }
 
+    private void setBrittle(EndpointProcess process, boolean brittle) {
+        requests.setBrittle(process, brittle);
+    }
+
     private void onBackOff(EndpointProcess process, long until) {
         requests.backOff(process, until);
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
@@ -179,6 +179,14 @@
         });
     }
 
+    /** Sets whether a process of an endpoint fails when it must reject many requests. */
+    void setBrittle(EndpointProcess process, boolean brittle) {
+        loop.put((engine, now) -> {
+            router.setBrittle(process, brittle);
+            return engine.changed(now);
+        });
+    }
+
     /** Sets the rate limit of a process of an endpoint. */
     void setRateLimit(EndpointProcess process, RateLimit limit) {
         loop.put((engine, now) -> {
--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/entry/EntryGateTest.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/entry/EntryGateTest.java
@@ -11,6 +11,7 @@
 import org.gooseberryring.coordination.request.RequestTarget;
 import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.PriorityClass;
+import org.gooseberryring.transport.endpoint.BrittleStatement;
 import org.gooseberryring.transport.endpoint.EndpointSignals;
 import org.gooseberryring.transport.endpoint.RateStatement;
 import org.junit.jupiter.api.Test;
@@ -37,7 +38,7 @@
     void startsNoAttemptDuringABackOff() {
         EntryGate gate = gate();
         BooleanSupplier mayStart = gate.mayStart(spec(10_000), "e1");
-        gate.signals("e1").accept(new EndpointSignals(false, 1_500, RateStatement.UNKNOWN));
+        gate.signals("e1").accept(new EndpointSignals(false, 1_500, RateStatement.UNKNOWN, BrittleStatement.UNKNOWN));
         now = 1_499;
         assertThat(mayStart.getAsBoolean()).isFalse();
         now = 1_500;
@@ -48,8 +49,8 @@
     @Test
     void shorterBackOffDoesNotReplaceALongerOne() {
         EntryGate gate = gate();
-        gate.signals("e1").accept(new EndpointSignals(false, 8_000, RateStatement.UNKNOWN));
-        gate.signals("e1").accept(new EndpointSignals(false, 1_000, RateStatement.UNKNOWN));
+        gate.signals("e1").accept(new EndpointSignals(false, 8_000, RateStatement.UNKNOWN, BrittleStatement.UNKNOWN));
+        gate.signals("e1").accept(new EndpointSignals(false, 1_000, RateStatement.UNKNOWN, BrittleStatement.UNKNOWN));
         now = 7_999;
         assertThat(gate.mayStart(spec(10_000), "e1").getAsBoolean()).isFalse();
         assertThat(backOffTimes).containsExactly(8_000L, 8_000L);
@@ -74,7 +75,12 @@
     private EntryGate gate() {
         DeploymentView view = new DeploymentView();
         EndpointSignalHandler signalHandler = new EndpointSignalHandler(
-                view, process -> {}, (process, until) -> backOffTimes.add(until), new NoRates(), () -> now);
+                view,
+                process -> {},
+                (process, until) -> backOffTimes.add(until),
+                new NoRates(),
+                (process, brittle) -> {},
+                () -> now);
         return new EntryGate(
                 new NoPaths(),
                 (endpoint, target) -> {},
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointSignals.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointSignals.java
@@ -7,7 +7,9 @@
  * @param backOffMillis milliseconds for which this host must send no request to the endpoint, 0 if there is no such
  *     signal
  * @param rate statement of the endpoint's rate limit
+ * @param brittle statement whether the endpoint fails when it must reject many requests
  */
-public record EndpointSignals(boolean leaving, long backOffMillis, RateStatement rate) {
-    public static final EndpointSignals NONE = new EndpointSignals(false, 0, RateStatement.UNKNOWN);
+public record EndpointSignals(boolean leaving, long backOffMillis, RateStatement rate, BrittleStatement brittle) {
+    public static final EndpointSignals NONE =
+            new EndpointSignals(false, 0, RateStatement.UNKNOWN, BrittleStatement.UNKNOWN);
 }
