Close connections of other hosts that do not send their body

A connection to the relay address that sent half a request took one of the host's open requests for as long as it stayed open. It is closed after 2 s; the sending host has the body complete before it connects.

PlatformRelayTest#relayAddressClosesRequestsWithoutTheirBody.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EndpointRelayHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EndpointRelayHandler.java
@@ -34,6 +34,9 @@
     private static final Logger LOG = Logger.getLogger(EndpointRelayHandler.class);
     private static final long BUSY_RETRY_MILLIS = 500;
 
+    /** Time for receiving a body, which the sender has complete. */
+    private static final long MAX_BODY_MILLIS = 2_000;
+
     private final RelayAuthenticator authenticator;
     private final OpenRequests openRequests;
     private final EndpointClient client;
@@ -106,9 +109,20 @@
             openRequests.release();
             next.proceed();
         });
+        XnioExecutor.Key timer = exchange.getIoThread()
+                .executeAfter(
+                        () -> IoUtils.safeClose(exchange.getConnection()), MAX_BODY_MILLIS, TimeUnit.MILLISECONDS);
         Receiver receiver = exchange.getRequestReceiver();
         receiver.setMaxBufferSize(maxBodyBytes.getAsInt());
-        receiver.receiveFullBytes(this::handleBody, (e, failure) -> closeUnread(e, failure));
+        receiver.receiveFullBytes(
+                (e, body) -> {
+                    timer.remove();
+                    handleBody(e, body);
+                },
+                (e, failure) -> {
+                    timer.remove();
+                    closeUnread(e, failure);
+                });
     }
 
     private void handleBody(HttpServerExchange exchange, byte[] body) {
