--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/path/EndpointPaths.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/path/EndpointPaths.java
@@ -24,7 +24,7 @@
     /** Maximum number of checks in progress. */
     private static final int MAX_CHECKS = 16;
 
-    /** Time after which a check that has no result counts as failed. */
+    /** Time after which a check that has no result is repeated. */
     private static final long CHECK_TIMEOUT_MILLIS = 2_000;
 
     private static final long MIN_CHECK_INTERVAL_MILLIS = 300;
@@ -57,14 +57,14 @@
     private static final class Path {
         private long nextCheckAt;
         private long intervalMillis = MIN_CHECK_INTERVAL_MILLIS;
-        private long checkedSince = Long.MIN_VALUE;
+        private long checkStartedAt = Long.MIN_VALUE;
 
         private Path(long nextCheckAt) {
             this.nextCheckAt = nextCheckAt;
         }
 
-        private boolean isChecked() {
-            return checkedSince != Long.MIN_VALUE;
+        private boolean isInProgress() {
+            return checkStartedAt != Long.MIN_VALUE;
         }
     }
 
@@ -117,13 +117,13 @@
             return List.of();
         }
         List<String> due = new ArrayList<>();
-        long inProgress = suspects.values().stream().filter(Path::isChecked).count();
+        long inProgress = suspects.values().stream().filter(Path::isInProgress).count();
         for (Map.Entry<String, Path> each : suspects.entrySet()) {
             Path path = each.getValue();
-            boolean lost = path.isChecked() && now - path.checkedSince >= CHECK_TIMEOUT_MILLIS;
-            if (lost || !path.isChecked() && now >= path.nextCheckAt && inProgress < MAX_CHECKS) {
+            boolean lost = path.isInProgress() && now - path.checkStartedAt >= CHECK_TIMEOUT_MILLIS;
+            if (lost || !path.isInProgress() && now >= path.nextCheckAt && inProgress < MAX_CHECKS) {
                 inProgress += lost ? 0 : 1;
-                path.checkedSince = now;
+                path.checkStartedAt = now;
                 due.add(each.getKey());
             }
         }
@@ -142,7 +142,7 @@
             reachedAt.put(endpoint, now);
             return;
         }
-        path.checkedSince = Long.MIN_VALUE;
+        path.checkStartedAt = Long.MIN_VALUE;
         path.nextCheckAt = now + path.intervalMillis;
         path.intervalMillis = Math.min(MAX_CHECK_INTERVAL_MILLIS, 2 * path.intervalMillis);
         markDown(endpoint, now);
