--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/BrittleLimitTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/BrittleLimitTest.java
@@ -23,6 +23,17 @@
         }
     }
 
+    /** Guards against the same with more hosts than slots. */
+    @ParameterizedTest
+    @CsvSource({"7,4", "60,8", "300,64"})
+    void moreHostsThanSlotsFitInTogether(int hosts, int slots) {
+        int total = 0;
+        for (int rank = 0; rank < hosts; rank++) {
+            total += mostInFlight(limit("e1"), slots, slots, new FleetShare(rank, hosts));
+        }
+        assertWithMessage("requests in flight").that(total).isAtMost(slots);
+    }
+
     /** Guards against endpoints that stay empty because the requests come to a few hosts only. */
     @Test
     void hostUsesTwiceItsPartWhileThereIsRoomForAll() {
