--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EndpointRelayHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EndpointRelayHandler.java
@@ -25,7 +25,7 @@
 import org.xnio.XnioExecutor;
 
 /**
- * Passes requests of other hosts on to the endpoints that these hosts have chosen and do not reach.
+ * Passes requests of other hosts, which do not reach an endpoint, on to it.
  *
  * <p>The host that sends a request decides and counts everything: the endpoint, limits, retries and evidence. This one
  * sends it once, and passes the response on unchanged or states whether the request may have run.
@@ -169,7 +169,7 @@
                 // Only a host states a verdict.
                 to.remove(EndpointAttempt.VERDICT);
             });
-            RelayedListener listener = new RelayedListener(targets.signals(head.endpoint()), this::onEnded);
+            PassThroughListener listener = new PassThroughListener(targets.signals(head.endpoint()), this::onEnded);
             EndpointAttempt attempt = client.send(
                     address,
                     call(body, now),
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayedListener.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/PassThroughListener.java
@@ -8,7 +8,7 @@
 import org.gooseberryring.transport.endpoint.EndpointSignals;
 
 /** Listener for an attempt that this host makes for another one, which handles its response. */
-final class RelayedListener implements AttemptListener {
+final class PassThroughListener implements AttemptListener {
     private final Consumer<EndpointSignals> signals;
     private final EndHandler handler;
 
@@ -25,7 +25,7 @@
         void onEnded(Verdict verdict, boolean lost, boolean bytesPassedOn);
     }
 
-    RelayedListener(Consumer<EndpointSignals> signals, EndHandler handler) {
+    PassThroughListener(Consumer<EndpointSignals> signals, EndHandler handler) {
         this.signals = signals;
         this.handler = handler;
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EndpointSignalHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EndpointSignalHandler.java
@@ -108,6 +108,7 @@
         boolean changed =
                 statement != BrittleStatement.UNKNOWN && (isBrittle ? brittle.add(process) : brittle.remove(process));
         if (changed) {
+            brittle.removeIf(each -> !each.equals(process) && !each.equals(view.process(each.endpoint())));
             LogLine.event("endpoint-brittle")
                     .with("endpoint", process.endpoint())
                     .with("brittle", isBrittle)
