Review case 2: request bodies of an allowed size make a host stop answering

While one tenant uploads with 60 clients for 6.5 s, requests of another tenant have no answer past their route's timeout_ms, and the readiness check has none. Cause: each body is held in memory from its first byte and nothing limits their sum; the heap of 96 MB is used up.

--- a/review/src/org/gooseberryring/platform/RawClient.java
+++ b/review/src/org/gooseberryring/platform/RawClient.java
@@ -16,6 +16,11 @@
         socket.setTcpNoDelay(true);
     }
 
+    /** Sets how long a read waits for bytes. */
+    void setTimeout(int timeoutMillis) throws IOException {
+        socket.setSoTimeout(timeoutMillis);
+    }
+
     void send(byte[] bytes) throws IOException {
         socket.getOutputStream().write(bytes);
         socket.getOutputStream().flush();
--- a/review/src/org/gooseberryring/platform/ReviewCase.java
+++ b/review/src/org/gooseberryring/platform/ReviewCase.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Stream;
 
@@ -27,7 +28,7 @@
     private final Path directory;
     private final StoreStandIn store = new StoreStandIn();
     private final List<ReviewHost> hosts = new ArrayList<>();
-    private final List<EndpointStandIn> runners = new ArrayList<>();
+    private final List<EndpointStandIn> runners = new CopyOnWriteArrayList<>();
 
     /** Steps of a case. */
     @FunctionalInterface
--- a/review/src/org/gooseberryring/platform/ReviewHost.java
+++ b/review/src/org/gooseberryring/platform/ReviewHost.java
@@ -19,6 +19,7 @@
     private static final List<String> INHERITED = List.of("PATH", "HOME", "JAVA_HOME", "LANG");
     private static final int START_SECONDS = 25;
     private static final int POLL_MILLIS = 50;
+    private static final int GRACE_SECONDS = 8;
 
     private final String name;
     private final String ip;
@@ -86,6 +87,15 @@
         }
     }
 
+    /** Stops the process with SIGTERM, then with SIGKILL after {@code grace_s}, and starts it again. */
+    void stopAndStart() throws IOException, InterruptedException {
+        process.destroy();
+        if (!process.waitFor(GRACE_SECONDS, TimeUnit.SECONDS)) {
+            process.destroyForcibly().waitFor();
+        }
+        start();
+    }
+
     boolean isAlive() {
         return process != null && process.isAlive();
     }
