Review case 2: streams go on at a runner of another version while the store is down

While the store is silent a runner starts again under its id with another software version; streams that break off at another runner go on there, and nine answers hold events of both versions. Cause: without the store, the version in the last entry of a runner counts as current if all other hosts have been heard.

--- a/review/src/org/gooseberryring/platform/ReviewCase.java
+++ b/review/src/org/gooseberryring/platform/ReviewCase.java
@@ -86,20 +86,31 @@
         return (System.nanoTime() - startNanos) / 1e9;
     }
 
-    /** Starts a runner that answers health checks and passes all other requests to the responder. */
+    /** Starts a runner that answers health checks and passes all other requests to the responder, and registers it. */
     EndpointStandIn runner(String id, String service, int slots, EndpointStandIn.Responder responder) {
+        EndpointStandIn runner = standIn(id, responder);
+        register(id, service, runner.address(), slots, "v1");
+        return runner;
+    }
+
+    /** Starts a runner without an entry in the store. */
+    EndpointStandIn standIn(String id, EndpointStandIn.Responder responder) {
         EndpointStandIn runner =
                 new EndpointStandIn((request, out) -> request.line().startsWith("GET /healthz")
                         ? health(id, out)
                         : responder.respond(request, out));
         runners.add(runner);
+        return runner;
+    }
+
+    /** Writes the entry of a runner that starts now. */
+    void register(String id, String service, String address, int slots, String version) {
         store.put(
                 "servers",
                 id,
-                ("{\"born\":%d,\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z-a\",\"version\":\"v1\",\"slots\":%d,"
+                ("{\"born\":%d,\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z-a\",\"version\":\"%s\",\"slots\":%d,"
                                 + "\"state\":\"ready\",\"cold_remaining_ms\":0,\"call_seq\":0,\"models\":[]}")
-                        .formatted(System.currentTimeMillis(), service, runner.address(), slots));
-        return runner;
+                        .formatted(System.currentTimeMillis(), service, address, version, slots));
     }
 
     /** Starts hosts in the failure domain of the runners and waits until they are ready. */
--- a/review/src/org/gooseberryring/platform/ReviewHost.java
+++ b/review/src/org/gooseberryring/platform/ReviewHost.java
@@ -96,6 +96,15 @@
         start();
     }
 
+    /** Sends SIGTERM to the process. */
+    void terminate() {
+        process.destroy();
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
     boolean isAlive() {
         return process != null && process.isAlive();
     }
