--- a/review/src/org/gooseberryring/platform/LargeBodiesCase.java
+++ b/review/src/org/gooseberryring/platform/LargeBodiesCase.java
@@ -10,8 +10,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Guards against a host whose memory is used up by request bodies of an allowed size: it stops to answer, although other
- * requests are small and their runner is idle.
+ * Guards against a host whose memory is used up by request bodies of an allowed size: it stops answering, although
+ * other requests are small and their runner is idle.
  */
 final class LargeBodiesCase {
     private static final String CONFIGURATION = """
--- a/review/src/org/gooseberryring/platform/MixedVersionsCase.java
+++ b/review/src/org/gooseberryring/platform/MixedVersionsCase.java
@@ -16,7 +16,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
-/** Guards against streams that go on at another software version, because hosts take a restarted runner for the old one. */
+/** Guards against streams that go on at another software version, at a runner that has started again under its id. */
 final class MixedVersionsCase {
     private static final String CONFIGURATION = """
             {"version":3,"routes":[
@@ -144,7 +144,8 @@
         try (Socket socket = new Socket(host.ip(), host.frontPort())) {
             socket.setSoTimeout(CLIENT_MILLIS);
             socket.getOutputStream()
-                    .write(("POST /draft/" + id + " HTTP/1.1\r\nHost: shop.example\r\nX-Gooseberryring-Request-Id: " + id
+                    .write(("POST /draft/" + id + " HTTP/1.1\r\nHost: shop.example"
+                                    + "\r\nX-Gooseberryring-Request-Id: " + id
                                     + "\r\nX-Gooseberryring-Deadline-Ms: 10000\r\nApi-Key: key-a\r\nConnection: close"
                                     + "\r\nContent-Length: 0\r\n\r\n")
                             .getBytes(StandardCharsets.ISO_8859_1));
--- a/review/src/org/gooseberryring/platform/PopularLookupCase.java
+++ b/review/src/org/gooseberryring/platform/PopularLookupCase.java
@@ -142,8 +142,8 @@
         double sent = surroundings.seconds();
         int status = 0;
         try (RawClient client = new RawClient(host, CLIENT_MILLIS)) {
-            client.send("GET " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Gooseberryring-Request-Id: lookup-" + number
-                    + "\r\nX-Gooseberryring-Deadline-Ms: 3000\r\nApi-Key: key-a\r\n\r\n");
+            client.send("GET " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Gooseberryring-Request-Id: lookup-"
+                    + number + "\r\nX-Gooseberryring-Deadline-Ms: 3000\r\nApi-Key: key-a\r\n\r\n");
             status = client.readStatus();
         } catch (IOException e) {
             // Counts as no answer.
--- a/review/src/org/gooseberryring/platform/RawClient.java
+++ b/review/src/org/gooseberryring/platform/RawClient.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 
 /** Client that writes the bytes of a request itself and reads one answer with a length. */
 final class RawClient implements AutoCloseable {
@@ -40,7 +41,7 @@
         int status = Integer.parseInt(head.split(" ")[1]);
         int length = 0;
         for (String line : head.split("\r\n")) {
-            if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
+            if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
                 length = Integer.parseInt(line.substring(line.indexOf(':') + 1).strip());
             }
         }
--- a/review/src/org/gooseberryring/platform/ReportedUsageCase.java
+++ b/review/src/org/gooseberryring/platform/ReportedUsageCase.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 
-/** Guards against a tenant limit that counts the tokens which a runner's body mentions instead of the request's size. */
+/** Guards against a tenant limit that counts the tokens which an answer mentions instead of the size of the request. */
 final class ReportedUsageCase {
     private static final int RATE_PER_SECOND = 40_000;
     private static final int BURST = 40_000;
--- a/review/src/org/gooseberryring/platform/ReviewCase.java
+++ b/review/src/org/gooseberryring/platform/ReviewCase.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -75,7 +76,7 @@
     synchronized void note(String line) {
         String text = String.format("%8.3f %s%n", seconds(), line);
         System.out.print(text);
-        try (OutputStream out = Files.newOutputStream(record, java.nio.file.StandardOpenOption.APPEND)) {
+        try (OutputStream out = Files.newOutputStream(record, StandardOpenOption.APPEND)) {
             out.write(text.getBytes(StandardCharsets.UTF_8));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
--- a/review/src/org/gooseberryring/platform/ReviewHost.java
+++ b/review/src/org/gooseberryring/platform/ReviewHost.java
@@ -6,14 +6,13 @@
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** Entry host that runs as a separate process, started with the command of the deploy file on its own loopback address. */
+/** Entry host that runs as a separate process, started with the command of the deploy file on its own address. */
 final class ReviewHost implements AutoCloseable {
     private static final Pattern RUN = Pattern.compile("(?m)^run = \"(.*)\"$");
     private static final List<String> INHERITED = List.of("PATH", "HOME", "JAVA_HOME", "LANG");
@@ -96,39 +95,10 @@
         start();
     }
 
-    /** Sends SIGTERM to the process. */
-    void terminate() {
-        process.destroy();
-    }
-
-    long pid() {
-        return process.pid();
-    }
-
     boolean isAlive() {
         return process != null && process.isAlive();
     }
 
-    /** Sends a signal to the process, for example {@code STOP}. */
-    void signal(String signal) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
-    }
-
-    Path log() {
-        return directory.resolve(name + ".log");
-    }
-
-    /** Returns the lines of the log that contain a text. */
-    List<String> logLines(String text) throws IOException {
-        List<String> found = new ArrayList<>();
-        for (String line : Files.readAllLines(log())) {
-            if (line.contains(text)) {
-                found.add(line);
-            }
-        }
-        return found;
-    }
-
     @Override
     public void close() {
         if (process != null) {
