--- a/review/src/org/gooseberryring/platform/PopularLookupCase.java
+++ b/review/src/org/gooseberryring/platform/PopularLookupCase.java
@@ -38,6 +38,7 @@
     private static final int DOWN_MILLIS = 800;
     private static final int CRASH_AFTER_MILLIS = 3_000;
     private static final int RUNNER_DOWN_MILLIS = 2_000;
+    private static final int CRASHES = 2;
     private static final double RECOVER_SECONDS = 12;
     private static final double MEASURED_SECONDS = 15;
     private static final int OK = 200;
@@ -75,7 +76,9 @@
         note("before the final fault", 0, faultAt);
         TimeUnit.MILLISECONDS.sleep(CRASH_AFTER_MILLIS);
         if (surroundings.trouble()) {
-            crash("i-1");
+            for (int i = 1; i <= CRASHES; i++) {
+                crash("i-" + i);
+            }
         }
         double from = backAt + RECOVER_SECONDS;
         TimeUnit.MILLISECONDS.sleep((long) ((from + MEASURED_SECONDS - surroundings.seconds()) * 1_000));
