Review case 4: more callers repeat the lookup

With 140 in the place of 80 requests a second each host has the lookup in flight at each runner nearly always, so that the case depends less on the speed of the machine.

--- a/review/src/org/gooseberryring/platform/PopularLookupCase.java
+++ b/review/src/org/gooseberryring/platform/PopularLookupCase.java
@@ -28,7 +28,7 @@
     private static final int RUNNERS = 4;
     private static final int SLOTS = 16;
     private static final int RUN_MILLIS = 300;
-    private static final int PER_SECOND = 80;
+    private static final int PER_SECOND = 140;
 
     /** Of ten requests nine look up the same order; the others look up an order of their own. */
     private static final int OTHERS_EACH = 10;
