--- a/review/src/org/gooseberryring/platform/PopularLookupCase.java
+++ b/review/src/org/gooseberryring/platform/PopularLookupCase.java
@@ -25,7 +25,7 @@
             """;
 
     private static final int HOSTS = 3;
-    private static final int RUNNERS = 4;
+    private static final int RUNNERS = 8;
     private static final int SLOTS = 16;
     private static final int RUN_MILLIS = 300;
     private static final int PER_SECOND = 140;
@@ -38,7 +38,7 @@
     private static final int DOWN_MILLIS = 800;
     private static final int CRASH_AFTER_MILLIS = 3_000;
     private static final int RUNNER_DOWN_MILLIS = 2_000;
-    private static final int CRASHES = 2;
+    private static final int CRASHED_TOGETHER = 2;
     private static final double RECOVER_SECONDS = 12;
     private static final double MEASURED_SECONDS = 15;
     private static final int OK = 200;
@@ -76,9 +76,7 @@
         note("before the final fault", 0, faultAt);
         TimeUnit.MILLISECONDS.sleep(CRASH_AFTER_MILLIS);
         if (surroundings.trouble()) {
-            for (int i = 1; i <= CRASHES; i++) {
-                crash("i-" + i);
-            }
+            crashTogether();
         }
         double from = backAt + RECOVER_SECONDS;
         TimeUnit.MILLISECONDS.sleep((long) ((from + MEASURED_SECONDS - surroundings.seconds()) * 1_000));
@@ -105,12 +103,16 @@
         surroundings.note("all hosts are ready again");
     }
 
-    private void crash(String id) throws IOException, InterruptedException {
-        surroundings.note("runner " + id + " crashes");
-        runners.get(id).close();
+    private void crashTogether() throws IOException, InterruptedException {
+        for (int i = 1; i <= CRASHED_TOGETHER; i++) {
+            surroundings.note("runner i-" + i + " crashes");
+            runners.get("i-" + i).close();
+        }
         TimeUnit.MILLISECONDS.sleep(RUNNER_DOWN_MILLIS);
-        startRunner(id);
-        surroundings.note("runner " + id + " is back");
+        for (int i = 1; i <= CRASHED_TOGETHER; i++) {
+            startRunner("i-" + i);
+        }
+        surroundings.note("the runners are back");
     }
 
     private void startRunner(String id) {
