Review cases 2 and 3: stay inside the doses of the site file

The store of case 2 is silent for 4.4 s, and no upload of case 3 begins in the last 1.5 s of the surge.

--- a/review/src/org/gooseberryring/platform/LargeBodiesCase.java
+++ b/review/src/org/gooseberryring/platform/LargeBodiesCase.java
@@ -38,6 +38,10 @@
     private static final int HOT_UPLOADS = 60;
     private static final double HOT_FROM_SECONDS = 5;
     private static final double HOT_SECONDS = 6.5;
+
+    /** Time in which the parts of a body are sent; no upload begins later than this before the end of the surge. */
+    private static final double UPLOAD_SECONDS = 1.5;
+
     private static final int BODY_BYTES = 1_900_000;
     private static final int PART_BYTES = 65_536;
     private static final int PART_MILLIS = 50;
@@ -96,7 +100,7 @@
         }
         pause((long) (HOT_FROM_SECONDS * MILLIS));
         if (surroundings.trouble()) {
-            hotUntilNanos = System.nanoTime() + (long) (HOT_SECONDS * MILLIS * NANOS);
+            hotUntilNanos = System.nanoTime() + (long) ((HOT_SECONDS - UPLOAD_SECONDS) * MILLIS * NANOS);
             surroundings.note("one tenant uploads with " + HOT_UPLOADS + " clients for " + HOT_SECONDS + " s");
             for (int i = USUAL_UPLOADS; i < HOT_UPLOADS; i++) {
                 threads.add(startHot());
--- a/review/src/org/gooseberryring/platform/MixedVersionsCase.java
+++ b/review/src/org/gooseberryring/platform/MixedVersionsCase.java
@@ -36,7 +36,7 @@
     private static final int STREAMS = 120;
     private static final int EVENTS = 50;
     private static final int EVENT_MILLIS = 100;
-    private static final int STORE_DOWN_MILLIS = 4_500;
+    private static final int STORE_DOWN_MILLIS = 4_400;
     private static final int RUNNER_DOWN_MILLIS = 2_000;
     private static final int MIXED_ALLOWED = 2;
     private static final int CLIENT_MILLIS = 4_000;
