--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -19,6 +19,7 @@
 import org.gooseberryring.transport.endpoint.EndpointCall;
 import org.gooseberryring.transport.endpoint.EndpointClient;
 import org.gooseberryring.transport.endpoint.EndpointSignals;
+import org.gooseberryring.transport.endpoint.EventTrace;
 import org.jboss.logging.Logger;
 
 /** Carries out the effects of the request engine that concern callers and endpoints. */
@@ -288,7 +289,7 @@
         }
 
         private void log(AttemptOutcome outcome) {
-            LogLine.event("attempt-ended")
+            LogLine line = LogLine.event("attempt-ended")
                     .with("requestId", request.spec().id())
                     .with("attempt", number)
                     .with("endpoint", endpoint)
@@ -299,8 +300,24 @@
                     .with("sent", outcome.sent())
                     .with("lost", outcome.endpointLost())
                     .with("firstByteMs", outcome.firstTokenMillis())
-                    .with("ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos))
-                    .debug(LOG);
+                    .with("ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos));
+            if (request.events() != null) {
+                addEvents(line, request.events().trace());
+            }
+            line.debug(LOG);
+        }
+
+        private void addEvents(LogLine line, EventTrace trace) {
+            line.with("events", trace.passedOn())
+                    .with("firstEvent", trace.firstId())
+                    .with("lastEvent", trace.lastId())
+                    .with("jumps", trace.jumps())
+                    .with("skipped", trace.skipped())
+                    .with("emptyBlocks", trace.emptyBlocks());
+            if (trace.fault() != null) {
+                line.with("fault", trace.fault().logName());
+                metrics.counter("events.faulty." + trace.fault().logName()).inc();
+            }
         }
     }
 }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -77,6 +77,9 @@
         if (ended) {
             return;
         }
+        if (call.events() != null) {
+            call.events().startAttempt();
+        }
         slotAcquired = client.acquireSlot(address);
         if (!slotAcquired) {
             end(Verdict.NOT_RUN, false, null);
@@ -202,7 +205,10 @@
 
     /** Ends an attempt whose response has bytes in the place of an event that are none. */
     void failMalformed() {
-        LOG.warnf("event=answer-dropped reason=malformed-event requestId=%s address=%s", call.requestId(), address);
+        EventTrace trace = call.events().trace();
+        LOG.warnf(
+                "event=answer-dropped reason=malformed-event requestId=%s address=%s fault=%s events=%d lastEvent=%d",
+                call.requestId(), address, trace.fault().logName(), trace.passedOn(), trace.lastId());
         fail();
     }
 
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventCursor.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventCursor.java
@@ -18,7 +18,8 @@
     private final boolean resumable;
     private ByteArrayOutputStream partial = new ByteArrayOutputStream();
     private long lastId;
-    private boolean malformed;
+    private EventFault fault;
+    private EventTrace trace = new EventTrace();
 
     /** Creates a cursor of a stream that may be continued; {@code lastEventId} is the event after which the caller resumes it. */
     public EventCursor(OptionalLong lastEventId) {
@@ -45,10 +46,16 @@
         return lastId == NONE || !resumable ? null : Long.toString(lastId);
     }
 
-    /** Starts the response of an endpoint, after the end of another one's; discards an event whose end did not arrive. */
-    void startResponse() {
+    /** Returns the figures of the response of the last endpoint. */
+    public EventTrace trace() {
+        return trace;
+    }
+
+    /** Starts an attempt at an endpoint, after the end of another one; discards an event whose end did not arrive. */
+    void startAttempt() {
         discardPartialEvent();
-        malformed = false;
+        fault = null;
+        trace = new EventTrace();
         if (!resumable) {
             lastId = NONE;
         }
@@ -65,9 +72,9 @@
         return partial.size();
     }
 
-    /** Returns whether the endpoint has sent bytes that are no event in its place; nothing is passed on from there. */
-    boolean isMalformed() {
-        return malformed;
+    /** Returns why nothing is passed on from some place of the response on, null if all its events are sound so far. */
+    EventFault fault() {
+        return fault;
     }
 
     /** Consumes all remaining bytes of a buffer and returns the new complete events, empty if none ended. */
@@ -76,30 +83,41 @@
         byte[] chunk = new byte[bytes.remaining()];
         bytes.get(chunk);
         int start = 0;
-        for (int i = 0; i < chunk.length && !malformed; i++) {
+        for (int i = 0; i < chunk.length && fault == null; i++) {
             if (boundary.endsEvent(chunk[i])) {
                 partial.write(chunk, start, i + 1 - start);
                 start = i + 1;
                 append(completeEvents);
             }
         }
-        if (!malformed) {
+        if (fault == null) {
             partial.write(chunk, start, chunk.length - start);
         }
         return ByteBuffer.wrap(completeEvents.toByteArray());
     }
 
     private void append(ByteArrayOutputStream completeEvents) {
-        byte[] event = partial.toByteArray();
+        byte[] block = partial.toByteArray();
         partial.reset();
-        long id = StreamEvent.id(event);
-        if (id == StreamEvent.NO_EVENT) {
-            completeEvents.writeBytes(event);
-        } else if (id > lastId) {
-            lastId = id;
-            completeEvents.writeBytes(event);
+        StreamEvent event = StreamEvent.parse(block);
+        if (event.isEmpty()) {
+            trace.onEmptyBlock();
+            completeEvents.writeBytes(block);
+        } else if (event.fault() != null) {
+            end(event.fault());
+        } else if (event.id() > lastId) {
+            lastId = event.id();
+            trace.onPassedOn(lastId);
+            completeEvents.writeBytes(block);
+        } else if (resumable) {
+            trace.onSkipped();
         } else {
-            malformed = id == StreamEvent.MALFORMED || !resumable;
+            end(EventFault.REPEATED_ID);
         }
     }
+
+    private void end(EventFault found) {
+        fault = found;
+        trace.onFault(found);
+    }
 }
--- /dev/null
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventFault.java
@@ -0,0 +1,26 @@
+package org.gooseberryring.transport.endpoint;
+
+/** Reason why bytes that an endpoint sent in the place of an event are not passed on. */
+public enum EventFault {
+    /** A line that has no name of a field. */
+    UNKNOWN_LINE("unknown-line"),
+    /** Fields without an id. */
+    NO_ID("no-id"),
+    /** More than one id. */
+    SECOND_ID("second-id"),
+    /** An id that is no number. */
+    UNREADABLE_ID("unreadable-id"),
+    /** An id that is not above the one before, in a stream that no other endpoint may continue. */
+    REPEATED_ID("repeated-id");
+
+    private final String logName;
+
+    EventFault(String logName) {
+        this.logName = logName;
+    }
+
+    /** Returns the name of the fault in logs and metrics. */
+    public String logName() {
+        return logName;
+    }
+}
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseCopier.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseCopier.java
@@ -68,9 +68,6 @@
         allowance.allow(ReadAllowance.FRAMING_BYTES);
         buffer.limit(0);
         this.pending = buffer;
-        if (events != null) {
-            events.startResponse();
-        }
     }
 
     void start() {
@@ -188,7 +185,7 @@
         if (pendingEventBytes() > MAX_EVENT_BYTES) {
             return () -> attempt.failOversized("event");
         }
-        if (events != null && events.isMalformed()) {
+        if (events != null && events.fault() != null) {
             return attempt::failMalformed;
         }
         return events == null || holdEvent() ? null : () -> attempt.failOversized("events");
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/StreamEvent.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/StreamEvent.java
@@ -4,40 +4,59 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Parser of the lines of one complete server-sent event. */
-final class StreamEvent {
-    /** Id of a block that has only comments and empty lines, which callers ignore. */
-    static final long NO_EVENT = -1;
-
-    /** Id of an event that no sound endpoint sends. */
-    static final long MALFORMED = -2;
+/**
+ * One complete block of a stream of server-sent events.
+ *
+ * @param id id of the event, {@link #NO_ID} if the block is none
+ * @param fault why no sound endpoint sends the block as an event, null if it is an event or has only comments and empty
+ *     lines, which callers ignore
+ */
+record StreamEvent(long id, EventFault fault) {
+    /** Id of a block that is no event. */
+    static final long NO_ID = -1;
 
+    private static final StreamEvent EMPTY = new StreamEvent(NO_ID, null);
     private static final String ID_FIELD = "id:";
     private static final String COMMENT = ":";
 
     /** Every number of so many digits fits into a long. */
     private static final int MAX_ID_DIGITS = 18;
 
-    private StreamEvent() {}
-
-    /** Returns the id of an event, {@link #NO_EVENT} or {@link #MALFORMED}; an event has exactly one numeric id. */
-    static long id(byte[] event) {
-        long id = NO_EVENT;
+    /** Parses a block up to the end of its empty line; an event has exactly one numeric id. */
+    static StreamEvent parse(byte[] block) {
+        long id = NO_ID;
         boolean hasFields = false;
-        for (String line : lines(new String(event, StandardCharsets.ISO_8859_1))) {
+        for (String line : lines(new String(block, StandardCharsets.ISO_8859_1))) {
             if (line.isEmpty() || line.startsWith(COMMENT)) {
                 continue;
             }
             hasFields = true;
-            boolean isId = line.startsWith(ID_FIELD);
-            if (!isField(line) || isId && id != NO_EVENT) {
-                return MALFORMED;
+            if (!isField(line)) {
+                return faulty(EventFault.UNKNOWN_LINE);
             }
-            if (isId) {
-                id = parse(line.substring(ID_FIELD.length()).strip());
+            if (line.startsWith(ID_FIELD)) {
+                if (id != NO_ID) {
+                    return faulty(EventFault.SECOND_ID);
+                }
+                id = number(line.substring(ID_FIELD.length()).strip());
+                if (id == NO_ID) {
+                    return faulty(EventFault.UNREADABLE_ID);
+                }
             }
         }
-        return hasFields && id == NO_EVENT ? MALFORMED : id;
+        if (!hasFields) {
+            return EMPTY;
+        }
+        return id == NO_ID ? faulty(EventFault.NO_ID) : new StreamEvent(id, null);
+    }
+
+    /** Returns whether the block has only comments and empty lines. */
+    boolean isEmpty() {
+        return id == NO_ID && fault == null;
+    }
+
+    private static StreamEvent faulty(EventFault fault) {
+        return new StreamEvent(NO_ID, fault);
     }
 
     /** Splits lines that end with LF or CR LF; not by a regular expression, since this runs for each event. */
@@ -66,10 +85,10 @@
         return colon > 0;
     }
 
-    private static long parse(String value) {
+    private static long number(String value) {
         boolean isNumber = !value.isEmpty()
                 && value.length() <= MAX_ID_DIGITS
                 && value.chars().allMatch(c -> c >= '0' && c <= '9');
-        return isNumber ? Long.parseLong(value) : MALFORMED;
+        return isNumber ? Long.parseLong(value) : NO_ID;
     }
 }
--- a/gooseberryring-transport/src/test/java/org/gooseberryring/transport/endpoint/EventCursorTest.java
+++ b/gooseberryring-transport/src/test/java/org/gooseberryring/transport/endpoint/EventCursorTest.java
@@ -53,7 +53,7 @@
         String events = "id: 1\r\ndata: a\r\n\r\n: comment\n\nweight-versions: 2\nid: 2\ndata: b\n\n";
         assertThat(consume(events)).isEqualTo(events);
         assertThat(cursor.lastEventId()).isEqualTo("2");
-        assertThat(cursor.isMalformed()).isFalse();
+        assertThat(cursor.fault()).isNull();
     }
 
     /** Guards against bytes that no endpoint has meant as an event, and that reach the caller as one. */
@@ -77,10 +77,10 @@
         for (EventCursor each : List.of(cursor, EventCursor.ofSingleRun())) {
             assertThat(text(each.consume(bytes("id: 1\ndata: a\n\n" + garbage + "id: 9\ndata: b\n\n"))))
                     .isEqualTo("id: 1\ndata: a\n\n");
-            assertThat(each.isMalformed()).isTrue();
+            assertThat(each.fault()).isNotNull();
         }
         assertThat(cursor.lastEventId()).isEqualTo("1");
-        cursor.startResponse();
+        cursor.startAttempt();
         assertThat(consume("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
     }
 
@@ -91,10 +91,10 @@
 
         assertThat(text(single.consume(bytes("id: 4\ndata: a\n\nid: 4\ndata: a\n\nid: 5\ndata: b\n\n"))))
                 .isEqualTo("id: 4\ndata: a\n\n");
-        assertThat(single.isMalformed()).isTrue();
+        assertThat(single.fault()).isNotNull();
         assertThat(single.lastEventId()).isNull();
 
-        single.startResponse();
+        single.startAttempt();
         assertThat(text(single.consume(bytes("id: 1\ndata: a\n\n")))).isEqualTo("id: 1\ndata: a\n\n");
     }
 
