--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointProtocol.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointProtocol.java
@@ -49,7 +49,7 @@
     /** Returns whether a response that has ended without an error is complete. */
     boolean isComplete(EndpointCall call, int status, HeaderMap headers, ResponseEnd end);
 
-    /** Returns whether a resumable response is buffered up to the end of each event. */
+    /** Returns whether the body of a response with these headers is a stream of events. */
     default boolean carriesEvents(HeaderMap headers) {
         return false;
     }
