Reject responses that state their length in more than one way

What callers saw: a part of a body as a complete success, in a test: of two Content-Length headers with 3 and 5 the HTTP client follows one, so that "hel" of "hello" was passed on with status 200. The same with a sign before the number, and with transfer codings that the client does not know.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -162,6 +162,12 @@
             end(refusal, false, null);
             return;
         }
+        if (!ResponseFraming.isUnambiguous(headers)) {
+            LOG.warnf(
+                    "event=answer-dropped reason=ambiguous-length requestId=%s address=%s", call.requestId(), address);
+            end(Verdict.MAY_HAVE_RUN, false, null);
+            return;
+        }
         copier = new ResponseCopier(this, call, client, exchange, sink, ReadAllowance.of(connection));
         copier.start();
     }
--- /dev/null
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseFraming.java
@@ -0,0 +1,32 @@
+package org.gooseberryring.transport.endpoint;
+
+import java.util.regex.Pattern;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+
+/** Checks what the head of a response states about the length of its body. */
+final class ResponseFraming {
+    private static final String CHUNKED = "chunked";
+
+    /** Every number of so many digits fits into a long. */
+    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
+
+    private ResponseFraming() {}
+
+    /**
+     * Returns whether the length of the body is stated in one way at most. Otherwise a part of the body could pass for all of
+     * it, since the HTTP client follows one of the statements.
+     */
+    static boolean isUnambiguous(HeaderMap headers) {
+        int lengths = headers.count(Headers.CONTENT_LENGTH);
+        int codings = headers.count(Headers.TRANSFER_ENCODING);
+        if (lengths + codings > 1) {
+            return false;
+        }
+        if (lengths == 1) {
+            return LENGTH.matcher(headers.getFirst(Headers.CONTENT_LENGTH)).matches();
+        }
+        return codings == 0 || CHUNKED.equalsIgnoreCase(headers.getFirst(Headers.TRANSFER_ENCODING));
+    }
+}
