Frame each response, so that one that breaks off looks broken

What callers saw: a regular end of a stream that broke off. Cause: the HTTP server frames a response of unknown length in chunks only if the connection stays open. To a caller that asks for a close, and to each caller of a host that stops, it sends none, and the end of the connection is then the end of the body. The same holds between hosts: a host that stops passes on streams without framing, and the one that asked took the close for the end.

Each response of unknown length to HTTP/1.1 now has chunks. To HTTP/1.0 the connection is reset on close until the response has ended, also if the process ends before.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerSink.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerSink.java
@@ -4,7 +4,6 @@
 import java.nio.ByteBuffer;
 
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.ServerConnection;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
@@ -19,6 +18,8 @@
 final class CallerSink implements ResponseSink {
     private static final Logger LOG = Logger.getLogger(CallerSink.class);
 
+    private static final String CHUNKED = "chunked";
+
     private final HttpServerExchange exchange;
     private final ResponseHeaderPolicy responseHeaderPolicy;
     private StreamSinkChannel channel;
@@ -42,6 +43,12 @@
         responseHeaderPolicy.copy(headers, exchange.getResponseHeaders());
         if (contentLength >= 0) {
             exchange.setResponseContentLength(contentLength);
+        } else if (exchange.isHttp10()) {
+            // The end of the connection is the end of the body, so that any other end has to be a reset.
+            setResetOnClose(true);
+        } else {
+            // Without chunks, which the server omits before it closes a connection, a broken body would look complete.
+            exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, CHUNKED);
         }
         channel = exchange.getResponseChannel();
     }
@@ -72,23 +79,28 @@
 
     @Override
     public void finish() {
+        if (exchange.isHttp10()) {
+            setResetOnClose(false);
+        }
         exchange.endExchange();
     }
 
     @Override
     public void abort() {
-        ServerConnection connection = exchange.getConnection();
-        if (exchange.isHttp10() && connection instanceof HttpServerConnection http) {
-            resetOnClose(http);
+        if (exchange.isHttp10()) {
+            setResetOnClose(true);
         }
-        IoUtils.safeClose(connection);
+        IoUtils.safeClose(exchange.getConnection());
         exchange.endExchange();
     }
 
-    /** Makes the close a reset, because in HTTP/1.0 a normal close marks the end of a complete response. */
-    private static void resetOnClose(HttpServerConnection connection) {
+    /** Sets whether a close of the connection, also by the end of the process, is a reset. */
+    private void setResetOnClose(boolean reset) {
+        if (!(exchange.getConnection() instanceof HttpServerConnection connection)) {
+            return;
+        }
         try {
-            connection.getChannel().setOption(Options.CLOSE_ABORT, true);
+            connection.getChannel().setOption(Options.CLOSE_ABORT, reset);
         } catch (IOException e) {
             LogLine.event("reset-failed").with("reason", e.getMessage()).warn(LOG);
         }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/RelayedEndpointProtocol.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/RelayedEndpointProtocol.java
@@ -32,6 +32,12 @@
         return isStatedByRelay(headers) ? EndpointSignals.NONE : super.signals(status, headers);
     }
 
+    @Override
+    public boolean isComplete(EndpointCall call, int status, HeaderMap headers, ResponseEnd end) {
+        // A host frames each response; without framing, the end of a host would look like the end of the response.
+        return end.isFramingComplete() && super.isComplete(call, status, headers, end);
+    }
+
     @Override
     public boolean isStatedByRelay(HeaderMap headers) {
         return headers.contains(EndpointAttempt.VERDICT);
