Pass on events only, without the blocks and lines between them

What callers saw: an event with an empty id. Cause: empty lines and comments between the events of a stream were passed on, since a caller should ignore them; one that takes each block for an event does not. And an event with carriage returns in its lines was one event to the host, and several to a caller that ends lines by the standard of server-sent events.

Blocks without a field are now left out, also before the first event; a carriage return that does not end a line is a fault of the endpoint.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventBoundary.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventBoundary.java
@@ -2,7 +2,7 @@
 
 /** Detects the end of each event of a stream, which is an empty line; lines end with LF or CR LF. */
 final class EventBoundary {
-    private boolean lineEmpty;
+    private boolean lineEmpty = true;
 
     /** Processes the next byte of the stream and returns whether it ends an event. */
     boolean endsEvent(byte b) {
@@ -19,6 +19,6 @@
 
     /** Resets the state to the start of a stream. */
     void reset() {
-        lineEmpty = false;
+        lineEmpty = true;
     }
 }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventCursor.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventCursor.java
@@ -7,8 +7,8 @@
 /**
  * Position of a stream of server-sent events at its caller, across all endpoints that sent a part of the stream.
  *
- * <p>The cursor passes on only complete events with increasing ids, so that bytes which no endpoint has meant as an event do
- * not reach the caller as one, and another endpoint can continue after the last event. In a stream that may be continued,
+ * <p>The cursor passes on only complete events with increasing ids, and nothing between them, so that bytes which no endpoint
+ * has meant as an event do not reach the caller as one, and another endpoint can continue after the last event. In a stream that may be continued,
  * it skips events that the caller has already received. Not thread-safe; used on the I/O thread of the request only.
  */
 public final class EventCursor {
@@ -101,8 +101,8 @@
         partial.reset();
         StreamEvent event = StreamEvent.parse(block);
         if (event.isEmpty()) {
+            // Callers ignore it, or take it for an event with an empty id.
             trace.onEmptyBlock();
-            completeEvents.writeBytes(block);
         } else if (event.fault() != null) {
             end(event.fault());
         } else if (event.id() > lastId) {
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/StreamEvent.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/StreamEvent.java
@@ -27,7 +27,7 @@
         long id = NO_ID;
         boolean hasFields = false;
         for (String line : lines(new String(block, StandardCharsets.ISO_8859_1))) {
-            if (line.isEmpty() || line.startsWith(COMMENT)) {
+            if (line.isEmpty() || line.startsWith(COMMENT) && line.indexOf('\r') < 0) {
                 continue;
             }
             hasFields = true;
@@ -75,6 +75,10 @@
 
     /** Returns whether a line has the name of a field, in lower case, and a value. */
     private static boolean isField(String line) {
+        // Callers may take each carriage return for the end of a line, and so read fields that no event has.
+        if (line.indexOf('\r') >= 0) {
+            return false;
+        }
         int colon = line.indexOf(':');
         for (int i = 0; i < colon; i++) {
             char c = line.charAt(i);
