End an attempt at an event that is missing

What callers saw: an event where another one was due, and a stream with a hole that ended as complete.

Where nearly all steps were one, an id further ahead ends the attempt: a stream that may be continued goes on at another endpoint after the last good event, and takes the id if that endpoint goes on with it as well; another stream breaks off visibly.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -33,6 +33,7 @@
 import org.gooseberryring.state.ServingConfiguration;
 import org.gooseberryring.transport.endpoint.EndpointClient;
 import org.gooseberryring.transport.endpoint.EndpointLimits;
+import org.gooseberryring.transport.endpoint.EventNumberings;
 import org.gooseberryring.transport.endpoint.RelayedEndpointProtocol;
 import org.gooseberryring.transport.http.ConnectionCheck;
 import org.gooseberryring.transport.http.HttpCaller;
@@ -426,7 +427,7 @@
         return new FrontHandler(
                 view,
                 protocol,
-                new RequestFactory(protocol, open, random),
+                new RequestFactory(protocol, open, random, new EventNumberings()),
                 open,
                 new RequestIntake(open, requests.loop()),
                 requests::submit,
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RequestFactory.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RequestFactory.java
@@ -18,6 +18,8 @@
 import org.gooseberryring.state.Route;
 import org.gooseberryring.transport.endpoint.EndpointCall;
 import org.gooseberryring.transport.endpoint.EventCursor;
+import org.gooseberryring.transport.endpoint.EventNumbering;
+import org.gooseberryring.transport.endpoint.EventNumberings;
 
 /** Creates a request for the engine from a caller's request and its route. */
 final class RequestFactory {
@@ -39,13 +41,20 @@
     private final CallerProtocol protocol;
     private final OpenRequests open;
     private final RandomGenerator random;
+    private final EventNumberings numberings;
     private final AtomicLong repeats = new AtomicLong();
 
-    /** Creates a factory; {@code random} distributes the requests of a route among its services. */
-    RequestFactory(CallerProtocol protocol, OpenRequests open, RandomGenerator random) {
+    /**
+     * Creates a factory.
+     *
+     * @param random distributes the requests of a route among its services
+     * @param numberings how the endpoints of each service number the events of streams
+     */
+    RequestFactory(CallerProtocol protocol, OpenRequests open, RandomGenerator random, EventNumberings numberings) {
         this.protocol = protocol;
         this.open = open;
         this.random = random;
+        this.numberings = numberings;
     }
 
     /** Returns the path of a request exactly as the caller sent it, without the query. */
@@ -58,8 +67,8 @@
             HttpServerExchange exchange, FrontHandler.Arrival arrival, FrontHandler.Admitted admitted, byte[] body) {
         RequestHead head = arrival.head();
         Route route = admitted.route();
-        RequestTarget target =
-                new RequestTarget.RoutedTarget(route.service(random.nextDouble()), head.model(), head.adapter());
+        String service = route.service(random.nextDouble());
+        RequestTarget target = new RequestTarget.RoutedTarget(service, head.model(), head.adapter());
         String query = exchange.getQueryString();
         String path = rawPath(exchange) + (query.isEmpty() ? "" : "?" + query);
         RequestSpec spec = spec(exchange, arrival, admitted, target, path, body);
@@ -72,11 +81,12 @@
                 exchange,
                 protocol.toEndpoint(exchange.getRequestHeaders()),
                 protocol.responseFormat(),
-                route.kind() == RequestKind.STREAM ? events(route, head) : null);
+                route.kind() == RequestKind.STREAM ? events(route, head, service) : null);
     }
 
-    private static EventCursor events(Route route, RequestHead head) {
-        return route.resumable() ? new EventCursor(head.lastEventId()) : EventCursor.ofSingleRun();
+    private EventCursor events(Route route, RequestHead head, String service) {
+        EventNumbering numbering = numberings.of(service);
+        return route.resumable() ? new EventCursor(head.lastEventId(), numbering) : EventCursor.ofSingleRun(numbering);
     }
 
     private RequestSpec spec(
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventCursor.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventCursor.java
@@ -7,33 +7,43 @@
 /**
  * Position of a stream of server-sent events at its caller, across all endpoints that sent a part of the stream.
  *
- * <p>The cursor passes on only complete events with increasing ids, and nothing between them, so that bytes which no endpoint
- * has meant as an event do not reach the caller as one, and another endpoint can continue after the last event. In a stream that may be continued,
- * it skips events that the caller has already received. Not thread-safe; used on the I/O thread of the request only.
+ * <p>The cursor passes on only complete events with increasing ids, and nothing between them, so that bytes which no
+ * endpoint has meant as an event do not reach the caller as one, and another endpoint can continue after the last event. It
+ * ends an attempt at an event that is missing, where the events of the service follow each other. In a stream that may be
+ * continued, it skips events that the caller has already received. Not thread-safe; used on the I/O thread of the request
+ * only.
  */
 public final class EventCursor {
     private static final long NONE = -1;
 
     private final EventBoundary boundary = new EventBoundary();
     private final boolean resumable;
+    private final EventNumbering numbering;
     private ByteArrayOutputStream partial = new ByteArrayOutputStream();
     private long lastId;
+    private long refusedId = NONE;
     private EventFault fault;
     private EventTrace trace = new EventTrace();
 
-    /** Creates a cursor of a stream that may be continued; {@code lastEventId} is the event after which the caller resumes it. */
-    public EventCursor(OptionalLong lastEventId) {
-        this(lastEventId.orElse(NONE), true);
+    /**
+     * Creates a cursor of a stream that may be continued.
+     *
+     * @param lastEventId event after which the caller resumes the stream
+     * @param numbering how the endpoints of the service number their events
+     */
+    public EventCursor(OptionalLong lastEventId, EventNumbering numbering) {
+        this(lastEventId.orElse(NONE), true, numbering);
     }
 
-    private EventCursor(long lastId, boolean resumable) {
+    private EventCursor(long lastId, boolean resumable, EventNumbering numbering) {
         this.lastId = lastId;
         this.resumable = resumable;
+        this.numbering = numbering;
     }
 
     /** Creates a cursor of a stream that no other endpoint may continue. */
-    public static EventCursor ofSingleRun() {
-        return new EventCursor(NONE, false);
+    public static EventCursor ofSingleRun(EventNumbering numbering) {
+        return new EventCursor(NONE, false, numbering);
     }
 
     /** Returns whether another endpoint may continue the stream. */
@@ -61,8 +71,13 @@
         }
     }
 
-    /** Discards an event whose end did not arrive, and its buffer. */
-    void discardPartialEvent() {
+    /** Ends an attempt; discards an event whose end did not arrive, and its buffer. */
+    void endAttempt() {
+        discardPartialEvent();
+        numbering.add(trace);
+    }
+
+    private void discardPartialEvent() {
         partial = new ByteArrayOutputStream();
         boundary.reset();
     }
@@ -105,17 +120,34 @@
             trace.onEmptyBlock();
         } else if (event.fault() != null) {
             end(event.fault());
-        } else if (event.id() > lastId) {
+        } else if (event.id() <= lastId) {
+            skipOrEnd();
+        } else if (isAhead(event.id())) {
+            refusedId = event.id();
+            trace.onRefused(event.id(), lastId);
+            end(EventFault.MISSING_EVENT);
+        } else {
+            trace.onPassedOn(event.id(), lastId);
             lastId = event.id();
-            trace.onPassedOn(lastId);
+            refusedId = NONE;
             completeEvents.writeBytes(block);
-        } else if (resumable) {
+        }
+    }
+
+    private void skipOrEnd() {
+        if (resumable) {
             trace.onSkipped();
         } else {
             end(EventFault.REPEATED_ID);
         }
     }
 
+    /** Returns whether events before this one are missing; another endpoint that goes on with it shows that none are. */
+    private boolean isAhead(long id) {
+        OptionalLong due = lastId == NONE ? numbering.start() : numbering.after(lastId);
+        return due.isPresent() && id > due.getAsLong() && id != refusedId;
+    }
+
     private void end(EventFault found) {
         fault = found;
         trace.onFault(found);
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventFault.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventFault.java
@@ -11,7 +11,9 @@
     /** An id that is no number. */
     UNREADABLE_ID("unreadable-id"),
     /** An id that is not above the one before, in a stream that no other endpoint may continue. */
-    REPEATED_ID("repeated-id");
+    REPEATED_ID("repeated-id"),
+    /** An id that is further ahead than those of the endpoint's service ever are. */
+    MISSING_EVENT("missing-event");
 
     private final String logName;
 
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventTrace.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventTrace.java
@@ -4,22 +4,39 @@
 public final class EventTrace {
     private static final long NONE = -1;
 
+    private long startId = NONE;
     private long firstId = NONE;
     private long lastId = NONE;
     private int passedOn;
     private int skipped;
+    private int steps;
     private int jumps;
     private int emptyBlocks;
     private EventFault fault;
 
-    void onPassedOn(long id) {
+    /** Records an event that was passed on; {@code before} is the id of the caller's last event, -1 if there is none. */
+    void onPassedOn(long id, long before) {
         if (passedOn == 0) {
             firstId = id;
-        } else if (id != lastId + 1) {
-            jumps++;
         }
         lastId = id;
         passedOn++;
+        count(id, before);
+    }
+
+    /** Records an event that was not passed on, since others before it are missing. */
+    void onRefused(long id, long before) {
+        count(id, before);
+    }
+
+    private void count(long id, long before) {
+        if (before == NONE) {
+            startId = id;
+        } else if (id == before + 1) {
+            steps++;
+        } else {
+            jumps++;
+        }
     }
 
     void onSkipped() {
@@ -54,7 +71,17 @@
         return skipped;
     }
 
-    /** Returns the number of ids that were not one above the id before. */
+    /** Returns the id of the first event of the stream, -1 if the response did not begin it. */
+    long startId() {
+        return startId;
+    }
+
+    /** Returns the number of ids that were one above the id before. */
+    int steps() {
+        return steps;
+    }
+
+    /** Returns the number of ids that were further above the id before. */
     public int jumps() {
         return jumps;
     }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseCopier.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseCopier.java
@@ -92,7 +92,7 @@
             closed = true;
             pooledBuffer.close();
             if (events != null) {
-                events.discardPartialEvent();
+                events.endAttempt();
                 eventMemory.resize(heldBytes, 0);
             }
         }
--- a/gooseberryring-transport/src/test/java/org/gooseberryring/transport/endpoint/EventCursorTest.java
+++ b/gooseberryring-transport/src/test/java/org/gooseberryring/transport/endpoint/EventCursorTest.java
@@ -17,7 +17,8 @@
     private static final long SEED = 4506;
     private static final int EVENT_CHARS = "id: 1\ndata: a\n\n".length();
 
-    private final EventCursor cursor = new EventCursor(OptionalLong.empty());
+    private final EventNumbering numbering = new EventNumbering();
+    private final EventCursor cursor = new EventCursor(OptionalLong.empty(), numbering);
 
     /** Guards against a partial event that is joined with an event of another endpoint. */
     @Test
@@ -25,7 +26,7 @@
         assertThat(consume("id: 1\ndata: a\n\nid: 2\nda")).isEqualTo("id: 1\ndata: a\n\n");
         assertThat(cursor.pendingBytes()).isAtLeast(1L);
         assertThat(cursor.lastEventId()).isEqualTo("1");
-        cursor.discardPartialEvent();
+        cursor.endAttempt();
         assertThat(consume("id: 2\ndata: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
         assertThat(cursor.pendingBytes()).isEqualTo(0L);
     }
@@ -41,7 +42,7 @@
     /** Guards against a stream that starts from the beginning although its caller requested to resume it. */
     @Test
     void resumesAfterLastEventId() {
-        EventCursor resumed = new EventCursor(OptionalLong.of(7));
+        EventCursor resumed = new EventCursor(OptionalLong.of(7), numbering);
         assertThat(resumed.lastEventId()).isEqualTo("7");
         ByteBuffer passed = resumed.consume(bytes("id: 7\ndata: a\n\nid: 8\ndata: b\n\n"));
         assertThat(text(passed)).isEqualTo("id: 8\ndata: b\n\n");
@@ -78,7 +79,7 @@
                 "HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n"
             })
     void dropsMalformedEventsAndAllThatFollow(String garbage) {
-        for (EventCursor each : List.of(cursor, EventCursor.ofSingleRun())) {
+        for (EventCursor each : List.of(cursor, EventCursor.ofSingleRun(numbering))) {
             assertThat(text(each.consume(bytes("id: 1\ndata: a\n\n" + garbage + "id: 9\ndata: b\n\n"))))
                     .isEqualTo("id: 1\ndata: a\n\n");
             assertThat(each.fault()).isNotNull();
@@ -100,7 +101,7 @@
     /** Guards against an event that comes twice, or after a later one, in a stream that no other endpoint may continue. */
     @Test
     void eventsOfASingleRunMustIncrease() {
-        EventCursor single = EventCursor.ofSingleRun();
+        EventCursor single = EventCursor.ofSingleRun(numbering);
 
         assertThat(text(single.consume(bytes("id: 4\ndata: a\n\nid: 4\ndata: a\n\nid: 5\ndata: b\n\n"))))
                 .isEqualTo("id: 4\ndata: a\n\n");
@@ -120,7 +121,7 @@
             byte[] garbage = new byte[1 + random.nextInt(40)];
             random.nextBytes(garbage);
             garbage[garbage.length / 2] = '\n';
-            EventCursor each = EventCursor.ofSingleRun();
+            EventCursor each = EventCursor.ofSingleRun(numbering);
             String passed = new String(
                     each.consume(ByteBuffer.wrap(join(stream.substring(0, at), garbage, stream.substring(at))))
                             .array(),
@@ -132,6 +133,73 @@
         }
     }
 
+    /** Guards against a hole in a stream that reaches the caller, on a service whose events follow each other. */
+    @Test
+    void missingEventEndsTheAttempt() {
+        learn(1, 1, 40);
+        for (EventCursor each : List.of(cursor, EventCursor.ofSingleRun(numbering))) {
+            assertThat(text(each.consume(bytes("id: 1\ndata: a\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n"))))
+                    .isEqualTo("id: 1\ndata: a\n\n");
+            assertThat(each.fault()).isEqualTo(EventFault.MISSING_EVENT);
+        }
+        cursor.startAttempt();
+        assertThat(consume("id: 2\ndata: b\n\nid: 3\ndata: c\n\n")).isEqualTo("id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    }
+
+    /** Guards against a stream that lacks its first events. */
+    @Test
+    void missingStartEndsTheAttempt() {
+        for (int i = 0; i < 40; i++) {
+            learn(1, 1, 3);
+        }
+        assertThat(consume("id: 2\ndata: b\n\n")).isEmpty();
+        assertThat(cursor.fault()).isEqualTo(EventFault.MISSING_EVENT);
+    }
+
+    /** Guards against a sound stream that is broken off, because two endpoints leave out the same id. */
+    @Test
+    void eventThatASecondEndpointGoesOnWithIsPassedOn() {
+        learn(1, 1, 40);
+        consume("id: 1\ndata: a\n\nid: 3\ndata: c\n\n");
+        cursor.startAttempt();
+        assertThat(consume("id: 3\ndata: c\n\nid: 4\ndata: d\n\n")).isEqualTo("id: 3\ndata: c\n\nid: 4\ndata: d\n\n");
+        assertThat(cursor.fault()).isNull();
+    }
+
+    /** Guards against sound streams that are broken off, on a service whose ids leave out numbers. */
+    @Test
+    void idsThatDoNotFollowEachOtherArePassedOn() {
+        learn(1, 6, 40);
+        assertThat(consume("id: 1\ndata: a\n\nid: 7\ndata: b\n\nid: 20\ndata: c\n\n"))
+                .isEqualTo("id: 1\ndata: a\n\nid: 7\ndata: b\n\nid: 20\ndata: c\n\n");
+    }
+
+    /** Guards against streams that are broken off for good, after the endpoints of a service number events otherwise. */
+    @Test
+    void changedNumberingIsLearned() {
+        for (int i = 0; i < 10; i++) {
+            learn(1, 1, 40);
+        }
+        int broken = 0;
+        while (learn(1, 2, 40) != null) {
+            broken++;
+            assertThat(broken).isAtMost(100);
+        }
+        assertThat(broken).isAtLeast(1);
+        assertThat(learn(1, 2, 40)).isNull();
+    }
+
+    /** Passes on a stream of a single run whose ids have the given distance, and returns its fault. */
+    private EventFault learn(long first, long step, int events) {
+        EventCursor earlier = EventCursor.ofSingleRun(numbering);
+        earlier.startAttempt();
+        for (int i = 0; i < events; i++) {
+            earlier.consume(bytes("id: " + (first + i * step) + "\ndata: x\n\n"));
+        }
+        earlier.endAttempt();
+        return earlier.fault();
+    }
+
     private static byte[] join(String before, byte[] garbage, String after) {
         ByteArrayOutputStream joined = new ByteArrayOutputStream();
         joined.writeBytes(before.getBytes(StandardCharsets.ISO_8859_1));
