Do not count garbage of an endpoint as its loss

What callers saw: nothing directly; a request could be held responsible for a crash that did not happen. Cause: bytes that are no event, and data without end, ended the attempt as one whose connection broke, so that the host probed the endpoint, and took a probe that was answered late for a crash under that request.

Such an attempt now fails without a loss; it still counts against the endpoint when the next one is chosen.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -206,7 +206,7 @@
     /** Ends an attempt whose response exceeds the largest size that a response to its request can have. */
     void failOversized(String reason) {
         LOG.warnf("event=answer-without-end reason=%s requestId=%s address=%s", reason, call.requestId(), address);
-        fail();
+        failFaulty();
     }
 
     /** Ends an attempt whose response has bytes in the place of an event that are none. */
@@ -215,7 +215,12 @@
         LOG.warnf(
                 "event=answer-dropped reason=malformed-event requestId=%s address=%s fault=%s events=%d lastEvent=%d",
                 call.requestId(), address, trace.fault().logName(), trace.passedOn(), trace.lastId());
-        fail();
+        failFaulty();
+    }
+
+    /** Ends an attempt whose endpoint sends what no sound one does; its connection did not break, so it is not lost. */
+    private void failFaulty() {
+        end(unfinishedVerdict(), false, null);
     }
 
     /** Schedules a step to run after the pending work of other connections on the I/O thread. */
