--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventCursor.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventCursor.java
@@ -144,6 +144,9 @@
 
     /** Returns whether events before this one are missing; another endpoint that goes on with it shows that none are. */
     private boolean isAhead(long id) {
+        if (lastId != NONE && id == lastId + 1) {
+            return false;
+        }
         OptionalLong due = lastId == NONE ? numbering.start() : numbering.after(lastId);
         return due.isPresent() && id > due.getAsLong() && id != refusedId;
     }
