Take responses without a body as complete once their head is there

Callers got 502 for a HEAD request whose endpoint answered with a length, and for 204 with a length: the host counted the bytes of the body against the length, or waited for a body that HTTP does not allow there. By reading, 304 with a length is the same case.

The copier now ends such a response with its head, whatever the protocol of the endpoint, and never uses its connection again. The attempt ends before its connection is closed, since the HTTP client reports the close of a connection that it has not read to the end as a failure.

PlatformBodilessResponseTest failed before the change: 502 for HEAD with a length on both kinds of routes, and for 204 with a length. A response to GET that lacks its body is still 502.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -190,12 +190,14 @@
     void complete(boolean reusable, byte[] recorded) {
         ClientConnection used = connection;
         connection = null;
+        // Ends the attempt first, since the HTTP client reports the close of a connection that it has not read to the
+        // end.
+        end(Verdict.COMPLETED, false, recorded);
         if (reusable && (writer == null || writer.done())) {
             releaseOrClose(used);
         } else {
             ReadAllowance.closeSocket(used);
         }
-        end(Verdict.COMPLETED, false, recorded);
     }
 
     /** Ends an attempt whose connection broke or whose response is incomplete. */
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointProtocol.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointProtocol.java
@@ -46,7 +46,7 @@
         return null;
     }
 
-    /** Returns whether a response that has ended without an error is complete. */
+    /** Returns whether a response that has ended without an error is complete; not called for one that has no body. */
     boolean isComplete(EndpointCall call, int status, HeaderMap headers, ResponseEnd end);
 
     /** Returns whether the body of a response with these headers is a stream of events. */
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ModelEngineProtocol.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ModelEngineProtocol.java
@@ -9,8 +9,6 @@
 public final class ModelEngineProtocol implements EndpointProtocol {
     private static final int FIRST_ERROR = 400;
     private static final int FIRST_SERVER_ERROR = 500;
-    private static final int NO_CONTENT = 204;
-    private static final int NOT_MODIFIED = 304;
     private static final String EVENT_STREAM = "text/event-stream";
 
     @Override
@@ -46,9 +44,6 @@
 
     @Override
     public boolean isComplete(EndpointCall call, int status, HeaderMap headers, ResponseEnd end) {
-        if ("HEAD".equals(call.method()) || status == NO_CONTENT || status == NOT_MODIFIED) {
-            return true;
-        }
         String type = headers.getFirst(Headers.CONTENT_TYPE);
         if (type != null && type.startsWith(EVENT_STREAM) && call.kind().isModel()) {
             return end.finalEvent();
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseCopier.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseCopier.java
@@ -34,6 +34,7 @@
     private final long declaredLength;
     private final long maxBytes;
     private final EventMeter meter;
+    private final boolean bodiless;
     private final ReadAllowance allowance;
     private final EventMemory eventMemory;
     private ByteBuffer pending;
@@ -63,6 +64,8 @@
         this.declaredLength = contentLength(headers());
         this.maxBytes = declaredLength >= 0 ? declaredLength : call.maxResponseBytes();
         this.meter = events == null && protocol.carriesEvents(headers()) ? new EventMeter() : null;
+        this.bodiless =
+                ResponseFraming.isBodiless(call.method(), exchange.getResponse().getResponseCode());
         this.allowance = allowance;
         this.eventMemory = client.eventMemory();
         allowance.allow(ReadAllowance.FRAMING_BYTES);
@@ -71,6 +74,12 @@
     }
 
     void start() {
+        if (bodiless) {
+            // The HTTP client would wait for the bytes that the head states, and the caller would wait with it.
+            attempt.recordActivity();
+            finish();
+            return;
+        }
         source.getReadSetter().set(c -> {
             c.suspendReads();
             copy();
@@ -226,7 +235,7 @@
             return;
         }
         startSink();
-        boolean reusable = !"close".equalsIgnoreCase(headers().getFirst(Headers.CONNECTION));
+        boolean reusable = !bodiless && !"close".equalsIgnoreCase(headers().getFirst(Headers.CONNECTION));
         byte[] recordedBody = copied <= maxRecordedBytes ? recorded.toByteArray() : null;
         // Reports the outcome before the response ends, so that it is known when the exchange has completed.
         attempt.complete(reusable, recordedBody);
@@ -234,6 +243,9 @@
     }
 
     private boolean isComplete() {
+        if (bodiless) {
+            return true;
+        }
         ResponseEnd end = new ResponseEnd(
                 copied,
                 declaredLength,
