--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -190,12 +190,14 @@
     void complete(boolean reusable, byte[] recorded) {
         ClientConnection used = connection;
         connection = null;
+        // Ends the attempt first, since the HTTP client reports the close of a connection that it has not read to the
+        // end.
+        end(Verdict.COMPLETED, false, recorded);
         if (reusable && (writer == null || writer.done())) {
             releaseOrClose(used);
         } else {
             ReadAllowance.closeSocket(used);
         }
-        end(Verdict.COMPLETED, false, recorded);
     }
 
     /** Ends an attempt whose connection broke or whose response is incomplete. */
@@ -223,6 +225,14 @@
         end(unfinishedVerdict(), false, null);
     }
 
+    /** Ends an attempt whose stream goes on after its final event. */
+    void failContinued() {
+        LOG.warnf(
+                "event=answer-dropped reason=bytes-after-final-event requestId=%s address=%s",
+                call.requestId(), address);
+        fail();
+    }
+
     /** Schedules a step to run after the pending work of other connections on the I/O thread. */
     void runLater(Runnable step) {
         thread.execute(step);
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseCopier.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseCopier.java
@@ -34,6 +34,8 @@
     private final long declaredLength;
     private final long maxBytes;
     private final EventMeter meter;
+    private final FinalEvent finalEvent;
+    private final boolean bodiless;
     private final ReadAllowance allowance;
     private final EventMemory eventMemory;
     private ByteBuffer pending;
@@ -63,6 +65,9 @@
         this.declaredLength = contentLength(headers());
         this.maxBytes = declaredLength >= 0 ? declaredLength : call.maxResponseBytes();
         this.meter = events == null && protocol.carriesEvents(headers()) ? new EventMeter() : null;
+        int status = exchange.getResponse().getResponseCode();
+        this.finalEvent = protocol.endsWithFinalEvent(call, status, headers()) ? new FinalEvent() : null;
+        this.bodiless = ResponseFraming.isBodiless(call.method(), status);
         this.allowance = allowance;
         this.eventMemory = client.eventMemory();
         allowance.allow(ReadAllowance.FRAMING_BYTES);
@@ -71,6 +76,12 @@
     }
 
     void start() {
+        if (bodiless) {
+            // The HTTP client would wait for the bytes that the head states, and the caller would wait with it.
+            attempt.recordActivity();
+            finish();
+            return;
+        }
         source.getReadSetter().set(c -> {
             c.suspendReads();
             copy();
@@ -158,6 +169,9 @@
                 if (meter != null) {
                     meter.add(buffer);
                 }
+                if (finalEvent != null) {
+                    finalEvent.add(buffer);
+                }
                 pending = events == null ? buffer : events.consume(buffer);
                 failure = failure();
                 if (failure != null && events == null) {
@@ -185,6 +199,9 @@
         if (pendingEventBytes() > MAX_EVENT_BYTES) {
             return () -> attempt.failOversized("event");
         }
+        if (finalEvent != null && finalEvent.isFollowed()) {
+            return attempt::failContinued;
+        }
         if (events != null && events.fault() != null) {
             return attempt::failMalformed;
         }
@@ -226,7 +243,7 @@
             return;
         }
         startSink();
-        boolean reusable = !"close".equalsIgnoreCase(headers().getFirst(Headers.CONNECTION));
+        boolean reusable = !bodiless && !"close".equalsIgnoreCase(headers().getFirst(Headers.CONNECTION));
         byte[] recordedBody = copied <= maxRecordedBytes ? recorded.toByteArray() : null;
         // Reports the outcome before the response ends, so that it is known when the exchange has completed.
         attempt.complete(reusable, recordedBody);
@@ -234,11 +251,14 @@
     }
 
     private boolean isComplete() {
+        if (bodiless) {
+            return true;
+        }
         ResponseEnd end = new ResponseEnd(
                 copied,
                 declaredLength,
                 headers().contains(Headers.TRANSFER_ENCODING),
-                tail.endsWithFinalEvent(),
+                finalEvent != null && finalEvent.isLast(),
                 pendingEventBytes() > 0);
         return protocol.isComplete(call, exchange.getResponse().getResponseCode(), headers(), end);
     }
