Fail responses whose chunks are framed wrongly

With garbage behind a whole event, which an endpoint sent in a chunk of its own, the caller had a regular end behind that event.

Cause: the chunk reader of the HTTP client takes a size line that starts with anything but a hexadecimal digit for the size 0, reads what follows as trailers and ends the response. It also skips all bytes between the end of a chunk and the next line end. The host took the end of a chunked response for proof that it is complete.

The bytes of each client connection are now checked against the framing of a chunked response below the HTTP client, which offers no other place for it. Reads fail from the first byte that violates it on; those before it are read, so that a whole event still goes on as it arrives.

--- /dev/null
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ChunkFraming.java
@@ -0,0 +1,124 @@
+package org.gooseberryring.transport.http;
+
+import java.util.Locale;
+
+/**
+ * Checks the framing of a chunked response byte by byte.
+ *
+ * <p>The parser of the HTTP client takes a chunk size that starts with anything but a digit for the size 0, which ends the
+ * response regularly, and skips all bytes between a chunk and its line end. Responses without chunks are not checked. Not
+ * thread-safe.
+ */
+final class ChunkFraming {
+    private static final int RADIX = 16;
+
+    /** Every number of so many hexadecimal digits fits into a long. */
+    private static final int MAX_SIZE_DIGITS = 15;
+
+    private final StringBuilder line = new StringBuilder();
+    private State state = State.STATUS_LINE;
+    private boolean interim;
+    private boolean chunked;
+    private long size;
+    private int digits;
+
+    private enum State {
+        STATUS_LINE,
+        HEADERS,
+        SIZE,
+        EXTENSION,
+        SIZE_LINE_END,
+        DATA,
+        DATA_RETURN,
+        DATA_LINE_END,
+        TRAILERS,
+        UNCHECKED
+    }
+
+    /** Consumes a byte; returns false if it is not the next one of a response that is framed correctly. */
+    boolean accept(byte b) {
+        char c = (char) (b & 0xff);
+        switch (state) {
+            case STATUS_LINE, HEADERS, TRAILERS -> {
+                return acceptLine(c);
+            }
+            case SIZE -> {
+                return acceptSize(c);
+            }
+            case EXTENSION -> {
+                state = c == '\r' ? State.SIZE_LINE_END : State.EXTENSION;
+                return c != '\n';
+            }
+            case SIZE_LINE_END -> {
+                state = size == 0 ? State.TRAILERS : State.DATA;
+                return c == '\n';
+            }
+            case DATA -> {
+                size--;
+                state = size == 0 ? State.DATA_RETURN : State.DATA;
+                return true;
+            }
+            case DATA_RETURN -> {
+                state = State.DATA_LINE_END;
+                return c == '\r';
+            }
+            case DATA_LINE_END -> {
+                startChunk();
+                return c == '\n';
+            }
+            default -> {
+                return true;
+            }
+        }
+    }
+
+    private boolean acceptLine(char c) {
+        if (c != '\n') {
+            line.append(c);
+            return true;
+        }
+        String ended = line.toString().stripTrailing().toLowerCase(Locale.ROOT);
+        line.setLength(0);
+        if (state == State.STATUS_LINE) {
+            interim = ended.matches("http/1\\.[01] 1.*");
+            chunked = false;
+            state = State.HEADERS;
+        } else if (state == State.HEADERS) {
+            acceptHeader(ended);
+        } else if (ended.isEmpty()) {
+            state = State.UNCHECKED;
+        } else {
+            return ended.indexOf(':') > 0;
+        }
+        return true;
+    }
+
+    private void acceptHeader(String header) {
+        if (!header.isEmpty()) {
+            chunked |= header.startsWith("transfer-encoding") && header.endsWith("chunked");
+        } else if (interim) {
+            state = State.STATUS_LINE;
+        } else if (chunked) {
+            startChunk();
+        } else {
+            state = State.UNCHECKED;
+        }
+    }
+
+    private void startChunk() {
+        state = State.SIZE;
+        size = 0;
+        digits = 0;
+    }
+
+    private boolean acceptSize(char c) {
+        int digit = c < 0x80 ? Character.digit(c, RADIX) : -1;
+        if (digit >= 0) {
+            size = size * RADIX + digit;
+            digits++;
+            return digits <= MAX_SIZE_DIGITS;
+        }
+        state = c == '\r' ? State.SIZE_LINE_END : State.EXTENSION;
+        return digits > 0 && (c == '\r' || c == ';' || c == ' ' || c == '\t');
+    }
+}
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ClientConnector.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ClientConnector.java
@@ -51,7 +51,7 @@
             BiConsumer<ClientConnection, IOException> callback) {
         ClientConnection reused = forceNew ? null : takeIdle(new Key(thread, authority));
         if (reused != null) {
-            ReadAllowance.of(reused).allow(ReadAllowance.HEAD_BYTES);
+            ReadAllowance.of(reused).startResponse();
             callback.accept(reused, null);
             return;
         }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ReadAllowance.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ReadAllowance.java
@@ -31,16 +31,18 @@
     private static final AttachmentKey<ReadAllowance> KEY = AttachmentKey.create(ReadAllowance.class);
 
     private final StreamConnection connection;
+    private final CheckedFraming framing;
     private long remainingBytes = HEAD_BYTES;
 
-    private ReadAllowance(StreamConnection connection) {
-        super(connection.getSourceChannel().getConduit());
+    private ReadAllowance(StreamConnection connection, CheckedFraming framing) {
+        super(framing);
         this.connection = connection;
+        this.framing = framing;
     }
 
     /** Installs an allowance on a connection that was just opened. */
     static ReadAllowance on(StreamConnection connection) {
-        ReadAllowance allowance = new ReadAllowance(connection);
+        ReadAllowance allowance = new ReadAllowance(connection, CheckedFraming.on(connection));
         connection.getSourceChannel().setConduit(allowance);
         return allowance;
     }
@@ -69,6 +71,12 @@
         IoUtils.safeClose(allowance == null ? client : allowance.connection);
     }
 
+    /** Allows the head of the next response on a connection that is used again. */
+    void startResponse() {
+        allow(HEAD_BYTES);
+        framing.startResponse();
+    }
+
     /** Sets the number of bytes that may be read from now on. */
     public void allow(long bytes) {
         remainingBytes = bytes;
--- /dev/null
+++ b/gooseberryring-transport/src/test/java/org/gooseberryring/transport/http/ChunkFramingTest.java
@@ -0,0 +1,67 @@
+package org.gooseberryring.transport.http;
+
+import java.nio.charset.StandardCharsets;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class ChunkFramingTest {
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    /** Guards against sound responses that fail. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                HEAD + "5\r\nhello\r\n0\r\n\r\n",
+                HEAD + "0\r\n\r\n",
+                HEAD + "00A\r\n0123456789\r\n0\r\n\r\n",
+                HEAD + "5;name=value\r\nhello\r\n5 \r\nhello\r\n0\r\nTrailer: x\r\n\r\n",
+                "HTTP/1.1 100 Continue\r\n\r\n" + HEAD + "1\r\nx\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\ntransfer-encoding:Chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+                "HTTP/1.1 200 OK\r\n\r\nhello"
+            })
+    void acceptsSoundFraming(String response) {
+        assertThat(accepted(response)).isEqualTo(response.length());
+    }
+
+    /** Guards against a chunk size that is none and ends the response. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "garbage\r\n\r\n",
+                "\r\n",
+                "\u00bd7\r\n",
+                "-5\r\n",
+                "id: 3\ndata: c\n\n",
+                "HTTP/1.1 200 OK\r\n\r\n",
+                ";x\r\n",
+                "\n",
+                "1111111111111111\r\n"
+            })
+    void rejectsWhatIsNoChunkSize(String garbage) {
+        String sound = HEAD + "5\r\nhello\r\n";
+        assertThat(accepted(sound + garbage)).isLessThan(sound.length() + garbage.length());
+    }
+
+    /** Guards against sound bytes before a violation that are lost, and bytes behind it that are read. */
+    @Test
+    void findsThePlaceOfTheViolation() {
+        assertThat(accepted(HEAD + "4\r\nhello\r\n0\r\n\r\n")).isEqualTo(HEAD.length() + "4\r\nhell".length());
+        assertThat(accepted(HEAD + "5\nhello\r\n")).isEqualTo(HEAD.length() + 1);
+        assertThat(accepted(HEAD + "0\r\nno trailer\r\n\r\n")).isEqualTo(HEAD.length() + "0\r\nno trailer\r".length());
+    }
+
+    private static int accepted(String response) {
+        ChunkFraming framing = new ChunkFraming();
+        byte[] bytes = response.getBytes(StandardCharsets.ISO_8859_1);
+        int count = 0;
+        while (count < bytes.length && framing.accept(bytes[count])) {
+            count++;
+        }
+        return count;
+    }
+}
