End a stream at an event that has no text

Cause: an event only had to have an id, and each line a name of some field. A caller that follows the standard of server-sent events drops a block without a data line, so that the next event comes where another one was due; a caller that takes each block for an event has one without its text. Lines of other fields beside the text still pass.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventFault.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventFault.java
@@ -6,6 +6,8 @@
     UNKNOWN_LINE("unknown-line"),
     /** Fields without an id. */
     NO_ID("no-id"),
+    /** An id without a text. */
+    NO_TEXT("no-text"),
     /** More than one id. */
     SECOND_ID("second-id"),
     /** An id that is no number. */
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/StreamEvent.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/StreamEvent.java
@@ -17,15 +17,17 @@
 
     private static final StreamEvent EMPTY = new StreamEvent(NO_ID, null);
     private static final String ID_FIELD = "id:";
+    private static final String DATA_FIELD = "data:";
     private static final String COMMENT = ":";
 
     /** Every number of so many digits fits into a long. */
     private static final int MAX_ID_DIGITS = 18;
 
-    /** Parses a block up to the end of its empty line; an event has exactly one numeric id. */
+    /** Parses a block up to the end of its empty line; an event has exactly one numeric id, and a text. */
     static StreamEvent parse(byte[] block) {
         long id = NO_ID;
         boolean hasFields = false;
+        boolean hasText = false;
         for (String line : lines(new String(block, StandardCharsets.ISO_8859_1))) {
             if (line.isEmpty() || line.startsWith(COMMENT) && line.indexOf('\r') < 0) {
                 continue;
@@ -34,6 +36,7 @@
             if (!isField(line)) {
                 return faulty(EventFault.UNKNOWN_LINE);
             }
+            hasText |= line.startsWith(DATA_FIELD);
             if (line.startsWith(ID_FIELD)) {
                 if (id != NO_ID) {
                     return faulty(EventFault.SECOND_ID);
@@ -47,7 +50,12 @@
         if (!hasFields) {
             return EMPTY;
         }
-        return id == NO_ID ? faulty(EventFault.NO_ID) : new StreamEvent(id, null);
+        if (id == NO_ID) {
+            return faulty(EventFault.NO_ID);
+        }
+        // Callers do not take fields without a text for an event, so that the next one would not be the one that is
+        // due.
+        return hasText ? new StreamEvent(id, null) : faulty(EventFault.NO_TEXT);
     }
 
     /** Returns whether the block has only comments and empty lines. */
--- a/gooseberryring-transport/src/test/java/org/gooseberryring/transport/endpoint/EventCursorTest.java
+++ b/gooseberryring-transport/src/test/java/org/gooseberryring/transport/endpoint/EventCursorTest.java
@@ -67,6 +67,8 @@
                 "id: -2\ndata: x\n\n",
                 "id: 1234567890123456789\ndata: x\n\n",
                 "id: 2\nid: 3\ndata: x\n\n",
+                "id: 2\n\n",
+                "id: 2\nddata: x\n\n",
                 "garbage\n\n",
                 "id: 2\ndata: x\rid: 3\n\n",
                 "id: 2\ndata: x\r\r\n\n",
