Read the id of an event as its callers do

Cause: all white space around an id was removed, where the standard of server-sent events removes one leading space only. A caller reads another id than the host, or none.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/StreamEvent.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/StreamEvent.java
@@ -41,7 +41,7 @@
                 if (id != NO_ID) {
                     return faulty(EventFault.SECOND_ID);
                 }
-                id = number(line.substring(ID_FIELD.length()).strip());
+                id = number(value(line.substring(ID_FIELD.length())));
                 if (id == NO_ID) {
                     return faulty(EventFault.UNREADABLE_ID);
                 }
@@ -97,6 +97,11 @@
         return colon > 0;
     }
 
+    /** Removes the one space that may precede the value of a field; callers take all others for a part of it. */
+    private static String value(String afterColon) {
+        return afterColon.startsWith(" ") ? afterColon.substring(1) : afterColon;
+    }
+
     private static long number(String value) {
         boolean isNumber = !value.isEmpty()
                 && value.length() <= MAX_ID_DIGITS
