Take path and query of a request as its caller has written them

What callers saw: a request with scheme and host in its target ("GET http://host/status/book%3F0") ran as "/status/book?0"; a path with encoded line ends was written to the endpoint as the end of one request and a second one, for an organisation of the sender's choice. Cause: for such targets rawPath returned the path that the HTTP server has decoded, and the HTTP client writes it as it is. Characters above 0xff of a decoded path also became line ends ("%C4%8A"), since the client writes the low byte only. Path parameters were dropped.

RawTarget cuts scheme and host off the undecoded target; the route is selected by the same bytes.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
@@ -15,6 +15,7 @@
 import org.gooseberryring.host.caller.HeaderRules;
 import org.gooseberryring.host.caller.OpenRequest;
 import org.gooseberryring.host.caller.OpenRequests;
+import org.gooseberryring.host.caller.RawTarget;
 import org.gooseberryring.host.caller.Refusal;
 import org.gooseberryring.host.caller.RefusedException;
 import org.gooseberryring.host.caller.RequestIntake;
@@ -124,7 +125,8 @@
     }
 
     private static Admitted admit(HttpServerExchange exchange, RequestHead head, ServingConfiguration configuration) {
-        Route route = configuration.routes().find(head.hostName(), RequestFactory.rawPath(exchange));
+        RawTarget target = RawTarget.of(exchange);
+        Route route = configuration.routes().find(head.hostName(), target.path());
         if (route == null) {
             throw new RefusedException(Refusal.of(ErrorCode.NOT_FOUND, NO_ROUTE));
         }
@@ -135,7 +137,7 @@
                 throw new RefusedException(Refusal.of(ErrorCode.UNAUTHENTICATED, NO_KEY));
             }
         }
-        return new Admitted(route, terms);
+        return new Admitted(route, terms, target);
     }
 
     private static OrganisationTerms organisation(String key, ServingConfiguration configuration) {
@@ -246,6 +248,7 @@
      *
      * @param route route of the request
      * @param terms organisation of the caller, null on an open route
+     * @param requestTarget path and query of the request
      */
-    record Admitted(Route route, OrganisationTerms terms) {}
+    record Admitted(Route route, OrganisationTerms terms, RawTarget requestTarget) {}
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RequestFactory.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RequestFactory.java
@@ -48,20 +48,13 @@
         this.random = random;
     }
 
-    /** Returns the path of a request exactly as the caller sent it, without the query. */
-    static String rawPath(HttpServerExchange exchange) {
-        // An absolute-form request target carries scheme and host before the path.
-        return exchange.isHostIncludedInRequestURI() ? exchange.getRequestPath() : exchange.getRequestURI();
-    }
-
     OpenRequest create(
             HttpServerExchange exchange, FrontHandler.Arrival arrival, FrontHandler.Admitted admitted, byte[] body) {
         RequestHead head = arrival.head();
         Route route = admitted.route();
         RequestTarget target =
                 new RequestTarget.RoutedTarget(route.service(random.nextDouble()), head.model(), head.adapter());
-        String query = exchange.getQueryString();
-        String path = rawPath(exchange) + (query.isEmpty() ? "" : "?" + query);
+        String path = admitted.requestTarget().pathAndQuery();
         RequestSpec spec = spec(exchange, arrival, admitted, target, path, body);
         EndpointCall.Kind kind =
                 head.model() == null ? EndpointCall.Kind.PLAIN_SERVICE : EndpointCall.Kind.MODEL_ENGINE;
