Take path and query as written on the product's own interface, too

What callers saw: class Host passed the decoded path of a target with scheme and host on to plain services; a path with encoded line ends was written as the end of one request and a second one. Cause: CallerHandler had a rawPath of its own with the fault of the entry host. The relay address read such targets with scheme and host as the path; only a signed request could have used that.

Both use RawTarget. The stand-in of a service states the target it got, since its path is decoded.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerHandler.java
@@ -106,12 +106,13 @@
 
     private Caller identify(HttpServerExchange exchange) {
         FleetConfiguration configuration = currentConfiguration.current();
-        String path = rawPath(exchange);
+        RawTarget target = RawTarget.of(exchange);
+        String path = target.path();
         HeaderMap headers = exchange.getRequestHeaders();
         if (path.startsWith(ServicePath.PREFIX)) {
             ServicePath service = ServicePath.parse(path, configuration);
             Organisation organisation = service.isOpen() ? null : authenticator.authenticate(headers, configuration);
-            return new Caller(configuration, organisation, service, false);
+            return new Caller(configuration, organisation, target, service, false);
         }
         Organisation organisation = authenticator.authenticate(headers, configuration);
         String method = exchange.getRequestMethod().toString();
@@ -121,7 +122,7 @@
         if (!listsModels && !completion) {
             throw new RefusedException(Refusal.of(ErrorCode.NOT_FOUND, "There is no such route"));
         }
-        return new Caller(configuration, organisation, null, listsModels);
+        return new Caller(configuration, organisation, target, null, listsModels);
     }
 
     private void readBody(HttpServerExchange exchange, String id) {
@@ -167,8 +168,8 @@
         Caller caller = identify(exchange);
         String method = exchange.getRequestMethod().toString();
         Destination destination = caller.service() == null
-                ? ModelRequests.read(rawPath(exchange), body, caller.configuration())
-                : serviceDestination(exchange, caller.service(), method, body);
+                ? ModelRequests.read(caller.target().path(), body, caller.configuration())
+                : serviceDestination(caller, method, body);
         HeaderMap headers = exchange.getRequestHeaders();
         String organisation =
                 caller.organisation() == null ? null : caller.organisation().id();
@@ -196,13 +197,12 @@
         return new OpenRequest(spec, destination, exchange, toEndpoint);
     }
 
-    private static Destination serviceDestination(
-            HttpServerExchange exchange, ServicePath path, String method, byte[] body) {
-        String query = exchange.getQueryString();
+    private static Destination serviceDestination(Caller caller, String method, byte[] body) {
+        ServicePath path = caller.service();
         return new Destination(
                 new RequestTarget.ServiceTarget(path.route().id()),
                 EndpointCall.Kind.PLAIN_SERVICE,
-                query.isEmpty() ? path.subpath() : path.subpath() + "?" + query,
+                new RawTarget(path.subpath(), caller.target().query()).pathAndQuery(),
                 body,
                 path.isIdempotent(method),
                 0,
@@ -260,16 +260,14 @@
         return java.nio.ByteBuffer.wrap(digest).getLong() | 1;
     }
 
-    private static String rawPath(HttpServerExchange exchange) {
-        String uri = exchange.getRequestURI();
-        // A request target in absolute form contains the scheme and the host before the path.
-        return exchange.isHostIncludedInRequestURI() ? exchange.getRequestPath() : uri;
-    }
-
     private static RefusedException invalid(String detail) {
         return new RefusedException(Refusal.of(ErrorCode.INVALID_REQUEST, detail));
     }
 
     private record Caller(
-            FleetConfiguration configuration, Organisation organisation, ServicePath service, boolean listsModels) {}
+            FleetConfiguration configuration,
+            Organisation organisation,
+            RawTarget target,
+            ServicePath service,
+            boolean listsModels) {}
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayAuthenticator.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayAuthenticator.java
@@ -65,8 +65,7 @@
 
     /** Returns the path with the query. */
     static String path(HttpServerExchange exchange) {
-        String query = exchange.getQueryString();
-        return exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
+        return RawTarget.of(exchange).pathAndQuery();
     }
 
     private boolean isExpiredOrReplayed(RelayHead head) {
--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/caller/CallerHandlerTest.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/caller/CallerHandlerTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -85,6 +86,54 @@
         assertThat(fleet.desk().record().calls()).isEqualTo(before);
     }
 
+    /** Guards against another path or query at a service than the caller's, and against requests hidden in a path. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "/status/a%3Fb",
+                "/status/a%23b",
+                "/status/a%20b",
+                "/status/a%0d%0ab",
+                "/status/a%C4%8D%C4%8Ab",
+                "/status/a%e9b",
+                "/status/a?x=%3F%0d%0a&x=1&x=1",
+                "/status/x%20HTTP/1.1%0D%0AHost:%20h%0D%0A%0D%0ADELETE%20/orders%20HTTP/1.1%0D%0AX-Rest:%20"
+            })
+    void serviceGetsTheTargetOfTheCaller(String target) throws IOException {
+        for (String authority : List.of("", "http://h", "HTTP://h")) {
+            long before = fleet.desk().record().calls();
+
+            String response = exchange("GET " + authority + "/services/desk" + target
+                    + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nAuthorization: Bearer " + TestFleet.KEY + END);
+
+            assertThat(response).contains("\"target\":\"" + target + "\"");
+            assertThat(fleet.desk().record().calls()).isEqualTo(before + 1);
+        }
+    }
+
+    /** Guards against targets that two servers could read as different requests. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "http://other/services/desk/status",
+                "http://user@h/services/desk/status",
+                "http://h:81/services/desk/status",
+                "ftp://h/services/desk/status",
+                "http://h;x/services/desk/status",
+                "http://h/services/desk/open/%2e%2e/orders",
+                "http://h/services/desk/open/%252e%252e/orders",
+                "*"
+            })
+    void targetWithoutAClearMeaningIsRefused(String target) throws IOException {
+        long before = fleet.desk().record().calls();
+
+        String response = exchange("OPTIONS " + target
+                + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nAuthorization: Bearer " + TestFleet.KEY + END);
+
+        assertThat(response).startsWith("HTTP/1.1 400");
+        assertThat(fleet.desk().record().calls()).isEqualTo(before);
+    }
+
     /** Guards against failures with methods whose responses have no body, and with callers that wait for 100 Continue. */
     @ParameterizedTest
     @CsvSource({"GET,false", "HEAD,false", "PUT,true", "DELETE,false", "POST,true"})
--- a/gooseberryring-standins/src/main/java/org/gooseberryring/standins/Call.java
+++ b/gooseberryring-standins/src/main/java/org/gooseberryring/standins/Call.java
@@ -48,6 +48,12 @@
         return exchange.getRequestPath();
     }
 
+    /** Returns path and query as the sender has written them. */
+    String target() {
+        String query = exchange.getQueryString();
+        return exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
+    }
+
     byte[] body() {
         return body;
     }
--- a/gooseberryring-standins/src/main/java/org/gooseberryring/standins/ServiceStandIn.java
+++ b/gooseberryring-standins/src/main/java/org/gooseberryring/standins/ServiceStandIn.java
@@ -149,6 +149,7 @@
         document.put("service", id);
         document.put("method", call.method());
         document.put("path", call.path());
+        document.put("target", call.target());
         document.put("runs", count);
         document.put("received", call.bodyText());
         return document;
