Write no request to an endpoint or host whose head is ambiguous

The HTTP client writes a path as it is, and of each character only the low byte, so that any fault like that of rawPath becomes a second request at the endpoint.

An attempt whose method or header name is no word, whose path does not consist of visible ASCII characters, or whose header value has a control character or one above 0xff, ends as not run before anything is written. It covers endpoints and relays, since both are written by EndpointAttempt.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -103,10 +103,17 @@
             end(Verdict.NOT_RUN, false, null);
             return;
         }
+        HeaderMap headers = headers();
+        if (!RequestGrammar.isWritable(call.method(), call.path(), headers)) {
+            LOG.warnf("event=request-not-written reason=malformed-head address=%s", address);
+            releaseOrClose(opened);
+            end(Verdict.NOT_RUN, false, null);
+            return;
+        }
         connection = opened;
         restartTimer(client.limits().firstByteMillis());
         sent = true;
-        opened.sendRequest(request(), callback(this::onRequestAccepted));
+        opened.sendRequest(request(headers), callback(this::onRequestAccepted));
     }
 
     /** Releases a connection without a request in progress for reuse, or closes it if it cannot be reused. */
@@ -118,15 +125,20 @@
         }
     }
 
-    private ClientRequest request() {
+    private ClientRequest request(HeaderMap headers) {
         ClientRequest request =
                 new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.path());
-        HeaderMap headers = request.getRequestHeaders();
+        headers.forEach(h -> request.getRequestHeaders().putAll(h.getHeaderName(), h));
+        return request;
+    }
+
+    private HeaderMap headers() {
+        HeaderMap headers = new HeaderMap();
         call.headers().forEach(h -> headers.putAll(h.getHeaderName(), h));
         headers.put(Headers.HOST, client.protocol().host(call, address));
         headers.put(Headers.CONTENT_LENGTH, call.body().length);
         headers.put(client.protocol().requestIdHeader(), call.requestId());
-        return request;
+        return headers;
     }
 
     private void onRequestAccepted(ClientExchange exchange) {
--- /dev/null
+++ b/gooseberryring-transport/src/test/java/org/gooseberryring/transport/endpoint/EndpointAttemptTest.java
@@ -0,0 +1,182 @@
+package org.gooseberryring.transport.endpoint;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
+import org.gooseberryring.coordination.request.AttemptOutcome;
+import org.gooseberryring.state.Verdict;
+import org.gooseberryring.transport.http.HttpWorker;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class EndpointAttemptTest {
+    private static final int TIMEOUT_MILLIS = 5_000;
+
+    private HttpWorker worker;
+    private ServerSocket endpoint;
+
+    @BeforeEach
+    void start() throws IOException {
+        worker = HttpWorker.start("attempt-test", 1, 1);
+        endpoint = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+        endpoint.setSoTimeout(TIMEOUT_MILLIS);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        endpoint.close();
+        worker.close();
+    }
+
+    /** Guards against a path that ends the request line, or a word of it, and so holds a second request. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "/a b",
+                "/a\tb",
+                "/a\rb",
+                "/a\nb",
+                "/a HTTP/1.1\r\nHost: h\r\n\r\nDELETE /b",
+                "/a\u0000b",
+                "/a\u007fb",
+                "/a\u00e9b",
+                "/a\u010d\u010ab",
+                "a",
+                ""
+            })
+    void pathThatEndsItsLineIsNeverWritten(String path) throws Exception {
+        assertNothingWritten(call("GET", path, "X-Other", "v"));
+    }
+
+    /** Guards against methods that end their word or line and so hold another request. */
+    @ParameterizedTest
+    @ValueSource(strings = {"a b", "a\rb", "a\nb", "a\u0000b", "a\u007f", "a ", "", "\u00e9"})
+    void methodThatEndsItsLineIsNeverWritten(String method) throws Exception {
+        assertNothingWritten(call(method, "/a", "X-Other", "v"));
+    }
+
+    /** Guards against header names that hold another header. */
+    @ParameterizedTest
+    @ValueSource(strings = {"a b", "a:b", "a\u0000b", "a ", "\u00e9"})
+    void nameThatIsNoWordIsNeverWritten(String name) throws Exception {
+        assertNothingWritten(call("GET", "/a", name, "v"));
+    }
+
+    /** Guards against header values that end their line, or whose characters are written as others. */
+    @ParameterizedTest
+    @ValueSource(strings = {"a\rb", "a\nb", "a\u0000b", "a\u007fb", "a\u010d\u010ab", "a\u0001"})
+    void valueThatEndsItsLineIsNeverWritten(String value) throws Exception {
+        assertNothingWritten(call("GET", "/a", "X-Other", value));
+    }
+
+    /** Guards against proper requests that are not sent. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/", "/a%0d%0a;b?c=%00&d=[]{}|\\^\"<>`", "/?", "/a?b?"})
+    void properRequestIsWritten(String path) throws Exception {
+        CompletableFuture<AttemptOutcome> outcome = new CompletableFuture<>();
+        String received = send(call("M-SEARCH", path, "X-Other", "\u00e9 \t~"), outcome);
+        assertThat(received).startsWith("M-SEARCH " + path + " HTTP/1.1\r\n");
+        assertThat(received).contains("X-Other: \u00e9 \t~\r\n");
+    }
+
+    private void assertNothingWritten(EndpointCall call) throws Exception {
+        CompletableFuture<AttemptOutcome> outcome = new CompletableFuture<>();
+        assertThat(send(call, outcome)).isEmpty();
+        assertThat(outcome.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).verdict()).isEqualTo(Verdict.NOT_RUN);
+    }
+
+    /** Sends a request and returns the bytes that the endpoint gets up to the end of a head or of the connection. */
+    private String send(EndpointCall call, CompletableFuture<AttemptOutcome> outcome) throws IOException {
+        EndpointLimits limits = new EndpointLimits(8, TIMEOUT_MILLIS, TIMEOUT_MILLIS, TIMEOUT_MILLIS, 0);
+        EndpointClient client = new EndpointClient(worker, limits, new OneRequestProtocol());
+        client.send(
+                "127.0.0.1:" + endpoint.getLocalPort(),
+                call,
+                worker.xnio().getIoThread(),
+                new NoResponse(),
+                new OutcomeListener(outcome));
+        StringBuilder received = new StringBuilder();
+        try (Socket connection = endpoint.accept()) {
+            connection.setSoTimeout(TIMEOUT_MILLIS);
+            int b = connection.getInputStream().read();
+            while (b >= 0 && received.indexOf("\r\n\r\n") < 0) {
+                received.append((char) b);
+                b = received.indexOf("\r\n\r\n") < 0
+                        ? connection.getInputStream().read()
+                        : -1;
+            }
+        }
+        return received.toString();
+    }
+
+    private static EndpointCall call(String method, String path, String header, String value) {
+        HeaderMap headers = new HeaderMap();
+        headers.put(new HttpString(header.getBytes(StandardCharsets.ISO_8859_1)), value);
+        return new EndpointCall("id", method, path, headers, new byte[0], EndpointCall.Kind.PLAIN_SERVICE, false);
+    }
+
+    /** Closes each connection after one request. */
+    private static final class OneRequestProtocol extends DelegatingEndpointProtocol {
+        private OneRequestProtocol() {
+            super(new ModelEngineProtocol());
+        }
+    }
+
+    /** Completes a future with the outcome of an attempt. */
+    private record OutcomeListener(CompletableFuture<AttemptOutcome> outcome) implements AttemptListener {
+        @Override
+        public void onResponseStarted() {
+            // No endpoint of this test responds.
+        }
+
+        @Override
+        public void onAttemptEnded(AttemptOutcome ended, byte[] recorded) {
+            outcome.complete(ended);
+        }
+    }
+
+    /** Sink of a response that never starts. */
+    private static final class NoResponse implements ResponseSink {
+        @Override
+        public void start(int status, HeaderMap headers, long contentLength) {
+            throw new AssertionError("no endpoint of this test responds");
+        }
+
+        @Override
+        public int write(ByteBuffer bytes) {
+            throw new AssertionError("no endpoint of this test responds");
+        }
+
+        @Override
+        public void flush() {
+            // Nothing was written.
+        }
+
+        @Override
+        public void whenWritable(Runnable callback) {
+            callback.run();
+        }
+
+        @Override
+        public void finish() {
+            // Nothing was started.
+        }
+
+        @Override
+        public void abort() {
+            // Nothing was started.
+        }
+    }
+}
