Keep the first question mark of a query

What callers saw: "/path??x=1" reached the endpoint as "/path?x=1", and "/path??" as "/path". Cause: the HTTP server drops a question mark at the beginning of a query string. It keeps it in the name of the first parameter.

RawTarget puts it back if the names and values of the parameters have more characters than those of the query string, which is exact as the server no longer decodes parameters (DECODE_URL). The check for API keys in the names of parameters of the product's own interface decodes them itself now; a case of CallerHandlerTest#malformedHeadIsRefused has an encoded name.

The test of the product's own interface passes; it was not run without the change.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/HttpListener.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/HttpListener.java
@@ -39,6 +39,7 @@
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_TIMEOUT_MILLIS)
                 .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+                .setServerOption(UndertowOptions.DECODE_URL, false)
                 .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 // Sends 100 Continue for Expect: 100-continue when the handler begins to read the body.
                 .setHandler(new HttpContinueReadHandler(handler))
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/HeaderRules.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/HeaderRules.java
@@ -1,5 +1,7 @@
 package org.gooseberryring.host.caller;
 
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
 import java.util.Deque;
 import java.util.List;
 import java.util.Locale;
@@ -29,11 +31,16 @@
 
     private HeaderRules() {}
 
-    /** Refuses header combinations that two servers could interpret differently, and API keys in the query. */
+    /**
+     * Refuses header combinations that two servers could interpret differently, and API keys in the query.
+     *
+     * @param query parameters that are not decoded, in which percent signs are followed by two hexadecimal digits
+     */
     static void check(HeaderMap headers, Map<String, Deque<String>> query) {
         checkFraming(headers);
         for (String name : query.keySet()) {
-            if (API_KEY_PARAMETERS.contains(name.toLowerCase(Locale.ROOT).replaceAll("[_-]", ""))) {
+            String decoded = URLDecoder.decode(name, StandardCharsets.UTF_8);
+            if (API_KEY_PARAMETERS.contains(decoded.toLowerCase(Locale.ROOT).replaceAll("[_-]", ""))) {
                 throw refused("An API key must be sent in the Authorization header, not in the query");
             }
         }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RawTarget.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RawTarget.java
@@ -1,6 +1,8 @@
 package org.gooseberryring.host.caller;
 
+import java.util.Deque;
 import java.util.Locale;
+import java.util.Map;
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
@@ -27,7 +29,7 @@
      */
     public static RawTarget of(HttpServerExchange exchange) {
         String path = exchange.isHostIncludedInRequestURI() ? pathAfterHost(exchange) : exchange.getRequestURI();
-        String query = exchange.getQueryString();
+        String query = query(exchange);
         if (!path.startsWith("/") || !isVisible(path) || !isVisible(query)) {
             throw refused("The request target is malformed");
         }
@@ -39,6 +41,34 @@
         return query.isEmpty() ? path : path + "?" + query;
     }
 
+    /** Returns the query; the HTTP server drops a question mark at its beginning, but not from its first parameter. */
+    private static String query(HttpServerExchange exchange) {
+        String kept = exchange.getQueryString();
+        Map<String, Deque<String>> parameters = exchange.getQueryParameters();
+        boolean complete = parameters.keySet().stream().noneMatch(name -> name.startsWith("?"));
+        return complete || characters(parameters) == characters(kept) ? kept : "?" + kept;
+    }
+
+    /** Returns the number of characters of all names and values. */
+    private static int characters(Map<String, Deque<String>> parameters) {
+        int sum = 0;
+        for (Map.Entry<String, Deque<String>> parameter : parameters.entrySet()) {
+            for (String value : parameter.getValue()) {
+                sum += parameter.getKey().length() + value.length();
+            }
+        }
+        return sum;
+    }
+
+    /** Returns the number of characters of a query that belong to names and values. */
+    private static int characters(String query) {
+        int sum = 0;
+        for (String parameter : query.split("&", -1)) {
+            sum += parameter.length() - (parameter.indexOf('=') < 0 ? 0 : 1);
+        }
+        return sum;
+    }
+
     private static String pathAfterHost(HttpServerExchange exchange) {
         String uri = exchange.getRequestURI();
         int schemeEnd = uri.indexOf(SCHEME_END);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontListener.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontListener.java
@@ -109,6 +109,7 @@
                 .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.headerMillis())
                 .set(UndertowOptions.MAX_HEADER_SIZE, limits.headerBytes())
                 .set(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+                .set(UndertowOptions.DECODE_URL, false)
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .getMap();
--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/caller/CallerHandlerTest.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/caller/CallerHandlerTest.java
@@ -67,6 +67,7 @@
                 "Content-Length: LENGTH;Transfer-Encoding: chunked | /v1/completions | 400",
                 "Authorization: Bearer other;Content-Length: LENGTH | /v1/completions | 400",
                 "Content-Length: LENGTH | /v1/completions?api_key=key-of-inkingi | 400",
+                "Content-Length: LENGTH | /v1/completions?x=1&%61pi%5Fkey=key-of-inkingi | 400",
                 "Content-Length: LENGTH | /services/desk/open/..%2forders | 400",
                 "Content-Length: LENGTH | /services/desk//open | 400",
                 "Content-Length: LENGTH | /v1/other | 404",
@@ -97,6 +98,7 @@
                 "/status/a%C4%8D%C4%8Ab",
                 "/status/a%e9b",
                 "/status/a?x=%3F%0d%0a&x=1&x=1",
+                "/status/a?%3Fx=1",
                 "/status/x%20HTTP/1.1%0D%0AHost:%20h%0D%0A%0D%0ADELETE%20/orders%20HTTP/1.1%0D%0AX-Rest:%20"
             })
     void serviceGetsTheTargetOfTheCaller(String target) throws IOException {
@@ -111,6 +113,16 @@
         }
     }
 
+    /** Guards against a query whose first question mark is lost. */
+    @Test
+    void serviceGetsAQueryThatBeginsWithQuestionMarks() throws IOException {
+        String response = exchange("GET /services/desk/status???x=1 HTTP/1.1\r\nHost: h\r\nConnection: close"
+                + "\r\nAuthorization: Bearer " + TestFleet.KEY + END);
+
+        // The HTTP server of the service drops one question mark, too.
+        assertThat(response).contains("\"target\":\"/status??x=1\"");
+    }
+
     /** Guards against targets that two servers could read as different requests. */
     @ParameterizedTest
     @ValueSource(
