Do not join two runs in the response of one endpoint

Cause: events that the caller has were skipped at any place of a response, where only its first ones can be those.

Such events are skipped only before the first one that is passed on, with increasing ids; a later one is a fault. skipsEventsAlreadyReceivedByCaller of EventCursorTest now begins a second attempt, as its failure describes. EventCursorTest#eventsOfASecondRunAreNotJoinedWithTheFirst.

Streams are counted now, and another endpoint has to confirm. The figures of an attempt are logged once; an attempt that never began logged those of the one before.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -164,7 +164,7 @@
             RequestEffect.Dispatch dispatch, AttemptProgress progress, EndpointCall call, BooleanSupplier mayStart) {
         String address = endpointRelays.address(dispatch.via());
         if (address == null) {
-            progress.onAttemptEnded(notRun().unsent(true), null);
+            progress.request.thread().execute(() -> progress.onAttemptEnded(notRun().unsent(true), null));
             return;
         }
         EndpointCall wrapped = endpointRelays.wrap(progress.request, dispatch.attempt(), dispatch.endpoint(), call);
@@ -302,7 +302,7 @@
                     .with("firstByteMs", outcome.firstTokenMillis())
                     .with("ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos));
             if (request.events() != null) {
-                addEvents(line, request.events().trace());
+                addEvents(line, request.events().takeTrace());
             }
             line.debug(LOG);
         }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -78,7 +78,7 @@
             return;
         }
         if (call.events() != null) {
-            call.events().startAttempt();
+            call.events().startAttempt(address);
         }
         slotAcquired = client.acquireSlot(address);
         if (!slotAcquired) {
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventCursor.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventCursor.java
@@ -10,7 +10,7 @@
  * <p>The cursor passes on only complete events with increasing ids, and nothing between them, so that bytes which no
  * endpoint has meant as an event do not reach the caller as one, and another endpoint can continue after the last event. It
  * ends an attempt at an event that is missing, where the events of the service follow each other. In a stream that may be
- * continued, it skips events that the caller has already received. Not thread-safe; used on the I/O thread of the request
+ * continued, it skips the first events of a response that the caller has already received. Not thread-safe; used on the I/O thread of the request
  * only.
  */
 public final class EventCursor {
@@ -21,7 +21,10 @@
     private final EventNumbering numbering;
     private ByteArrayOutputStream partial = new ByteArrayOutputStream();
     private long lastId;
-    private long refusedId = NONE;
+    private String endpoint = "";
+    private long idAfterGap = NONE;
+    private String endpointWithGap = "";
+    private long lastSkippedId = NONE;
     private EventFault fault;
     private EventTrace trace = new EventTrace();
 
@@ -56,21 +59,35 @@
         return lastId == NONE || !resumable ? null : Long.toString(lastId);
     }
 
-    /** Returns the figures of the response of the last endpoint. */
-    public EventTrace trace() {
+    /** Returns the figures of the current or last attempt. */
+    EventTrace trace() {
         return trace;
     }
 
+    /** Returns the figures of the last attempt, once; an attempt that never began has none. */
+    public EventTrace takeTrace() {
+        EventTrace taken = trace;
+        trace = new EventTrace();
+        return taken;
+    }
+
     /** Starts an attempt at an endpoint, after the end of another one; discards an event whose end did not arrive. */
-    void startAttempt() {
+    void startAttempt(String address) {
         discardPartialEvent();
+        endpoint = address;
         fault = null;
+        lastSkippedId = NONE;
         trace = new EventTrace();
         if (!resumable) {
             lastId = NONE;
         }
     }
 
+    /** Returns whether no event has reached the caller. */
+    boolean isAtStart() {
+        return lastId == NONE;
+    }
+
     /** Ends an attempt; discards an event whose end did not arrive, and its buffer. */
     void endAttempt() {
         discardPartialEvent();
@@ -119,39 +136,43 @@
             // Callers ignore it, or take it for an event with an empty id.
             trace.onEmptyBlock();
         } else if (event.fault() != null) {
-            end(event.fault());
+            stop(event.fault());
         } else if (event.id() <= lastId) {
-            skipOrEnd();
-        } else if (isAhead(event.id())) {
-            refusedId = event.id();
+            skip(event.id());
+        } else if (isAfterGap(event.id())) {
+            idAfterGap = event.id();
+            endpointWithGap = endpoint;
             trace.onRefused(event.id(), lastId);
-            end(EventFault.MISSING_EVENT);
+            stop(EventFault.MISSING_EVENT);
         } else {
             trace.onPassedOn(event.id(), lastId);
             lastId = event.id();
-            refusedId = NONE;
+            idAfterGap = NONE;
             completeEvents.writeBytes(block);
         }
     }
 
-    private void skipOrEnd() {
-        if (resumable) {
-            trace.onSkipped();
-        } else {
-            end(EventFault.REPEATED_ID);
+    /** Skips an event that the caller has, which only the first events of a continued stream may be. */
+    private void skip(long id) {
+        if (!resumable || trace.passedOn() > 0 || id <= lastSkippedId) {
+            stop(EventFault.REPEATED_ID);
+            return;
         }
+        lastSkippedId = id;
+        trace.onSkipped();
     }
 
-    /** Returns whether events before this one are missing; another endpoint that goes on with it shows that none are. */
-    private boolean isAhead(long id) {
+    /** Returns whether events before this one are missing, unless two endpoints go on with the same one. */
+    private boolean isAfterGap(long id) {
         if (lastId != NONE && id == lastId + 1) {
             return false;
         }
-        OptionalLong due = lastId == NONE ? numbering.start() : numbering.after(lastId);
-        return due.isPresent() && id > due.getAsLong() && id != refusedId;
+        OptionalLong due = lastId == NONE ? numbering.first() : numbering.after(lastId);
+        boolean isConfirmed = id == idAfterGap && !endpoint.equals(endpointWithGap);
+        return due.isPresent() && id > due.getAsLong() && !isConfirmed;
     }
 
-    private void end(EventFault found) {
+    private void stop(EventFault found) {
         fault = found;
         trace.onFault(found);
     }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/Regularity.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/Regularity.java
@@ -7,32 +7,31 @@
     /** Number of observations after which the earlier ones count half. */
     private static final int MAX_SEEN = 1_024;
 
-    /** At most one of so many observations may be an exception; the faults of some endpoints are below that. */
-    private static final int SEEN_FOR_EACH_EXCEPTION = 10;
+    /** Largest share of exceptions, which the faults of some endpoints do not exceed. */
+    private static final double MAX_EXCEPTIONS = 0.1;
 
-    private int seen;
-    private int exceptions;
+    private double seen;
+    private double exceptions;
 
-    void add(int regular, int irregular) {
-        seen += regular + irregular;
-        exceptions += irregular;
-        while (seen > MAX_SEEN) {
+    void add(boolean isRegular) {
+        seen++;
+        exceptions += isRegular ? 0 : 1;
+        if (seen > MAX_SEEN) {
             seen /= 2;
             exceptions /= 2;
         }
     }
 
-    /** Returns whether nearly all of enough observations were regular. */
-    boolean isKnown() {
-        return seen >= MIN_SEEN && exceptions * SEEN_FOR_EACH_EXCEPTION <= seen;
-    }
-
     boolean isEmpty() {
         return seen == 0;
     }
 
-    /** Returns whether most observations were exceptions. */
-    boolean isRefuted() {
+    /** Returns whether nearly all of enough observations were regular. */
+    boolean isKnown() {
+        return seen >= MIN_SEEN && exceptions <= seen * MAX_EXCEPTIONS;
+    }
+
+    boolean isMostlyExceptions() {
         return exceptions * 2 > seen;
     }
 }
--- a/gooseberryring-transport/src/test/java/org/gooseberryring/transport/endpoint/EventCursorTest.java
+++ b/gooseberryring-transport/src/test/java/org/gooseberryring/transport/endpoint/EventCursorTest.java
@@ -15,6 +15,10 @@
 
 class EventCursorTest {
     private static final long SEED = 4506;
+    private static final int STREAMS = 40;
+    private static final int EVENTS = 40;
+    private static final String FIRST_ENDPOINT = "10.0.0.1:1";
+    private static final String OTHER_ENDPOINT = "10.0.0.2:1";
     private static final int EVENT_CHARS = "id: 1\ndata: a\n\n".length();
 
     private final EventNumbering numbering = new EventNumbering();
@@ -35,6 +39,7 @@
     @Test
     void skipsEventsAlreadyReceivedByCaller() {
         consume("id: 4\ndata: a\n\n");
+        startAttempt();
         assertThat(consume("id: 3\ndata: x\n\nid: 4\ndata: a\n\nid: 5\ndata: b\n\n"))
                 .isEqualTo("id: 5\ndata: b\n\n");
     }
@@ -90,7 +95,7 @@
             assertThat(each.fault()).isNotNull();
         }
         assertThat(cursor.lastEventId()).isEqualTo("1");
-        cursor.startAttempt();
+        startAttempt();
         assertThat(consume("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
     }
 
@@ -113,7 +118,7 @@
         assertThat(single.fault()).isNotNull();
         assertThat(single.lastEventId()).isNull();
 
-        single.startAttempt();
+        single.startAttempt(FIRST_ENDPOINT);
         assertThat(text(single.consume(bytes("id: 1\ndata: a\n\n")))).isEqualTo("id: 1\ndata: a\n\n");
     }
 
@@ -138,25 +143,37 @@
         }
     }
 
+    /** Guards against a second run in the response of one endpoint that is joined with the first one. */
+    @ParameterizedTest
+    @ValueSource(strings = {"id: 1\ndata: B\n\n", "id: 2\ndata: B\n\n"})
+    void eventsOfASecondRunAreNotJoinedWithTheFirst(String repeated) {
+        String first = "id: 1\ndata: a\n\nid: 2\ndata: a\n\n";
+        assertThat(consume(first + repeated + "id: 3\ndata: B\n\n")).isEqualTo(first);
+        assertThat(cursor.fault()).isEqualTo(EventFault.REPEATED_ID);
+
+        startAttempt();
+        assertThat(consume("id: 1\ndata: a\n\n" + repeated.replace("2", "1") + "id: 3\ndata: B\n\n"))
+                .isEmpty();
+        assertThat(cursor.fault()).isEqualTo(EventFault.REPEATED_ID);
+    }
+
     /** Guards against a hole in a stream that reaches the caller, on a service whose events follow each other. */
     @Test
     void missingEventEndsTheAttempt() {
-        learn(1, 1, 40);
+        learn(STREAMS, 1);
         for (EventCursor each : List.of(cursor, EventCursor.ofSingleRun(numbering))) {
             assertThat(text(each.consume(bytes("id: 1\ndata: a\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n"))))
                     .isEqualTo("id: 1\ndata: a\n\n");
             assertThat(each.fault()).isEqualTo(EventFault.MISSING_EVENT);
         }
-        cursor.startAttempt();
+        startAttempt();
         assertThat(consume("id: 2\ndata: b\n\nid: 3\ndata: c\n\n")).isEqualTo("id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
     }
 
     /** Guards against a stream that lacks its first events. */
     @Test
     void missingStartEndsTheAttempt() {
-        for (int i = 0; i < 40; i++) {
-            learn(1, 1, 3);
-        }
+        learn(STREAMS, 1);
         assertThat(consume("id: 2\ndata: b\n\n")).isEmpty();
         assertThat(cursor.fault()).isEqualTo(EventFault.MISSING_EVENT);
     }
@@ -164,9 +181,12 @@
     /** Guards against a sound stream that is broken off, because two endpoints leave out the same id. */
     @Test
     void eventThatASecondEndpointGoesOnWithIsPassedOn() {
-        learn(1, 1, 40);
+        learn(STREAMS, 1);
+        cursor.startAttempt(FIRST_ENDPOINT);
         consume("id: 1\ndata: a\n\nid: 3\ndata: c\n\n");
-        cursor.startAttempt();
+        cursor.startAttempt(FIRST_ENDPOINT);
+        assertThat(consume("id: 3\ndata: c\n\n")).isEmpty();
+        startAttempt();
         assertThat(consume("id: 3\ndata: c\n\nid: 4\ndata: d\n\n")).isEqualTo("id: 3\ndata: c\n\nid: 4\ndata: d\n\n");
         assertThat(cursor.fault()).isNull();
     }
@@ -174,37 +194,56 @@
     /** Guards against sound streams that are broken off, on a service whose ids leave out numbers. */
     @Test
     void idsThatDoNotFollowEachOtherArePassedOn() {
-        learn(1, 6, 40);
+        learn(STREAMS, 6);
         assertThat(consume("id: 1\ndata: a\n\nid: 7\ndata: b\n\nid: 20\ndata: c\n\n"))
                 .isEqualTo("id: 1\ndata: a\n\nid: 7\ndata: b\n\nid: 20\ndata: c\n\n");
     }
 
-    /** Guards against streams that are broken off for good, after the endpoints of a service number events otherwise. */
-    @Test
-    void changedNumberingIsLearned() {
-        for (int i = 0; i < 10; i++) {
-            learn(1, 1, 40);
-        }
+    /** Guards against streams that are broken off for good, after a service has begun to number events otherwise. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 20, 38})
+    void changedNumberingIsLearned(int eventsBeforeGap) {
+        learn(10 * STREAMS, 1);
         int broken = 0;
-        while (learn(1, 2, 40) != null) {
+        while (learnWithGap(eventsBeforeGap) != null) {
             broken++;
-            assertThat(broken).isAtMost(100);
+            assertThat(broken).isAtMost(10 * STREAMS);
         }
         assertThat(broken).isAtLeast(1);
-        assertThat(learn(1, 2, 40)).isNull();
+        assertThat(learnWithGap(eventsBeforeGap)).isNull();
     }
 
-    /** Passes on a stream of a single run whose ids have the given distance, and returns its fault. */
-    private EventFault learn(long first, long step, int events) {
-        EventCursor earlier = EventCursor.ofSingleRun(numbering);
-        earlier.startAttempt();
-        for (int i = 0; i < events; i++) {
-            earlier.consume(bytes("id: " + (first + i * step) + "\ndata: x\n\n"));
+    private void learn(int streams, long step) {
+        for (int i = 0; i < streams; i++) {
+            EventCursor earlier = started();
+            for (int event = 0; event < EVENTS; event++) {
+                earlier.consume(bytes("id: " + (1 + event * step) + "\ndata: x\n\n"));
+            }
+            earlier.endAttempt();
+        }
+    }
+
+    /** Passes on a stream of a single run with one id left out, and returns its fault. */
+    private EventFault learnWithGap(int eventsBeforeGap) {
+        EventCursor earlier = started();
+        for (int event = 1; event <= EVENTS; event++) {
+            earlier.consume(bytes("id: " + (event > eventsBeforeGap ? event + 1 : event) + "\ndata: x\n\n"));
         }
         earlier.endAttempt();
         return earlier.fault();
     }
 
+    private EventCursor started() {
+        EventCursor earlier = EventCursor.ofSingleRun(numbering);
+        earlier.startAttempt(FIRST_ENDPOINT);
+        return earlier;
+    }
+
+    /** Starts an attempt at another endpoint. */
+    private void startAttempt() {
+        cursor.startAttempt(OTHER_ENDPOINT);
+    }
+
     private static byte[] join(String before, byte[] garbage, String after) {
         ByteArrayOutputStream joined = new ByteArrayOutputStream();
         joined.writeBytes(before.getBytes(StandardCharsets.ISO_8859_1));
