Take a stream without an event as broken off, whatever its framing

What callers saw: a success without content, where the endpoint had stopped before the first event: after an empty line or a comment without framing, or with a length of 0. Cause: a stream was judged by its bytes, and blocks without an event count as such; since they are not passed on, an empty line alone had become a whole stream.

A stream of which no event has reached the caller is not complete; one that goes on after the last event may be empty. Whether a response has events to look at is decided by the request and the status alone.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseCopier.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseCopier.java
@@ -19,6 +19,9 @@
     /** Maximum size of an event in bytes, which detects unbounded data; an event contains the text of a few tokens. */
     private static final long MAX_EVENT_BYTES = 1_000_000;
 
+    private static final int STATUS_CLASS = 100;
+    private static final int SUCCESS_CLASS = 2;
+
     private final EndpointAttempt attempt;
     private final EndpointCall call;
     private final ClientExchange exchange;
@@ -60,7 +63,7 @@
         this.pooledBuffer = client.worker().buffers().allocate();
         this.buffer = pooledBuffer.getBuffer();
         this.protocol = client.protocol();
-        this.events = protocol.carriesEvents(headers()) ? call.events() : null;
+        this.events = isSuccess() ? call.events() : null;
         this.maxRecordedBytes = call.idempotent() ? 0 : client.limits().maxRecordedBytes();
         this.declaredLength = contentLength(headers());
         this.maxBytes = declaredLength >= 0 ? declaredLength : call.maxResponseBytes();
@@ -254,6 +257,10 @@
         if (bodiless) {
             return true;
         }
+        if (events != null && events.isAtStart()) {
+            // Whatever its framing, a stream without an event is one that broke off before the first.
+            return false;
+        }
         ResponseEnd end = new ResponseEnd(
                 copied,
                 declaredLength,
@@ -279,6 +286,10 @@
         }
     }
 
+    private boolean isSuccess() {
+        return exchange.getResponse().getResponseCode() / STATUS_CLASS == SUCCESS_CLASS;
+    }
+
     private HeaderMap headers() {
         return exchange.getResponse().getResponseHeaders();
     }
