Break off a stream whose caller has a part of an event

What callers saw, in a test: half an event, and behind it the event after the next, when an attempt ended while its caller read slowly. Cause: bytes that the caller's connection had not taken were dropped with the attempt, but counted as received, so that another endpoint went on behind them.

Such a stream is broken off. SlowCallerTest failed before: the response was not aborted.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -272,6 +272,7 @@
         }
         ReadAllowance.closeSocket(connection);
         boolean bytesReachedCaller = copier != null && copier.isStarted();
+        boolean unwritten = copier != null && copier.hasUnwrittenBytes();
         if (copier != null) {
             copier.close();
         }
@@ -289,7 +290,7 @@
                         sent,
                         TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos)),
                 recorded);
-        if (verdict != Verdict.COMPLETED && bytesReachedCaller && !resumable) {
+        if (verdict != Verdict.COMPLETED && bytesReachedCaller && (!resumable || unwritten)) {
             sink.abort();
         }
     }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseCopier.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseCopier.java
@@ -97,6 +97,11 @@
         return started;
     }
 
+    /** Returns whether the sink has not taken all bytes, so that an event may have reached the caller in part. */
+    boolean hasUnwrittenBytes() {
+        return pending.hasRemaining();
+    }
+
     long usedTokens() {
         return tail.usedTokens();
     }
