Leave the events of a stream to the host that asked for it

Cause: the host that passed the stream on measured events itself and ended the response, which the other one took for a broken connection.

It now passes bytes on as they come; the host that asked ends the attempt without a loss.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/PassThroughProtocol.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/PassThroughProtocol.java
@@ -14,4 +14,10 @@
     public Verdict refusal(EndpointCall call, int status, HeaderMap headers) {
         return null;
     }
+
+    @Override
+    public boolean carriesEvents(HeaderMap headers) {
+        // The host that sent the request reads the events; if this one ended them, that one would take it for a loss.
+        return false;
+    }
 }
