Accept a response that states the same length twice

Both statements agree, so that no part of a body can pass for all of it. With ResponseFraming a request that had run was answered 502 for it. PlatformBrokenResponseTest#responseThatStatesItsLengthTwiceIsPassedOn.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseFraming.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseFraming.java
@@ -3,6 +3,7 @@
 import java.util.regex.Pattern;
 
 import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 
 /** Determines the length of the body of a response from its head. */
@@ -27,14 +28,13 @@
      * it, since the HTTP client follows one of the statements.
      */
     static boolean isUnambiguous(HeaderMap headers) {
-        int lengths = headers.count(Headers.CONTENT_LENGTH);
+        HeaderValues lengths = headers.get(Headers.CONTENT_LENGTH);
         int codings = headers.count(Headers.TRANSFER_ENCODING);
-        if (lengths + codings > 1) {
-            return false;
+        if (lengths != null) {
+            // The same length twice is one statement.
+            boolean isOne = lengths.stream().distinct().count() == 1;
+            return isOne && codings == 0 && LENGTH.matcher(lengths.getFirst()).matches();
         }
-        if (lengths == 1) {
-            return LENGTH.matcher(headers.getFirst(Headers.CONTENT_LENGTH)).matches();
-        }
-        return codings == 0 || CHUNKED.equalsIgnoreCase(headers.getFirst(Headers.TRANSFER_ENCODING));
+        return codings == 0 || codings == 1 && CHUNKED.equalsIgnoreCase(headers.getFirst(Headers.TRANSFER_ENCODING));
     }
 }
