Check chunks in bulk, and do not count a broken one as a loss

The framing check ran once for each byte of each response; the content of a chunk, and all of a response without chunks, is now passed over at once. Bytes in the place of a chunk are a fault of the endpoint as well as bytes in the place of an event: they are logged (answer-dropped reason=malformed-chunk) and no loss, so that no probe follows.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -214,6 +214,11 @@
 
     /** Ends an attempt whose connection broke or whose response is incomplete. */
     void fail() {
+        if (connection != null && ReadAllowance.of(connection).isFramingViolated()) {
+            LOG.warnf("event=answer-dropped reason=malformed-chunk requestId=%s address=%s", call.requestId(), address);
+            failFaulty();
+            return;
+        }
         end(unfinishedVerdict(), true, null);
     }
 
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/CheckedFraming.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/CheckedFraming.java
@@ -33,6 +33,11 @@
         framing = new ChunkFraming();
     }
 
+    /** Returns whether the peer has violated the framing of a response. */
+    boolean isViolated() {
+        return violated;
+    }
+
     @Override
     public int read(ByteBuffer buffer) throws IOException {
         if (violated) {
@@ -40,14 +45,16 @@
         }
         int start = buffer.position();
         int count = super.read(buffer);
-        for (int i = start; i < start + count; i++) {
-            if (!framing.accept(buffer.get(i))) {
-                // The bytes before it are sound, and the reader gets them first.
-                violated = true;
-                buffer.position(i);
-                return i > start ? i - start : read(buffer);
-            }
+        if (count <= 0) {
+            return count;
+        }
+        int sound = framing.accept(buffer, start, start + count) - start;
+        if (sound == count) {
+            return count;
         }
-        return count;
+        // The bytes before the violation are sound, and the reader gets them first.
+        violated = true;
+        buffer.position(start + sound);
+        return sound > 0 ? sound : read(buffer);
     }
 }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ChunkFraming.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ChunkFraming.java
@@ -1,9 +1,10 @@
 package org.gooseberryring.transport.http;
 
+import java.nio.ByteBuffer;
 import java.util.Locale;
 
 /**
- * Checks the framing of a chunked response byte by byte.
+ * Checks the framing of a chunked response.
  *
  * <p>The parser of the HTTP client takes a chunk size that starts with anything but a digit for the size 0, which ends the
  * response regularly, and skips all bytes between a chunk and its line end. Responses without chunks are not checked. Not
@@ -35,8 +36,36 @@
         UNCHECKED
     }
 
-    /** Consumes a byte; returns false if it is not the next one of a response that is framed correctly. */
-    boolean accept(byte b) {
+    /**
+     * Consumes the bytes of a buffer between two positions.
+     *
+     * @return position of the first byte that is not the next one of a response that is framed correctly, {@code end} if there
+     *     is none
+     */
+    int accept(ByteBuffer bytes, int start, int end) {
+        int at = start;
+        while (at < end && state != State.UNCHECKED) {
+            int content = contentBytes(end - at);
+            at += content;
+            if (content == 0 && !accept(bytes.get(at++))) {
+                return at - 1;
+            }
+        }
+        return end;
+    }
+
+    /** Consumes as many bytes of a chunk's content as are available, and returns their number. */
+    private int contentBytes(int available) {
+        if (state != State.DATA) {
+            return 0;
+        }
+        int count = (int) Math.min(size, available);
+        size -= count;
+        state = size == 0 ? State.DATA_RETURN : State.DATA;
+        return count;
+    }
+
+    private boolean accept(byte b) {
         char c = (char) (b & 0xff);
         switch (state) {
             case STATUS_LINE, HEADERS, TRAILERS -> {
@@ -53,11 +82,6 @@
                 state = size == 0 ? State.TRAILERS : State.DATA;
                 return c == '\n';
             }
-            case DATA -> {
-                size--;
-                state = size == 0 ? State.DATA_RETURN : State.DATA;
-                return true;
-            }
             case DATA_RETURN -> {
                 state = State.DATA_LINE_END;
                 return c == '\r';
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ReadAllowance.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ReadAllowance.java
@@ -77,6 +77,11 @@
         framing.startResponse();
     }
 
+    /** Returns whether the peer has sent bytes in the place of a chunk, so that reads fail. */
+    public boolean isFramingViolated() {
+        return framing.isViolated();
+    }
+
     /** Sets the number of bytes that may be read from now on. */
     public void allow(long bytes) {
         remainingBytes = bytes;
--- a/gooseberryring-transport/src/test/java/org/gooseberryring/transport/http/ChunkFramingTest.java
+++ b/gooseberryring-transport/src/test/java/org/gooseberryring/transport/http/ChunkFramingTest.java
@@ -1,5 +1,6 @@
 package org.gooseberryring.transport.http;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 
 import org.junit.jupiter.api.Test;
@@ -55,13 +56,27 @@
         assertThat(accepted(HEAD + "0\r\nno trailer\r\n\r\n")).isEqualTo(HEAD.length() + "0\r\nno trailer\r".length());
     }
 
-    private static int accepted(String response) {
-        ChunkFraming framing = new ChunkFraming();
-        byte[] bytes = response.getBytes(StandardCharsets.ISO_8859_1);
-        int count = 0;
-        while (count < bytes.length && framing.accept(bytes[count])) {
-            count++;
+    /** Guards against a violation that is missed, or found where there is none, because the bytes arrive in parts. */
+    @Test
+    void findsTheSamePlaceInAnySplit() {
+        String response = HEAD + "5;x\r\nhello\r\n10\r\n0123456789abcdef\r\n-1\r\n";
+        int expected = accepted(response);
+        assertThat(expected).isEqualTo(response.indexOf("-1"));
+        for (int part = 1; part < response.length(); part++) {
+            ByteBuffer bytes = ByteBuffer.wrap(response.getBytes(StandardCharsets.ISO_8859_1));
+            ChunkFraming framing = new ChunkFraming();
+            int at = 0;
+            int end = 0;
+            while (at == end && end < response.length()) {
+                end = Math.min(response.length(), at + part);
+                at = framing.accept(bytes, at, end);
+            }
+            assertThat(at).isEqualTo(expected);
         }
-        return count;
+    }
+
+    private static int accepted(String response) {
+        ByteBuffer bytes = ByteBuffer.wrap(response.getBytes(StandardCharsets.ISO_8859_1));
+        return new ChunkFraming().accept(bytes, 0, response.length());
     }
 }
