Limit the bytes of all bodies that a host holds together

Cause: each body had a limit, their sum none. The HTTP server allocates the declared size of a body before its first byte, and holds it twice at the end.

Bodies of callers and of other hosts now share a quarter of the heap, and one organisation has three quarters of that. The first 16 KiB of each do not count. A body takes its declared size before it is read, a chunked one the size of its buffer. Without room the request is rejected with 503 and Retry-After as not run, and the rest is discarded, since a connection that is closed with unread bytes is reset and its caller may not see the response. An upload that holds room without progress loses it at the timeout of its route, as before.

Heads of responses are not limited together yet.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EndpointRelayHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EndpointRelayHandler.java
@@ -7,7 +7,6 @@
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 
-import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
@@ -20,6 +19,7 @@
 import org.gooseberryring.transport.endpoint.EndpointClient;
 import org.gooseberryring.transport.endpoint.EndpointProtocol;
 import org.gooseberryring.transport.endpoint.EndpointSignals;
+import org.gooseberryring.transport.http.SharedRoom;
 import org.jboss.logging.Logger;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
@@ -37,7 +37,11 @@
     /** Time for receiving a body, which the sender has complete. */
     private static final long MAX_BODY_MILLIS = 2_000;
 
+    /** Owner of the bodies of other hosts, whose organisations are not known; no organisation has this name. */
+    private static final String BODY_OWNER = "#relayed";
+
     private final RelayAuthenticator authenticator;
+    private final SharedRoom bodyRoom;
     private final OpenRequests openRequests;
     private final EndpointClient client;
     private final EndpointProtocol protocol;
@@ -65,6 +69,7 @@
     /**
      * Creates a handler.
      *
+     * @param bodyRoom room for the bodies of all requests
      * @param openRequests counts the requests, so that a drain waits for them
      * @param client sends requests to endpoints
      * @param protocol protocol of the client
@@ -75,6 +80,7 @@
      */
     public EndpointRelayHandler(
             RelayAuthenticator authenticator,
+            SharedRoom bodyRoom,
             OpenRequests openRequests,
             EndpointClient client,
             EndpointProtocol protocol,
@@ -85,6 +91,7 @@
             LongSupplier clock,
             int maxRelayed) {
         this.authenticator = authenticator;
+        this.bodyRoom = bodyRoom;
         this.openRequests = openRequests;
         this.client = client;
         this.protocol = protocol;
@@ -112,17 +119,37 @@
         XnioExecutor.Key timer = exchange.getIoThread()
                 .executeAfter(
                         () -> IoUtils.safeClose(exchange.getConnection()), MAX_BODY_MILLIS, TimeUnit.MILLISECONDS);
-        Receiver receiver = exchange.getRequestReceiver();
-        receiver.setMaxBufferSize(maxBodyBytes.getAsInt());
-        receiver.receiveFullBytes(
-                (e, body) -> {
-                    timer.remove();
-                    handleBody(e, body);
-                },
-                (e, failure) -> {
-                    timer.remove();
-                    closeUnread(e, failure);
-                });
+        exchange.addExchangeCompleteListener((e, next) -> {
+            timer.remove();
+            next.proceed();
+        });
+        new BodyReceiver(exchange, bodyRoom, BODY_OWNER, maxBodyBytes.getAsInt(), outcome(exchange, timer)).start();
+    }
+
+    private BodyReceiver.Outcome outcome(HttpServerExchange exchange, XnioExecutor.Key timer) {
+        return new BodyReceiver.Outcome() {
+            @Override
+            public void onBody(byte[] body) {
+                timer.remove();
+                handleBody(exchange, body);
+            }
+
+            @Override
+            public void onFailure(IOException failure) {
+                timer.remove();
+                closeUnread(exchange, failure);
+            }
+
+            @Override
+            public void onNoRoom() {
+                metrics.counter("bodies.without-room").inc();
+                LogLine.event("body-without-room")
+                        .with("organisation", BODY_OWNER)
+                        .with("heldBytes", bodyRoom.heldBytes())
+                        .info(LOG);
+                refuse(exchange, Refusal.retry(ErrorCode.OVERLOADED, BUSY_RETRY_MILLIS, "No memory for the body"));
+            }
+        };
     }
 
     private void handleBody(HttpServerExchange exchange, byte[] body) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -427,6 +427,7 @@
                 view,
                 protocol,
                 new RequestFactory(protocol, open, random),
+                worker.budget().requests(),
                 open,
                 new RequestIntake(open, requests.loop()),
                 requests::submit,
@@ -447,6 +448,8 @@
                 "endpoints.unreachable", () -> exchange.reach().unreachable().size());
         metrics.gauge("store.epoch", epochs::newest);
         metrics.gauge("requests.open", open::count);
+        metrics.gauge(
+                "buffered.requests.bytes", () -> worker.budget().requests().heldBytes());
         metrics.gauge("ring.requests.depth", () -> requests.loop().depth());
         metrics.gauge("ring.control.depth", control::depth);
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
@@ -11,9 +11,9 @@
 import io.undertow.server.HttpServerExchange;
 import org.gooseberryring.coordination.request.RequestSpec;
 import org.gooseberryring.host.HostMetrics;
+import org.gooseberryring.host.caller.BodyReceiver;
 import org.gooseberryring.host.caller.Digests;
 import org.gooseberryring.host.caller.HeaderRules;
-import org.gooseberryring.host.caller.OpenRequest;
 import org.gooseberryring.host.caller.OpenRequests;
 import org.gooseberryring.host.caller.Refusal;
 import org.gooseberryring.host.caller.RefusedException;
@@ -24,6 +24,7 @@
 import org.gooseberryring.state.OrganisationTerms;
 import org.gooseberryring.state.Route;
 import org.gooseberryring.state.ServingConfiguration;
+import org.gooseberryring.transport.http.SharedRoom;
 import org.jboss.logging.Logger;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
@@ -39,12 +40,14 @@
     private static final String BUSY = "Too many requests are open on this host";
     private static final String NOT_CONFIGURED = "This host has not loaded the state of the deployment yet";
     private static final String STOPPING = "This host is shutting down";
+    private static final String NO_ROOM = "This host has no memory for the body now";
     private static final String NO_ROUTE = "There is no such route";
     private static final String NO_KEY = "The key is missing or unknown";
 
     private final DeploymentView view;
     private final CallerProtocol protocol;
     private final RequestFactory factory;
+    private final SharedRoom bodyRoom;
     private final OpenRequests open;
     private final RequestIntake intake;
     private final Predicate<RequestSpec> requests;
@@ -55,6 +58,7 @@
     /**
      * Creates a handler.
      *
+     * @param bodyRoom room for the bodies of all requests
      * @param requests submits a request to the request thread; returns false if its ring buffer has no room for new work
      * @param drain schedule of the shutdown of this host, null if it does not stop
      * @param clock monotonic milliseconds
@@ -63,6 +67,7 @@
             DeploymentView view,
             CallerProtocol protocol,
             RequestFactory factory,
+            SharedRoom bodyRoom,
             OpenRequests open,
             RequestIntake intake,
             Predicate<RequestSpec> requests,
@@ -72,6 +77,7 @@
         this.view = view;
         this.protocol = protocol;
         this.factory = factory;
+        this.bodyRoom = bodyRoom;
         this.open = open;
         this.intake = intake;
         this.requests = requests;
@@ -149,24 +155,47 @@
 
     private void readBody(
             HttpServerExchange exchange, Arrival arrival, Admitted admitted, ServingConfiguration configuration) {
-        Receiver receiver = exchange.getRequestReceiver();
-        receiver.setMaxBufferSize(configuration.limits().bodyBytes());
         XnioExecutor.Key timer = exchange.getIoThread()
                 .executeAfter(
                         () -> closeUnreadRequest(exchange, arrival, "timeout"),
                         admitted.route().timeoutMillis(),
                         TimeUnit.MILLISECONDS);
-        receiver.receiveFullBytes(
-                (e, body) -> {
-                    timer.remove();
-                    logResumption(arrival.head());
-                    OpenRequest request = factory.create(e, arrival, admitted, body);
-                    intake.accept(e, request, requests);
-                },
-                (e, failure) -> {
-                    timer.remove();
-                    onBodyFailed(e, arrival, failure, configuration);
-                });
+        exchange.addExchangeCompleteListener((done, next) -> {
+            timer.remove();
+            next.proceed();
+        });
+        BodyReceiver.Outcome outcome = new BodyReceiver.Outcome() {
+            @Override
+            public void onBody(byte[] body) {
+                timer.remove();
+                logResumption(arrival.head());
+                intake.accept(exchange, factory.create(exchange, arrival, admitted, body), requests);
+            }
+
+            @Override
+            public void onFailure(IOException failure) {
+                timer.remove();
+                onBodyFailed(exchange, arrival, failure, configuration);
+            }
+
+            @Override
+            public void onNoRoom() {
+                // The timer goes on, since the rest of the body is still read, to be discarded.
+                FrontHandler.this.onNoRoom(exchange, arrival, admitted);
+            }
+        };
+        int maxBytes = configuration.limits().bodyBytes();
+        new BodyReceiver(exchange, bodyRoom, admitted.owner(), maxBytes, outcome).start();
+    }
+
+    private void onNoRoom(HttpServerExchange exchange, Arrival arrival, Admitted admitted) {
+        metrics.counter("bodies.without-room").inc();
+        LogLine.event("body-without-room")
+                .with("requestId", arrival.head().requestId())
+                .with("organisation", admitted.owner())
+                .with("heldBytes", bodyRoom.heldBytes())
+                .info(LOG);
+        refuse(exchange, arrival, Refusal.retry(ErrorCode.OVERLOADED, RequestIntake.BUSY_RETRY_MILLIS, NO_ROOM));
     }
 
     private void onBodyFailed(
@@ -247,5 +276,10 @@
      * @param route route of the request
      * @param terms organisation of the caller, null on an open route
      */
-    record Admitted(Route route, OrganisationTerms terms) {}
+    record Admitted(Route route, OrganisationTerms terms) {
+        /** Returns the organisation that the request belongs to, an empty string on an open route. */
+        String owner() {
+            return terms == null ? "" : terms.organisation().id();
+        }
+    }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RelayListener.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RelayListener.java
@@ -65,6 +65,7 @@
         IntSupplier maxBodyBytes = () -> view.configuration().limits().bodyBytes();
         EndpointRelayHandler handler = new EndpointRelayHandler(
                 new RelayAuthenticator(secret, wallClock),
+                worker.budget().requests(),
                 open,
                 new EndpointClient(worker, endpointLimits, protocol),
                 protocol,
