--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -277,13 +277,11 @@
         }
         ReadAllowance.closeSocket(connection);
         boolean bytesReachedCaller = copier != null && copier.isStarted();
-        boolean unwritten = copier != null && copier.hasUnwrittenBytes();
+        boolean mayContinue = mayContinue();
         if (copier != null) {
             copier.close();
         }
         long usedTokens = copier == null ? 0 : copier.usedTokens();
-        // Another endpoint may continue a resumable stream, so only the receiver of the outcome may abort it.
-        boolean resumable = call.events() != null && call.events().isResumable();
         listener.onAttemptEnded(
                 new AttemptOutcome(
                         verdict,
@@ -295,11 +293,17 @@
                         sent,
                         TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos)),
                 recorded);
-        if (verdict != Verdict.COMPLETED && bytesReachedCaller && (!resumable || unwritten)) {
+        if (verdict != Verdict.COMPLETED && bytesReachedCaller && !mayContinue) {
             sink.abort();
         }
     }
 
+    /** Returns whether another endpoint may continue the response, so that only the receiver of the outcome may abort it. */
+    private boolean mayContinue() {
+        boolean isResumable = call.events() != null && call.events().isResumable();
+        return isResumable && (copier == null || !copier.hasUnwrittenBytes());
+    }
+
     private void restartTimer(long millis) {
         timer.remove();
         timer = schedule(millis, () -> checkIdle(millis));
