Decide and log unexpected heads in one place

The protocol now states whether a head is unexpected, and the attempt logs it and fails, as it does for other faults of an endpoint. The head of a request is checked where it is built, instead of being copied twice for each attempt.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/DelegatingEndpointProtocol.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/DelegatingEndpointProtocol.java
@@ -47,6 +47,11 @@
         return endpoint.refusal(call, status, headers);
     }
 
+    @Override
+    public boolean isUnexpected(EndpointCall call, int status, HeaderMap headers) {
+        return endpoint.isUnexpected(call, status, headers);
+    }
+
     @Override
     public EndpointSignals signals(int status, HeaderMap headers) {
         return endpoint.signals(status, headers);
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -103,8 +103,8 @@
             end(Verdict.NOT_RUN, false, null);
             return;
         }
-        HeaderMap headers = headers();
-        if (!RequestGrammar.isWritable(call.method(), call.path(), headers)) {
+        ClientRequest request = request();
+        if (request == null) {
             LOG.warnf("event=request-not-written reason=malformed-head address=%s", address);
             releaseOrClose(opened);
             end(Verdict.NOT_RUN, false, null);
@@ -113,7 +113,7 @@
         connection = opened;
         restartTimer(client.limits().firstByteMillis());
         sent = true;
-        opened.sendRequest(request(headers), callback(this::onRequestAccepted));
+        opened.sendRequest(request, callback(this::onRequestAccepted));
     }
 
     /** Releases a connection without a request in progress for reuse, or closes it if it cannot be reused. */
@@ -125,20 +125,19 @@
         }
     }
 
-    private ClientRequest request(HeaderMap headers) {
+    /** Returns the request, null if it cannot be written such that its receiver reads this one. */
+    private ClientRequest request() {
+        if (!RequestGrammar.isRequestLine(call.method(), call.path())) {
+            return null;
+        }
         ClientRequest request =
                 new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.path());
-        headers.forEach(h -> request.getRequestHeaders().putAll(h.getHeaderName(), h));
-        return request;
-    }
-
-    private HeaderMap headers() {
-        HeaderMap headers = new HeaderMap();
+        HeaderMap headers = request.getRequestHeaders();
         call.headers().forEach(h -> headers.putAll(h.getHeaderName(), h));
         headers.put(Headers.HOST, client.protocol().host(call, address));
         headers.put(Headers.CONTENT_LENGTH, call.body().length);
         headers.put(client.protocol().requestIdHeader(), call.requestId());
-        return headers;
+        return RequestGrammar.areHeaders(headers) ? request : null;
     }
 
     private void onRequestAccepted(ClientExchange exchange) {
@@ -174,10 +173,21 @@
             end(refusal, false, null);
             return;
         }
+        if (client.protocol().isUnexpected(call, status, headers)) {
+            LOG.warnf(
+                    "event=answer-dropped reason=unexpected-head requestId=%s address=%s status=%d type=%s encoding=%s",
+                    call.requestId(),
+                    address,
+                    status,
+                    headers.getFirst(Headers.CONTENT_TYPE),
+                    headers.getFirst(Headers.CONTENT_ENCODING));
+            failFaulty();
+            return;
+        }
         if (!ResponseFraming.isUnambiguous(headers)) {
             LOG.warnf(
                     "event=answer-dropped reason=ambiguous-length requestId=%s address=%s", call.requestId(), address);
-            end(Verdict.MAY_HAVE_RUN, false, null);
+            failFaulty();
             return;
         }
         copier = new ResponseCopier(this, call, client, exchange, sink, ReadAllowance.of(connection));
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointProtocol.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointProtocol.java
@@ -29,6 +29,14 @@
     /** Returns the verdict if the response is a failure that must not be passed on to the caller, otherwise null. */
     Verdict refusal(EndpointCall call, int status, HeaderMap headers);
 
+    /**
+     * Returns whether the head of a response that is not refused is not one of a sound endpoint, so that nothing behind it is
+     * passed on.
+     */
+    default boolean isUnexpected(EndpointCall call, int status, HeaderMap headers) {
+        return false;
+    }
+
     /** Returns the signals of the endpoint about itself in the head of a response. */
     default EndpointSignals signals(int status, HeaderMap headers) {
         return EndpointSignals.NONE;
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ModelEngineProtocol.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ModelEngineProtocol.java
@@ -4,15 +4,12 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import org.gooseberryring.state.Verdict;
-import org.jboss.logging.Logger;
 
 /** Protocol of the endpoint interface that this system defines for model engines and plain services. */
 public final class ModelEngineProtocol implements EndpointProtocol {
-    private static final Logger LOG = Logger.getLogger(ModelEngineProtocol.class);
     private static final int OK = 200;
     private static final int FIRST_ERROR = 400;
     private static final int FIRST_SERVER_ERROR = 500;
-    private static final String EVENT_STREAM = "text/event-stream";
 
     @Override
     public HttpString requestIdHeader() {
@@ -42,26 +39,17 @@
         if (call.kind().isRelay() && verdict != null && status >= FIRST_ERROR) {
             return Verdict.NOT_RUN.wireName().equals(verdict) ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
         }
-        if (!call.kind().isModel()) {
-            return null;
-        }
-        if (status < FIRST_ERROR && isUnexpected(call, status, headers)) {
-            LOG.warnf(
-                    "event=answer-dropped reason=unexpected-head requestId=%s status=%d type=%s encoding=%s",
-                    call.requestId(),
-                    status,
-                    headers.getFirst(Headers.CONTENT_TYPE),
-                    headers.getFirst(Headers.CONTENT_ENCODING));
-            return Verdict.MAY_HAVE_RUN;
-        }
-        return status >= FIRST_SERVER_ERROR ? Verdict.MAY_HAVE_RUN : null;
+        return call.kind().isModel() && status >= FIRST_SERVER_ERROR ? Verdict.MAY_HAVE_RUN : null;
     }
 
-    /** Returns whether a head is not the one of a sound completion, whatever the body behind it is. */
-    private static boolean isUnexpected(EndpointCall call, int status, HeaderMap headers) {
-        // No encoding is asked for, and what is asked for is known from the request.
+    @Override
+    public boolean isUnexpected(EndpointCall call, int status, HeaderMap headers) {
+        if (!call.kind().isModel() || status >= FIRST_ERROR) {
+            return false;
+        }
+        // No encoding is asked for, and whether events are is known from the request.
         boolean encoded = headers.contains(Headers.CONTENT_ENCODING);
-        return status != OK || encoded || call.eventStream() && !isEventStream(headers);
+        return status != OK || encoded || call.eventStream() && !EventStreams.isStatedBy(headers);
     }
 
     @Override
@@ -75,14 +63,6 @@
 
     @Override
     public boolean endsWithFinalEvent(EndpointCall call, int status, HeaderMap headers) {
-        return call.kind().isModel() && status < FIRST_ERROR && isEventStream(headers);
-    }
-
-    private static boolean isEventStream(HeaderMap headers) {
-        if (headers.count(Headers.CONTENT_TYPE) != 1) {
-            return false;
-        }
-        String type = headers.getFirst(Headers.CONTENT_TYPE);
-        return EVENT_STREAM.equalsIgnoreCase(type.split(";", 2)[0].strip());
+        return call.kind().isModel() && status < FIRST_ERROR && EventStreams.isStatedBy(headers);
     }
 }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/PassThroughProtocol.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/PassThroughProtocol.java
@@ -15,6 +15,11 @@
         return null;
     }
 
+    @Override
+    public boolean isUnexpected(EndpointCall call, int status, HeaderMap headers) {
+        return false;
+    }
+
     @Override
     public boolean carriesEvents(HeaderMap headers) {
         // The host that sent the request reads the events; if this one ended them, that one would take it for a loss.
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/RequestGrammar.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/RequestGrammar.java
@@ -13,11 +13,13 @@
 
     private RequestGrammar() {}
 
-    /** Returns whether no character of the head ends its word or line, or would be written as another one. */
-    static boolean isWritable(String method, String target, HeaderMap headers) {
-        if (!isToken(method) || !isTarget(target)) {
-            return false;
-        }
+    /** Returns whether no character of the line ends a word of it, or would be written as another one. */
+    static boolean isRequestLine(String method, String target) {
+        return isToken(method) && isTarget(target);
+    }
+
+    /** Returns whether no character of the headers ends a name or a line, or would be written as another one. */
+    static boolean areHeaders(HeaderMap headers) {
         for (HeaderValues values : headers) {
             if (!isToken(values.getHeaderName().toString()) || !values.stream().allMatch(RequestGrammar::isValue)) {
                 return false;
