Keep the time limit of a body and the fate of its connection in BodyReceiver

Both users had the same timer and removed it in the same three places, and both writers of refusals asked whether the rest of a body is discarded.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/BodyReceiver.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/BodyReceiver.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
 
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.io.Receiver;
@@ -11,6 +12,7 @@
 import io.undertow.util.AttachmentKey;
 import io.undertow.util.Headers;
 import org.gooseberryring.transport.http.SharedRoom;
+import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSourceChannel;
 
 /**
@@ -35,7 +37,9 @@
     private final SharedRoom room;
     private final String owner;
     private final int maxBytes;
+    private final long timeoutMillis;
     private final Outcome outcome;
+    private XnioExecutor.Key timer;
     private byte[] body = {};
     private int received;
     private long heldBytes;
@@ -49,6 +53,9 @@
         /** The body is not received, because it is larger than allowed or its connection has failed. */
         void onFailure(IOException failure);
 
+        /** The body has not arrived in time; the connection is to be closed. */
+        void onTimeout();
+
         /** The body is not received, because there is no room for it; its rest is discarded once the exchange is ended. */
         void onNoRoom();
     }
@@ -59,37 +66,50 @@
      * @param room room for the bodies of all requests
      * @param owner organisation to which the body belongs
      * @param maxBytes maximum size of the body
+     * @param timeoutMillis time for the body, also for one that is discarded
      */
-    public BodyReceiver(HttpServerExchange exchange, SharedRoom room, String owner, int maxBytes, Outcome outcome) {
+    public BodyReceiver(
+            HttpServerExchange exchange,
+            SharedRoom room,
+            String owner,
+            int maxBytes,
+            long timeoutMillis,
+            Outcome outcome) {
         this.exchange = exchange;
         this.room = room;
         this.owner = owner;
         this.maxBytes = maxBytes;
+        this.timeoutMillis = timeoutMillis;
         this.outcome = outcome;
     }
 
     /**
-     * Returns whether the rest of the body is read and discarded after the response, so that the connection can be used for
-     * another request. A connection that is closed with unread bytes is reset, and its caller may lose the response.
+     * Makes the connection close after the response if the body is unread, since its rest cannot be told from another
+     * request. A body without room is read and discarded instead, because a connection that is closed with unread bytes is
+     * reset, and its caller may lose the response.
      */
-    public static boolean discardsRest(HttpServerExchange exchange) {
-        return exchange.getAttachment(DISCARDS_REST) != null;
+    public static void closeIfUnread(HttpServerExchange exchange) {
+        if (!exchange.isRequestComplete() && exchange.getAttachment(DISCARDS_REST) == null) {
+            exchange.setPersistent(false);
+        }
     }
 
     /** Starts to receive; called once, in the handler of the exchange. */
     public void start() {
+        timer = exchange.getIoThread().executeAfter(outcome::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
         exchange.addExchangeCompleteListener((done, next) -> {
+            timer.remove();
             release();
             next.proceed();
         });
         if (exchange.isRequestComplete()) {
-            outcome.onBody(body);
+            complete();
             return;
         }
         String declared = exchange.getRequestHeaders().getFirst(Headers.CONTENT_LENGTH);
         long declaredBytes = declared == null ? FIRST_BYTES : Long.parseLong(declared);
         if (declared != null && declaredBytes > maxBytes) {
-            outcome.onFailure(new Receiver.RequestToLargeException());
+            fail(new Receiver.RequestToLargeException());
         } else if (!enlarge((int) declaredBytes)) {
             rejectWithoutRoom();
         } else {
@@ -131,7 +151,7 @@
             }
             return count == 0 ? null : end(this::complete);
         } catch (IOException e) {
-            return end(() -> outcome.onFailure(e));
+            return end(() -> fail(e));
         }
     }
 
@@ -139,7 +159,7 @@
     private Runnable add(ByteBuffer bytes) {
         int needed = received + bytes.remaining();
         if (needed > maxBytes) {
-            return () -> outcome.onFailure(new Receiver.RequestToLargeException());
+            return () -> fail(new Receiver.RequestToLargeException());
         }
         if (needed > body.length && !enlarge(Math.min(maxBytes, Math.max(needed, 2 * body.length)))) {
             return this::rejectWithoutRoom;
@@ -150,7 +170,13 @@
         return null;
     }
 
+    private void fail(IOException failure) {
+        timer.remove();
+        outcome.onFailure(failure);
+    }
+
     private void complete() {
+        timer.remove();
         byte[] whole = received == body.length ? body : Arrays.copyOf(body, received);
         resize(counted(whole.length));
         body = null;
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EndpointRelayHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EndpointRelayHandler.java
@@ -116,30 +116,27 @@
             openRequests.release();
             next.proceed();
         });
-        XnioExecutor.Key timer = exchange.getIoThread()
-                .executeAfter(
-                        () -> IoUtils.safeClose(exchange.getConnection()), MAX_BODY_MILLIS, TimeUnit.MILLISECONDS);
-        exchange.addExchangeCompleteListener((e, next) -> {
-            timer.remove();
-            next.proceed();
-        });
-        new BodyReceiver(exchange, bodyRoom, BODY_OWNER, maxBodyBytes.getAsInt(), outcome(exchange, timer)).start();
+        new BodyReceiver(exchange, bodyRoom, BODY_OWNER, maxBodyBytes.getAsInt(), MAX_BODY_MILLIS, outcome(exchange))
+                .start();
     }
 
-    private BodyReceiver.Outcome outcome(HttpServerExchange exchange, XnioExecutor.Key timer) {
+    private BodyReceiver.Outcome outcome(HttpServerExchange exchange) {
         return new BodyReceiver.Outcome() {
             @Override
             public void onBody(byte[] body) {
-                timer.remove();
                 handleBody(exchange, body);
             }
 
             @Override
             public void onFailure(IOException failure) {
-                timer.remove();
                 closeUnread(exchange, failure);
             }
 
+            @Override
+            public void onTimeout() {
+                IoUtils.safeClose(exchange.getConnection());
+            }
+
             @Override
             public void onNoRoom() {
                 metrics.counter("bodies.without-room").inc();
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/ProblemWriter.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/ProblemWriter.java
@@ -18,10 +18,7 @@
 
     /** Writes a refusal to an exchange whose response has not started, and ends the exchange. */
     public static void write(HttpServerExchange exchange, String requestId, Refusal refusal) {
-        if (!exchange.isRequestComplete() && !BodyReceiver.discardsRest(exchange)) {
-            // The remaining body is not read, so the connection cannot be reused for another request.
-            exchange.setPersistent(false);
-        }
+        BodyReceiver.closeIfUnread(exchange);
         String code = refusal.code().wireName();
         Problem problem = new Problem(
                 TYPE_PREFIX + code,
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
@@ -28,7 +28,6 @@
 import org.gooseberryring.transport.http.SharedRoom;
 import org.jboss.logging.Logger;
 import org.xnio.IoUtils;
-import org.xnio.XnioExecutor;
 
 /** Accepts callers' requests, checks them against the configuration and submits them to the request thread. */
 final class FrontHandler implements HttpHandler {
@@ -157,37 +156,36 @@
 
     private void readBody(
             HttpServerExchange exchange, Arrival arrival, Admitted admitted, ServingConfiguration configuration) {
-        XnioExecutor.Key timer = exchange.getIoThread()
-                .executeAfter(
-                        () -> closeUnreadRequest(exchange, arrival, "timeout"),
-                        admitted.route().timeoutMillis(),
-                        TimeUnit.MILLISECONDS);
-        exchange.addExchangeCompleteListener((done, next) -> {
-            timer.remove();
-            next.proceed();
-        });
         BodyReceiver.Outcome outcome = new BodyReceiver.Outcome() {
             @Override
             public void onBody(byte[] body) {
-                timer.remove();
                 logResumption(arrival.head());
                 intake.accept(exchange, factory.create(exchange, arrival, admitted, body), requests);
             }
 
             @Override
             public void onFailure(IOException failure) {
-                timer.remove();
                 onBodyFailed(exchange, arrival, failure, configuration);
             }
 
+            @Override
+            public void onTimeout() {
+                closeUnreadRequest(exchange, arrival, "timeout");
+            }
+
             @Override
             public void onNoRoom() {
-                // The timer goes on, since the rest of the body is still read, to be discarded.
                 FrontHandler.this.onNoRoom(exchange, arrival, admitted);
             }
         };
-        int maxBytes = configuration.limits().bodyBytes();
-        new BodyReceiver(exchange, bodyRoom, admitted.owner(), maxBytes, outcome).start();
+        new BodyReceiver(
+                        exchange,
+                        bodyRoom,
+                        admitted.owner(),
+                        configuration.limits().bodyBytes(),
+                        admitted.route().timeoutMillis(),
+                        outcome)
+                .start();
     }
 
     private void onNoRoom(HttpServerExchange exchange, Arrival arrival, Admitted admitted) {
