Compile no expression for each response, and start without a pending buffer

The check of chunks compiled a regular expression for each status line. The buffer that is still to be written is empty until something was read, so that its state does not depend on whether a first read has failed.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerSink.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerSink.java
@@ -18,8 +18,6 @@
 final class CallerSink implements ResponseSink {
     private static final Logger LOG = Logger.getLogger(CallerSink.class);
 
-    private static final String CHUNKED = "chunked";
-
     private final HttpServerExchange exchange;
     private final ResponseHeaderPolicy responseHeaderPolicy;
     private StreamSinkChannel channel;
@@ -48,7 +46,7 @@
             setResetOnClose(true);
         } else {
             // Without chunks, which the server omits before it closes a connection, a broken body would look complete.
-            exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, CHUNKED);
+            exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
         }
         channel = exchange.getResponseChannel();
     }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseCopier.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseCopier.java
@@ -41,7 +41,7 @@
     private final boolean bodiless;
     private final ReadAllowance allowance;
     private final EventMemory eventMemory;
-    private ByteBuffer pending;
+    private ByteBuffer pending = ByteBuffer.allocate(0);
     private long heldBytes;
     private Runnable failure;
     private long copied;
@@ -74,8 +74,6 @@
         this.allowance = allowance;
         this.eventMemory = client.eventMemory();
         allowance.allow(ReadAllowance.FRAMING_BYTES);
-        buffer.limit(0);
-        this.pending = buffer;
     }
 
     void start() {
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseFraming.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseFraming.java
@@ -8,7 +8,6 @@
 
 /** Determines the length of the body of a response from its head. */
 final class ResponseFraming {
-    private static final String CHUNKED = "chunked";
     private static final String HEAD = "HEAD";
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
@@ -35,6 +34,8 @@
             boolean isOne = lengths.stream().distinct().count() == 1;
             return isOne && codings == 0 && LENGTH.matcher(lengths.getFirst()).matches();
         }
-        return codings == 0 || codings == 1 && CHUNKED.equalsIgnoreCase(headers.getFirst(Headers.TRANSFER_ENCODING));
+        return codings == 0
+                || codings == 1
+                        && Headers.CHUNKED.toString().equalsIgnoreCase(headers.getFirst(Headers.TRANSFER_ENCODING));
     }
 }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ChunkFraming.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ChunkFraming.java
@@ -12,6 +12,14 @@
  */
 final class ChunkFraming {
     private static final int RADIX = 16;
+    private static final String TRANSFER_ENCODING = "transfer-encoding";
+    private static final String CHUNKED = "chunked";
+
+    /** Number of characters before the status in a status line. */
+    private static final int PROTOCOL_CHARS = "HTTP/1.1 ".length();
+
+    /** First digit of the status of a response that another one follows. */
+    private static final String INTERIM_CLASS = "1";
 
     /** Every number of so many hexadecimal digits fits into a long. */
     private static final int MAX_SIZE_DIGITS = 15;
@@ -101,10 +109,10 @@
             line.append(c);
             return true;
         }
-        String ended = line.toString().stripTrailing().toLowerCase(Locale.ROOT);
+        String ended = line.toString().stripTrailing();
         line.setLength(0);
         if (state == State.STATUS_LINE) {
-            interim = ended.matches("http/1\\.[01] 1.*");
+            interim = ended.startsWith(INTERIM_CLASS, PROTOCOL_CHARS);
             chunked = false;
             state = State.HEADERS;
         } else if (state == State.HEADERS) {
@@ -119,7 +127,8 @@
 
     private void acceptHeader(String header) {
         if (!header.isEmpty()) {
-            chunked |= header.startsWith("transfer-encoding") && header.endsWith("chunked");
+            chunked |= isTransferEncoding(header)
+                    && header.toLowerCase(Locale.ROOT).endsWith(CHUNKED);
         } else if (interim) {
             state = State.STATUS_LINE;
         } else if (chunked) {
@@ -129,6 +138,10 @@
         }
     }
 
+    private static boolean isTransferEncoding(String header) {
+        return header.regionMatches(true, 0, TRANSFER_ENCODING, 0, TRANSFER_ENCODING.length());
+    }
+
     private void startChunk() {
         state = State.SIZE;
         size = 0;
