State in each call whether events are asked for, and correct names and comments

A second constructor of EndpointCall and of Destination repeated all components to leave one out. Parameters that hold a crash were still called quarantine, and the comments of EventFault and EventTrace described earlier forms.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -108,8 +108,8 @@
 
     /** Carries out an effect that concerns no caller's response. */
     private void acceptReport(RequestEffect effect) {
-        if (effect instanceof RequestEffect.SpreadRequestCrash quarantine) {
-            remoteEffects.spreadRequestCrash(quarantine);
+        if (effect instanceof RequestEffect.SpreadRequestCrash crash) {
+            remoteEffects.spreadRequestCrash(crash);
         } else if (effect instanceof RequestEffect.SpreadPartEvent spread) {
             remoteEffects.spreadPartEvent(spread.event());
         } else if (effect instanceof RequestEffect.SpreadStream spread) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerHandler.java
@@ -206,7 +206,8 @@
                 body,
                 path.isIdempotent(method),
                 0,
-                "");
+                "",
+                false);
     }
 
     private void refuse(HttpServerExchange exchange, String id, Refusal refusal) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/Destination.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/Destination.java
@@ -23,16 +23,4 @@
         boolean idempotent,
         long costTokens,
         String prefix,
-        boolean eventStream) {
-    /** Creates a destination of a request whose body does not ask a model for a stream of events. */
-    public Destination(
-            RequestTarget target,
-            EndpointCall.Kind kind,
-            String path,
-            byte[] body,
-            boolean idempotent,
-            long costTokens,
-            String prefix) {
-        this(target, kind, path, body, idempotent, costTokens, prefix, false);
-    }
-}
+        boolean eventStream) {}
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RemoteEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RemoteEffects.java
@@ -16,7 +16,7 @@
     void replay(OpenRequest request);
 
     /** Notifies all hosts of a request that crashes endpoints. */
-    void spreadRequestCrash(RequestEffect.SpreadRequestCrash quarantine);
+    void spreadRequestCrash(RequestEffect.SpreadRequestCrash effect);
 
     /** Notifies all hosts of an observation about prompt parts; requests without such parts cause none. */
     default void spreadPartEvent(PartEvent event) {}
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -281,7 +281,7 @@
                 new EndpointClient(worker, ENDPOINT_LIMITS, deployment.endpointProtocol()),
                 metrics,
                 new EntryRemoteEffects(
-                        quarantine -> notices().spreadRequestCrash(quarantine),
+                        crash -> notices().spreadRequestCrash(crash),
                         event -> notices().spreadPartEvent(event),
                         stream -> notices().spreadStream(stream),
                         () -> streams().read()),
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRemoteEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRemoteEffects.java
@@ -56,8 +56,8 @@
     }
 
     @Override
-    public void spreadRequestCrash(RequestEffect.SpreadRequestCrash quarantine) {
-        crashNotifier.accept(quarantine);
+    public void spreadRequestCrash(RequestEffect.SpreadRequestCrash effect) {
+        crashNotifier.accept(effect);
     }
 
     @Override
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerNotices.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/PeerNotices.java
@@ -27,8 +27,8 @@
     }
 
     /** Notifies the other hosts of a request that crashes endpoints. */
-    void spreadRequestCrash(RequestEffect.SpreadRequestCrash quarantine) {
-        RequestCrash crash = quarantine.crash();
+    void spreadRequestCrash(RequestEffect.SpreadRequestCrash effect) {
+        RequestCrash crash = effect.crash();
         LogLine.event("request-suspected")
                 .with("digest", crash.digest())
                 .with("crashes", crash.losses())
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RequestFactory.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RequestFactory.java
@@ -67,7 +67,8 @@
         RequestSpec spec = spec(exchange, arrival, admitted, target, path, body);
         EndpointCall.Kind kind =
                 head.model() == null ? EndpointCall.Kind.PLAIN_SERVICE : EndpointCall.Kind.MODEL_ENGINE;
-        Destination destination = new Destination(target, kind, path, body, route.repeatable(), spec.costTokens(), "");
+        Destination destination =
+                new Destination(target, kind, path, body, route.repeatable(), spec.costTokens(), "", false);
         return new OpenRequest(
                 spec,
                 destination,
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/PeerRemoteEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/peer/PeerRemoteEffects.java
@@ -86,11 +86,11 @@
     }
 
     @Override
-    public void spreadRequestCrash(RequestEffect.SpreadRequestCrash quarantine) {
+    public void spreadRequestCrash(RequestEffect.SpreadRequestCrash effect) {
         QuarantineNotice notice = QuarantineNotice.newBuilder()
                 .addDigests(QuarantinedDigest.newBuilder()
-                        .setDigest(quarantine.crash().digest())
-                        .setEndpointLosses(quarantine.crash().losses())
+                        .setDigest(effect.crash().digest())
+                        .setEndpointLosses(effect.crash().losses())
                         .setExpiresInMillis(QUARANTINE_MILLIS))
                 .build();
         for (String host : directory.others().keySet()) {
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointCall.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointCall.java
@@ -39,21 +39,7 @@
             byte[] body,
             Kind kind,
             boolean idempotent) {
-        this(requestId, method, path, headers, body, kind, idempotent, null, MAX_RESPONSE_BYTES);
-    }
-
-    /** Creates a call whose body does not ask a model for a stream of events. */
-    public EndpointCall(
-            String requestId,
-            String method,
-            String path,
-            HeaderMap headers,
-            byte[] body,
-            Kind kind,
-            boolean idempotent,
-            EventCursor events,
-            long maxResponseBytes) {
-        this(requestId, method, path, headers, body, kind, idempotent, events, maxResponseBytes, false);
+        this(requestId, method, path, headers, body, kind, idempotent, null, MAX_RESPONSE_BYTES, false);
     }
 
     /** Kind of the responding process. */
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventCursor.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventCursor.java
@@ -10,8 +10,8 @@
  * <p>The cursor passes on only complete events with increasing ids, and nothing between them, so that bytes which no
  * endpoint has meant as an event do not reach the caller as one, and another endpoint can continue after the last event. It
  * ends an attempt at an event that is missing, where the events of the service follow each other. In a stream that may be
- * continued, it skips the first events of a response that the caller has already received. Not thread-safe; used on the I/O thread of the request
- * only.
+ * continued, it skips the first events of a response that the caller has already received. Not thread-safe; used on the
+ * I/O thread of the request only.
  */
 public final class EventCursor {
     private static final long NONE = -1;
@@ -140,10 +140,7 @@
         } else if (event.id() <= lastId) {
             skip(event.id());
         } else if (isAfterGap(event.id())) {
-            idAfterGap = event.id();
-            endpointWithGap = endpoint;
-            trace.onRefused(event.id(), lastId);
-            stop(EventFault.MISSING_EVENT);
+            refuse(event.id());
         } else {
             trace.onPassedOn(event.id(), lastId);
             lastId = event.id();
@@ -172,6 +169,13 @@
         return due.isPresent() && id > due.getAsLong() && !isConfirmed;
     }
 
+    private void refuse(long id) {
+        idAfterGap = id;
+        endpointWithGap = endpoint;
+        trace.onRefused(id, lastId);
+        stop(EventFault.MISSING_EVENT);
+    }
+
     private void stop(EventFault found) {
         fault = found;
         trace.onFault(found);
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventFault.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventFault.java
@@ -12,9 +12,9 @@
     SECOND_ID("second-id"),
     /** An id that is no number. */
     UNREADABLE_ID("unreadable-id"),
-    /** An id that is not above the one before, in a stream that no other endpoint may continue. */
+    /** An id that is not above the one before, other than in the first events of a stream that is continued. */
     REPEATED_ID("repeated-id"),
-    /** An id that is further ahead than those of the endpoint's service ever are. */
+    /** An id that is further ahead than the one that is due by the numbering of the service. */
     MISSING_EVENT("missing-event");
 
     private final String logName;
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventTrace.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EventTrace.java
@@ -1,6 +1,6 @@
 package org.gooseberryring.transport.endpoint;
 
-/** Figures of the events in the response of one endpoint, for logs. Not thread-safe. */
+/** Figures of the events in one attempt, for logs and for the numbering of the service. Not thread-safe. */
 public final class EventTrace {
     private static final long NONE = -1;
 
--- a/gooseberryring-transport/src/test/java/org/gooseberryring/transport/endpoint/SlowCallerTest.java
+++ b/gooseberryring-transport/src/test/java/org/gooseberryring/transport/endpoint/SlowCallerTest.java
@@ -66,7 +66,8 @@
                 EndpointCall.Kind.PLAIN_SERVICE,
                 false,
                 cursor,
-                EndpointCall.MAX_RESPONSE_BYTES);
+                EndpointCall.MAX_RESPONSE_BYTES,
+                false);
     }
 
     private static AttemptListener listener(CountDownLatch ended) {
