Log how the response to each request ended, and when it started

A response that the host had cut in the middle was logged as whole=true, since the exchange is complete after its connection was closed.

request-ended now has response=complete, refused, cut, waiting or started (the caller left) and the time to the first byte, and whole=true only for a complete response or a refusal. A counter for each end is among the metrics.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerSink.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerSink.java
@@ -20,12 +20,18 @@
 
     private final HttpServerExchange exchange;
     private final ResponseHeaderPolicy responseHeaderPolicy;
+    private final ResponseProgress progress;
     private StreamSinkChannel channel;
     private String contentType = "";
 
     CallerSink(HttpServerExchange exchange, ResponseHeaderPolicy responseHeaderPolicy) {
         this.exchange = exchange;
         this.responseHeaderPolicy = responseHeaderPolicy;
+        this.progress = ResponseProgress.attach(exchange);
+    }
+
+    ResponseProgress progress() {
+        return progress;
     }
 
     @Override
@@ -34,6 +40,7 @@
             // Another endpoint continues a stream whose head came from its first endpoint.
             return;
         }
+        progress.onStarted();
         exchange.setStatusCode(status);
         if (headers.contains(Headers.CONTENT_TYPE)) {
             contentType = headers.getFirst(Headers.CONTENT_TYPE);
@@ -80,6 +87,7 @@
         if (exchange.isHttp10()) {
             setResetOnClose(false);
         }
+        progress.onCompleted();
         exchange.endExchange();
     }
 
@@ -88,6 +96,7 @@
         if (exchange.isHttp10()) {
             setResetOnClose(true);
         }
+        progress.onCut();
         IoUtils.safeClose(exchange.getConnection());
         exchange.endExchange();
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequest.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequest.java
@@ -129,6 +129,7 @@
             sink.abort();
             return;
         }
+        sink.progress().onRefused();
         refusalWriter.write(exchange, spec.id(), refusal);
     }
 
@@ -149,6 +150,7 @@
                     "The idempotency key was used before and the response is not recorded"));
             return;
         }
+        sink.progress().onCompleted();
         exchange.setStatusCode(status);
         exchange.getResponseHeaders().put(REPLAYED, "true");
         RecordedResponse response = RecordedResponse.decode(body);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
@@ -19,6 +19,7 @@
 import org.gooseberryring.host.caller.Refusal;
 import org.gooseberryring.host.caller.RefusedException;
 import org.gooseberryring.host.caller.RequestIntake;
+import org.gooseberryring.host.caller.ResponseProgress;
 import org.gooseberryring.host.log.LogLine;
 import org.gooseberryring.state.ApiKey;
 import org.gooseberryring.state.ErrorCode;
@@ -248,15 +249,28 @@
 
     private void logEnd(HttpServerExchange exchange, Arrival arrival, Admitted admitted) {
         long millis = clock.getAsLong() - arrival.at();
+        ResponseProgress progress = ResponseProgress.of(exchange);
         metrics.timer(DURATION).update(millis, TimeUnit.MILLISECONDS);
         LogLine.event("request-ended")
                 .with("requestId", arrival.head().requestId())
                 .with("route", admitted.route().id())
                 .with("configuration", view.configuration().version())
                 .with("status", exchange.isResponseStarted() ? exchange.getStatusCode() : NO_RESPONSE)
-                .with("whole", exchange.isResponseComplete())
+                .with("whole", isWhole(exchange))
+                .with("response", progress == null ? null : progress.state().logName())
+                .with("startedMs", progress == null ? null : progress.startedMillis())
                 .with("ms", millis)
                 .info(LOG);
+        if (progress != null) {
+            metrics.counter("responses." + progress.state().logName()).inc();
+        }
+    }
+
+    /** Returns whether the caller was sent a complete response or a refusal. */
+    private static boolean isWhole(HttpServerExchange exchange) {
+        ResponseProgress progress = ResponseProgress.of(exchange);
+        boolean isEnded = progress == null || progress.state().isEnd();
+        return isEnded && exchange.isResponseComplete();
     }
 
     private static RefusedException refusal(ErrorCode code, String detail) {
