Write nothing to, and close nothing on, an exchange that has ended

What callers saw: a request that had been rejected at its deadline while its endpoint went on working was followed by another one on the same connection. When the late response of the first came and broke off, the connection was closed, and the second request, which an endpoint ran, got no answer.

Cause: a refusal, a recorded response and the response of an endpoint were each written by whoever came, after a look at the state of the exchange. An exchange that has ended says nothing of its connection, which already serves the next request, and CallerSink.abort closed it.

ResponseProgress now decides, on the I/O thread of the exchange, which response is written: the first one that is tried takes it, and none can be started, completed or cut once the exchange has ended. A sink whose response is taken rejects the start, which ends the attempt and leaves the connection alone.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerSink.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerSink.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
@@ -35,12 +36,14 @@
     }
 
     @Override
-    public void start(int status, HeaderMap headers, long contentLength) {
-        if (channel != null) {
+    public void start(int status, HeaderMap headers, long contentLength) throws IOException {
+        if (progress.state() == ResponseProgress.State.STARTED && !progress.isClosed()) {
             // Another endpoint continues a stream whose head came from its first endpoint.
             return;
         }
-        progress.onStarted();
+        if (!progress.tryStart()) {
+            throw new ClosedChannelException();
+        }
         exchange.setStatusCode(status);
         if (headers.contains(Headers.CONTENT_TYPE)) {
             contentType = headers.getFirst(Headers.CONTENT_TYPE);
@@ -65,6 +68,9 @@
 
     @Override
     public int write(ByteBuffer bytes) throws IOException {
+        if (progress.isClosed()) {
+            throw new ClosedChannelException();
+        }
         return channel.write(bytes);
     }
 
@@ -84,19 +90,23 @@
 
     @Override
     public void finish() {
+        if (!progress.tryComplete()) {
+            return;
+        }
         if (exchange.isHttp10()) {
             setResetOnClose(false);
         }
-        progress.onCompleted();
         exchange.endExchange();
     }
 
     @Override
     public void abort() {
+        if (!progress.tryCut()) {
+            return;
+        }
         if (exchange.isHttp10()) {
             setResetOnClose(true);
         }
-        progress.onCut();
         IoUtils.safeClose(exchange.getConnection());
         exchange.endExchange();
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequest.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequest.java
@@ -26,7 +26,6 @@
     private final EventCursor events;
     private EndpointAttempt attempt;
     private int attemptNumber;
-    private boolean ended;
     private volatile Recorded recorded;
 
     OpenRequest(RequestSpec spec, Destination destination, HttpServerExchange exchange, HeaderMap headers) {
@@ -113,24 +112,16 @@
     }
 
     boolean isEnded() {
-        return ended;
+        return sink.progress().isClosed();
     }
 
-    void markEnded() {
-        ended = true;
-    }
-
-    /** Responds with a refusal, or aborts the connection if the response has already started. */
+    /** Responds with a refusal, or cuts the response of an endpoint if it has already started. */
     void refuse(Refusal refusal) {
-        if (ended) {
-            return;
-        }
-        if (exchange.isResponseStarted() || !exchange.isResponseChannelAvailable()) {
+        if (sink.progress().tryRefuse()) {
+            refusalWriter.write(exchange, spec.id(), refusal);
+        } else {
             sink.abort();
-            return;
         }
-        sink.progress().onRefused();
-        refusalWriter.write(exchange, spec.id(), refusal);
     }
 
     /** Responds with a recorded response, on the I/O thread of the request. */
@@ -139,9 +130,6 @@
     }
 
     private void replayNow(int status, byte[] body) {
-        if (ended || !exchange.isResponseChannelAvailable()) {
-            return;
-        }
         if (body == null) {
             refuse(new Refusal(
                     ErrorCode.ALREADY_CLAIMED,
@@ -150,7 +138,9 @@
                     "The idempotency key was used before and the response is not recorded"));
             return;
         }
-        sink.progress().onCompleted();
+        if (!sink.progress().tryReplay()) {
+            return;
+        }
         exchange.setStatusCode(status);
         exchange.getResponseHeaders().put(REPLAYED, "true");
         RecordedResponse response = RecordedResponse.decode(body);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RequestIntake.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RequestIntake.java
@@ -31,7 +31,8 @@
         // Keeps the exchange open after this call, until the request thread has decided on the request.
         exchange.dispatch();
         exchange.addExchangeCompleteListener((e, next) -> {
-            onExchangeEnded(request);
+            // Removed after the request thread has handled all events that concern the request.
+            loop.after(() -> openRequests.remove(request.spec().id()));
             next.proceed();
         });
         CallerWatch.start(exchange, () -> onDisconnect(request));
@@ -47,10 +48,4 @@
         loop.callerGone(request.spec().id());
         IoUtils.safeClose(request.connection());
     }
-
-    /** Removes a request after the request thread has handled all events that concern it. */
-    private void onExchangeEnded(OpenRequest request) {
-        request.markEnded();
-        loop.after(() -> openRequests.remove(request.spec().id()));
-    }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/ResponseProgress.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/ResponseProgress.java
@@ -6,7 +6,13 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.AttachmentKey;
 
-/** How far the response to a request has come, and how it has ended; accessed on the I/O thread of its exchange. */
+/**
+ * Decides how the response to a request starts and ends; all methods run on the I/O thread of its exchange.
+ *
+ * <p>A response of an endpoint, a recorded response and a refusal exclude each other. The first one that is tried is
+ * written, and nothing is written or closed after the exchange has ended, since its connection may serve the caller's
+ * next request.
+ */
 public final class ResponseProgress {
     private static final AttachmentKey<ResponseProgress> KEY = AttachmentKey.create(ResponseProgress.class);
 
@@ -14,6 +20,7 @@
 
     private final long createdNanos = System.nanoTime();
     private State state = State.WAITING;
+    private boolean closed;
     private long startedMillis = NOT_STARTED;
 
     /** State of a response. */
@@ -49,6 +56,10 @@
     static ResponseProgress attach(HttpServerExchange exchange) {
         ResponseProgress progress = new ResponseProgress();
         exchange.putAttachment(KEY, progress);
+        exchange.addExchangeCompleteListener((ended, next) -> {
+            progress.closed = true;
+            next.proceed();
+        });
         return progress;
     }
 
@@ -61,20 +72,45 @@
         return startedMillis;
     }
 
-    void onStarted() {
-        state = State.STARTED;
+    /** Returns whether the exchange has ended, so that no byte of a response can be written any more. */
+    boolean isClosed() {
+        return closed;
+    }
+
+    /** Starts the response of an endpoint; returns false if another response or the end of the exchange was first. */
+    boolean tryStart() {
+        if (!tryLeave(State.WAITING, State.STARTED)) {
+            return false;
+        }
         startedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - createdNanos);
+        return true;
+    }
+
+    /** Takes the response for a refusal; returns false if another response or the end of the exchange was first. */
+    boolean tryRefuse() {
+        return tryLeave(State.WAITING, State.REFUSED);
+    }
+
+    /** Takes the response for a recorded one; returns false if another response or the end of the exchange was first. */
+    boolean tryReplay() {
+        return tryLeave(State.WAITING, State.COMPLETE);
     }
 
-    void onCompleted() {
-        state = State.COMPLETE;
+    /** Completes the response of an endpoint; returns false if it has not started or the exchange has ended. */
+    boolean tryComplete() {
+        return tryLeave(State.STARTED, State.COMPLETE);
     }
 
-    void onRefused() {
-        state = State.REFUSED;
+    /** Cuts the response of an endpoint; returns false if it has not started or the exchange has ended. */
+    boolean tryCut() {
+        return tryLeave(State.STARTED, State.CUT);
     }
 
-    void onCut() {
-        state = State.CUT;
+    private boolean tryLeave(State expected, State next) {
+        if (closed || state != expected) {
+            return false;
+        }
+        state = next;
+        return true;
     }
 }
--- /dev/null
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/entry/CutResponseTest.java
@@ -0,0 +1,87 @@
+package org.gooseberryring.host.entry;
+
+import org.gooseberryring.coordination.request.RequestPolicy;
+import org.gooseberryring.coordination.request.RequestSpec;
+import org.gooseberryring.state.PriorityClass;
+import org.gooseberryring.state.PromptShape;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/** Tests responses that start while, or after, the request thread ends their requests. */
+class CutResponseTest {
+    private static final long OBJECTIVE_MILLIS = 400;
+    private static final long START_MILLIS = 2_000;
+    private static final long DEADLINE_MILLIS = 9_000;
+    private static final String STREAM_HEAD =
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String FIRST_CHUNK = "5\r\nfirst\r\n";
+    private static final String REST = "4\r\nlast\r\n0\r\n\r\n";
+    private static final String END = "0\r\n\r\n";
+
+    private final SteppedRequests host = new SteppedRequests();
+    private final ControlledEndpoint endpoint = new ControlledEndpoint();
+
+    @BeforeEach
+    void register() throws Exception {
+        host.register("e1", endpoint, 4);
+        host.route("/unbounded", spec("unbounded", false, false, Long.MAX_VALUE));
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        host.close();
+        endpoint.close();
+    }
+
+    /** Guards against a late response that closes, or is written to, the connection of the caller's next request. */
+    @Test
+    void lateResponseOfARejectedRequestLeavesItsConnectionAlone() throws Exception {
+        try (ControlledEndpoint other = new ControlledEndpoint();
+                RawCaller caller = new RawCaller(host.port())) {
+            host.register("e1", endpoint, 1);
+            caller.get("/unbounded");
+            ControlledEndpoint.Run late = endpoint.awaitRequest();
+            host.register("e2", other, 1);
+            host.tickAt(DEADLINE_MILLIS);
+            assertThat(caller.readTo("}")).contains("HTTP/1.1 504");
+            host.route("/next", spec("next", false, false, Long.MAX_VALUE, 2 * DEADLINE_MILLIS));
+            caller.get("/next");
+            ControlledEndpoint.Run next = other.awaitRequest();
+
+            late.send(STREAM_HEAD + FIRST_CHUNK);
+            late.close();
+            host.settle();
+            next.send(STREAM_HEAD + FIRST_CHUNK + REST);
+
+            String received = caller.readTo(END);
+            assertThat(received).startsWith("HTTP/1.1 200");
+            assertThat(received).contains("first");
+            assertThat(received).endsWith(END);
+        }
+    }
+
+    private static RequestSpec spec(String id, boolean repeatable, boolean endsAtDeadline, long startBy) {
+        return spec(id, repeatable, endsAtDeadline, startBy, DEADLINE_MILLIS);
+    }
+
+    private static RequestSpec spec(
+            String id, boolean repeatable, boolean endsAtDeadline, long startBy, long deadline) {
+        RequestPolicy policy = new RequestPolicy(
+                "s", 2, true, false, endsAtDeadline, endsAtDeadline, 1, OBJECTIVE_MILLIS, startBy, PromptShape.NONE);
+        return new RequestSpec(
+                id,
+                null,
+                SteppedRequests.TARGET,
+                PriorityClass.NORMAL,
+                0,
+                0,
+                "00000000000000d1",
+                repeatable,
+                null,
+                deadline,
+                policy);
+    }
+}
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseCopier.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseCopier.java
@@ -265,7 +265,12 @@
             attempt.fail();
             return;
         }
-        startSink();
+        try {
+            startSink();
+        } catch (IOException e) {
+            attempt.onReceiverGone();
+            return;
+        }
         boolean reusable = !bodiless && !"close".equalsIgnoreCase(headers().getFirst(Headers.CONNECTION));
         byte[] recordedBody = copied <= maxRecordedBytes ? recorded.toByteArray() : null;
         // Reports the outcome before the response ends, so that it is known when the exchange has completed.
@@ -290,11 +295,12 @@
         return protocol.isComplete(call, exchange.getResponse().getResponseCode(), headers(), end);
     }
 
-    private void startSink() {
+    /** Starts the sink before the first bytes; the start is reported only if the sink takes the response. */
+    private void startSink() throws IOException {
         if (!started) {
+            sink.start(exchange.getResponse().getResponseCode(), headers(), events == null ? declaredLength : -1);
             started = true;
             attempt.onResponseOpened();
-            sink.start(exchange.getResponse().getResponseCode(), headers(), events == null ? declaredLength : -1);
         }
     }
 
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseSink.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/ResponseSink.java
@@ -13,8 +13,9 @@
      * @param status HTTP status of the endpoint's response
      * @param headers headers of the endpoint's response; the sink selects which to pass on
      * @param contentLength declared length in bytes, -1 if there is none
+     * @throws IOException if the receiver has disconnected or was sent another response
      */
-    void start(int status, HeaderMap headers, long contentLength);
+    void start(int status, HeaderMap headers, long contentLength) throws IOException;
 
     /**
      * Writes bytes without blocking.
@@ -30,9 +31,12 @@
     /** Runs the callback once when more bytes can be written. */
     void whenWritable(Runnable callback);
 
-    /** Ends a complete response. */
+    /** Ends a complete response; has no effect if the receiver has disconnected or was sent another response. */
     void finish();
 
-    /** Aborts a response that was started and is incomplete, so that the receiver detects the failure. */
+    /**
+     * Aborts a response that was started and is incomplete, so that the receiver detects the failure; has no effect on a
+     * response that has ended.
+     */
     void abort();
 }
