End a request whose response has not started where the response starts

Cause: two threads decided on one response. The I/O thread starts a response at the first byte of its endpoint. The request thread rejects a request whose response has not started in time, and learns of the start from an event that waits in its queue. A response that started before the rejection, and was reported after it, was cut: in the trace by 12 ms. The same held for a stalled request that is moved to another endpoint, for a deadline that only limits the start, and for the requests that a stopping host ends.

The request thread now asks for the end (EndUnstarted), and the I/O thread of the request carries out both the rejection and the cancellation, in one step, unless the response has started. The engine needs no answer: events keep their order, so the start follows if the end was void, and reopens the request, and else none comes any more. A response that has started goes on to its own deadline, and at the end of a host to the close of its connections.

Metric ends_void and the log line end-void count the ends that were void.

--- /dev/null
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/AttemptEnd.java
@@ -0,0 +1,64 @@
+package org.gooseberryring.coordination.request;
+
+import java.util.List;
+
+/** Ends running attempts; each method adds the actions to take to a list. */
+final class AttemptEnd {
+    private AttemptEnd() {}
+
+    /**
+     * Refuses a running request, unless its response has started, of which the request thread may not have heard yet.
+     *
+     * @param retryAfterMillis milliseconds after which a retry may succeed
+     */
+    static void refuseUnlessStarted(
+            RequestState state, RefusalReason reason, long retryAfterMillis, List<RequestEffect> effects) {
+        if (state.hasAnyResponseStarted()) {
+            return;
+        }
+        boolean isCancelled = isUnusedCancelled(state) && !state.isCancelled();
+        effects.add(new RequestEffect.EndUnstarted(
+                state.id(),
+                reason.refusal(state.id(), state.verdict(), retryAfterMillis),
+                isCancelled ? cancellation(state) : null));
+        state.endsUnlessStarted(true, state.isCancelled() || isCancelled);
+    }
+
+    /** Cancels an attempt, unless its response has started, of which the request thread may not have heard yet. */
+    static void cancelUnlessStarted(RequestState state, List<RequestEffect> effects) {
+        if (!state.isCancelled()) {
+            effects.add(new RequestEffect.EndUnstarted(state.id(), null, cancellation(state)));
+            state.endsUnlessStarted(false, true);
+        }
+    }
+
+    /** Cancels an attempt whose response is no longer needed. */
+    static void cancelIfUnused(RequestState state, List<RequestEffect> effects) {
+        if (isUnusedCancelled(state)) {
+            cancel(state, effects);
+        }
+    }
+
+    static void cancel(RequestState state, List<RequestEffect> effects) {
+        if (state.isCancelled() && !state.endsUnlessStarted()) {
+            return;
+        }
+        state.cancelled();
+        RequestEffect.Cancel cancellation = cancellation(state);
+        if (cancellation != null) {
+            effects.add(cancellation);
+        }
+    }
+
+    /** Returns whether an unused attempt is cancelled: not if it must not run twice and its outcome is to be recorded. */
+    private static boolean isUnusedCancelled(RequestState state) {
+        return state.spec().idempotent() || state.spec().handling().cancelsUnused();
+    }
+
+    /** Returns the cancellation of the running attempt, null if another failure domain runs it. */
+    private static RequestEffect.Cancel cancellation(RequestState state) {
+        return state.endpoint() == null
+                ? null
+                : new RequestEffect.Cancel(state.id(), state.attempt(), state.endpoint());
+    }
+}
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEffect.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEffect.java
@@ -82,6 +82,18 @@
      */
     record Cancel(String requestId, int attempt, String endpoint) implements RequestEffect {}
 
+    /**
+     * Ends an attempt unless its response has started at the caller.
+     *
+     * <p>The I/O thread of the request decides. If the response has started, the effect is void, and the engine learns of
+     * the start by {@link RequestEngine#onResponseStarted}; otherwise none starts any more.
+     *
+     * @param requestId request to end
+     * @param refusal refusal that is sent to the caller at once, null if the request may be sent to another endpoint
+     * @param cancel cancellation of the attempt, null if it runs on
+     */
+    record EndUnstarted(String requestId, Refuse refusal, Cancel cancel) implements RequestEffect {}
+
     /**
      * Notifies all hosts of a request whose endpoint was lost.
      *
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestState.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestState.java
@@ -43,6 +43,7 @@
     private boolean anyResponseStarted;
     private boolean cancelled;
     private boolean completed;
+    private boolean endsUnlessStarted;
     private boolean mayHaveRun;
     private long usedTokens;
     private String softwareVersion;
@@ -177,6 +178,7 @@
         responseStarted = false;
         answeredRecorded = false;
         cancelled = false;
+        endsUnlessStarted = false;
     }
 
     /** Returns the effect that sends the running attempt to its endpoint, through another host if one is given. */
@@ -205,7 +207,13 @@
         return lossEpoch;
     }
 
+    /** Records the start of the response; an end that was to be void in this case is. */
     void onResponseStarted(long now) {
+        if (endsUnlessStarted) {
+            endsUnlessStarted = false;
+            completed = false;
+            cancelled = false;
+        }
         responseStarted = true;
         responseStartedAt = now;
         anyResponseStarted = true;
@@ -229,6 +237,19 @@
 
     void cancelled() {
         cancelled = true;
+        endsUnlessStarted = false;
+    }
+
+    /**
+     * Records that the running attempt ends unless its response has started.
+     *
+     * @param isRefused whether the caller gets its final response by that
+     * @param isCancelled whether the attempt is cancelled
+     */
+    void endsUnlessStarted(boolean isRefused, boolean isCancelled) {
+        endsUnlessStarted = true;
+        completed = isRefused;
+        cancelled = isCancelled;
     }
 
     boolean isCancelled() {
@@ -240,12 +261,18 @@
      */
     void completed() {
         completed = true;
+        endsUnlessStarted = false;
     }
 
     boolean isCompleted() {
         return completed;
     }
 
+    /** Returns whether the end of the running attempt is still void if its response has started. */
+    boolean endsUnlessStarted() {
+        return endsUnlessStarted;
+    }
+
     /** Returns how often the request was sent, not counting attempts without a connection. */
     int sends() {
         return sends;
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/retry/CrashWorld.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/retry/CrashWorld.java
@@ -146,15 +146,21 @@
             if (effect instanceof RequestEffect.Dispatch dispatch) {
                 start(host, dispatch);
             } else if (effect instanceof RequestEffect.Refuse refuse) {
-                if (specs.get(refuse.requestId()).digest().equals(POISON)) {
-                    later(1_000 + random.nextInt(200), () -> send(POISON, idempotent));
-                }
+                onRefused(refuse);
+            } else if (effect instanceof RequestEffect.EndUnstarted end && end.refusal() != null) {
+                onRefused(end.refusal());
             } else if (effect instanceof RequestEffect.SpreadRequestCrash notice && noticesArrive) {
                 spread(host, notice);
             }
         }
     }
 
+    private void onRefused(RequestEffect.Refuse refuse) {
+        if (specs.get(refuse.requestId()).digest().equals(POISON)) {
+            later(1_000 + random.nextInt(200), () -> send(POISON, idempotent));
+        }
+    }
+
     private void spread(int host, RequestEffect.SpreadRequestCrash notice) {
         for (int other = 0; other < hosts.size(); other++) {
             int target = other;
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -93,6 +93,8 @@
             refuse(refuse);
         } else if (effect instanceof RequestEffect.Cancel cancel) {
             cancel(cancel);
+        } else if (effect instanceof RequestEffect.EndUnstarted end) {
+            endUnstarted(end);
         } else if (effect instanceof RequestEffect.Relay relay) {
             relay(relay);
         } else if (effect instanceof RequestEffect.Claim claim) {
@@ -203,10 +205,16 @@
 
     private void refuse(RequestEffect.Refuse refuse) {
         OpenRequest request = openRequests.get(refuse.requestId());
-        metrics.refused(refuse.code().wireName());
         if (request == null) {
+            metrics.refused(refuse.code().wireName());
             return;
         }
+        reportRefusal(request, refuse);
+        request.thread().execute(() -> request.refuse(refusal(refuse)));
+    }
+
+    private void reportRefusal(OpenRequest request, RequestEffect.Refuse refuse) {
+        metrics.refused(refuse.code().wireName());
         LogLine.event("request-refused")
                 .with("requestId", refuse.requestId())
                 .with("organisation", request.spec().organisation())
@@ -216,18 +224,53 @@
                 .with("retryAfterMs", refuse.retryAfterMillis())
                 .with("detail", refuse.detail())
                 .debug(LOG);
-        Refusal refusal = new Refusal(refuse.code(), refuse.verdict(), refuse.retryAfterMillis(), refuse.detail());
-        request.thread().execute(() -> request.refuse(refusal));
+    }
+
+    private static Refusal refusal(RequestEffect.Refuse refuse) {
+        return new Refusal(refuse.code(), refuse.verdict(), refuse.retryAfterMillis(), refuse.detail());
     }
 
     private void cancel(RequestEffect.Cancel cancel) {
         OpenRequest request = openRequests.get(cancel.requestId());
-        Endpoint endpoint = endpoints.apply(cancel.endpoint());
         if (request != null) {
             request.thread().execute(() -> request.cancelAttempt(cancel.attempt()));
-            if (endpoint != null && request.destination().kind() == EndpointCall.Kind.MODEL_ENGINE) {
-                remoteEffects.cancelAtEngine(endpoint.address(), cancel.requestId());
-            }
+            cancelAtEngine(request, cancel);
+        }
+    }
+
+    private void cancelAtEngine(OpenRequest request, RequestEffect.Cancel cancel) {
+        Endpoint endpoint = endpoints.apply(cancel.endpoint());
+        if (endpoint != null && request.destination().kind() == EndpointCall.Kind.MODEL_ENGINE) {
+            remoteEffects.cancelAtEngine(endpoint.address(), cancel.requestId());
+        }
+    }
+
+    private void endUnstarted(RequestEffect.EndUnstarted end) {
+        OpenRequest request = openRequests.get(end.requestId());
+        if (request != null) {
+            request.thread().execute(() -> endUnstarted(request, end));
+        }
+    }
+
+    /** Ends an attempt unless its response has started; must run on the I/O thread of the request, which starts it. */
+    private void endUnstarted(OpenRequest request, RequestEffect.EndUnstarted end) {
+        if (request.hasResponseStarted()) {
+            metrics.counter("ends.void").inc();
+            LogLine.event("end-void")
+                    .with("requestId", end.requestId())
+                    .with(
+                            "code",
+                            end.refusal() == null ? null : end.refusal().code().wireName())
+                    .debug(LOG);
+            return;
+        }
+        if (end.refusal() != null) {
+            reportRefusal(request, end.refusal());
+            request.refuse(refusal(end.refusal()));
+        }
+        if (end.cancel() != null) {
+            request.cancelAttempt(end.cancel().attempt());
+            cancelAtEngine(request, end.cancel());
         }
     }
 
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequest.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequest.java
@@ -107,10 +107,15 @@
     /** Cancels the attempt with the given number if it is the current one. */
     void cancelAttempt(int number) {
         if (attempt != null && attemptNumber == number) {
-            attempt.cancel();
+            attempt.cancelNow();
         }
     }
 
+    /** Returns whether the response of an endpoint has started. */
+    boolean hasResponseStarted() {
+        return sink.progress().hasStarted();
+    }
+
     boolean isEnded() {
         return sink.progress().isClosed();
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/ResponseProgress.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/ResponseProgress.java
@@ -77,6 +77,11 @@
         return closed;
     }
 
+    /** Returns whether the response of an endpoint has started. */
+    boolean hasStarted() {
+        return startedMillis != NOT_STARTED;
+    }
+
     /** Starts the response of an endpoint; returns false if another response or the end of the exchange was first. */
     boolean tryStart() {
         if (!tryLeave(State.WAITING, State.STARTED)) {
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -71,7 +71,12 @@
 
     /** Cancels the attempt and closes its connection; may be called on any thread. */
     public void cancel() {
-        thread.execute(() -> end(unfinishedVerdict(), false, null));
+        thread.execute(this::cancelNow);
+    }
+
+    /** Cancels the attempt before its next step; must be called on its I/O thread, outside of its own steps. */
+    public void cancelNow() {
+        end(unfinishedVerdict(), false, null);
     }
 
     void begin() {
