Count the time limit for a stream that is continued from its break

What callers saw: a resumable stream that lost its endpoint later than about 2 s after the request broke off, although another endpoint could go on.

Cause: the time by which a response must start, and the objective, count from the arrival of the request, and were also applied to the attempt that continues a stream. After them the queue rejected the request at once, and a running attempt was overdue at the next tick.

Both now count from the end of the part that the caller has: a caller waits as long for the next event as for the first. The deadline is unchanged.

EntryEngineTest#continuesBrokenStreamAfterTheTimeLimitForItsStart failed before: DEADLINE_UNREACHABLE at 5.0 s of a request with a start limit of 2.35 s and a deadline of 9 s.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/FairRequestQueue.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/FairRequestQueue.java
@@ -27,18 +27,12 @@
     }
 
     @Override
-    public QueueOffer<RequestSpec> offer(RequestSpec spec, boolean isolated, long now) {
+    public QueueOffer<RequestSpec> offer(RequestSpec spec, long startBy, boolean isolated, long now) {
         Object target = isolated ? new IsolatedTarget(spec.target(), spec.digest()) : spec.target();
         String organisation = spec.organisation() == null ? OPEN_ROUTE : spec.organisation();
         return queue.offer(
                 new QueueItem<>(
-                        spec.id(),
-                        organisation,
-                        spec.priorityClass(),
-                        target,
-                        spec.costTokens(),
-                        Math.min(spec.deadline(), spec.handling().startBy()),
-                        spec),
+                        spec.id(), organisation, spec.priorityClass(), target, spec.costTokens(), startBy, spec),
                 now);
     }
 
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -130,7 +130,7 @@
         if (state == null || !state.isRunning(attempt)) {
             return done(now);
         }
-        state.attemptEnded(outcome);
+        state.attemptEnded(outcome, now);
         if (state.query().alone()) {
             crashes.onEndedAlone(state.spec());
         }
@@ -331,7 +331,7 @@
     private void enqueue(RequestState state, long now) {
         state.step(RequestState.Step.QUEUE);
         boolean isolated = crashes.isSuspect(state.spec()) || streams.mustIsolate(state, now);
-        QueueOffer<RequestSpec> offer = queue.offer(state.spec(), isolated, now);
+        QueueOffer<RequestSpec> offer = queue.offer(state.spec(), state.startBy(), isolated, now);
         for (QueueItem<RequestSpec> item : offer.evicted()) {
             refuse(requests.get(item.id()), RefusalReason.QUEUE_FULL, RETRY_AFTER_MILLIS, now);
         }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestQueue.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestQueue.java
@@ -11,9 +11,10 @@
     /**
      * Adds a request, or rejects it with a retry delay.
      *
+     * @param startBy monotonic time in milliseconds after which the request is not to be started any more
      * @param isolated whether the request may have to wait without blocking others for its target
      */
-    QueueOffer<RequestSpec> offer(RequestSpec spec, boolean isolated, long now);
+    QueueOffer<RequestSpec> offer(RequestSpec spec, long startBy, boolean isolated, long now);
 
     /** Removes and returns the next request in the fair order that can run now, or null. */
     RequestSpec poll(long now, Predicate<RequestSpec> canRun);
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestState.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestState.java
@@ -28,6 +28,7 @@
     private final boolean relayed;
     private final long arrivedAt;
     private final Set<String> failedAt = new HashSet<>();
+    private long continuedMillis;
     private Step step = Step.ADMISSION;
     private boolean tokensReserved;
     private boolean claimed;
@@ -128,12 +129,22 @@
                 alone,
                 relayed,
                 spec.handling().prompt(),
-                spec.handling().objective(),
-                Math.min(spec.deadline(), spec.handling().startBy()),
+                continued(spec.handling().objective()),
+                startBy(),
                 failedAt(),
                 softwareVersion);
     }
 
+    /** Returns the time by which the response must start, or go on after its endpoint broke off. */
+    long startBy() {
+        return Math.min(spec.deadline(), continued(spec.handling().startBy()));
+    }
+
+    /** Returns a time limit for the start of the response, counted from the end of the part that the caller has. */
+    private long continued(long limit) {
+        return limit == Long.MAX_VALUE ? limit : limit + continuedMillis;
+    }
+
     /** Sets the choice of the router, which is valid until the next event. */
     void setChoice(RouteChoice newChoice, RouteQuery newQuery) {
         choice = newChoice;
@@ -283,7 +294,7 @@
         return failedAt;
     }
 
-    void attemptEnded(AttemptOutcome outcome) {
+    void attemptEnded(AttemptOutcome outcome, long now) {
         if (outcome.sent()) {
             sends++;
         }
@@ -291,6 +302,10 @@
             failedAt.add(endpoint());
         }
         mayHaveRun |= outcome.verdict() != Verdict.NOT_RUN;
+        if (responseStarted) {
+            // A caller waits as long for the next event of a stream as for the first.
+            continuedMillis = now - arrivedAt;
+        }
         usedTokens = Math.max(usedTokens, outcome.usedTokens());
     }
 
@@ -302,7 +317,7 @@
     /** Returns whether the response has not started in time, or has not ended in time. */
     boolean isOverdue(long now) {
         // Callers abandon a stream that does not start; a refusal before that gives them the outcome.
-        boolean startOverdue = !responseStarted && now >= spec.handling().startBy();
+        boolean startOverdue = !responseStarted && now >= startBy();
         return startOverdue || now >= spec.deadline();
     }
 
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
@@ -117,6 +117,24 @@
         assertThat(engine.tick(5_000)).isEmpty();
     }
 
+    /** Guards against a stream that is cut when it is continued, since the time limit for its start has passed. */
+    @Test
+    void continuesBrokenStreamAfterTheTimeLimitForItsStart() {
+        register("e1", 4);
+        register("e2", 4);
+        RequestPolicy handling = new RequestPolicy("s", 2, true, true, true, true, 1, 400, 2_350, PromptShape.NONE);
+        engine.arrived(
+                new RequestSpec("q", null, TARGET, PriorityClass.NORMAL, 0, 0, DIGEST, true, null, 9_000, handling), 0);
+        engine.onResponseStarted("q", 1, 10);
+
+        List<RequestEffect> effects =
+                engine.attemptEnded("q", 1, new AttemptOutcome(Verdict.MAY_HAVE_RUN, 200, 0, true, false, 5), 5_000);
+
+        assertThat(effects.get(0)).isInstanceOf(RequestEffect.Dispatch.class);
+        assertThat(engine.tick(5_020)).isEmpty();
+        assertThat(engine.tick(9_000).get(0)).isInstanceOf(RequestEffect.Refuse.class);
+    }
+
     /** Guards against an endpoint of another software version that has the identifier or address of a known one. */
     @Test
     void abortsBrokenStreamWhileTheRegistryIsNotCurrent() {
