Extend time-outs of I/O threads that are decided late

What callers saw: rejections, and requests sent through other hosts, on hosts with little processor time: their connections to sound endpoints counted as lost.

Cause: an I/O thread that runs late handles its timers before the events of its sockets. The time-out of a connection that had opened in time was decided first, and a decision on the state of some hundred milliseconds before counted as a lost endpoint. The check of a path to an endpoint had the same.

EndpointAttemptTest#endpointIsNotLostWhenTheHostIsLateToSeeItsConnection failed before: the endpoint's connection was closed without a byte.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -16,6 +16,7 @@
 import org.gooseberryring.coordination.request.AttemptOutcome;
 import org.gooseberryring.state.Verdict;
 import org.gooseberryring.transport.http.BodyWriter;
+import org.gooseberryring.transport.http.IoTimeout;
 import org.gooseberryring.transport.http.ReadAllowance;
 import org.gooseberryring.transport.http.ResponseFault;
 import org.jboss.logging.Logger;
@@ -340,7 +341,7 @@
     }
 
     private XnioExecutor.Key schedule(long millis, Runnable task) {
-        return thread.executeAfter(task, millis, TimeUnit.MILLISECONDS);
+        return IoTimeout.schedule(thread, millis, task);
     }
 
     private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> next) {
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ConnectionCheck.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ConnectionCheck.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
@@ -30,13 +29,10 @@
         CompletableFuture<Boolean> connected = new CompletableFuture<>();
         IoFuture<StreamConnection> opening = thread.openStreamConnection(address, IoUtils::safeClose, OptionMap.EMPTY);
         opening.addNotifier((future, none) -> connected.complete(future.getStatus() == IoFuture.Status.DONE), null);
-        thread.executeAfter(
-                () -> {
-                    opening.cancel();
-                    connected.complete(false);
-                },
-                timeoutMillis,
-                TimeUnit.MILLISECONDS);
+        thread.execute(() -> IoTimeout.schedule(thread, timeoutMillis, () -> {
+            opening.cancel();
+            connected.complete(false);
+        }));
         return connected;
     }
 }
--- a/gooseberryring-transport/src/test/java/org/gooseberryring/transport/endpoint/EndpointAttemptTest.java
+++ b/gooseberryring-transport/src/test/java/org/gooseberryring/transport/endpoint/EndpointAttemptTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
@@ -16,13 +17,16 @@
 import org.gooseberryring.transport.http.HttpWorker;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.xnio.XnioIoThread;
 
 import static com.google.common.truth.Truth.assertThat;
 
 class EndpointAttemptTest {
     private static final int TIMEOUT_MILLIS = 5_000;
+    private static final int CONNECT_MILLIS = 100;
 
     private HttpWorker worker;
     private ServerSocket endpoint;
@@ -91,6 +95,25 @@
         assertThat(received).contains("X-Other: \u00e9 \t~\r\n");
     }
 
+    /** Guards against a sound endpoint that counts as lost because the host is late to see that its connection opened. */
+    @Test
+    void endpointIsNotLostWhenTheHostIsLateToSeeItsConnection() throws Exception {
+        EndpointLimits limits = new EndpointLimits(8, CONNECT_MILLIS, TIMEOUT_MILLIS, TIMEOUT_MILLIS, 0);
+        EndpointClient client = new EndpointClient(worker, limits, new OneRequestProtocol());
+        CompletableFuture<AttemptOutcome> outcome = new CompletableFuture<>();
+        XnioIoThread thread = worker.xnio().getIoThread();
+
+        client.send(
+                address(), call("GET", "/", "X-Other", "v"), thread, new NoResponse(), new OutcomeListener(outcome));
+        thread.execute(() -> LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(3 * CONNECT_MILLIS)));
+
+        try (Socket connection = endpoint.accept()) {
+            connection.setSoTimeout(TIMEOUT_MILLIS);
+            assertThat(connection.getInputStream().read()).isEqualTo('G');
+        }
+        assertThat(outcome.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).sent()).isTrue();
+    }
+
     private void assertNothingWritten(EndpointCall call) throws Exception {
         CompletableFuture<AttemptOutcome> outcome = new CompletableFuture<>();
         assertThat(send(call, outcome)).isEmpty();
@@ -101,12 +124,7 @@
     private String send(EndpointCall call, CompletableFuture<AttemptOutcome> outcome) throws IOException {
         EndpointLimits limits = new EndpointLimits(8, TIMEOUT_MILLIS, TIMEOUT_MILLIS, TIMEOUT_MILLIS, 0);
         EndpointClient client = new EndpointClient(worker, limits, new OneRequestProtocol());
-        client.send(
-                "127.0.0.1:" + endpoint.getLocalPort(),
-                call,
-                worker.xnio().getIoThread(),
-                new NoResponse(),
-                new OutcomeListener(outcome));
+        client.send(address(), call, worker.xnio().getIoThread(), new NoResponse(), new OutcomeListener(outcome));
         StringBuilder received = new StringBuilder();
         try (Socket connection = endpoint.accept()) {
             connection.setSoTimeout(TIMEOUT_MILLIS);
@@ -121,6 +139,10 @@
         return received.toString();
     }
 
+    private String address() {
+        return "127.0.0.1:" + endpoint.getLocalPort();
+    }
+
     private static EndpointCall call(String method, String path, String header, String value) {
         HeaderMap headers = new HeaderMap();
         headers.put(new HttpString(header.getBytes(StandardCharsets.ISO_8859_1)), value);
