Extend time-outs of calls whose thread is late, too

Calls of the store ended in their time-out on an I/O thread that handled its timers before its sockets: between 20.1 and 27.1 s the log of that host has calls with a time-out of 2.5 s that ended after 2.8 to 4.4 s, one after the other, and paths-changed isolated=true for all endpoints.

Calls use IoTimeout, which may now be scheduled and cancelled on any thread. HttpCallerTest#callDoesNotFailWhenItsThreadIsLate failed before: no response within 200 ms.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ConnectionCheck.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/ConnectionCheck.java
@@ -29,10 +29,10 @@
         CompletableFuture<Boolean> connected = new CompletableFuture<>();
         IoFuture<StreamConnection> opening = thread.openStreamConnection(address, IoUtils::safeClose, OptionMap.EMPTY);
         opening.addNotifier((future, none) -> connected.complete(future.getStatus() == IoFuture.Status.DONE), null);
-        thread.execute(() -> IoTimeout.schedule(thread, timeoutMillis, () -> {
+        IoTimeout.schedule(thread, timeoutMillis, () -> {
             opening.cancel();
             connected.complete(false);
-        }));
+        });
         return connected;
     }
 }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/IoTimeout.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/IoTimeout.java
@@ -19,28 +19,32 @@
     private final Runnable task;
     private final long dueNanos;
     private XnioExecutor.Key key;
+    private boolean removed;
 
-    private IoTimeout(XnioIoThread thread, long millis, Runnable task) {
+    private IoTimeout(XnioIoThread thread, Runnable task, long dueNanos) {
         this.thread = thread;
         this.task = task;
-        this.dueNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
-        this.key = thread.executeAfter(this::onDue, millis, TimeUnit.MILLISECONDS);
+        this.dueNanos = dueNanos;
     }
 
     /**
-     * Schedules a time-out.
+     * Schedules a time-out; may be called on any thread.
      *
-     * @param thread I/O thread of the connection, on which this must be called
+     * @param thread I/O thread of the connection
      * @param millis time until the time-out, in milliseconds
-     * @param task runs on the thread when the time has passed
+     * @param task runs on the I/O thread when the time has passed
      */
     public static IoTimeout schedule(XnioIoThread thread, long millis, Runnable task) {
-        return new IoTimeout(thread, millis, task);
+        long due = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        IoTimeout timeout = new IoTimeout(thread, task, due);
+        timeout.executeAfter(millis, timeout::onDue);
+        return timeout;
     }
 
-    /** Cancels the time-out; must be called on its thread. */
+    /** Cancels the time-out; may be called on any thread. */
     @Override
-    public boolean remove() {
+    public synchronized boolean remove() {
+        removed = true;
         return key.remove();
     }
 
@@ -49,12 +53,18 @@
         return lateMillis > PUNCTUAL_MILLIS ? lateMillis : 0;
     }
 
+    private synchronized void executeAfter(long millis, Runnable step) {
+        if (!removed) {
+            key = thread.executeAfter(step, millis, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void onDue() {
         long extension = extensionMillis(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - dueNanos));
-        if (extension == 0) {
+        if (extension > 0) {
+            executeAfter(extension, task);
+        } else {
             task.run();
-            return;
         }
-        key = thread.executeAfter(task, extension, TimeUnit.MILLISECONDS);
     }
 }
--- a/gooseberryring-transport/src/test/java/org/gooseberryring/transport/http/HttpCallerTest.java
+++ b/gooseberryring-transport/src/test/java/org/gooseberryring/transport/http/HttpCallerTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -23,6 +24,7 @@
 /** Tests calls whose responses are malformed or incomplete, such as those of the store and of orders. */
 class HttpCallerTest {
     private static final long TIMEOUT_MILLIS = 5_000;
+    private static final long SHORT_MILLIS = 200;
 
     /** Size in bytes of a body that exceeds the buffers between the two ends of a connection. */
     private static final int LONG_BODY_BYTES = 8_000_000;
@@ -88,6 +90,24 @@
         assertThat(new String(result.body(), StandardCharsets.ISO_8859_1)).isEqualTo("{}");
     }
 
+    /** Guards against calls that fail since the thread of their connection runs late, although the server responds. */
+    @Test
+    void callDoesNotFailWhenItsThreadIsLate() throws Exception {
+        CompletableFuture<Void> served =
+                CompletableFuture.runAsync(() -> serve("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", 0));
+        URI uri = URI.create("http://127.0.0.1:" + server.getLocalPort() + "/");
+        worker.xnio()
+                .getIoThread()
+                .execute(() -> LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(3 * SHORT_MILLIS)));
+
+        HttpResult result = new HttpCaller(worker)
+                .callAsync("GET", uri, Map.of(), new byte[0], SHORT_MILLIS)
+                .get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+
+        assertThat(result.status()).isEqualTo(200);
+        served.join();
+    }
+
     /** Makes a call and responds to it, before its body was read if {@code early}, then closes the connection. */
     private HttpResult call(String response, byte[] body, boolean early) throws IOException {
         CompletableFuture<Void> served = CompletableFuture.runAsync(() -> serve(response, early ? 0 : body.length));
