Log and measure the delay of I/O threads

A host with little processor time reads requests a second after they have reached its socket, and nothing in its logs or metrics shows it (docs/incidents/late-decisions.md).

A task of the I/O thread alone is no measure: the thread runs all its tasks, also those that become due meanwhile, before it looks at its sockets.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -11,7 +11,6 @@
 import java.util.random.RandomGenerator;
 
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.Headers;
 import org.gooseberryring.coordination.direct.LimitedRequest;
 import org.gooseberryring.coordination.path.RelayFailure;
 import org.gooseberryring.coordination.ratelimit.PermitRequest;
@@ -20,7 +19,6 @@
 import org.gooseberryring.coordination.residency.ResidencyController;
 import org.gooseberryring.host.HostClock;
 import org.gooseberryring.host.HostMetrics;
-import org.gooseberryring.host.admin.PrometheusText;
 import org.gooseberryring.host.caller.CallerEffects;
 import org.gooseberryring.host.caller.EndpointRelays;
 import org.gooseberryring.host.caller.OpenRequests;
@@ -76,6 +74,7 @@
     private final OpenRequests open = new OpenRequests(MAX_OPEN_REQUESTS);
     private final CountDownLatch closed = new CountDownLatch(1);
     private final HttpWorker worker;
+    private final IoThreadDelays ioDelays;
     private final ControlLoop control;
     private final PathChecker pathChecker;
     private final EntryRequests requests;
@@ -103,6 +102,7 @@
     private EntryHost(EntrySettings settings, Function<PlatformAccess, Deployment> platform) {
         this.settings = settings;
         worker = HttpWorker.start(settings.hostId(), IO_THREADS, TASK_THREADS);
+        ioDelays = IoThreadDelays.start(worker, clock::now);
         Deployment deployment = platform.apply(new PlatformAccess(new HttpCaller(worker), clock::now));
         control = new ControlLoop(CONTROL_RING_SIZE, clock::now);
         storeExecutor = new StoreCallExecutor(deployment.objects(), STORE_RING_SIZE);
@@ -150,7 +150,8 @@
         readiness = new FrontListener(worker, settings.readyAddress(), SERVICE_CONNECTIONS, limits, this::handleReady);
         metricsListener = settings.metricsPort() == 0
                 ? null
-                : new FrontListener(worker, metricsAddress(), SERVICE_CONNECTIONS, limits, this::handleMetrics);
+                : new FrontListener(
+                        worker, metricsAddress(), SERVICE_CONNECTIONS, limits, new MetricsHandler(metrics.registry()));
         timer = Executors.newSingleThreadScheduledExecutor(EntryHost::timerThread);
         timer.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
         logStart();
@@ -209,6 +210,7 @@
         requests.loop().close();
         control.close();
         storeExecutor.close();
+        ioDelays.close();
         worker.close();
         LogLine.event("host-stopped").with("host", settings.hostId()).info(LOG);
     }
@@ -454,6 +456,7 @@
         metrics.gauge("ring.requests.depth", () -> requests.loop().depth());
         metrics.gauge("ring.control.depth", control::depth);
         metrics.gauge("ring.control.delay.ms", control::delayMillis);
+        metrics.gauge("io.thread.delay.ms", ioDelays::delayMillis);
         metrics.gauge("configuration.confirmed.age.ms", () -> view.configurationAgeMillis(clock.now()));
     }
 
@@ -462,11 +465,6 @@
         exchange.endExchange();
     }
 
-    private void handleMetrics(HttpServerExchange exchange) {
-        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, PrometheusText.MEDIA_TYPE);
-        exchange.getResponseSender().send(PrometheusText.render(metrics.registry()));
-    }
-
     private InetSocketAddress metricsAddress() {
         return new InetSocketAddress(settings.callerAddress().getAddress(), settings.metricsPort());
     }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/HttpWorker.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/HttpWorker.java
@@ -2,13 +2,16 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 /** I/O threads, buffers and the budget of buffered bytes that the HTTP servers and clients of one process share. */
@@ -63,6 +66,13 @@
         return worker;
     }
 
+    /** Returns the threads that read and write sockets. */
+    public List<XnioIoThread> ioThreads() {
+        return IntStream.range(0, worker.getIoThreadCount())
+                .mapToObj(worker::getIoThread)
+                .toList();
+    }
+
     public ByteBufferPool buffers() {
         return buffers;
     }
