Count the age of a request from when its bytes may have come

The time of arrival is now the time of reading less the time for which the bytes may have waited, by the last look but one of the I/O thread at its sockets. Deadline, last start, and the deadline that endpoints are told count from it. On a thread in time the wait is 0, so that nothing changes there; the bound is short of the truth by 100 ms at most. It needs no clock but the monotonic one, and a process that was stopped has let bytes wait as well.

A request whose time may be over when it is read is rejected at once, as not run, with 503 and Retry-After. The schedule of a stop is asked with the present time, since the time of arrival may now be earlier. request-ended states the wait (socketMs).

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -436,6 +436,7 @@
                 requests::submit,
                 metrics,
                 () -> drainSchedule,
+                ioDelays::waitMillis,
                 clock::now);
     }
 
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
@@ -20,6 +20,7 @@
 import org.gooseberryring.host.caller.RefusedException;
 import org.gooseberryring.host.caller.RequestIntake;
 import org.gooseberryring.host.caller.ResponseProgress;
+import org.gooseberryring.host.caller.SocketWait;
 import org.gooseberryring.host.log.LogLine;
 import org.gooseberryring.state.ApiKey;
 import org.gooseberryring.state.ErrorCode;
@@ -42,6 +43,7 @@
     private static final String NOT_CONFIGURED = "This host has not loaded the state of the deployment yet";
     private static final String STOPPING = "This host is shutting down";
     private static final String NO_ROOM = "This host has no memory for the body now";
+    private static final String TOO_OLD = "The request reached this host too late to be answered in time";
     private static final String NO_ROUTE = "There is no such route";
     private static final String NO_KEY = "The key is missing or unknown";
 
@@ -54,6 +56,7 @@
     private final Predicate<RequestSpec> requests;
     private final HostMetrics metrics;
     private final Supplier<DrainSchedule> drain;
+    private final SocketWait socketWait;
     private final LongSupplier clock;
 
     /**
@@ -62,6 +65,7 @@
      * @param bodyRoom room for the bodies of all requests
      * @param requests submits a request to the request thread; returns false if its ring buffer has no room for new work
      * @param drain schedule of the shutdown of this host, null if it does not stop
+     * @param socketWait how long a request may have waited before it is read
      * @param clock monotonic milliseconds
      */
     FrontHandler(
@@ -74,6 +78,7 @@
             Predicate<RequestSpec> requests,
             HostMetrics metrics,
             Supplier<DrainSchedule> drain,
+            SocketWait socketWait,
             LongSupplier clock) {
         this.view = view;
         this.protocol = protocol;
@@ -84,6 +89,7 @@
         this.requests = requests;
         this.metrics = metrics;
         this.drain = drain;
+        this.socketWait = socketWait;
         this.clock = clock;
     }
 
@@ -93,20 +99,24 @@
         try {
             HeaderRules.checkFraming(exchange.getRequestHeaders());
             RequestHead head = protocol.head(exchange.getRequestHeaders());
-            arrival = new Arrival(head, clock.getAsLong());
-            accept(exchange, arrival);
+            long now = clock.getAsLong();
+            arrival = new Arrival(head, now - socketWait.millis(exchange.getIoThread(), now), now);
+            accept(exchange, arrival, now);
         } catch (RefusedException e) {
             refuse(exchange, arrival, e.refusal());
         }
     }
 
-    private void accept(HttpServerExchange exchange, Arrival arrival) {
+    private void accept(HttpServerExchange exchange, Arrival arrival, long now) {
         ServingConfiguration configuration = view.configuration();
         if (!view.isComplete()) {
             throw refusal(ErrorCode.CONFIGURATION_STALE, NOT_CONFIGURED);
         }
         Admitted admitted = admit(exchange, arrival.head(), configuration);
-        if (isTooLate(arrival, admitted.route())) {
+        if (arrival.isTooOld(admitted.route(), now)) {
+            throw refusal(ErrorCode.DEADLINE_UNREACHABLE, TOO_OLD);
+        }
+        if (isTooLate(arrival, admitted.route(), now)) {
             throw refusal(ErrorCode.SHUTTING_DOWN, STOPPING);
         }
         if (!open.tryAcquire()) {
@@ -121,13 +131,12 @@
     }
 
     /** Returns whether this host stops and a request may not end before it. */
-    private boolean isTooLate(Arrival arrival, Route route) {
+    private boolean isTooLate(Arrival arrival, Route route, long now) {
         DrainSchedule schedule = drain.get();
         if (schedule == null) {
             return false;
         }
-        long deadline = arrival.at() + arrival.head().waitMillis(route);
-        return !schedule.accepts(route.repeatable(), deadline, arrival.at());
+        return !schedule.accepts(route.repeatable(), arrival.deadline(route), now);
     }
 
     private static Admitted admit(HttpServerExchange exchange, RequestHead head, ServingConfiguration configuration) {
@@ -259,6 +268,7 @@
                 .with("whole", isWhole(exchange))
                 .with("response", progress == null ? null : progress.state().logName())
                 .with("startedMs", progress == null ? null : progress.startedMillis())
+                .with("socketMs", arrival.socketMillis() == 0 ? null : arrival.socketMillis())
                 .with("ms", millis)
                 .info(LOG);
         if (progress != null) {
@@ -281,9 +291,30 @@
      * Request whose head has been parsed.
      *
      * @param head head of the request
-     * @param at time of arrival in monotonic milliseconds
+     * @param at earliest time at which the request may have reached the socket, in monotonic milliseconds
+     * @param readAt time at which its head was read, in monotonic milliseconds
      */
-    record Arrival(RequestHead head, long at) {}
+    record Arrival(RequestHead head, long at, long readAt) {
+        /** Returns the milliseconds for which the request may have waited in the socket. */
+        long socketMillis() {
+            return readAt - at;
+        }
+
+        /** Returns the time at which the caller may leave. */
+        long deadline(Route route) {
+            return at + head.waitMillis(route);
+        }
+
+        /** Returns the last time at which the response may start. */
+        long lastStart(Route route) {
+            return Math.min(deadline(route), RequestFactory.responseStartDeadline(route, at));
+        }
+
+        /** Returns whether the caller may have left before the request could run. */
+        boolean isTooOld(Route route, long now) {
+            return now >= lastStart(route);
+        }
+    }
 
     /**
      * Request that the configuration permits.
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RequestFactory.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RequestFactory.java
@@ -119,7 +119,7 @@
                 digest,
                 route.repeatable(),
                 null,
-                arrival.at() + head.waitMillis(route),
+                arrival.deadline(route),
                 policy);
     }
 
@@ -135,7 +135,7 @@
     }
 
     /** Returns the time by which a response must start; callers abandon a stream that does not start. */
-    private static long responseStartDeadline(Route route, long arrivedAt) {
+    static long responseStartDeadline(Route route, long arrivedAt) {
         if (route.kind() != RequestKind.STREAM) {
             return Long.MAX_VALUE;
         }
