--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -205,12 +205,17 @@
 
     private void refuse(RequestEffect.Refuse refuse) {
         OpenRequest request = openRequests.get(refuse.requestId());
-        if (request == null) {
-            metrics.refused(refuse.code().wireName());
-            return;
+        if (request != null) {
+            request.thread().execute(() -> refuse(request, refuse));
+        }
+    }
+
+    /** Refuses a request whose response is not complete; must run on the I/O thread of the request. */
+    private void refuse(OpenRequest request, RequestEffect.Refuse refuse) {
+        if (request.isIncomplete()) {
+            reportRefusal(request, refuse);
+            request.refuse(refusal(refuse));
         }
-        reportRefusal(request, refuse);
-        request.thread().execute(() -> request.refuse(refusal(refuse)));
     }
 
     private void reportRefusal(OpenRequest request, RequestEffect.Refuse refuse) {
@@ -265,8 +270,7 @@
             return;
         }
         if (end.refusal() != null) {
-            reportRefusal(request, end.refusal());
-            request.refuse(refusal(end.refusal()));
+            refuse(request, end.refusal());
         }
         if (end.cancel() != null) {
             request.cancelAttempt(end.cancel().attempt());
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequest.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequest.java
@@ -111,6 +111,11 @@
         }
     }
 
+    /** Returns whether the caller still waits for a response, or for the rest of one. */
+    boolean isIncomplete() {
+        return sink.progress().isIncomplete();
+    }
+
     /** Returns whether the response of an endpoint has started. */
     boolean hasResponseStarted() {
         return sink.progress().hasStarted();
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/ResponseProgress.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/ResponseProgress.java
@@ -77,6 +77,11 @@
         return closed;
     }
 
+    /** Returns whether the caller still waits for a response, or for the rest of one. */
+    boolean isIncomplete() {
+        return !closed && (state == State.WAITING || state == State.STARTED);
+    }
+
     /** Returns whether the response of an endpoint has started. */
     boolean hasStarted() {
         return startedMillis != NOT_STARTED;
