Look at the caller's socket before a request is sent to an endpoint

It reads the socket directly before the first byte of the request is written, at the host of the caller and at a host that passes a request on; a caller that has closed ends the request as not run.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -197,8 +197,9 @@
             loop.attemptEnded(request.spec().id(), progress.number, notRun());
             return;
         }
-        // The caller may disconnect while the connection to the endpoint opens.
-        BooleanSupplier maySend = () -> !request.isEnded() && mayStart.getAsBoolean();
+        // The caller may disconnect while the request waits for this thread or for the connection to the endpoint.
+        BooleanSupplier maySend =
+                () -> !request.isEnded() && mayStart.getAsBoolean() && !CallerWatch.hasLeft(request.connection());
         EndpointAttempt attempt = sender.send(address, call, request.thread(), request.sink(), progress, maySend);
         request.setAttempt(progress.number, attempt);
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EndpointRelayHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EndpointRelayHandler.java
@@ -194,13 +194,8 @@
                 to.remove(EndpointAttempt.VERDICT);
             });
             PassThroughListener listener = new PassThroughListener(targets.signals(head.endpoint()), this::onEnded);
-            EndpointAttempt attempt = client.send(
-                    address,
-                    call(body, now),
-                    exchange.getIoThread(),
-                    sink,
-                    listener,
-                    () -> !ended && clock.getAsLong() < deadline);
+            EndpointAttempt attempt =
+                    client.send(address, call(body, now), exchange.getIoThread(), sink, listener, this::maySend);
             XnioExecutor.Key timer = exchange.getIoThread()
                     .executeAfter(attempt::cancel, Math.max(1, deadline - now), TimeUnit.MILLISECONDS);
             exchange.addExchangeCompleteListener((e, next) -> {
@@ -212,6 +207,11 @@
             CallerWatch.start(exchange, () -> onDisconnect(attempt));
         }
 
+        /** Returns whether the response is still of use; the sender may have left unread. */
+        private boolean maySend() {
+            return !ended && clock.getAsLong() < deadline && !CallerWatch.hasLeft(exchange.getConnection());
+        }
+
         /** Cancels the attempt, because the host that sent the request needs no response any more. */
         private void onDisconnect(EndpointAttempt attempt) {
             ended = true;
