Keep the identifier of a request until its attempt has ended

What callers saw: a request with the identifier of an earlier one got no answer, not at its deadline either, if the earlier one had been rejected, or left by its caller, while its attempt had not ended. The same held for one of two requests with one identifier that were registered at the same time.

Cause: two threads each had a list of the requests that are open. The I/O thread removed a request from OpenRequests when its exchange had ended, and gave its identifier to the next request. The request thread still had the earlier one, whose attempt ran, and ignored the new one. Moreover, the check of the identifier and the registration were two steps, so that a later request replaced an earlier one, and the first exchange that ended removed the other's entry.

The engine now releases an identifier (ReleaseIdentifier) once both the exchange and the attempt have ended. The registration fails if the identifier is taken; such a request is refused as not run. A late cancellation or outcome of an attempt, for example for a claim, now also finds its request.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEffect.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEffect.java
@@ -129,4 +129,11 @@
      * @param softwareVersion software version that began the stream, null if it is not known
      */
     record StreamTakenUp(String requestId, String softwareVersion) implements RequestEffect {}
+
+    /**
+     * Releases the identifier of a request; no further effect of the request follows.
+     *
+     * @param requestId request that has ended, at its caller and at its endpoint
+     */
+    record ReleaseIdentifier(String requestId) implements RequestEffect {}
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -162,6 +162,19 @@
         return done(now);
     }
 
+    /**
+     * Handles the end of a caller's exchange, after all other events of the exchange. The identifier of the request is
+     * released when its attempt has ended as well.
+     */
+    public List<RequestEffect> exchangeEnded(String requestId) {
+        RequestState state = requests.get(requestId);
+        if (state == null) {
+            return List.of(new RequestEffect.ReleaseIdentifier(requestId));
+        }
+        state.exchangeEnded();
+        return List.of();
+    }
+
     /** Processes timers; called at least every 100 ms. */
     public List<RequestEffect> tick(long now) {
         crashes.tick(now);
@@ -247,10 +260,9 @@
     }
 
     private List<RequestEffect> begin(RequestState state, long now) {
-        if (requests.containsKey(state.id())) {
+        if (requests.putIfAbsent(state.id(), state) != null) {
             return done(now);
         }
-        requests.put(state.id(), state);
         crashes.onArrived(state.spec(), now);
         if (shuttingDown) {
             refuse(state, RefusalReason.SHUTDOWN, RETRY_AFTER_MILLIS, now);
@@ -473,6 +485,9 @@
         if (state.hasTokensReserved()) {
             admission.settle(state.id(), state.tokensToCharge(), now);
         }
+        if (state.hasExchangeEnded()) {
+            effects.add(new RequestEffect.ReleaseIdentifier(state.id()));
+        }
     }
 
     private List<RequestEffect> done(long now) {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestState.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestState.java
@@ -45,6 +45,7 @@
     private boolean cancelled;
     private boolean completed;
     private boolean endsUnlessStarted;
+    private boolean exchangeEnded;
     private boolean mayHaveRun;
     private long usedTokens;
     private String softwareVersion;
@@ -284,6 +285,15 @@
         return endsUnlessStarted;
     }
 
+    void exchangeEnded() {
+        exchangeEnded = true;
+    }
+
+    /** Returns whether the exchange of the caller has ended, after which no response can be written. */
+    boolean hasExchangeEnded() {
+        return exchangeEnded;
+    }
+
     /** Returns how often the request was sent, not counting attempts without a connection. */
     int sends() {
         return sends;
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -120,6 +120,8 @@
             remoteEffects.readStreams();
         } else if (effect instanceof RequestEffect.StreamTakenUp takenUp) {
             log(takenUp);
+        } else if (effect instanceof RequestEffect.ReleaseIdentifier release) {
+            openRequests.remove(release.requestId());
         }
     }
 
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequests.java
@@ -40,11 +40,12 @@
         }
     }
 
-    void put(OpenRequest request) {
-        requests.put(request.spec().id(), request);
+    /** Adds a request; returns false if another one has its identifier. */
+    boolean tryPut(OpenRequest request) {
+        return requests.putIfAbsent(request.spec().id(), request) == null;
     }
 
-    /** Returns the request, or null if it has ended. */
+    /** Returns the request, or null if it has ended at its caller and at its endpoint. */
     public OpenRequest get(String id) {
         return requests.get(id);
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RequestIntake.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RequestIntake.java
@@ -13,6 +13,8 @@
     /** Retry delay under overload: long enough for a burst to drain, short enough not to leave capacity idle. */
     public static final long BUSY_RETRY_MILLIS = 1000;
 
+    private static final String IDENTIFIER_TAKEN = "A request with the same identifier is open on this host";
+
     private final OpenRequests openRequests;
     private final RequestLoop loop;
 
@@ -27,12 +29,14 @@
      * @param offer passes the specification to the request thread; returns false if its queue is full
      */
     public void accept(HttpServerExchange exchange, OpenRequest request, Predicate<RequestSpec> offer) {
-        openRequests.put(request);
+        if (!openRequests.tryPut(request)) {
+            request.refuse(Refusal.retry(ErrorCode.OVERLOADED, BUSY_RETRY_MILLIS, IDENTIFIER_TAKEN));
+            return;
+        }
         // Keeps the exchange open after this call, until the request thread has decided on the request.
         exchange.dispatch();
         exchange.addExchangeCompleteListener((e, next) -> {
-            // Removed after the request thread has handled all events that concern the request.
-            loop.after(() -> openRequests.remove(request.spec().id()));
+            loop.exchangeEnded(request.spec().id());
             next.proceed();
         });
         CallerWatch.start(exchange, () -> onDisconnect(request));
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/RequestLoop.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/engine/RequestLoop.java
@@ -67,6 +67,10 @@
         ring.put((e, now) -> e.callerGone(requestId, now));
     }
 
+    public void exchangeEnded(String requestId) {
+        ring.put((e, now) -> e.exchangeEnded(requestId));
+    }
+
     /** Queues a timer tick; skipped when the ring is full. */
     public void tick() {
         ring.offer((e, now) -> {
