End an attempt that does not continue its stream in time

What callers saw: a stream whose endpoint broke off, and whose next endpoint sent nothing, waited to its deadline, or without an end at the deadline for as long as an attempt may run.

Cause: the time limit for the start ends only requests without any response, and a stream that is continued has one. The time limit from its break was applied in the queue, but not to the attempt that runs.

The attempt is now cancelled at that time limit, unless its part of the response has started, which the I/O thread decides (EndUnstarted without a refusal looks at the attempt, not at the whole response). The engine then decides as for each attempt that ends: the stream goes on elsewhere or is cut.

Evidence: two tests of EntryEngineTest, continuedStream..., failed before: nothing happened at the time limit, 2.35 s after the break. CutResponseTest has both orders of the time limit and the next event.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/AttemptEnd.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/AttemptEnd.java
@@ -24,6 +24,18 @@
         state.endsUnlessStarted(true, state.isCancelled() || isCancelled);
     }
 
+    /**
+     * Refuses a running request whose response has not started in time, or cancels the attempt that was to continue a
+     * response and has not gone on in time.
+     */
+    static void endOverdue(RequestState state, long retryAfterMillis, List<RequestEffect> effects) {
+        if (!state.hasAnyResponseStarted()) {
+            refuseUnlessStarted(state, RefusalReason.TIMEOUT, retryAfterMillis, effects);
+        } else if (!state.hasResponseStarted() && state.endpoint() != null) {
+            cancelUnlessStarted(state, effects);
+        }
+    }
+
     /** Cancels an attempt, unless its response has started, of which the request thread may not have heard yet. */
     static void cancelUnlessStarted(RequestState state, List<RequestEffect> effects) {
         if (!state.isCancelled()) {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEffect.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEffect.java
@@ -83,7 +83,7 @@
     record Cancel(String requestId, int attempt, String endpoint) implements RequestEffect {}
 
     /**
-     * Ends an attempt unless its response has started at the caller.
+     * Ends an attempt unless its response has started at the caller; with a refusal, unless any response has.
      *
      * <p>The I/O thread of the request decides. If the response has started, the effect is void, and the engine learns of
      * the start by {@link RequestEngine#onResponseStarted}; otherwise none starts any more.
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/RequestEngine.java
@@ -453,7 +453,7 @@
             refuse(state, RefusalReason.TIMEOUT, RETRY_AFTER_MILLIS, now);
             AttemptEnd.cancelIfUnused(state, effects);
         } else {
-            AttemptEnd.refuseUnlessStarted(state, RefusalReason.TIMEOUT, RETRY_AFTER_MILLIS, effects);
+            AttemptEnd.endOverdue(state, RETRY_AFTER_MILLIS, effects);
         }
     }
 
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
@@ -135,6 +135,45 @@
         assertThat(engine.tick(9_000).get(0)).isInstanceOf(RequestEffect.Refuse.class);
     }
 
+    /** Guards against a stream that waits to its deadline for an endpoint that does not continue it. */
+    @Test
+    void continuedStreamThatDoesNotGoOnInTimeIsEnded() {
+        register("e1", 4);
+        register("e2", 4);
+        RequestPolicy handling = new RequestPolicy("s", 2, true, true, true, true, 1, 400, 2_350, PromptShape.NONE);
+        engine.arrived(
+                new RequestSpec("q", null, TARGET, PriorityClass.NORMAL, 0, 0, DIGEST, true, null, 9_000, handling), 0);
+        engine.onResponseStarted("q", 1, 10);
+        engine.attemptEnded("q", 1, new AttemptOutcome(Verdict.MAY_HAVE_RUN, 200, 0, true, false, 5), 5_000);
+        assertThat(engine.tick(7_340)).isEmpty();
+
+        RequestEffect.EndUnstarted end =
+                (RequestEffect.EndUnstarted) engine.tick(7_350).get(0);
+
+        assertThat(end.refusal()).isNull();
+        assertThat(end.cancel().attempt()).isEqualTo(2);
+        AttemptOutcome unstarted = new AttemptOutcome(Verdict.MAY_HAVE_RUN, 0, 0, false, false, -1);
+        assertThat(engine.attemptEnded("q", 2, unstarted, 7_360).get(0)).isInstanceOf(RequestEffect.Refuse.class);
+    }
+
+    /** Guards against a continued stream that counts as cancelled although it went on before. */
+    @Test
+    void continuedStreamThatGoesOnInTheMeantimeIsNotEnded() {
+        register("e1", 4);
+        register("e2", 4);
+        RequestPolicy handling = new RequestPolicy("s", 2, true, true, true, true, 1, 400, 2_350, PromptShape.NONE);
+        engine.arrived(
+                new RequestSpec("q", null, TARGET, PriorityClass.NORMAL, 0, 0, DIGEST, true, null, 9_000, handling), 0);
+        engine.onResponseStarted("q", 1, 10);
+        engine.attemptEnded("q", 1, new AttemptOutcome(Verdict.MAY_HAVE_RUN, 200, 0, true, false, 5), 5_000);
+        assertThat(engine.tick(7_350)).hasSize(1);
+
+        engine.onResponseStarted("q", 2, 7_360);
+
+        assertThat(engine.tick(8_990)).isEmpty();
+        assertThat(engine.tick(9_000)).hasSize(2);
+    }
+
     /** Guards against an endpoint of another software version that has the identifier or address of a known one. */
     @Test
     void abortsBrokenStreamWhileTheRegistryIsNotCurrent() {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerEffects.java
@@ -262,7 +262,7 @@
 
     /** Ends an attempt unless its response has started; must run on the I/O thread of the request, which starts it. */
     private void endUnstarted(OpenRequest request, RequestEffect.EndUnstarted end) {
-        if (request.hasResponseStarted()) {
+        if (isVoid(request, end)) {
             metrics.counter("ends.void").inc();
             LogLine.event("end-void")
                     .with("requestId", end.requestId())
@@ -281,6 +281,11 @@
         }
     }
 
+    /** Returns whether what is to end has started: the whole response, or the part that the attempt adds to it. */
+    private static boolean isVoid(OpenRequest request, RequestEffect.EndUnstarted end) {
+        return end.refusal() == null ? request.hasAttemptStarted(end.cancel().attempt()) : request.hasResponseStarted();
+    }
+
     private static AttemptOutcome notRun() {
         return new AttemptOutcome(Verdict.NOT_RUN, 0, 0, false, false, -1);
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequest.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/OpenRequest.java
@@ -116,6 +116,11 @@
         return sink.progress().isIncomplete();
     }
 
+    /** Returns whether the attempt with the given number is the current one and its response has started. */
+    boolean hasAttemptStarted(int number) {
+        return attempt != null && attemptNumber == number && attempt.hasStarted();
+    }
+
     /** Returns whether the response of an endpoint has started. */
     boolean hasResponseStarted() {
         return sink.progress().hasStarted();
--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/entry/CutResponseTest.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/entry/CutResponseTest.java
@@ -1,11 +1,14 @@
 package org.gooseberryring.host.entry;
 
+import java.util.OptionalLong;
 import java.util.concurrent.CountDownLatch;
 
 import org.gooseberryring.coordination.request.RequestPolicy;
 import org.gooseberryring.coordination.request.RequestSpec;
 import org.gooseberryring.state.PriorityClass;
 import org.gooseberryring.state.PromptShape;
+import org.gooseberryring.transport.endpoint.EventCursor;
+import org.gooseberryring.transport.endpoint.EventNumbering;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -86,6 +89,58 @@
         }
     }
 
+    /** Guards against a stream that waits to its deadline for an endpoint that does not continue it. */
+    @Test
+    void continuedStreamThatDoesNotGoOnInTimeIsCut() throws Exception {
+        try (ControlledEndpoint other = new ControlledEndpoint();
+                RawCaller caller = new RawCaller(host.port())) {
+            ControlledEndpoint.Run run = continued(caller, other);
+
+            host.tickAt(START_MILLIS);
+            run.awaitClose();
+            host.settle();
+
+            assertThat(caller.readTo(END)).endsWith("a\n\n\r\n<end>");
+        }
+    }
+
+    /** Guards against a continued stream that is cut because the request thread has not heard that it goes on. */
+    @Test
+    void continuedStreamThatGoesOnIsNotCutByTheTimeLimitForIt() throws Exception {
+        try (ControlledEndpoint other = new ControlledEndpoint();
+                RawCaller caller = new RawCaller(host.port())) {
+            ControlledEndpoint.Run run = continued(caller, other);
+            CountDownLatch held = host.hold();
+            host.tickAt(START_MILLIS);
+            run.send(STREAM_HEAD + event(2));
+            assertThat(caller.readTo("id: 2")).endsWith("id: 2");
+            held.countDown();
+            host.settle();
+            host.settle();
+
+            run.send(event(3) + END);
+
+            assertThat(caller.readTo(END)).contains("id: 3");
+        }
+    }
+
+    /** Returns the run of the endpoint that is to continue a stream, of which the caller has the first event. */
+    private ControlledEndpoint.Run continued(RawCaller caller, ControlledEndpoint other) throws Exception {
+        host.route("/resumable", resumable());
+        host.readEvents("/resumable", new EventCursor(OptionalLong.empty(), new EventNumbering()));
+        caller.get("/resumable");
+        ControlledEndpoint.Run first = endpoint.awaitRequest();
+        host.register("e2", other, 4);
+        first.send(STREAM_HEAD + event(1));
+        caller.readTo("id: 1");
+        first.send("a\r\nnonsense\n\n\r\n");
+        return other.awaitRequest();
+    }
+
+    private static String event(int id) {
+        return "f\r\nid: " + id + "\ndata: a\n\n\r\n";
+    }
+
     /** Guards against a late response that closes, or is written to, the connection of the caller's next request. */
     @Test
     void lateResponseOfARejectedRequestLeavesItsConnectionAlone() throws Exception {
@@ -148,6 +203,16 @@
             String id, boolean repeatable, boolean endsAtDeadline, long startBy, long deadline) {
         RequestPolicy policy = new RequestPolicy(
                 "s", 2, true, false, endsAtDeadline, endsAtDeadline, 1, OBJECTIVE_MILLIS, startBy, PromptShape.NONE);
+        return spec(id, repeatable, deadline, policy);
+    }
+
+    private static RequestSpec resumable() {
+        RequestPolicy policy =
+                new RequestPolicy("s", 2, true, true, true, true, 1, OBJECTIVE_MILLIS, START_MILLIS, PromptShape.NONE);
+        return spec("resumable", true, DEADLINE_MILLIS, policy);
+    }
+
+    private static RequestSpec spec(String id, boolean repeatable, long deadline, RequestPolicy policy) {
         return new RequestSpec(
                 id,
                 null,
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -80,6 +80,11 @@
         end(unfinishedVerdict(), false, null);
     }
 
+    /** Returns whether its response has started at the sink; must be called on its I/O thread. */
+    public boolean hasStarted() {
+        return copier != null && copier.isStarted();
+    }
+
     void begin() {
         if (ended) {
             return;
