Do not run a time-out that was cancelled while its timer was queued

A time-out of a connection, for example of its opening, could come after it was cancelled, and end an attempt or a call that had gone on.

Cause: the I/O thread queues all timers that are due and then runs them one after the other. What runs first may cancel a time-out behind it; removing its key then has no effect, and IoTimeout did not look at its own cancellation.

A time-out now checks whether it was cancelled directly before it runs.

Evidence: IoTimeoutTest#cancelledTimeoutDoesNotComeInTheSameMoment failed before: the second of two time-outs of the same moment came although the first had cancelled it.

--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/IoTimeout.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/http/IoTimeout.java
@@ -62,9 +62,20 @@
     private void onDue() {
         long extension = extensionMillis(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - dueNanos));
         if (extension > 0) {
-            executeAfter(extension, task);
+            executeAfter(extension, this::runUnlessRemoved);
         } else {
+            runUnlessRemoved();
+        }
+    }
+
+    private void runUnlessRemoved() {
+        // The thread queues all timers that are due at once; the removal of a queued one does not keep it from running.
+        if (!isRemoved()) {
             task.run();
         }
     }
+
+    private synchronized boolean isRemoved() {
+        return removed;
+    }
 }
