Apply newer objects that a relay passes on although earlier changes are missing

Cause: the host, restarted on a tenth of a core, had read the store up to revision 249. Its relay passed on version 7 of the configuration at 28.733 s, with changes that begin at 262, and the host dropped them, since earlier ones were missing. It put the version in force 1.09 s later, when a watch of its own was answered.

An object is complete by itself. Changes and additions that are newer than all that the host has read are now applied at once; the known position does not move, so that the missing changes are still read, and older states of the object are ignored, also in a list and in removals. store-read says relay-incomplete for these.

CollectionFeedTest#appliesANewerObjectOfARelayAlthoughEarlierChangesAreMissing failed before (a=A where A2 had come).

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/CollectionFeed.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/CollectionFeed.java
@@ -161,18 +161,26 @@
     }
 
     /**
-     * Handles changes that another host relays.
+     * Handles changes that another host relays. If earlier changes are missing, objects that are newer than all that this
+     * host has read are applied all the same, since each is complete by itself.
      *
      * @param from position after which the changes are complete
+     * @return whether all changes up to the relayed position are known now
      */
-    public void onRelayedChanges(StorePosition from, FeedChanges<T> changes, long now) {
-        boolean sameEpoch = changes.at().epoch() == from.epoch();
-        if (following && !listing && sameEpoch && known.hasReached(from)) {
-            apply(changes, now);
-            // The other host passes a response of the store on at once.
-            relayedAt = now - times.overdueMillis();
-            confirmedAt = Math.max(confirmedAt, relayedAt);
+    public boolean onRelayedChanges(StorePosition from, FeedChanges<T> changes, long now) {
+        boolean sameEpoch = changes.at().epoch() == from.epoch() && from.epoch() == known.epoch();
+        if (listing || !sameEpoch) {
+            return false;
+        }
+        if (!following || !known.hasReached(from)) {
+            changes.newest().stream().filter(change -> !change.removed()).forEach(change -> applyNewer(change, now));
+            return false;
         }
+        apply(changes, now);
+        // The other host passes a response of the store on at once.
+        relayedAt = now - times.overdueMillis();
+        confirmedAt = Math.max(confirmedAt, relayedAt);
+        return true;
     }
 
     /**
@@ -317,12 +325,10 @@
 
     private void apply(FeedChanges<T> changes, long now) {
         for (FeedChanges.Change<T> change : changes.newest()) {
-            FeedItem<T> item = change.item();
             if (change.removed()) {
-                objects.onRemoved(item, now);
-            } else if (item.revision() > known.revision()) {
-                // Relayed changes may be older than the state that this host has read itself.
-                objects.onChanged(item, now);
+                objects.onRemoved(change.item(), changes.at().revision(), now);
+            } else {
+                applyNewer(change, now);
             }
         }
         known = new StorePosition(
@@ -332,6 +338,13 @@
         }
     }
 
+    /** Applies an object unless this host has read a later state of the store itself. */
+    private void applyNewer(FeedChanges.Change<T> change, long now) {
+        if (change.item().revision() > known.revision()) {
+            objects.onChanged(change.item(), now);
+        }
+    }
+
     /** Returns whether the followed host provides all changes, so that no call is needed. */
     private boolean isIdle(long now) {
         boolean upToDate = !listing && now - behindSince <= BEHIND_MILLIS && !isStale(confirmedAt, now);
@@ -363,7 +376,7 @@
     }
 
     private void applyList(long now) {
-        objects.onListed(pages.values(), now);
+        objects.onListed(pages.values(), listed.revision(), now);
         pages.clear();
         known = listed;
         confirmedAt = Math.max(confirmedAt, listCalledAt);
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/KnownObjects.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/feed/KnownObjects.java
@@ -62,9 +62,14 @@
         restored = true;
     }
 
-    /** Applies the complete list of objects. */
-    void onListed(Collection<FeedItem<T>> items, long now) {
+    /**
+     * Applies the complete list of objects.
+     *
+     * @param revision revision of the list; objects with a later one are newer than the list
+     */
+    void onListed(Collection<FeedItem<T>> items, long revision, long now) {
         Set<String> missing = new HashSet<>(revisions.keySet());
+        missing.removeIf(name -> revisions.get(name) > revision);
         missing.addAll(reappeared.keySet());
         for (FeedItem<T> item : items) {
             missing.remove(item.name());
@@ -93,10 +98,14 @@
         }
     }
 
-    /** Removes an object, unless it was written again after its given last state. */
-    void onRemoved(FeedItem<T> last, long now) {
+    /**
+     * Removes an object, unless it was written again after its given last state.
+     *
+     * @param revision revision of the state of the store in which it is removed
+     */
+    void onRemoved(FeedItem<T> last, long revision, long now) {
         Long knownRevision = revisions.get(last.name());
-        if (knownRevision == null || knownRevision <= last.revision()) {
+        if (knownRevision == null || knownRevision <= Math.min(last.revision(), revision)) {
             removeOrKeep(last.name(), now);
         }
     }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/feed/CollectionFeedTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/feed/CollectionFeedTest.java
@@ -289,6 +289,26 @@
         assertThat(known).containsExactly("b", "B2");
     }
 
+    /** Guards against a new configuration that a late host has received from its relay and does not put in force. */
+    @Test
+    void appliesANewerObjectOfARelayAlthoughEarlierChangesAreMissing() {
+        long id = listed(0, 100, item("a", 90, "A"), item("b", 90, "B"));
+
+        feed.onRelayedChanges(
+                new StorePosition(EPOCH, 150),
+                changes(160, changed("a", 155, "A2"), changed("c", 156, "C"), removed("b")),
+                1_000);
+
+        assertThat(known).containsExactly("a", "A2", "b", "B", "c", "C");
+        FeedCall next = only(feed.onChanges(id, changes(120, changed("a", 110, "A1"), removed("c")), 2_000));
+        assertThat(known).containsExactly("a", "A2", "b", "B", "c", "C");
+        FeedCall list = only(feed.onHistoryGone(next.id(), 2_100));
+        FeedCall watch = only(feed.onPage(list.id(), page(false, 140, item("a", 110, "A1")), 2_200));
+        assertThat(known).containsExactly("a", "A2", "c", "C");
+        feed.onChanges(watch.id(), changes(170, removed("c")), 2_300);
+        assertThat(known).containsExactly("a", "A2");
+    }
+
     /** Guards against comparing the revisions of a relay and a host that are in different epochs. */
     @Test
     void followsOnlyARelayOfTheSameEpoch() {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FeedRunner.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FeedRunner.java
@@ -111,8 +111,14 @@
     void onChangesForwarded(StorePosition from, byte[] encoded, long arrivedAt, long now) {
         try {
             FeedChanges<T> changes = source.decode(encoded, from.epoch());
-            feed.onRelayedChanges(from, changes, arrivedAt);
-            logRead("relay", changes.at(), changes.changes().size(), NO_CALL, arrivedAt, now);
+            boolean complete = feed.onRelayedChanges(from, changes, arrivedAt);
+            logRead(
+                    complete ? "relay" : "relay-incomplete",
+                    changes.at(),
+                    changes.changes().size(),
+                    NO_CALL,
+                    arrivedAt,
+                    now);
         } catch (GooseberryringException e) {
             LogLine.event("passed-changes-unreadable")
                     .with("collection", collection)
