Count the age of a relayed request from when its bytes may have come

Callers whose request takes the way over a second host saw the same as with one: the second host counts the time that is left from the end of the body's reading, and tells the endpoint a deadline that is later than it is by the time for which the request waited in its socket.

The time left now counts from when the head may have come, by the same bound as at the first host.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EndpointRelayHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EndpointRelayHandler.java
@@ -49,6 +49,7 @@
     private final ResponseHeaderPolicy responseHeaders;
     private final IntSupplier maxBodyBytes;
     private final HostMetrics metrics;
+    private final SocketWait socketWait;
     private final LongSupplier clock;
     private final int maxRelayed;
     private final AtomicInteger relayed = new AtomicInteger();
@@ -75,6 +76,7 @@
      * @param protocol protocol of the client
      * @param responseHeaders selects the headers of endpoint responses that are passed on
      * @param maxBodyBytes returns the maximum size of a body
+     * @param socketWait how long a request may have waited before it is read
      * @param clock monotonic milliseconds
      * @param maxRelayed maximum number of requests of other hosts, so that those of this host's callers find room
      */
@@ -88,6 +90,7 @@
             ResponseHeaderPolicy responseHeaders,
             IntSupplier maxBodyBytes,
             HostMetrics metrics,
+            SocketWait socketWait,
             LongSupplier clock,
             int maxRelayed) {
         this.authenticator = authenticator;
@@ -99,6 +102,7 @@
         this.responseHeaders = responseHeaders;
         this.maxBodyBytes = maxBodyBytes;
         this.metrics = metrics;
+        this.socketWait = socketWait;
         this.clock = clock;
         this.maxRelayed = maxRelayed;
     }
@@ -116,15 +120,17 @@
             openRequests.release();
             next.proceed();
         });
-        new BodyReceiver(exchange, bodyRoom, BODY_OWNER, maxBodyBytes.getAsInt(), MAX_BODY_MILLIS, outcome(exchange))
-                .start();
+        long now = clock.getAsLong();
+        long arrivedAt = now - socketWait.millis(exchange.getIoThread(), now);
+        BodyReceiver.Outcome outcome = outcome(exchange, arrivedAt);
+        new BodyReceiver(exchange, bodyRoom, BODY_OWNER, maxBodyBytes.getAsInt(), MAX_BODY_MILLIS, outcome).start();
     }
 
-    private BodyReceiver.Outcome outcome(HttpServerExchange exchange) {
+    private BodyReceiver.Outcome outcome(HttpServerExchange exchange, long arrivedAt) {
         return new BodyReceiver.Outcome() {
             @Override
             public void onBody(byte[] body) {
-                handleBody(exchange, body);
+                handleBody(exchange, body, arrivedAt);
             }
 
             @Override
@@ -149,13 +155,13 @@
         };
     }
 
-    private void handleBody(HttpServerExchange exchange, byte[] body) {
+    private void handleBody(HttpServerExchange exchange, byte[] body, long arrivedAt) {
         try {
             long now = clock.getAsLong();
             RelayHead head = authenticator.authenticate(exchange, body);
             String address = targets.address(head.endpoint());
             exchange.dispatch();
-            new Relayed(exchange, head, now + head.deadlineMillis()).start(address, body, now);
+            new Relayed(exchange, head, arrivedAt + head.deadlineMillis()).start(address, body, now);
         } catch (RefusedException e) {
             refuse(exchange, e.refusal());
         }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -320,6 +320,7 @@
                 mesh::secret,
                 exchange::reach,
                 metrics,
+                ioDelays::waitMillis,
                 clock::now,
                 clock::wallMillis);
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RelayListener.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/RelayListener.java
@@ -12,6 +12,7 @@
 import org.gooseberryring.host.caller.OpenRequests;
 import org.gooseberryring.host.caller.RefusedException;
 import org.gooseberryring.host.caller.RelayAuthenticator;
+import org.gooseberryring.host.caller.SocketWait;
 import org.gooseberryring.state.EndpointProcess;
 import org.gooseberryring.state.EndpointRegistration;
 import org.gooseberryring.state.RequestLimits;
@@ -41,6 +42,7 @@
      * @param endpointLimits limits of connections to endpoints
      * @param secret returns the secret that all hosts share, null while it is not known
      * @param reach returns the endpoints that this host does not reach itself
+     * @param socketWait how long a request may have waited before it is read
      * @param clock monotonic milliseconds
      * @param wallClock milliseconds since the Unix epoch
      */
@@ -55,6 +57,7 @@
             Supplier<byte[]> secret,
             Supplier<OwnReach> reach,
             HostMetrics metrics,
+            SocketWait socketWait,
             LongSupplier clock,
             LongSupplier wallClock) {
         this.view = view;
@@ -73,6 +76,7 @@
                 deployment.callerProtocol().responseFormat().headers(),
                 maxBodyBytes,
                 metrics,
+                socketWait,
                 clock,
                 open.maxOpen() / 2);
         RequestLimits limits = new RequestLimits(MAX_HEADER_BYTES, maxBodyBytes.getAsInt(), HEADER_MILLIS, IDLE_MILLIS);
