--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -10,7 +10,6 @@
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 
-import io.undertow.server.HttpServerExchange;
 import org.gooseberryring.coordination.direct.LimitedRequest;
 import org.gooseberryring.coordination.path.RelayFailure;
 import org.gooseberryring.coordination.ratelimit.PermitRequest;
@@ -58,9 +57,6 @@
     /** Ticks between two ticks of the control thread, unless an order or permits are due sooner. */
     private static final long CONTROL_TICKS = 4;
 
-    private static final int OK = 200;
-    private static final int UNAVAILABLE = 503;
-
     /** Limits of connections to endpoints; a connection within a region opens in a few milliseconds. */
     private static final EndpointLimits ENDPOINT_LIMITS = new EndpointLimits(1_000, 400, 600_000, 600_000, 0);
 
@@ -147,7 +143,8 @@
                 limits,
                 frontHandler(deployment.callerProtocol(), random.split()));
         relayListener = relayListener(deployment);
-        readiness = new FrontListener(worker, settings.readyAddress(), SERVICE_CONNECTIONS, limits, this::handleReady);
+        readiness = new FrontListener(
+                worker, settings.readyAddress(), SERVICE_CONNECTIONS, limits, new ReadinessHandler(this::isReady));
         metricsListener = settings.metricsPort() == 0
                 ? null
                 : new FrontListener(
@@ -462,11 +459,6 @@
         metrics.gauge("configuration.confirmed.age.ms", () -> view.configurationAgeMillis(clock.now()));
     }
 
-    private void handleReady(HttpServerExchange exchange) {
-        exchange.setStatusCode(isReady() ? OK : UNAVAILABLE);
-        exchange.endExchange();
-    }
-
     private InetSocketAddress metricsAddress() {
         return new InetSocketAddress(settings.callerAddress().getAddress(), settings.metricsPort());
     }
