Answer requests whose body is read late

What callers saw: a request whose body had arrived was closed without an answer by a host that was late to read it.

PlatformLateHostTest#requestWhoseBodyIsReadLateIsAnswered failed before with a reset; the request now gets 503, as not run.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/BodyReceiver.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/BodyReceiver.java
@@ -3,13 +3,13 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
-import java.util.concurrent.TimeUnit;
 
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.io.Receiver;
 import io.undertow.server.Connectors;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import org.gooseberryring.transport.http.IoTimeout;
 import org.gooseberryring.transport.http.SharedRoom;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSourceChannel;
@@ -82,7 +82,7 @@
 
     /** Starts to receive; called once, in the handler of the exchange. */
     public void start() {
-        timer = exchange.getIoThread().executeAfter(outcome::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
+        timer = IoTimeout.schedule(exchange.getIoThread(), timeoutMillis, outcome::onTimeout);
         exchange.addExchangeCompleteListener((done, next) -> {
             timer.remove();
             release();
