Read on after the rejection of a body before its connection is closed

What callers saw: an upload that was rejected while it was being sent (401, 404, 413) failed with a reset. A caller that reads only after it has sent its whole request got no answer, although the host had written one.

Cause: a request with an unread body made its connection not persistent. The server then closes the socket right after the response, and the system answers what still arrives with a reset, which also discards what has not been sent yet. Only bodies without room were read to their end, without a bound on their bytes.

LingeringResponse now ends a rejection of an unread body: it ends the writes, reads and discards until the caller closes, for at most 10 s and 16 MB, and then closes. It needs no framing, so the rest of a malformed request is discarded as well. Bodies without room take the same way, in place of their own. The memory of a body is released when it is rejected, not when the connection ends.

Not covered: handlers that block (the administration interface) reject a body of more than their limit as before.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/BodyReceiver.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/BodyReceiver.java
@@ -9,7 +9,6 @@
 import io.undertow.io.Receiver;
 import io.undertow.server.Connectors;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.AttachmentKey;
 import io.undertow.util.Headers;
 import org.gooseberryring.transport.http.SharedRoom;
 import org.xnio.XnioExecutor;
@@ -31,8 +30,6 @@
     /** Size in bytes of the first buffer for a body of unknown size. */
     private static final int FIRST_BYTES = 1_024;
 
-    private static final AttachmentKey<Boolean> DISCARDS_REST = AttachmentKey.create(Boolean.class);
-
     private final HttpServerExchange exchange;
     private final SharedRoom room;
     private final String owner;
@@ -56,7 +53,7 @@
         /** The body has not arrived in time; the connection is to be closed. */
         void onTimeout();
 
-        /** The body is not received, because there is no room for it; its rest is discarded once the exchange is ended. */
+        /** The body is not received, because there is no room for it. */
         void onNoRoom();
     }
 
@@ -66,7 +63,7 @@
      * @param room room for the bodies of all requests
      * @param owner organisation to which the body belongs
      * @param maxBytes maximum size of the body
-     * @param timeoutMillis time for the body, also for one that is discarded
+     * @param timeoutMillis time for the body
      */
     public BodyReceiver(
             HttpServerExchange exchange,
@@ -83,17 +80,6 @@
         this.outcome = outcome;
     }
 
-    /**
-     * Makes the connection close after the response if the body is unread, since its rest cannot be told from another
-     * request. A body without room is read and discarded instead, because a connection that is closed with unread bytes is
-     * reset, and its caller may lose the response.
-     */
-    public static void closeIfUnread(HttpServerExchange exchange) {
-        if (!exchange.isRequestComplete() && exchange.getAttachment(DISCARDS_REST) == null) {
-            exchange.setPersistent(false);
-        }
-    }
-
     /** Starts to receive; called once, in the handler of the exchange. */
     public void start() {
         timer = exchange.getIoThread().executeAfter(outcome::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
@@ -172,6 +158,8 @@
 
     private void fail(IOException failure) {
         timer.remove();
+        body = null;
+        release();
         outcome.onFailure(failure);
     }
 
@@ -184,7 +172,7 @@
     }
 
     private void rejectWithoutRoom() {
-        exchange.putAttachment(DISCARDS_REST, true);
+        timer.remove();
         outcome.onNoRoom();
     }
 
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/ProblemWriter.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/ProblemWriter.java
@@ -18,7 +18,6 @@
 
     /** Writes a refusal to an exchange whose response has not started, and ends the exchange. */
     public static void write(HttpServerExchange exchange, String requestId, Refusal refusal) {
-        BodyReceiver.closeIfUnread(exchange);
         String code = refusal.code().wireName();
         Problem problem = new Problem(
                 TYPE_PREFIX + code,
@@ -36,6 +35,6 @@
             long seconds = (refusal.retryAfterMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
             exchange.getResponseHeaders().put(Headers.RETRY_AFTER, seconds);
         }
-        exchange.getResponseSender().send(ByteBuffer.wrap(Json.write(problem)));
+        LingeringResponse.send(exchange, ByteBuffer.wrap(Json.write(problem)));
     }
 }
