Leave the limit of bodies to the handlers, so that large ones are answered

What callers saw: an upload of 4 MB, of 8 MB that the configuration allowed, was closed without any answer.

Cause: the HTTP server has a limit of its own, 2 MiB unless it is set, and closes the connection of a larger body before a handler can answer. The configuration's limit above that had no effect.

All handlers that read a body check its size and answer 413, so the server's limit is turned off.

CallerHandlerTest#largeBodyWithinTheLimitIsAnswered failed before with "received no bytes" for 3 MB.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/HttpListener.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/HttpListener.java
@@ -17,6 +17,9 @@
     private static final int MAX_HEADERS = 64;
     private static final int MAX_HEADER_BYTES = 32 * 1024;
 
+    /** The handlers limit bodies; a limit of the server closes the connection without a response. */
+    private static final long UNLIMITED = -1;
+
     private final Undertow server;
     private final InetSocketAddress address;
 
@@ -39,6 +42,7 @@
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_TIMEOUT_MILLIS)
                 .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, UNLIMITED)
                 .setServerOption(UndertowOptions.DECODE_URL, false)
                 .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 // Sends 100 Continue for Expect: 100-continue when the handler begins to read the body.
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontListener.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontListener.java
@@ -26,6 +26,9 @@
     private static final int MAX_HEADERS = 128;
     private static final int BACKLOG = 512;
 
+    /** The handlers limit bodies; a limit of the server closes the connection without a response. */
+    private static final long UNLIMITED = -1;
+
     private final HttpOpenListener listener;
     private final AcceptingChannel<? extends StreamConnection> server;
     private final Set<ServerConnection> idle = ConcurrentHashMap.newKeySet();
@@ -109,6 +112,7 @@
                 .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.headerMillis())
                 .set(UndertowOptions.MAX_HEADER_SIZE, limits.headerBytes())
                 .set(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+                .set(UndertowOptions.MAX_ENTITY_SIZE, UNLIMITED)
                 .set(UndertowOptions.DECODE_URL, false)
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/caller/CallerHandlerTest.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/caller/CallerHandlerTest.java
@@ -164,6 +164,17 @@
         assertThat(TestFleet.code(response)).isEqualTo("body-too-large not-run");
     }
 
+    /** Guards against large bodies that the HTTP server closes without a response, below the limit of the settings. */
+    @Test
+    void largeBodyWithinTheLimitIsAnswered() throws Exception {
+        Host large = fleet.host("h2", "d1", "{\"limits\":{\"maxBodyBytes\":4000000}}");
+        fleet.configure(large);
+
+        HttpRequest.Builder request = fleet.service(large, "POST", "/status")
+                .POST(HttpRequest.BodyPublishers.ofByteArray(new byte[3_000_000]));
+        assertThat(fleet.send(request).statusCode()).isEqualTo(200);
+    }
+
     /** Guards against a request that runs although its body is incomplete. */
     @Test
     void requestWithTruncatedBodyDoesNotRun() throws IOException {
--- a/gooseberryring-standins/src/main/java/org/gooseberryring/standins/StandInServer.java
+++ b/gooseberryring-standins/src/main/java/org/gooseberryring/standins/StandInServer.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
+import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
@@ -26,6 +27,9 @@
  * <p>All servers of a process share one worker, so that a test can start many servers.
  */
 public final class StandInServer implements AutoCloseable {
+    /** Bodies of any size. */
+    private static final OptionMap OPTIONS = OptionMap.create(UndertowOptions.MAX_ENTITY_SIZE, -1L);
+
     private static final String LOOPBACK = "127.0.0.1";
     private static final int IO_THREADS = 2;
     private static final int TASK_THREADS = 1;
@@ -59,7 +63,7 @@
         if (channel != null) {
             return;
         }
-        HttpOpenListener http = new HttpOpenListener(BUFFER_POOL, OptionMap.EMPTY);
+        HttpOpenListener http = new HttpOpenListener(BUFFER_POOL, OPTIONS);
         http.setRootHandler(handler);
         OptionMap options = OptionMap.builder()
                 .set(Options.REUSE_ADDRESSES, true)
