Answer a request whose body does not arrive in time

What callers saw: a caller on a slow link, or one whose route got a shorter timeout while it sent its body, was closed without any answer when the time was over.

Cause: the end of the time for a body closed the connection. Nothing of such a request has run, so it now gets the rejection deadline-unreachable, "not run", in the same way as other rejections of unread bodies (LingeringResponse). The memory of the body is released at once.

Evidence: PlatformReconfigurationTest with lower timeouts got status 0 for a slow body, once of three runs, when the head was read after the change.

Not covered: hosts that relay to endpoints, and the product's own host, still close the connection at the end of the time.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/BodyReceiver.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/BodyReceiver.java
@@ -50,7 +50,7 @@
         /** The body is not received, because it is larger than allowed or its connection has failed. */
         void onFailure(IOException failure);
 
-        /** The body has not arrived in time; the connection is to be closed. */
+        /** The body has not arrived in time. */
         void onTimeout();
 
         /** The body is not received, because there is no room for it. */
@@ -82,7 +82,7 @@
 
     /** Starts to receive; called once, in the handler of the exchange. */
     public void start() {
-        timer = exchange.getIoThread().executeAfter(outcome::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
+        timer = exchange.getIoThread().executeAfter(this::stop, timeoutMillis, TimeUnit.MILLISECONDS);
         exchange.addExchangeCompleteListener((done, next) -> {
             timer.remove();
             release();
@@ -156,6 +156,12 @@
         return null;
     }
 
+    private void stop() {
+        body = null;
+        release();
+        outcome.onTimeout();
+    }
+
     private void fail(IOException failure) {
         timer.remove();
         body = null;
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
@@ -42,6 +42,7 @@
     private static final String NOT_CONFIGURED = "This host has not loaded the state of the deployment yet";
     private static final String STOPPING = "This host is shutting down";
     private static final String NO_ROOM = "This host has no memory for the body now";
+    private static final String LATE_BODY = "The body did not arrive in time";
     private static final String NO_ROUTE = "There is no such route";
     private static final String NO_KEY = "The key is missing or unknown";
 
@@ -171,7 +172,8 @@
 
             @Override
             public void onTimeout() {
-                closeUnreadRequest(exchange, arrival, "timeout");
+                logUnreadBody(arrival, "timeout");
+                refuse(exchange, arrival, Refusal.of(ErrorCode.DEADLINE_UNREACHABLE, LATE_BODY));
             }
 
             @Override
@@ -207,17 +209,17 @@
             return;
         }
         metrics.refused("truncated-body");
-        closeUnreadRequest(exchange, arrival, failure.getMessage());
+        logUnreadBody(arrival, failure.getMessage());
+        IoUtils.safeClose(exchange.getConnection());
         exchange.endExchange();
     }
 
-    /** Closes the connection of a request whose body was not received completely. The request has not run. */
-    private static void closeUnreadRequest(HttpServerExchange exchange, Arrival arrival, String reason) {
+    /** Logs a request whose body was not received completely. The request has not run. */
+    private static void logUnreadBody(Arrival arrival, String reason) {
         LogLine.event("body-not-read")
                 .with("requestId", arrival.head().requestId())
                 .with("reason", reason)
                 .info(LOG);
-        IoUtils.safeClose(exchange.getConnection());
     }
 
     private void refuse(HttpServerExchange exchange, Arrival arrival, Refusal refusal) {
