End a stop within the grace of its signal, not of its handling

What callers saw: a process that handled SIGTERM 1.2 s late was killed at the end of its grace with all requests still running, and none got an answer. A process that was not late answered its requests, but had not ended when the grace did if the store was silent.

Cause: the schedule of the stop began when the main thread ran, and the close after it had no bound: it waits for calls to the store, up to 5 s for each queue, and for the links between hosts.

PauseWatch records the pauses of the host's timer. The schedule now begins at the start of the first pause that ended in the 0.5 s before the signal is handled, at most a quarter of the grace earlier. The close runs on a thread of its own, and the process ends 0.2 s before the grace in any case, after connections were closed first. drain-started logs lateMs, close-abandoned that the close did not end.

Open: the 0.2 s for the last responses do not depend on how late the threads are.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryDrain.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryDrain.java
@@ -40,9 +40,13 @@
      *
      * @param rejectWaiting rejects the requests that no endpoint runs, so that their callers retry on another host
      * @param endRunning ends the requests that endpoints still run, with a response if none has started
+     * @param close closes the host; it may take long, since calls to the store may be under way
      */
-    void run(Runnable rejectWaiting, Runnable endRunning) {
-        LogLine.event("drain-started").with("open", open.count()).info(LOG);
+    void run(Runnable rejectWaiting, Runnable endRunning, Runnable close) {
+        LogLine.event("drain-started")
+                .with("open", open.count())
+                .with("lateMs", clock.getAsLong() - schedule.startedAt())
+                .info(LOG);
         callers.announceClose();
         try {
             closed.await(schedule.rejectsFrom() - clock.getAsLong(), TimeUnit.MILLISECONDS);
@@ -59,11 +63,23 @@
                 endRunning.run();
                 awaitEmpty(schedule.end());
             }
+            close(close);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    /** Closes the host; returns when the process has to end, at the latest. */
+    private void close(Runnable close) throws InterruptedException {
+        Thread closing = new Thread(close, "close");
+        closing.setDaemon(true);
+        closing.start();
+        closing.join(Math.max(1, schedule.closedBy() - clock.getAsLong()));
+        if (closing.isAlive()) {
+            LogLine.event("close-abandoned").info(LOG);
+        }
+    }
+
     private boolean awaitEmpty(long until) throws InterruptedException {
         return open.awaitEmpty(Math.max(1, until - clock.getAsLong()));
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -12,6 +12,7 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
 import org.gooseberryring.coordination.direct.LimitedRequest;
 import org.gooseberryring.coordination.path.RelayFailure;
 import org.gooseberryring.coordination.ratelimit.PermitRequest;
@@ -60,15 +61,13 @@
     /** Ticks between two ticks of the control thread, unless an order or permits are due sooner. */
     private static final long CONTROL_TICKS = 4;
 
-    private static final int OK = 200;
-    private static final int UNAVAILABLE = 503;
-
     /** Limits of connections to endpoints; a connection within a region opens in a few milliseconds. */
     private static final EndpointLimits ENDPOINT_LIMITS = new EndpointLimits(1_000, 400, 600_000, 600_000, 0);
 
     private final HostClock clock = new HostClock();
     // A later process of the host has a higher incarnation unless the wall clock is set back.
     private final long incarnation = clock.wallMillis();
+    private final PauseWatch pauses = new PauseWatch(clock.now());
     private final HostMetrics metrics = new HostMetrics();
     private final DeploymentView view = new DeploymentView();
     private final EndpointSignalHandler signalHandler = new EndpointSignalHandler(
@@ -183,12 +182,11 @@
 
     /** Completes the requests in flight and stops; blocks at most for the shutdown time of the settings. */
     public void drain() {
-        DrainSchedule schedule = DrainSchedule.of(clock.now(), settings.shutdownMillis());
+        DrainSchedule schedule = DrainSchedule.afterSignal(pauses, clock.now(), settings.shutdownMillis());
         drainSchedule = schedule;
         control.put(now -> residency.stopAcquiring());
         new EntryDrain(schedule, open, callerListener, closed, clock::now)
-                .run(requests::refuseWaiting, requests::endRunning);
-        close();
+                .run(requests::refuseWaiting, requests::endRunning, this::close);
     }
 
     /** Stops immediately. */
@@ -458,7 +456,7 @@
     }
 
     private void handleReady(HttpServerExchange exchange) {
-        exchange.setStatusCode(isReady() ? OK : UNAVAILABLE);
+        exchange.setStatusCode(isReady() ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
         exchange.endExchange();
     }
 
@@ -474,6 +472,7 @@
     private void tick() {
         try {
             ticks++;
+            pauses.tick(clock.now());
             if (ticks % (open.count() > 0 ? BUSY_REQUEST_TICKS : IDLE_REQUEST_TICKS) == 0) {
                 requests.loop().tick();
             }
