--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/LingeringResponse.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/LingeringResponse.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -59,6 +60,8 @@
     }
 
     private void write(ByteBuffer body) {
+        // The length tells a whole response from one that a reset has cut.
+        exchange.setResponseContentLength(body.remaining());
         IoCallback end = then(sender -> sender.close(then(closed -> linger())));
         exchange.getResponseSender().send(body, end);
     }
@@ -84,7 +87,13 @@
             close();
             return;
         }
-        timer = exchange.getIoThread().executeAfter(this::close, MAX_MILLIS, TimeUnit.MILLISECONDS);
+        try {
+            timer = exchange.getIoThread().executeAfter(this::close, MAX_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            // The host is closed.
+            close();
+            return;
+        }
         connection.getChannel().getSourceChannel().setReadListener(readable -> discard());
         connection.getOriginalSourceConduit().resumeReads();
     }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -63,6 +63,7 @@
     private final HostClock clock = new HostClock();
     // A later process of the host has a higher incarnation unless the wall clock is set back.
     private final long incarnation = clock.wallMillis();
+    private final PauseWatch pauses = new PauseWatch(clock.now());
     private final HostMetrics metrics = new HostMetrics();
     private final DeploymentView view = new DeploymentView();
     private final EndpointSignalHandler signalHandler = new EndpointSignalHandler(
@@ -181,12 +182,11 @@
 
     /** Completes the requests in flight and stops; blocks at most for the shutdown time of the settings. */
     public void drain() {
-        DrainSchedule schedule = DrainSchedule.of(clock.now(), settings.shutdownMillis());
+        DrainSchedule schedule = DrainSchedule.afterSignal(pauses, clock.now(), settings.shutdownMillis());
         drainSchedule = schedule;
         control.put(now -> residency.stopAcquiring());
         new EntryDrain(schedule, open, callerListener, closed, clock::now)
-                .run(requests::refuseWaiting, requests::endRunning);
-        close();
+                .run(requests::refuseWaiting, requests::endRunning, this::close);
     }
 
     /** Stops immediately. */
@@ -466,6 +466,7 @@
     private void tick() {
         try {
             ticks++;
+            pauses.tick(clock.now());
             if (ticks % (open.count() > 0 ? BUSY_REQUEST_TICKS : IDLE_REQUEST_TICKS) == 0) {
                 requests.loop().tick();
             }
