Assume that late hosts have used their shares of what remained when heard

Cause: of a silent host its share of the remainder was assumed, but of the remainder by this side's count at 1 s, reduced by what this side had used since the cut. In the trace both sides still believed more than 100,000 tokens left where 7,274 were. Before the cut was noticed, each side also granted twice its share of the same, large remainder.

A host whose update is 0.5 s late is now assumed to have used its share of what remained when it was last heard; both sides derive their shares from the same remainder, so that together they grant it once. Beyond its share a host admits at most its share of a tenth of the limit before the others hear of it, which bounds what both sides admit until they notice the cut. The plain share of a pool that the late host spends too is not needed any more.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/HostUse.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/HostUse.java
@@ -74,7 +74,7 @@
         assumedTo = now;
     }
 
-    /** Assumes once in each silence that the host uses a part of the tokens that remain. */
+    /** Assumes once in each silence that the host has used a part of the tokens that remained. */
     void assumeRemainder(double tokens, long now) {
         if (!remainderAssumed) {
             remainderAssumed = true;
@@ -83,6 +83,11 @@
         }
     }
 
+    /** Returns the tokens of a remainder that were assumed since a time. */
+    double remainderAssumedSince(long from) {
+        return remainderAssumed && remainderAt >= from ? remainder : 0;
+    }
+
     void clearAssumed() {
         assumed = null;
         remainder = 0;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedBucket.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedBucket.java
@@ -22,7 +22,7 @@
     /** Time within which all hosts are notified of what one host has admitted. */
     static final long PROPAGATION_MILLIS = 500;
 
-    /** Time without an update after which the use of a host is assumed. Several messages must be lost for this. */
+    /** Time without an update after which a host is assumed to use its share of the rate. Several messages must be lost. */
     static final long SILENCE_MILLIS = 1_000;
 
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -40,10 +40,10 @@
     private static final int WINDOW_PARTS = 16;
 
     /**
-     * Multiple of its share of the remaining tokens that a host may admit within that time. It allows for uneven
-     * demand.
+     * Fraction of the limit that all hosts together may admit beyond their shares of the remaining tokens, at most once as
+     * much as remains. It allows for uneven demand and bounds the excess if hosts are cut off from each other.
      */
-    private static final double UNEVEN_DEMAND_FACTOR = 2;
+    private static final double UNEVEN_DEMAND_FRACTION = 0.1;
 
     private static final long MIN_RETRY_MILLIS = 50;
     private static final long MAX_RETRY_MILLIS = 10_000;
@@ -52,7 +52,6 @@
     private final long startedAt;
     private final UseWindow used;
     private final UseWindow ownUnreported = new UseWindow(PROPAGATION_MILLIS);
-    private final UseWindow ownUnreportedLate = new UseWindow(SILENCE_MILLIS);
     private final Map<String, HostUse> hosts = new HashMap<>();
     private final long[] ownReturned = new long[TokenUse.RETURN_CLASSES];
     private double rate;
@@ -209,11 +208,29 @@
         return Math.max(perMilli * (now - from), departed);
     }
 
-    /** Assumes that hosts whose silence has just been noticed use their shares of the tokens that remain. */
-    void assumeRemainderUsed(Collection<String> silent, int hostCount, long now) {
-        double remaining = Math.max(0, remainder(now));
-        shares(silent, hostCount, now)
-                .forEach((host, share) -> hosts.get(host).assumeRemainder(share * remaining, now));
+    /**
+     * Assumes that hosts whose updates are late use their shares of the tokens that remained when they were last heard.
+     * What this host and the others have used since does not reduce those shares, as the late hosts may not hear of it.
+     *
+     * @param lateSince time of the last update of each late host
+     */
+    void assumeRemainderUsed(Map<String, Long> lateSince, int hostCount, long now) {
+        Map<Long, Double> remained = new HashMap<>();
+        Map<String, Double> assumed = new HashMap<>();
+        shares(lateSince.keySet(), hostCount, now).forEach((host, share) -> {
+            double remainder = remained.computeIfAbsent(lateSince.get(host), from -> remainderAt(from, now));
+            assumed.put(host, share * remainder);
+        });
+        assumed.forEach((host, tokens) -> hosts.get(host).assumeRemainder(tokens, now));
+    }
+
+    /** Returns the tokens that remained at a time, less what is assumed of silent hosts at a rate since then. */
+    private double remainderAt(long from, long now) {
+        double since = used.sumSince(from, now);
+        for (HostUse each : hosts.values()) {
+            since += each.remainderAssumedSince(from);
+        }
+        return Math.max(0, remainder(now) + since);
     }
 
     /** Returns the shares of hosts in the limit: each at least an equal share, all together at most 1. */
@@ -246,17 +263,15 @@
      * Takes tokens. A request may take more tokens than remain; later requests then wait until the excess is refilled.
      *
      * @param hostCount number of hosts that may be alive, this one included; {@link #UNKNOWN_HOSTS} if it is not known
-     * @param late whether a host has not been heard for so long that it may be cut off
      */
-    boolean tryTake(long tokens, int hostCount, boolean late, long now) {
+    boolean tryTake(long tokens, int hostCount, long now) {
         double remaining = remainder(now);
-        double unreported = (late ? ownUnreportedLate : ownUnreported).sum(now);
-        if (remaining <= 0 || unreported > unreportedShare(hostCount, late, now) * (remaining + unreported)) {
+        double unreported = ownUnreported.sum(now);
+        if (remaining <= 0 || unreported > maxUnreported(remaining + unreported, hostCount, now)) {
             return false;
         }
         used.add(tokens, now);
         ownUnreported.add(tokens, now);
-        ownUnreportedLate.add(tokens, now);
         ownUsed += tokens;
         ownRecent = ownRecent.plus(tokens, now);
         return true;
@@ -270,7 +285,6 @@
         }
         subtract(tokens, admittedAt, now);
         ownUnreported.add(-tokens, admittedAt, now);
-        ownUnreportedLate.add(-tokens, admittedAt, now);
         ownUsed -= tokens;
         ownReturned[(int) (age * TokenUse.RETURN_CLASSES / windowMillis)] += tokens;
     }
@@ -309,17 +323,19 @@
         return pastUsageUnknown && now - startedAt < STARTUP_MILLIS;
     }
 
-    /**
-     * Returns the fraction of the remaining tokens that this host may admit before the others are notified. If another
-     * host may be cut off, this is the share of this host, since the other one grants its own share at the same time.
-     */
-    private double unreportedShare(int hostCount, boolean late, long now) {
+    /** Returns the tokens of a pool that this host may admit before the others are notified. */
+    private double maxUnreported(double pool, int hostCount, long now) {
+        double limit = rate * windowMillis / MILLIS_PER_SECOND + burst;
+        double uneven = isStartingUp(now) ? 0 : Math.min(pool, UNEVEN_DEMAND_FRACTION * limit);
+        return unreportedShare(hostCount, now) * (pool + uneven);
+    }
+
+    /** Returns this host's share of the tokens that hosts may admit before the others are notified. */
+    private double unreportedShare(int hostCount, long now) {
         boolean started = now - startedAt < STARTUP_MILLIS;
         int minHosts = hostCount == UNKNOWN_HOSTS ? MIN_ASSUMED_HOSTS : hostCount;
         double equalShare = 1.0 / Math.max(started ? minHosts : 1, knownHosts() + 1);
-        return isStartingUp(now)
-                ? equalShare
-                : (late ? 1 : UNEVEN_DEMAND_FACTOR) * Math.max(equalShare, started ? 0 : demandShare(now));
+        return started ? equalShare : Math.max(equalShare, demandShare(now));
     }
 
     /** Returns this host's share of the recent demand. */
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedLimits.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedLimits.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.gooseberryring.state.Organisation;
 
@@ -28,19 +29,13 @@
     private long tickedAt = Long.MIN_VALUE;
     private int hostCount = SharedBucket.UNKNOWN_HOSTS;
     private boolean configured;
-    private boolean isAnyLate;
 
     private record Reservation(String organisation, long tokens, long admittedAt) {}
 
     /** Another host; {@code assumed} is true if usage was assumed for it since its last update. */
     private record Peer(long incarnation, long lastUpdateAt, boolean assumed) {
-        boolean isSilent(long now) {
-            return now - lastUpdateAt > SharedBucket.SILENCE_MILLIS;
-        }
-
-        /** Returns whether the host is not heard although it is not silent, so that it may not hear this one either. */
-        boolean isLate(long now) {
-            return !isSilent(now) && now - lastUpdateAt > SharedBucket.PROPAGATION_MILLIS;
+        Peer withAssumedUse() {
+            return new Peer(incarnation, lastUpdateAt, true);
         }
     }
 
@@ -123,11 +118,11 @@
         if (known == null) {
             return;
         }
-        boolean silent = ageMillis > SharedBucket.SILENCE_MILLIS;
-        if (known.assumed() && !silent) {
+        boolean late = ageMillis > SharedBucket.PROPAGATION_MILLIS;
+        if (known.assumed() && !late) {
             buckets.values().forEach(bucket -> bucket.onUsageUnchanged(host, now));
         }
-        peers.put(host, new Peer(known.incarnation(), now - ageMillis, known.assumed() && silent));
+        peers.put(host, new Peer(known.incarnation(), now - ageMillis, known.assumed() && late));
     }
 
     /** Removes a host that has been silent for a long time, so that no further usage is assumed for it. */
@@ -171,19 +166,25 @@
         buckets.forEach((id, bucket) -> bucket.takeOver(windows.getOrDefault(id, List.of()), now));
     }
 
-    /** Adds the assumed usage of silent hosts. Must be called several times per second. */
+    /** Adds the assumed usage of hosts whose updates are missing. Must be called several times per second. */
     public void tick(long now) {
         handlePause(now);
         tickedAt = now;
-        isAnyLate = peers.values().stream().anyMatch(peer -> peer.isLate(now));
-        Map<String, Long> silent = new HashMap<>();
+        assumeUsage(unheardFor(SharedBucket.SILENCE_MILLIS, now), now);
+        Map<String, Long> late = unheardFor(SharedBucket.PROPAGATION_MILLIS, now);
+        markAssumed(late.keySet());
+        buckets.values().forEach(bucket -> bucket.assumeRemainderUsed(late, peers.size() + 1, now));
+    }
+
+    /** Returns the times of the last updates of the hosts that have not been heard for a time. */
+    private Map<String, Long> unheardFor(long millis, long now) {
+        Map<String, Long> unheard = new HashMap<>();
         peers.forEach((host, peer) -> {
-            if (peer.isSilent(now)) {
-                silent.put(host, peer.lastUpdateAt());
+            if (now - peer.lastUpdateAt() > millis) {
+                unheard.put(host, peer.lastUpdateAt());
             }
         });
-        assumeUsage(silent, now);
-        buckets.values().forEach(bucket -> bucket.assumeRemainderUsed(silent.keySet(), peers.size() + 1, now));
+        return unheard;
     }
 
     private SharedBucket newBucket(String organisation, boolean pastUsageUnknown, long now) {
@@ -212,13 +213,14 @@
                 new Peer(peer.incarnation(), Math.min(now, peer.lastUpdateAt() + pausedMillis), peer.assumed()));
     }
 
+    private void markAssumed(Set<String> hosts) {
+        hosts.forEach(host -> peers.computeIfPresent(host, (name, peer) -> peer.withAssumedUse()));
+    }
+
     /** Adds the assumed usage of hosts since their last updates. */
     private void assumeUsage(Map<String, Long> silentSince, long now) {
         if (!silentSince.isEmpty()) {
-            silentSince
-                    .keySet()
-                    .forEach(host -> peers.computeIfPresent(
-                            host, (name, peer) -> new Peer(peer.incarnation(), peer.lastUpdateAt(), true)));
+            markAssumed(silentSince.keySet());
             int hosts = peers.size() + 1;
             buckets.values().forEach(bucket -> bucket.assumeUsage(silentSince, hosts, now));
         }
@@ -231,7 +233,7 @@
         if (bucket == null) {
             return Admission.admitted();
         }
-        if (!bucket.tryTake(tokens, hostCount, isAnyLate, now)) {
+        if (!bucket.tryTake(tokens, hostCount, now)) {
             return Admission.refused(bucket.millisUntilAdmission(now));
         }
         reservations.put(requestId, new Reservation(organisation, tokens, now));
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/UseWindow.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/UseWindow.java
@@ -56,6 +56,17 @@
         return sum;
     }
 
+    /** Returns the tokens that were added since a time and are still within the window. */
+    double sumSince(long from, long now) {
+        advance(now);
+        double added = 0;
+        long first = Math.max(Math.floorDiv(from, intervalMillis), interval - INTERVALS);
+        for (long each = first; each <= interval; each++) {
+            added += tokens[index(each)];
+        }
+        return added;
+    }
+
     /**
      * Returns the milliseconds until more than the given amount has left the window, or its full length if it contains
      * less.
