Release the watch of a caller's connection with its request

What callers saw: HTTP 500 for an upload once other callers kept their connections open after theirs.

A connection that is kept held its last request until the next one: 60 bodies of 1.9 MB fill a heap of 96 MB.

The watch is removed from the connection at the end of the exchange.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerWatch.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/CallerWatch.java
@@ -32,6 +32,8 @@
             connection.putAttachment(KEY, watch);
             exchange.addExchangeCompleteListener((done, next) -> {
                 watch.watching = false;
+                // A connection that is kept would hold the request and its body.
+                connection.removeAttachment(KEY);
                 next.proceed();
             });
             connection.getChannel().getSourceChannel().setReadListener(c -> watch.read());
