--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
@@ -120,15 +120,7 @@
     /** Guards against a stream that is cut when it is continued, since the time limit for its start has passed. */
     @Test
     void continuesBrokenStreamAfterTheTimeLimitForItsStart() {
-        register("e1", 4);
-        register("e2", 4);
-        RequestPolicy handling = new RequestPolicy("s", 2, true, true, true, true, 1, 400, 2_350, PromptShape.NONE);
-        engine.arrived(
-                new RequestSpec("q", null, TARGET, PriorityClass.NORMAL, 0, 0, DIGEST, true, null, 9_000, handling), 0);
-        engine.onResponseStarted("q", 1, 10);
-
-        List<RequestEffect> effects =
-                engine.attemptEnded("q", 1, new AttemptOutcome(Verdict.MAY_HAVE_RUN, 200, 0, true, false, 5), 5_000);
+        List<RequestEffect> effects = breakStreamAfterItsTimeLimit();
 
         assertThat(effects.get(0)).isInstanceOf(RequestEffect.Dispatch.class);
         assertThat(engine.tick(5_020)).isEmpty();
@@ -138,13 +130,7 @@
     /** Guards against a stream that waits to its deadline for an endpoint that does not continue it. */
     @Test
     void continuedStreamThatDoesNotGoOnInTimeIsEnded() {
-        register("e1", 4);
-        register("e2", 4);
-        RequestPolicy handling = new RequestPolicy("s", 2, true, true, true, true, 1, 400, 2_350, PromptShape.NONE);
-        engine.arrived(
-                new RequestSpec("q", null, TARGET, PriorityClass.NORMAL, 0, 0, DIGEST, true, null, 9_000, handling), 0);
-        engine.onResponseStarted("q", 1, 10);
-        engine.attemptEnded("q", 1, new AttemptOutcome(Verdict.MAY_HAVE_RUN, 200, 0, true, false, 5), 5_000);
+        breakStreamAfterItsTimeLimit();
         assertThat(engine.tick(7_340)).isEmpty();
 
         RequestEffect.EndUnstarted end =
@@ -159,13 +145,7 @@
     /** Guards against a continued stream that counts as cancelled although it went on before. */
     @Test
     void continuedStreamThatGoesOnInTheMeantimeIsNotEnded() {
-        register("e1", 4);
-        register("e2", 4);
-        RequestPolicy handling = new RequestPolicy("s", 2, true, true, true, true, 1, 400, 2_350, PromptShape.NONE);
-        engine.arrived(
-                new RequestSpec("q", null, TARGET, PriorityClass.NORMAL, 0, 0, DIGEST, true, null, 9_000, handling), 0);
-        engine.onResponseStarted("q", 1, 10);
-        engine.attemptEnded("q", 1, new AttemptOutcome(Verdict.MAY_HAVE_RUN, 200, 0, true, false, 5), 5_000);
+        breakStreamAfterItsTimeLimit();
         assertThat(engine.tick(7_350)).hasSize(1);
 
         engine.onResponseStarted("q", 2, 7_360);
@@ -296,6 +276,17 @@
         assertThat(engine.tick(9_200).get(0)).isInstanceOf(RequestEffect.Refuse.class);
     }
 
+    /** Breaks a resumable stream at 5.0 s, which had to start by 2.35 s and has a deadline of 9 s. */
+    private List<RequestEffect> breakStreamAfterItsTimeLimit() {
+        register("e1", 4);
+        register("e2", 4);
+        RequestPolicy handling = new RequestPolicy("s", 2, true, true, true, true, 1, 400, 2_350, PromptShape.NONE);
+        engine.arrived(
+                new RequestSpec("q", null, TARGET, PriorityClass.NORMAL, 0, 0, DIGEST, true, null, 9_000, handling), 0);
+        engine.onResponseStarted("q", 1, 10);
+        return engine.attemptEnded("q", 1, new AttemptOutcome(Verdict.MAY_HAVE_RUN, 200, 0, true, false, 5), 5_000);
+    }
+
     private void register(String id, int slots) {
         router.onEndpointRegistered(
                 new EndpointRegistration(id, "s", "10.0.0.1:80", "a", slots, false, 0, 0, List.of()), 0);
