Take a request while stopping only if its latest deadline allows it

By reading: the deadline of a request that a late host reads counts from the earliest time at which it may have come, while a response that has started may go on to the latest. A stopping host asked the early one, and could take a request that must not run twice and cut its response at its own end.

ArrivalTest#responseMayLastUntilTheYoungestCallerLeaves guards the deadline that is asked; the method is new, so the test could not be run on the code before.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontHandler.java
@@ -137,7 +137,7 @@
         if (schedule == null) {
             return false;
         }
-        return !schedule.accepts(route.repeatable(), arrival.deadline(route), now);
+        return !schedule.accepts(route.repeatable(), arrival.latestDeadline(route), now);
     }
 
     private static Admitted admit(HttpServerExchange exchange, RequestHead head, ServingConfiguration configuration) {
@@ -302,11 +302,16 @@
             return readAt - at;
         }
 
-        /** Returns the time at which the caller may leave. */
+        /** Returns the earliest time at which the caller may leave. */
         long deadline(Route route) {
             return at + head.waitMillis(route);
         }
 
+        /** Returns the time at which the caller has left, up to which a response that has started may last. */
+        long latestDeadline(Route route) {
+            return deadline(route) + socketMillis();
+        }
+
         /** Returns the last time at which the response may start. */
         long lastStart(Route route) {
             return Math.min(deadline(route), RequestFactory.responseStartDeadline(route, at));
--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/entry/ArrivalTest.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/entry/ArrivalTest.java
@@ -21,6 +21,13 @@
         assertThat(arrival.isTooOld(route(RequestKind.IDEMPOTENT), READ_AT)).isFalse();
     }
 
+    /** Guards against a stopping host that takes a request whose response it may have to cut. */
+    @Test
+    void responseMayLastUntilTheYoungestCallerLeaves() {
+        FrontHandler.Arrival arrival = arrival(OptionalLong.of(2_000), WAIT_MILLIS);
+        assertThat(arrival.latestDeadline(route(RequestKind.IDEMPOTENT))).isEqualTo(READ_AT + 2_000);
+    }
+
     /** Guards against a request that runs after the time for which its caller waits. */
     @Test
     void requestIsTooOldOnceItsTimeIsOver() {
