Keep the slot of an abandoned request at a brittle endpoint for a while

Cause: a host counted the slot of a request that it had given up as free at once and sent the next request, while the endpoint still ran the first. Two hosts whose requests reach their deadlines at the same time fill five places of an endpoint with four slots, and the request of a third host is rejected. Ruled out: use beyond the part of a host. In the traces of four rejections after the first three seconds each host kept to its part, and the missing slots were those of requests whose deadline had passed less than 200 ms before, the time for which the endpoint runs a request.

An abandoned request now holds its slot for 500 ms more while the endpoint is brittle; most endpoints drop a request when its connection closes, and all know its deadline.

EntryEngineTest sends the next request at once without the change.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/BrittleLimit.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/BrittleLimit.java
@@ -1,5 +1,8 @@
 package org.gooseberryring.coordination.direct;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+
 /**
  * Limits the requests that one host has in flight at an endpoint that fails when it must reject many requests.
  *
@@ -10,7 +13,11 @@
     /** Time for which no request is sent after the endpoint has rejected one. */
     private static final long REJECTED_MILLIS = 500;
 
+    /** Time for which an abandoned request may still occupy its slot, until the endpoint notices that it is not needed. */
+    private static final long ABANDONED_MILLIS = 500;
+
     private final String endpoint;
+    private final Deque<Long> abandonedUntil = new ArrayDeque<>();
     private boolean brittle;
     private long rejectedUntil = Long.MIN_VALUE;
 
@@ -20,6 +27,7 @@
 
     void setBrittle(boolean isBrittle) {
         brittle = isBrittle;
+        abandonedUntil.clear();
     }
 
     void onRejected(long now) {
@@ -28,6 +36,13 @@
         }
     }
 
+    /** Handles a request of this host that ended before its response; it is no longer in flight but may still run. */
+    void onAbandoned(long now) {
+        if (brittle) {
+            abandonedUntil.add(now + ABANDONED_MILLIS);
+        }
+    }
+
     /**
      * Returns whether another request may be sent.
      *
@@ -38,9 +53,18 @@
         if (!brittle) {
             return true;
         }
+        int abandoned = abandoned(now);
+        int used = own + abandoned;
         int part = part(slots, share);
-        boolean roomForAll = slots - all >= share.hosts();
-        return now >= rejectedUntil && (own < part || own < 2 * part && roomForAll);
+        boolean roomForAll = slots - all - abandoned >= share.hosts();
+        return now >= rejectedUntil && (used < part || used < 2 * part && roomForAll);
+    }
+
+    private int abandoned(long now) {
+        while (!abandonedUntil.isEmpty() && now >= abandonedUntil.peek()) {
+            abandonedUntil.remove();
+        }
+        return abandonedUntil.size();
     }
 
     /** Returns the slots of this host. The remainder goes to other hosts at each endpoint; no host has no slot at all. */
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/direct/DirectRouter.java
@@ -197,11 +197,9 @@
 
     /** Records the failure domains whose controllers are alive, so that their last reports stay valid. */
     public void onControllersAlive(Collection<String> failureDomains, long now) {
-        for (DirectEndpoint endpoint : endpoints.values()) {
-            if (failureDomains.contains(endpoint.registration().failureDomain())) {
-                endpoint.onControllerAlive(now);
-            }
-        }
+        endpoints.values().stream()
+                .filter(each -> failureDomains.contains(each.registration().failureDomain()))
+                .forEach(each -> each.onControllerAlive(now));
     }
 
     /** Handles the statement of an endpoint that it does not have the model or adapter of a request loaded. */
@@ -355,6 +353,14 @@
         }
     }
 
+    @Override
+    public void onAttemptAbandoned(String endpoint, long now) {
+        DirectEndpoint known = endpoints.get(endpoint);
+        if (known != null) {
+            known.brittleLimit().onAbandoned(now);
+        }
+    }
+
     @Override
     public long lossEpoch(String endpoint) {
         DirectEndpoint known = endpoints.get(endpoint);
@@ -476,12 +482,9 @@
     }
 
     private long loadMillis(RequestTarget.RoutedTarget target, ModelProfile model) {
-        for (DirectEndpoint endpoint : inService(target.service())) {
-            if (endpoint.hasLoaded(target.withoutAdapter())) {
-                return ADAPTER_MILLIS;
-            }
-        }
-        return model.storeLoadMillis();
+        RequestTarget.RoutedTarget base = target.withoutAdapter();
+        boolean isBaseLoaded = inService(target.service()).stream().anyMatch(each -> each.hasLoaded(base));
+        return isBaseLoaded ? ADAPTER_MILLIS : model.storeLoadMillis();
     }
 
     private void configure(DirectEndpoint endpoint) {
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/EndpointResults.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/request/EndpointResults.java
@@ -40,6 +40,9 @@
         } else if (!state.isCancelled()) {
             router.onAttemptFailed(endpoint, now);
         }
+        if (outcome.verdict() == Verdict.MAY_HAVE_RUN && !outcome.endpointLost()) {
+            router.onAttemptAbandoned(endpoint, now);
+        }
         router.onAttemptEnded(endpoint, state.query(), now);
         return isNewSuspect;
     }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/EndpointRouter.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/route/EndpointRouter.java
@@ -38,6 +38,9 @@
     /** Records a failed attempt at an endpoint that is still reachable. */
     void onAttemptFailed(String endpoint, long now);
 
+    /** Records an attempt that ended before its response was complete, at an endpoint that may still run it. */
+    default void onAttemptAbandoned(String endpoint, long now) {}
+
     /** Returns the number of losses of an endpoint so far; callers store it with each request sent to the endpoint. */
     long lossEpoch(String endpoint);
 
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/BrittleLimitTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/direct/BrittleLimitTest.java
@@ -54,6 +54,16 @@
         assertThat(limit.canSend(0, 0, 8, FleetShare.ALONE, 1_500)).isTrue();
     }
 
+    /** Guards against hosts that fill an endpoint beyond its slots since it still runs requests that have timed out. */
+    @Test
+    void abandonedRequestKeepsItsSlotForAWhile() {
+        BrittleLimit limit = limit("e1");
+        limit.onAbandoned(1_000);
+        assertThat(limit.canSend(3, 3, 4, FleetShare.ALONE, 1_499)).isFalse();
+        assertThat(limit.canSend(2, 2, 4, FleetShare.ALONE, 1_499)).isTrue();
+        assertThat(limit.canSend(3, 3, 4, FleetShare.ALONE, 1_500)).isTrue();
+    }
+
     private static BrittleLimit limit(String endpoint) {
         BrittleLimit limit = new BrittleLimit(endpoint);
         limit.setBrittle(true);
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/request/EntryEngineTest.java
@@ -142,6 +142,21 @@
         assertThat(engine.attemptEnded("q", 2, unstarted, 7_360).get(0)).isInstanceOf(RequestEffect.Refuse.class);
     }
 
+    /** Guards against hosts that overfill a brittle endpoint, which still runs a request that was cancelled. */
+    @Test
+    void cancelledRequestKeepsItsSlotAtABrittleEndpoint() {
+        EndpointRegistration registration = register("e1", 1);
+        router.setBrittle(registration.process(), true);
+        engine.arrived(spec("cancelled", true, false), 0);
+        engine.callerGone("cancelled", 10);
+        engine.attemptEnded("cancelled", 1, new AttemptOutcome(Verdict.MAY_HAVE_RUN, 0, 0, false, false, -1), 20);
+
+        assertThat(engine.arrived(spec("next", true, false), 30)).isEmpty();
+        assertThat(engine.tick(519)).isEmpty();
+
+        assertThat(engine.tick(520).get(0)).isInstanceOf(RequestEffect.Dispatch.class);
+    }
+
     /** Guards against a continued stream that counts as cancelled although it went on before. */
     @Test
     void continuedStreamThatGoesOnInTheMeantimeIsNotEnded() {
@@ -287,9 +302,11 @@
         return engine.attemptEnded("q", 1, new AttemptOutcome(Verdict.MAY_HAVE_RUN, 200, 0, true, false, 5), 5_000);
     }
 
-    private void register(String id, int slots) {
-        router.onEndpointRegistered(
-                new EndpointRegistration(id, "s", "10.0.0.1:80", "a", slots, false, 0, 0, List.of()), 0);
+    private EndpointRegistration register(String id, int slots) {
+        EndpointRegistration registration =
+                new EndpointRegistration(id, "s", "10.0.0.1:80", "a", slots, false, 0, 0, List.of());
+        router.onEndpointRegistered(registration, 0);
+        return registration;
     }
 
     private static RequestSpec spec(String id, boolean idempotent, boolean resumable) {
