Close idle connections on their I/O threads when a host stops

A caller whose next request was taken at the moment at which a stopping host closed its idle connections got no answer, though the request was read and perhaps run (LOST).

Cause: the thread of the stop went through the set of idle connections and closed each of them, while the I/O thread of a connection may just have removed it from the set and begun its request.

Each connection is closed by a task on its own I/O thread now, if it still is in the set there. The I/O thread also takes requests and marks connections as idle, so that both cannot happen at once.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontListener.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontListener.java
@@ -86,10 +86,9 @@
         closing = true;
     }
 
-    /** Closes the idle connections. */
+    /** Closes the idle connections, each on its I/O thread, which may just have taken its next request. */
     void closeIdle() {
-        idle.forEach(IoUtils::safeClose);
-        idle.clear();
+        idle.forEach(connection -> connection.getIoThread().execute(() -> closeIfIdle(connection)));
     }
 
     @Override
@@ -98,6 +97,12 @@
         listener.closeConnections();
     }
 
+    private void closeIfIdle(ServerConnection connection) {
+        if (idle.remove(connection)) {
+            IoUtils.safeClose(connection);
+        }
+    }
+
     private void markIdle(ServerConnection connection) {
         if (!connection.isOpen()) {
             return;
