State the time that is left when the head of a request is written

Cause: what is left was computed when an attempt was dispatched on the request thread (PlatformRequests, EndpointRelays, Relays), and when a request of another host had been read (EndpointRelayHandler). The head is written later, by the I/O thread, once it has run its other tasks and the connection is open (EndpointAttempt#onConnected). The endpoint took the deadline for later than it was by that time, and so did a second host.

A call now carries its deadline with its clock, and a statement that is made from what is left directly before the write (CallDeadline). The head of hosts is built and signed there, too; its fields, its format and what its HMAC covers are the same, so that earlier builds read it. The digest of the body is still computed before. A call without time left is not sent and ends as not run, also on the way to another failure domain, where it was sent with 1 ms. At the other places the deadline was asked before the write already.

Before, with a limited endpoint and the I/O thread of the first host held for 1.5 s: PlatformLateHostTest#requestThatIsWrittenLateStatesWhatIsLeft and PlatformRelayTest#requestThatIsWrittenLateToTheSecondHostStatesWhatIsLeft failed, the endpoint was told 2,005 ms of 3,000 ms each, 1,450 ms allowed. They pass now. EndpointRelayHandlerTest#requestStatesWhatIsLeftWhenItIsWritten fails with the former time in the handler (1000 in place of 700; trial). The tests of EndpointAttemptTest use the new class; one of them shows that the head leaves the host in the step that computes it, with and without a body.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EndpointRelayHandler.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EndpointRelayHandler.java
@@ -13,6 +13,7 @@
 import org.gooseberryring.host.log.LogLine;
 import org.gooseberryring.state.ErrorCode;
 import org.gooseberryring.state.Verdict;
+import org.gooseberryring.transport.endpoint.CallDeadline;
 import org.gooseberryring.transport.endpoint.EndpointAttempt;
 import org.gooseberryring.transport.endpoint.EndpointCall;
 import org.gooseberryring.transport.endpoint.EndpointClient;
@@ -200,7 +201,7 @@
             });
             PassThroughListener listener = new PassThroughListener(targets.signals(head.endpoint()), this::onEnded);
             EndpointAttempt attempt =
-                    client.send(address, call(body, now), exchange.getIoThread(), sink, listener, this::maySend);
+                    client.send(address, call(body), exchange.getIoThread(), sink, listener, this::maySend);
             IoTimeout timer = IoTimeout.schedule(
                     exchange.getIoThread(), Math.max(1, deadline - now), () -> cancelUnstarted(attempt));
             exchange.addExchangeCompleteListener((e, next) -> {
@@ -232,21 +233,25 @@
             exchange.endExchange();
         }
 
-        private EndpointCall call(byte[] body, long now) {
+        private EndpointCall call(byte[] body) {
             HeaderMap headers = new HeaderMap();
             exchange.getRequestHeaders().forEach(values -> headers.putAll(values.getHeaderName(), values));
             RelayHead.removeFrom(headers);
+            return new EndpointCall(
+                            headers.getFirst(protocol.requestIdHeader()),
+                            exchange.getRequestMethod().toString(),
+                            RelayAuthenticator.path(exchange),
+                            headers,
+                            body,
+                            EndpointCall.Kind.PLAIN_SERVICE,
+                            head.idempotent())
+                    .withDeadline(new CallDeadline(deadline, clock, this::stateDeadline));
+        }
+
+        private void stateDeadline(HeaderMap headers, long leftMillis) {
             if (protocol.deadlineHeader() != null) {
-                headers.put(protocol.deadlineHeader(), Math.max(1, deadline - now));
+                headers.put(protocol.deadlineHeader(), leftMillis);
             }
-            return new EndpointCall(
-                    headers.getFirst(protocol.requestIdHeader()),
-                    exchange.getRequestMethod().toString(),
-                    RelayAuthenticator.path(exchange),
-                    headers,
-                    body,
-                    EndpointCall.Kind.PLAIN_SERVICE,
-                    head.idempotent());
         }
 
         private void onEnded(Verdict verdict, boolean lost, boolean bytesPassedOn) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EndpointRelays.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EndpointRelays.java
@@ -6,6 +6,7 @@
 import java.util.random.RandomGenerator;
 
 import io.undertow.util.HeaderMap;
+import org.gooseberryring.transport.endpoint.CallDeadline;
 import org.gooseberryring.transport.endpoint.EndpointCall;
 import org.gooseberryring.transport.endpoint.EndpointClient;
 import org.gooseberryring.transport.peer.FrameSigner;
@@ -59,34 +60,37 @@
         return client;
     }
 
-    /** Returns the signed request with which another host passes a call on to an endpoint. */
+    /** Returns the request with which another host passes a call on to an endpoint; it is signed when it is written. */
     EndpointCall wrap(OpenRequest request, int attempt, String endpoint, EndpointCall call) {
+        String identifier = Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
+        FrameSigner signer = new FrameSigner(secret.get());
+        byte[] bodyDigest = Digests.sha256(call.body());
+        CallDeadline.Statement statement = (headers, leftMillis) -> {
+            // The signature covers the headers for the endpoint, which also state what is left.
+            call.deadline().statement().addTo(headers, leftMillis);
+            head(request, call, identifier, attempt, endpoint, leftMillis)
+                    .addTo(headers, signer, call.method(), call.path(), bodyDigest);
+        };
+        HeaderMap headers = new HeaderMap();
+        call.headers().forEach(values -> headers.putAll(values.getHeaderName(), values));
+        RelayHead.removeFrom(headers);
+        return call.with(headers, new CallDeadline(request.spec().deadline(), clock, statement));
+    }
+
+    /** Returns the head of a request that is written now. */
+    private RelayHead head(
+            OpenRequest request, EndpointCall call, String identifier, int attempt, String endpoint, long leftMillis) {
         String organisation = request.spec().organisation();
-        RelayHead head = new RelayHead(
-                Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong()),
+        return new RelayHead(
+                identifier,
                 attempt,
                 organisation == null ? "" : organisation,
                 request.spec().priorityClass(),
                 call.idempotent(),
-                Math.max(1, request.spec().deadline() - clock.getAsLong()),
+                leftMillis,
                 wallClock.getAsLong(),
                 NO_SERVICE,
                 ONE_HOP,
                 endpoint);
-        HeaderMap headers = new HeaderMap();
-        call.headers().forEach(values -> headers.putAll(values.getHeaderName(), values));
-        RelayHead.removeFrom(headers);
-        head.addTo(headers, new FrameSigner(secret.get()), call.method(), call.path(), call.body());
-        return new EndpointCall(
-                call.requestId(),
-                call.method(),
-                call.path(),
-                headers,
-                call.body(),
-                call.kind(),
-                call.idempotent(),
-                call.events(),
-                call.maxResponseBytes(),
-                call.eventStream());
     }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayHead.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/RelayHead.java
@@ -51,11 +51,13 @@
     /**
      * Adds the head and its HMAC to the headers of a request. The HMAC also covers method, path and body, and all headers
      * of a request for a given endpoint, which the receiver passes on.
+     *
+     * @param bodyDigest SHA-256 of the body
      */
-    void addTo(HeaderMap headers, FrameSigner signer, String method, String path, byte[] body) {
+    void addTo(HeaderMap headers, FrameSigner signer, String method, String path, byte[] bodyDigest) {
         String text = text();
         headers.put(HEAD, text);
-        byte[] signed = signedBytes(method, path, headers, body);
+        byte[] signed = signedBytes(method, path, headers, bodyDigest);
         headers.put(MAC, HexFormat.of().formatHex(signer.sign(signed)));
     }
 
@@ -76,7 +78,7 @@
             if (head == null) {
                 return null;
             }
-            return signer.verify(head.signedBytes(method, path, headers, body), mac) ? head : null;
+            return signer.verify(head.signedBytes(method, path, headers, Digests.sha256(body)), mac) ? head : null;
         } catch (IllegalArgumentException e) {
             return null;
         }
@@ -139,11 +141,10 @@
         return new String(HexFormat.of().parseHex(hex), StandardCharsets.UTF_8);
     }
 
-    private byte[] signedBytes(String method, String path, HeaderMap headers, byte[] body) {
+    private byte[] signedBytes(String method, String path, HeaderMap headers, byte[] bodyDigest) {
         byte[] text = text().getBytes(StandardCharsets.UTF_8);
         byte[] methodBytes = method.getBytes(StandardCharsets.UTF_8);
         byte[] pathBytes = path.getBytes(StandardCharsets.UTF_8);
-        byte[] bodyDigest = Digests.sha256(body);
         return endpoint.isEmpty()
                 ? Digests.sha256(text, methodBytes, pathBytes, bodyDigest)
                 : Digests.sha256(
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/Relays.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/Relays.java
@@ -8,6 +8,7 @@
 import io.undertow.util.HeaderMap;
 import org.gooseberryring.coordination.request.RequestTarget;
 import org.gooseberryring.protocol.HostEntry;
+import org.gooseberryring.transport.endpoint.CallDeadline;
 import org.gooseberryring.transport.endpoint.EndpointCall;
 import org.gooseberryring.transport.peer.FrameSigner;
 
@@ -17,7 +18,7 @@
     private static final String NO_ENDPOINT = "";
 
     private final Function<String, List<HostEntry>> liveHosts;
-    private final FrameSigner signer;
+    private final byte[] secret;
     private final SplittableRandom random;
     private final LongSupplier clock;
     private final LongSupplier wallClock;
@@ -38,7 +39,7 @@
             LongSupplier clock,
             LongSupplier wallClock) {
         this.liveHosts = liveHosts;
-        this.signer = new FrameSigner(secret);
+        this.secret = secret.clone();
         this.random = new SplittableRandom(seed);
         this.clock = clock;
         this.wallClock = wallClock;
@@ -50,24 +51,15 @@
         return hosts.isEmpty() ? null : hosts.get(random.nextInt(hosts.size())).relayAddress();
     }
 
-    /** Returns the signed request that is sent to a relay. */
+    /** Returns the request that is sent to a relay, and signed when it is written. */
     EndpointCall call(OpenRequest request, int attempt) {
         Destination to = request.destination();
-        String organisation = request.spec().organisation();
-        RelayHead head = new RelayHead(
-                request.spec().id(),
-                attempt,
-                organisation == null ? "" : organisation,
-                request.spec().priorityClass(),
-                to.idempotent(),
-                Math.max(1, request.spec().deadline() - clock.getAsLong()),
-                wallClock.getAsLong(),
-                to.target() instanceof RequestTarget.ServiceTarget service ? service.service() : "",
-                ONE_HOP,
-                NO_ENDPOINT);
+        FrameSigner signer = new FrameSigner(secret);
+        byte[] bodyDigest = Digests.sha256(to.body());
+        CallDeadline.Statement statement = (headers, leftMillis) ->
+                head(request, attempt, leftMillis).addTo(headers, signer, request.method(), to.path(), bodyDigest);
         HeaderMap headers = new HeaderMap();
         request.headers().forEach(values -> headers.putAll(values.getHeaderName(), values));
-        head.addTo(headers, signer, request.method(), to.path(), to.body());
         return new EndpointCall(
                 request.spec().id(),
                 request.method(),
@@ -80,6 +72,24 @@
                 to.idempotent(),
                 null,
                 EndpointCall.MAX_RESPONSE_BYTES,
-                to.eventStream());
+                to.eventStream(),
+                new CallDeadline(request.spec().deadline(), clock, statement));
+    }
+
+    /** Returns the head of a request that is written now. */
+    private RelayHead head(OpenRequest request, int attempt, long leftMillis) {
+        Destination to = request.destination();
+        String organisation = request.spec().organisation();
+        return new RelayHead(
+                request.spec().id(),
+                attempt,
+                organisation == null ? "" : organisation,
+                request.spec().priorityClass(),
+                to.idempotent(),
+                leftMillis,
+                wallClock.getAsLong(),
+                to.target() instanceof RequestTarget.ServiceTarget service ? service.service() : "",
+                ONE_HOP,
+                NO_ENDPOINT);
     }
 }
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointAttempt.java
@@ -110,12 +110,14 @@
             releaseOrClose(opened);
             return;
         }
-        if (!mayStart.getAsBoolean()) {
+        boolean startable = mayStart.getAsBoolean();
+        long leftMillis = call.deadline().leftMillis(call.deadline().clock().getAsLong());
+        if (!startable || leftMillis <= 0) {
             releaseOrClose(opened);
             end(Verdict.NOT_RUN, false, null);
             return;
         }
-        ClientRequest request = request();
+        ClientRequest request = request(leftMillis);
         if (request == null) {
             LOG.warnf("event=request-not-written reason=malformed-head address=%s", address);
             releaseOrClose(opened);
@@ -137,8 +139,12 @@
         }
     }
 
-    /** Returns the request, null if it cannot be written such that its receiver reads this one. */
-    private ClientRequest request() {
+    /**
+     * Returns the request as it is written now, null if it cannot be written such that its receiver reads this one.
+     *
+     * @param leftMillis milliseconds to the deadline
+     */
+    private ClientRequest request(long leftMillis) {
         if (!RequestGrammar.isRequestLine(call.method(), call.path())) {
             return null;
         }
@@ -149,6 +155,7 @@
         headers.put(Headers.HOST, client.protocol().host(call, address));
         headers.put(Headers.CONTENT_LENGTH, call.body().length);
         headers.put(client.protocol().requestIdHeader(), call.requestId());
+        call.deadline().statement().addTo(headers, leftMillis);
         return RequestGrammar.areHeaders(headers) ? request : null;
     }
 
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointCall.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointCall.java
@@ -8,13 +8,14 @@
  * @param requestId identifier sent as X-Request-Id
  * @param method HTTP method
  * @param path path with query
- * @param headers headers to send besides Host, Content-Length and X-Request-Id
+ * @param headers headers to send besides Host, Content-Length, X-Request-Id and those that state the deadline
  * @param body complete body, empty if there is none
  * @param kind kind of the responding process, which determines how its response is verified
  * @param idempotent whether the request may be sent twice; if not, it is never sent over a reused connection
  * @param events position of the event stream at the caller, null if the response is not read as events
  * @param maxResponseBytes maximum body size in bytes of a response without a declared length
  * @param eventStream whether the body of the request asks a model for a stream of events
+ * @param deadline time from which on the request is not sent
  */
 public record EndpointCall(
         String requestId,
@@ -26,7 +27,8 @@
         boolean idempotent,
         EventCursor events,
         long maxResponseBytes,
-        boolean eventStream) {
+        boolean eventStream,
+        CallDeadline deadline) {
     /** Default of the maximum body size in bytes of a response without a declared length. */
     public static final long MAX_RESPONSE_BYTES = 1_000_000_000;
 
@@ -42,6 +44,53 @@
         this(requestId, method, path, headers, body, kind, idempotent, null, MAX_RESPONSE_BYTES, false);
     }
 
+    /** Creates a call without a deadline. */
+    public EndpointCall(
+            String requestId,
+            String method,
+            String path,
+            HeaderMap headers,
+            byte[] body,
+            Kind kind,
+            boolean idempotent,
+            EventCursor events,
+            long maxResponseBytes,
+            boolean eventStream) {
+        this(
+                requestId,
+                method,
+                path,
+                headers,
+                body,
+                kind,
+                idempotent,
+                events,
+                maxResponseBytes,
+                eventStream,
+                CallDeadline.NONE);
+    }
+
+    /** Returns the same call with a deadline. */
+    public EndpointCall withDeadline(CallDeadline other) {
+        return with(headers, other);
+    }
+
+    /** Returns the same call with other headers and a deadline. */
+    public EndpointCall with(HeaderMap otherHeaders, CallDeadline otherDeadline) {
+        return new EndpointCall(
+                requestId,
+                method,
+                path,
+                otherHeaders,
+                body,
+                kind,
+                idempotent,
+                events,
+                maxResponseBytes,
+                eventStream,
+                otherDeadline);
+    }
+
     /** Kind of the responding process. */
     public enum Kind {
         /** Model engine: echoes the request id; streams end with a final event. */
--- a/gooseberryring-transport/src/test/java/org/gooseberryring/transport/endpoint/EndpointAttemptTest.java
+++ b/gooseberryring-transport/src/test/java/org/gooseberryring/transport/endpoint/EndpointAttemptTest.java
@@ -7,7 +7,9 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 
 import io.undertow.util.HeaderMap;
@@ -28,6 +30,9 @@
     private static final int TIMEOUT_MILLIS = 5_000;
     private static final int CONNECT_MILLIS = 100;
 
+    /** Deadline of requests that have one, in milliseconds of their clock. */
+    private static final long DEADLINE = 5_000;
+
     private HttpWorker worker;
     private ServerSocket endpoint;
 
@@ -114,6 +119,51 @@
         assertThat(outcome.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).sent()).isTrue();
     }
 
+    /** Guards against a head that states what was left when the request began to wait for its connection. */
+    @Test
+    void headStatesWhatIsLeftWhenItIsWritten() throws Exception {
+        AtomicLong now = new AtomicLong(DEADLINE - 1_000);
+        String received = send(call(now), new CompletableFuture<>(), () -> now.set(DEADLINE - 700));
+        assertThat(received).contains("X-Left: 700\r\n");
+    }
+
+    /** Guards against a request that is sent although its time was over when its connection had opened. */
+    @ParameterizedTest
+    @ValueSource(longs = {DEADLINE, DEADLINE + 1})
+    void requestWhoseTimeIsOverIsNeverWritten(long connectedAt) throws Exception {
+        AtomicLong now = new AtomicLong(DEADLINE - 1_000);
+        CompletableFuture<AttemptOutcome> outcome = new CompletableFuture<>();
+        assertThat(send(call(now), outcome, () -> now.set(connectedAt))).isEmpty();
+        AttemptOutcome ended = outcome.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        assertThat(ended.verdict()).isEqualTo(Verdict.NOT_RUN);
+        assertThat(ended.sent()).isFalse();
+        assertThat(ended.endpointLost()).isFalse();
+    }
+
+    /** Guards against a head that is written by a later task of the I/O thread than the one that states what is left. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 4})
+    void headIsWrittenInTheStepThatStatesWhatIsLeft(int bodyBytes) throws Exception {
+        CountDownLatch written = new CountDownLatch(1);
+        CallDeadline deadline = new CallDeadline(DEADLINE, () -> 0, (headers, left) -> holdBehindThisStep(written));
+        EndpointCall call = new EndpointCall(
+                        "id", "GET", "/", new HeaderMap(), new byte[bodyBytes], EndpointCall.Kind.PLAIN_SERVICE, false)
+                .withDeadline(deadline);
+        assertThat(send(call, new CompletableFuture<>())).endsWith("\r\n\r\n");
+        written.countDown();
+    }
+
+    /** Holds the I/O thread of the caller from its next task on, for longer than an endpoint waits for a head. */
+    private static void holdBehindThisStep(CountDownLatch released) {
+        ((XnioIoThread) Thread.currentThread()).execute(() -> {
+            try {
+                released.await(2 * TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
     private void assertNothingWritten(EndpointCall call) throws Exception {
         CompletableFuture<AttemptOutcome> outcome = new CompletableFuture<>();
         assertThat(send(call, outcome)).isEmpty();
@@ -122,9 +172,23 @@
 
     /** Sends a request and returns the bytes that the endpoint gets up to the end of a head or of the connection. */
     private String send(EndpointCall call, CompletableFuture<AttemptOutcome> outcome) throws IOException {
+        return send(call, outcome, () -> {});
+    }
+
+    /**
+     * Sends a request and returns the bytes that the endpoint gets up to the end of a head or of the connection.
+     *
+     * @param beforeConnected runs after the attempt has begun and before its connection is open
+     */
+    private String send(EndpointCall call, CompletableFuture<AttemptOutcome> outcome, Runnable beforeConnected)
+            throws IOException {
         EndpointLimits limits = new EndpointLimits(8, TIMEOUT_MILLIS, TIMEOUT_MILLIS, TIMEOUT_MILLIS, 0);
         EndpointClient client = new EndpointClient(worker, limits, new OneRequestProtocol());
-        client.send(address(), call, worker.xnio().getIoThread(), new NoResponse(), new OutcomeListener(outcome));
+        XnioIoThread thread = worker.xnio().getIoThread();
+        thread.execute(() -> {
+            client.send(address(), call, thread, new NoResponse(), new OutcomeListener(outcome));
+            thread.execute(beforeConnected);
+        });
         StringBuilder received = new StringBuilder();
         try (Socket connection = endpoint.accept()) {
             connection.setSoTimeout(TIMEOUT_MILLIS);
@@ -143,6 +207,13 @@
         return "127.0.0.1:" + endpoint.getLocalPort();
     }
 
+    /** Returns a call whose head states what is left to the deadline. */
+    private static EndpointCall call(AtomicLong now) {
+        CallDeadline deadline =
+                new CallDeadline(DEADLINE, now::get, (headers, left) -> headers.put(new HttpString("X-Left"), left));
+        return call("GET", "/", "X-Other", "v").withDeadline(deadline);
+    }
+
     private static EndpointCall call(String method, String path, String header, String value) {
         HeaderMap headers = new HeaderMap();
         headers.put(new HttpString(header.getBytes(StandardCharsets.ISO_8859_1)), value);
