Keep what organisations have used during surges in the store

Cause: a started host grants an eighth of the burst and the rate from its start. If the killed hosts have granted the whole limit in the second before, that comes on top, and no host is left that knows it.

The assumption of a start is wrong only by the excess: what was used in some period up to the end beyond the rate and 7/8 of the burst. One host keeps it in the store in four levels; a higher one is written at once, a lower one a window later, and an organisation within its rate and burst causes no call. A started host reads the object and grants less by the excess for a window, unless another host passes it the whole use. With u(x) <= rate * x + 7/8 burst + excess before the start and burst/8 + rate * t - excess after it, each window holds at most the limit.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/crash/StoredCrashes.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/crash/StoredCrashes.java
@@ -8,6 +8,7 @@
 import org.gooseberryring.coordination.store.StoreOutcome;
 import org.gooseberryring.coordination.store.StoreReply;
 import org.gooseberryring.coordination.store.StoreRequest;
+import org.gooseberryring.coordination.store.StoredDocument;
 import org.gooseberryring.state.EndpointProcess;
 
 /**
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/crash/StoredVerdicts.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/crash/StoredVerdicts.java
@@ -8,6 +8,7 @@
 import org.gooseberryring.coordination.store.StoreOutcome;
 import org.gooseberryring.coordination.store.StoreReply;
 import org.gooseberryring.coordination.store.StoreRequest;
+import org.gooseberryring.coordination.store.StoredDocument;
 
 /**
  * Verdicts on parts of requests in an object of the store, so that hosts that are all killed at once know them later.
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedBucket.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedBucket.java
@@ -45,6 +45,9 @@
      */
     private static final double UNEVEN_DEMAND_FRACTION = 0.1;
 
+    /** Fraction of the limit up to which an excess is not stored; it is smaller than what deployments tolerate. */
+    private static final double MIN_STORED_EXCESS = 1 / 16.0;
+
     private static final long MIN_RETRY_MILLIS = 50;
     private static final long MAX_RETRY_MILLIS = 10_000;
 
@@ -57,11 +60,13 @@
     private double rate;
     private double burst;
     private double startBurst;
+    private double earlierExcess;
     private long limitedSince;
     private long ownUsed;
     private RecentTokens ownRecent;
     private boolean configured;
     private boolean pastUsageUnknown;
+    private boolean earlierExcessRead;
 
     /**
      * Creates a limit without usage.
@@ -121,6 +126,7 @@
             return;
         }
         pastUsageUnknown = false;
+        earlierExcess = 0;
         limitedSince = now - windowMillis;
         for (int i = 0; i < window.size(); i++) {
             // The newest time of the part, so that no tokens leave the window too early.
@@ -128,14 +134,51 @@
         }
     }
 
+    /**
+     * Returns the excess: by how many tokens the use in any period up to now exceeds what a host that knows nothing of it
+     * assumes, which is the rate and the burst without the part that is available after a start. Zero if it is small, else
+     * rounded up to an eighth, a quarter, a half or all of the limit.
+     */
+    long excess(long now) {
+        double perMilli = rate / MILLIS_PER_SECOND;
+        UseWindow all = usedAndAssumed(now);
+        double excess = all.largestExcess(perMilli, now) - burst * (1 - START_SHARE);
+        if (pastUsageUnknown && now - limitedSince < windowMillis) {
+            double sinceStart = all.sum(now) - perMilli * (now - limitedSince);
+            excess = Math.max(excess, earlierExcess + sinceStart);
+        }
+        double limit = limit();
+        if (excess <= limit * MIN_STORED_EXCESS) {
+            return 0;
+        }
+        double level = limit * MIN_STORED_EXCESS * 2;
+        while (level < Math.min(excess, limit)) {
+            level *= 2;
+        }
+        return Math.round(level);
+    }
+
+    /**
+     * Records the excess of processes that have ended, if this host has just started and does not know it. The available
+     * tokens are lower by as much for a window.
+     */
+    void onEarlierExcess(long tokens, long now) {
+        if (!pastUsageUnknown || earlierExcessRead || now - startedAt >= windowMillis) {
+            return;
+        }
+        earlierExcessRead = true;
+        earlierExcess = tokens;
+        startBurst -= tokens;
+    }
+
     /**
      * Adds a process of a host. What it has used counts if it has started since the last report of the process before, or
      * if it is as young as this one, as after a restart of all hosts. Otherwise the times of its earlier use are unknown.
      */
     void addHost(String host, TokenUse use, long now) {
         HostUse earlier = hosts.put(host, new HostUse(windowMillis, use, now));
-        boolean young =
-                isStartingUp(now) && use.usedTokens() <= startBurst + rate * (now - limitedSince) / MILLIS_PER_SECOND;
+        double mostSinceStart = startBurst + earlierExcess + rate * (now - limitedSince) / MILLIS_PER_SECOND;
+        boolean young = isStartingUp(now) && use.usedTokens() <= mostSinceStart;
         if (earlier != null || young) {
             used.add(use.usedTokens(), now);
         }
@@ -293,7 +336,7 @@
     long millisUntilAdmission(long now) {
         double missing = -remainder(now);
         boolean starting = now - limitedSince < windowMillis;
-        double refilled = missing / Math.max(1, rate) * MILLIS_PER_SECOND;
+        double refilled = Math.min(missing / Math.max(1, rate) * MILLIS_PER_SECOND, limitedSince + windowMillis - now);
         long millis = starting ? (long) refilled : usedAndAssumed(now).millisUntilLeft(missing, now);
         // Tokens may remain that belong to the share of another host. The shares are recalculated within the horizon.
         long minWait = missing < 0 ? PROPAGATION_MILLIS / 2 : MIN_RETRY_MILLIS;
@@ -325,11 +368,15 @@
 
     /** Returns the tokens of a pool that this host may admit before the others are notified. */
     private double maxUnreported(double pool, int hostCount, long now) {
-        double limit = rate * windowMillis / MILLIS_PER_SECOND + burst;
-        double uneven = isStartingUp(now) ? 0 : Math.min(pool, UNEVEN_DEMAND_FRACTION * limit);
+        double uneven = isStartingUp(now) ? 0 : Math.min(pool, UNEVEN_DEMAND_FRACTION * limit());
         return unreportedShare(hostCount, now) * (pool + uneven);
     }
 
+    /** Returns the tokens that may be used in a window. */
+    private double limit() {
+        return rate * windowMillis / MILLIS_PER_SECOND + burst;
+    }
+
     /** Returns this host's share of the tokens that hosts may admit before the others are notified. */
     private double unreportedShare(int hostCount, long now) {
         boolean started = now - startedAt < STARTUP_MILLIS;
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedLimits.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedLimits.java
@@ -25,6 +25,7 @@
     private final Map<String, Long> removedPeers = new HashMap<>();
     private final Map<String, Map<String, TokenUse>> earlyUses = new HashMap<>();
     private Map<String, List<Long>> earlyWindows = Map.of();
+    private Map<String, Long> earlierExcesses;
     private final long windowMillis;
     private long tickedAt = Long.MIN_VALUE;
     private int hostCount = SharedBucket.UNKNOWN_HOSTS;
@@ -72,6 +73,7 @@
         if (!configured) {
             configured = true;
             takeOver(earlyWindows, now);
+            applyEarlierExcesses(now);
             earlyWindows = Map.of();
             earlyUses.clear();
         }
@@ -166,6 +168,36 @@
         buckets.forEach((id, bucket) -> bucket.takeOver(windows.getOrDefault(id, List.of()), now));
     }
 
+    /**
+     * Returns by organisation the tokens beyond what hosts that know nothing of them assume when they start; lacks the
+     * organisations that have used no more.
+     */
+    public Map<String, Long> excesses(long now) {
+        Map<String, Long> excesses = new HashMap<>();
+        buckets.forEach((id, bucket) -> {
+            long excess = bucket.excess(now);
+            if (excess > 0) {
+                excesses.put(id, excess);
+            }
+        });
+        return excesses;
+    }
+
+    /** Records the excesses that were stored before this host has started. Only the first call has an effect. */
+    public void onEarlierExcesses(Map<String, Long> excesses, long now) {
+        handlePause(now);
+        if (earlierExcesses == null) {
+            earlierExcesses = Map.copyOf(excesses);
+            applyEarlierExcesses(now);
+        }
+    }
+
+    private void applyEarlierExcesses(long now) {
+        if (earlierExcesses != null) {
+            buckets.forEach((id, bucket) -> bucket.onEarlierExcess(earlierExcesses.getOrDefault(id, 0L), now));
+        }
+    }
+
     /** Adds the assumed usage of hosts whose updates are missing. Must be called several times per second. */
     public void tick(long now) {
         handlePause(now);
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/UseWindow.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/UseWindow.java
@@ -104,6 +104,22 @@
         return departed;
     }
 
+    /**
+     * Returns by how many tokens, in the period up to now in which this is most, more was added than a rate allows.
+     *
+     * @param perMilli rate in tokens per millisecond
+     */
+    double largestExcess(double perMilli, long now) {
+        advance(now);
+        double largest = 0;
+        double added = 0;
+        for (int age = 0; age <= INTERVALS; age++) {
+            added += tokens[index(interval - age)];
+            largest = Math.max(largest, added - perMilli * age * intervalMillis);
+        }
+        return largest;
+    }
+
     /** Clears the window. */
     void clear() {
         Arrays.fill(tokens, 0);
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/crash/StoredDocument.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/store/StoredDocument.java
@@ -1,18 +1,14 @@
-package org.gooseberryring.coordination.crash;
+package org.gooseberryring.coordination.store;
 
 import java.util.function.Supplier;
 
-import org.gooseberryring.coordination.store.StoreOutcome;
-import org.gooseberryring.coordination.store.StoreReply;
-import org.gooseberryring.coordination.store.StoreRequest;
-
 /**
  * Object of the store that each host reads when it starts and one host writes.
  *
  * <p>If two hosts write, the write with an outdated version fails, and the object is read again before the next one. At
  * most one call is in flight.
  */
-final class StoredDocument {
+public final class StoredDocument {
     private static final long RETRY_MILLIS = 500;
 
     private final String key;
@@ -23,7 +19,7 @@
     private long retryAt = Long.MIN_VALUE;
 
     /** Meaning of a reply. */
-    enum Result {
+    public enum Result {
         /** The object was read, or does not exist. */
         READ,
         /** The last content was written. */
@@ -32,7 +28,8 @@
         FAILED
     }
 
-    StoredDocument(String key) {
+    /** Creates the state of a host that has not read the object with a key yet. */
+    public StoredDocument(String key) {
         this.key = key;
     }
 
@@ -41,7 +38,7 @@
      *
      * @param changed returns the content to write, null if there is nothing to write
      */
-    StoreRequest next(Supplier<byte[]> changed, long now) {
+    public StoreRequest next(Supplier<byte[]> changed, long now) {
         if (isCallPending || now < retryAt) {
             return null;
         }
@@ -59,7 +56,7 @@
     }
 
     /** Handles the reply to a call. */
-    Result onReply(StoreReply reply, long now) {
+    public Result onReply(StoreReply reply, long now) {
         boolean isWrite = isWritePending;
         isCallPending = false;
         isWritePending = false;
@@ -76,7 +73,7 @@
     }
 
     /** Handles a restore of the store from an older copy, which may lack the object or have an older one. */
-    void onStoreRestored() {
+    public void onStoreRestored() {
         isRead = false;
     }
 }
--- a/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/SharedLimitsTest.java
+++ b/gooseberryring-coordination/src/test/java/org/gooseberryring/coordination/limit/SharedLimitsTest.java
@@ -1,6 +1,5 @@
 package org.gooseberryring.coordination.limit;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -15,21 +14,18 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 class SharedLimitsTest {
-    private static final long RATE = 50_000;
-    private static final long BURST = 60_000;
-    private static final long WINDOW_MILLIS = 8_000;
-    private static final long MESSAGE_MILLIS = 250;
-
-    /** Tolerated excess over the limit: this fraction of the limit plus a number of tokens. */
-    private static final double OVERAGE = 0.1;
+    private static final long RATE = LimitHosts.RATE;
+    private static final long BURST = LimitHosts.BURST;
+    private static final long WINDOW_MILLIS = LimitHosts.WINDOW_MILLIS;
+    private static final double OVERAGE = LimitHosts.OVERAGE;
 
     private static final long SLACK = 110_000;
-    private static final long SMALL_SLACK = 7_500;
+    private static final long SMALL_SLACK = LimitHosts.SMALL_SLACK;
 
     /** Guards against refusals within the limit when most of the demand arrives at a few hosts. */
     @Test
     void admitsAllRequestsWithinTheLimitUnderUnevenLoad() {
-        Hosts hosts = new Hosts(7, 11);
+        LimitHosts hosts = new LimitHosts(7, 11);
         int refused = 0;
         for (long now = 0; now < 30_000; now += 10) {
             hosts.tick(now, true);
@@ -47,7 +43,7 @@
      */
     @Test
     void refusesNothingWithinTheLimitAfterAStop() {
-        Hosts hosts = new Hosts(7, 11);
+        LimitHosts hosts = new LimitHosts(7, 11);
         int refused = 0;
         for (long now = 0; now < 10_000; now += 10) {
             hosts.tick(now, true);
@@ -72,7 +68,7 @@
     void staysWithinTheLimitDuringPartitions(@ForAll long seed) {
         Random random = new Random(seed);
         int count = 2 + random.nextInt(7);
-        Hosts hosts = new Hosts(count, seed);
+        LimitHosts hosts = new LimitHosts(count, seed);
         long cutFrom = 5_000 + random.nextInt(10_000);
         long cutTo = cutFrom + random.nextInt(8_000);
         int factor = 1 + random.nextInt(8);
@@ -93,7 +89,7 @@
     /** Guards against refusals of requests that fit into the rate and the burst of each window. */
     @Test
     void admitsTheRateAndTheBurstInEachWindow() {
-        Hosts hosts = new Hosts(9, 11);
+        LimitHosts hosts = new LimitHosts(9, 11);
         int demand = 0;
         int refused = 0;
         for (long now = 0; now < 40_000; now += 10) {
@@ -114,7 +110,7 @@
     @Property(tries = 40, seed = "5203", shrinking = ShrinkingMode.OFF)
     void staysWithinASmallToleranceUnderManyTimesTheLimit(@ForAll long seed) {
         Random random = new Random(seed);
-        Hosts hosts = new Hosts(9, seed);
+        LimitHosts hosts = new LimitHosts(9, seed);
         for (long now = 0; now < 40_000; now += 10) {
             hosts.tick(now, true);
             boolean isSurge = now > 12_000 && now < 24_000;
@@ -135,7 +131,7 @@
     void staysWithinASmallToleranceWhenAllHostsAreRestarted(@ForAll long seed) {
         Random random = new Random(seed);
         int count = 2 + random.nextInt(9);
-        Hosts hosts = new Hosts(count, seed);
+        LimitHosts hosts = new LimitHosts(count, seed);
         long killedAt = 13_000 + random.nextInt(4_000);
         long startedAt = killedAt + 300 + random.nextInt(1_000);
         long connectedAt = startedAt + 300 + random.nextInt(300);
@@ -165,7 +161,7 @@
     void staysWithinASmallToleranceWhenAllHostsAreRestartedAfterASurge() {
         for (int seed = 1; seed <= 20; seed++) {
             Random random = new Random(seed);
-            Hosts hosts = new Hosts(9, seed);
+            LimitHosts hosts = new LimitHosts(9, seed);
             for (long now = 0; now < 30_000; now += 10) {
                 if (now == 14_000) {
                     hosts.restart(now);
@@ -195,7 +191,7 @@
     void staysWithinASmallToleranceWhenASurgeFollowsAPartition() {
         for (int seed = 1; seed <= 20; seed++) {
             Random random = new Random(seed);
-            Hosts hosts = new Hosts(9, seed);
+            LimitHosts hosts = new LimitHosts(9, seed);
             hosts.setPartitioned(3);
             for (long now = 0; now < 30_000; now += 10) {
                 hosts.tick(now, now < 12_000 || now >= 16_000);
@@ -220,7 +216,7 @@
     void manyHostsStayWithinASmallToleranceWhenAllAreRestarted(@ForAll long seed) {
         Random random = new Random(seed);
         int count = 60 + random.nextInt(60);
-        Hosts hosts = new Hosts(count, seed);
+        LimitHosts hosts = new LimitHosts(count, seed);
         for (long now = 0; now < 20_000; now += 10) {
             boolean isRestarted = now >= 10_000;
             if (now == 10_000) {
@@ -263,7 +259,7 @@
     /** Guards against a host that refuses organisations within their limits for many seconds after it was restarted. */
     @Test
     void refusesFewRequestsWithinTheLimitAfterARestart() {
-        Hosts hosts = new Hosts(9, 11);
+        LimitHosts hosts = new LimitHosts(9, 11);
         int refused = 0;
         for (long now = 0; now < 20_000; now += 10) {
             if (now == 12_000) {
@@ -384,94 +380,4 @@
     private static Organisation organisation(long rate, long burst) {
         return new Organisation("o", rate, burst, 1, null);
     }
-
-    /** Hosts that report their usage to each other. */
-    private static final class Hosts {
-        private record Admitted(long at, long tokens) {}
-
-        private final List<SharedLimits> hosts = new ArrayList<>();
-        private final List<Admitted> admitted = new ArrayList<>();
-        private int requests;
-        private long incarnation = 1;
-        private int partitioned = 1;
-
-        Hosts(int count, long seed) {
-            for (int i = 0; i < count; i++) {
-                hosts.add(limits(count, 0));
-            }
-        }
-
-        /** Restarts all hosts without their previous state. */
-        void restart(long now) {
-            incarnation++;
-            for (int i = 0; i < hosts.size(); i++) {
-                hosts.set(i, limits(hosts.size(), now));
-            }
-        }
-
-        private static SharedLimits limits(int hostCount, long now) {
-            SharedLimits limits = new SharedLimits(WINDOW_MILLIS);
-            limits.setHostCount(hostCount);
-            limits.configure(List.of(organisation(RATE, BURST)), now);
-            return limits;
-        }
-
-        /** Advances the time; no messages are sent if all hosts are partitioned. */
-        void tick(long now, boolean connected, boolean allCut) {
-            if (allCut) {
-                hosts.forEach(host -> host.tick(now));
-            } else {
-                tick(now, connected);
-            }
-        }
-
-        /** Sets the number of hosts, one if not set, that are partitioned from the others while not connected. */
-        void setPartitioned(int count) {
-            partitioned = count;
-        }
-
-        /** Advances the time; the first hosts are partitioned from the others unless the hosts are connected. */
-        void tick(long now, boolean connected) {
-            for (int i = 0; i < hosts.size(); i++) {
-                hosts.get(i).tick(now);
-                if (now % MESSAGE_MILLIS != i * 10 % MESSAGE_MILLIS) {
-                    continue;
-                }
-                for (int other = 0; other < hosts.size(); other++) {
-                    if (other != i && (connected || i < partitioned == other < partitioned)) {
-                        hosts.get(other)
-                                .onUsageReport(
-                                        "h" + i, incarnation, hosts.get(i).used(), now);
-                    }
-                }
-            }
-        }
-
-        SharedLimits host(int index) {
-            return hosts.get(index);
-        }
-
-        boolean request(int host, long tokens, long now) {
-            boolean ok =
-                    hosts.get(host).reserve("r" + requests++, "o", tokens, now).kind() == Admission.Kind.ADMITTED;
-            if (ok) {
-                admitted.add(new Admitted(now, tokens));
-            }
-            return ok;
-        }
-
-        long largestInWindow() {
-            long largest = 0;
-            long sum = 0;
-            int from = 0;
-            for (Admitted each : admitted) {
-                sum += each.tokens();
-                while (admitted.get(from).at() <= each.at() - WINDOW_MILLIS) {
-                    sum -= admitted.get(from++).tokens();
-                }
-                largest = Math.max(largest, sum);
-            }
-            return largest;
-        }
-    }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryHost.java
@@ -84,6 +84,7 @@
     private final RateLimitControl rateLimits;
     private final EndpointChecks checks;
     private final VerdictControl verdicts;
+    private final LimitUseControl limitUse;
     private final StreamControl streams;
     private final ResidencyControl residency;
     private final DeploymentFeeds feeds;
@@ -114,6 +115,7 @@
         mesh = new PeerMesh(settings, incarnation, storeExecutor, control, metrics, exchange, epochs, random.split());
         checks = new EndpointChecks(view, orders, calls, control, exchange, mesh);
         verdicts = new VerdictControl(settings.hostId(), storeExecutor, control, requests, exchange, epochs);
+        limitUse = new LimitUseControl(settings, storeExecutor, control, requests, exchange, epochs);
         streams = new StreamControl(
                 settings.hostId(), deployment.streams(), storeExecutor, control, requests, exchange, epochs);
         residency = residency(controller, orders, random.split());
@@ -263,6 +265,7 @@
         control.onTick(mesh::tick);
         control.onTick(exchange::tick);
         control.onTick(verdicts::tick);
+        control.onTick(limitUse::tick);
         control.onTick(streams::tick);
         control.onTick(residency::tick);
         control.onTick(rateLimits::tick);
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/EntryRequests.java
@@ -369,6 +369,22 @@
         });
     }
 
+    /** Records what earlier processes have used of the limits, as it was read from the store. */
+    void onEarlierExcesses(Map<String, Long> excesses) {
+        loop.put((engine, now) -> {
+            limits.onEarlierExcesses(excesses, now);
+            return List.of();
+        });
+    }
+
+    /** Passes the tokens beyond what hosts assume when they start to the receiver, on the request thread. */
+    void limitExcesses(Consumer<Map<String, Long>> receiver) {
+        loop.offer((engine, now) -> {
+            receiver.accept(limits.excesses(now));
+            return List.of();
+        });
+    }
+
     /** Passes a snapshot of the state of the request thread to the receiver, on that thread. */
     void snapshot(Consumer<HostSnapshot> receiver) {
         loop.offer((engine, now) -> {
