Add one close listener to each connection of a caller

Memory grew with each request on a kept connection, and was freed only with the connection.

Cause: a connection is marked as idle after each exchange, and each time another close listener was added to the server's list, which holds it until the connection closes.

The listener is added once now. FrontListenerTest: the connection had 12 close listeners at the tenth request and 4 at the second before, and as many at both with the change.

--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontListener.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/entry/FrontListener.java
@@ -11,6 +11,7 @@
 import io.undertow.server.ServerConnection;
 import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.util.AttachmentKey;
 import org.gooseberryring.state.RequestLimits;
 import org.gooseberryring.transport.http.HttpWorker;
 import org.xnio.ChannelListener;
@@ -29,6 +30,8 @@
     /** The handlers limit bodies; a limit of the server closes the connection without a response. */
     private static final long UNLIMITED = -1;
 
+    private static final AttachmentKey<Boolean> HAS_CLOSE_LISTENER = AttachmentKey.create(Boolean.class);
+
     private final HttpOpenListener listener;
     private final AcceptingChannel<? extends StreamConnection> server;
     private final Set<ServerConnection> idle = ConcurrentHashMap.newKeySet();
@@ -108,7 +111,9 @@
             return;
         }
         idle.add(connection);
-        connection.addCloseListener(idle::remove);
+        if (connection.putAttachment(HAS_CLOSE_LISTENER, true) == null) {
+            connection.addCloseListener(idle::remove);
+        }
     }
 
     private static OptionMap options(RequestLimits limits) {
--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/entry/FrontListenerTest.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/entry/FrontListenerTest.java
@@ -1,27 +1,33 @@
 package org.gooseberryring.host.entry;
 
 import java.io.IOException;
+import java.lang.reflect.Field;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
+import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
 import org.gooseberryring.state.RequestLimits;
 import org.gooseberryring.transport.http.HttpWorker;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
+import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
 class FrontListenerTest {
     private static final int ROUNDS = 25;
     private static final int CALLERS = 64;
     private static final int IO_THREADS = 4;
+    private static final int KEPT_REQUESTS = 10;
     private static final long RESPONSE_MILLIS = 1;
     private static final RequestLimits LIMITS = new RequestLimits(16_384, 1_000_000, 3_000, 15_000);
 
@@ -29,6 +35,7 @@
     private final FrontListener listener =
             new FrontListener(worker, new InetSocketAddress("127.0.0.1", 0), 4 * CALLERS, LIMITS, this::handle);
     private final Set<String> taken = ConcurrentHashMap.newKeySet();
+    private final List<Integer> closeListeners = new CopyOnWriteArrayList<>();
 
     @AfterEach
     void stop() {
@@ -53,6 +60,20 @@
         }
     }
 
+    /** Guards against a connection that holds more memory with each request of its caller. */
+    @Test
+    void keptConnectionHasNoMoreCloseListenersWithEachRequest() throws Exception {
+        try (RawCaller caller = new RawCaller(listener.address().getPort())) {
+            for (int i = 0; i < KEPT_REQUESTS; i++) {
+                caller.get(path(0, i));
+                caller.readTo("done");
+            }
+        }
+
+        assertThat(closeListeners).hasSize(KEPT_REQUESTS);
+        assertThat(closeListeners.get(KEPT_REQUESTS - 1)).isEqualTo(closeListeners.get(1));
+    }
+
     private List<RawCaller> idleCallers() throws Exception {
         List<RawCaller> callers = new ArrayList<>();
         for (int i = 0; i < CALLERS; i++) {
@@ -92,11 +113,22 @@
 
     private void handle(HttpServerExchange exchange) {
         taken.add(exchange.getRequestPath());
+        closeListeners.add(closeListeners(exchange.getConnection()));
         exchange.dispatch(
                 later -> exchange.getIoThread().executeAfter(later, RESPONSE_MILLIS, TimeUnit.MILLISECONDS),
                 () -> exchange.getResponseSender().send("done"));
     }
 
+    private static int closeListeners(ServerConnection connection) {
+        try {
+            Field field = AbstractServerConnection.class.getDeclaredField("closeListeners");
+            field.setAccessible(true);
+            return ((List<?>) field.get(connection)).size();
+        } catch (ReflectiveOperationException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     private static String path(int round, int caller) {
         return "/" + round + "/" + caller;
     }
