--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/entry/ReusedIdentifierTest.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/entry/ReusedIdentifierTest.java
@@ -77,12 +77,8 @@
     void twoOpenRequestsWithOneIdentifierAreBothAnswered() throws Exception {
         try (RawCaller first = new RawCaller(host.port());
                 RawCaller second = new RawCaller(host.port())) {
-            first.get("/first");
-            ControlledEndpoint.Run run = endpoint.awaitRequest();
-
-            second.get("/second");
+            ControlledEndpoint.Run run = runFirstAndRefuseSecond(first, second);
 
-            assertThat(second.readTo("}")).contains("HTTP/1.1 503");
             run.send(RESPONSE);
             assertThat(first.readTo("done")).contains("HTTP/1.1 200");
         }
@@ -93,10 +89,7 @@
     void openRequestIsRejectedAtItsDeadlineAfterAnotherOneWithItsIdentifierWasRefused() throws Exception {
         try (RawCaller first = new RawCaller(host.port());
                 RawCaller second = new RawCaller(host.port())) {
-            first.get("/first");
-            ControlledEndpoint.Run run = endpoint.awaitRequest();
-            second.get("/second");
-            assertThat(second.readTo("}")).contains("HTTP/1.1 503");
+            ControlledEndpoint.Run run = runFirstAndRefuseSecond(first, second);
             host.settle();
 
             host.tickAt(DEADLINE_MILLIS);
@@ -106,6 +99,15 @@
         }
     }
 
+    /** Sends two requests with one identifier, of which the first runs and the second must be refused. */
+    private ControlledEndpoint.Run runFirstAndRefuseSecond(RawCaller first, RawCaller second) throws Exception {
+        first.get("/first");
+        ControlledEndpoint.Run run = endpoint.awaitRequest();
+        second.get("/second");
+        assertThat(second.readTo("}")).contains("HTTP/1.1 503");
+        return run;
+    }
+
     private static RequestSpec spec(String id, long deadline) {
         RequestPolicy policy = new RequestPolicy(
                 "s", 2, true, false, false, false, 1, OBJECTIVE_MILLIS, Long.MAX_VALUE, PromptShape.NONE);
