State the deadline of each call, and explain excesses and signers

Comments say what LimitUseCodec converts, why a process that has not read the excess counts as young, and why each relayed request has its own signer.

--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/LimitUseCodec.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/LimitUseCodec.java
@@ -2,11 +2,11 @@
 
 import java.util.Map;
 
-/** Converts the use of organisations that is stored for hosts that start later. */
+/** Converts the excesses of organisations, which are stored for hosts that start later. */
 public interface LimitUseCodec {
-    /** Encodes tokens by organisation. */
+    /** Encodes the excesses, in tokens by organisation. */
     byte[] encode(Map<String, Long> tokens);
 
-    /** Decodes tokens by organisation. */
+    /** Decodes the excesses, in tokens by organisation; leaves out what it does not know. */
     Map<String, Long> decode(byte[] content);
 }
--- a/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedBucket.java
+++ b/gooseberryring-coordination/src/main/java/org/gooseberryring/coordination/limit/SharedBucket.java
@@ -177,6 +177,7 @@
      */
     void addHost(String host, TokenUse use, long now) {
         HostUse earlier = hosts.put(host, new HostUse(windowMillis, use, now));
+        // The other process may not have read the excess of earlier ones.
         double mostSinceStart = startBurst + earlierExcess + rate * (now - limitedSince) / MILLIS_PER_SECOND;
         boolean young = isStartingUp(now) && use.usedTokens() <= mostSinceStart;
         if (earlier != null || young) {
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EndpointCalls.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/EndpointCalls.java
@@ -1,6 +1,7 @@
 package org.gooseberryring.host.caller;
 
 import org.gooseberryring.state.Endpoint;
+import org.gooseberryring.transport.endpoint.CallDeadline;
 import org.gooseberryring.transport.endpoint.EndpointCall;
 
 /** Prepares the request that is sent to an endpoint for a caller's request. */
@@ -22,6 +23,7 @@
                 to.idempotent(),
                 null,
                 EndpointCall.MAX_RESPONSE_BYTES,
-                to.eventStream());
+                to.eventStream(),
+                CallDeadline.NONE);
     }
 }
--- a/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/Relays.java
+++ b/gooseberryring-host/src/main/java/org/gooseberryring/host/caller/Relays.java
@@ -54,6 +54,7 @@
     /** Returns the request that is sent to a relay, and signed when it is written. */
     EndpointCall call(OpenRequest request, int attempt) {
         Destination to = request.destination();
+        // Not shared: the I/O threads of several requests sign at the same time.
         FrameSigner signer = new FrameSigner(secret);
         byte[] bodyDigest = Digests.sha256(to.body());
         CallDeadline.Statement statement = (headers, leftMillis) ->
--- a/gooseberryring-host/src/test/java/org/gooseberryring/host/entry/SteppedRequests.java
+++ b/gooseberryring-host/src/test/java/org/gooseberryring/host/entry/SteppedRequests.java
@@ -52,6 +52,7 @@
 import org.gooseberryring.state.RouteTable;
 import org.gooseberryring.state.ServiceProfile;
 import org.gooseberryring.state.ServingConfiguration;
+import org.gooseberryring.transport.endpoint.CallDeadline;
 import org.gooseberryring.transport.endpoint.EndpointCall;
 import org.gooseberryring.transport.endpoint.EndpointClient;
 import org.gooseberryring.transport.endpoint.EndpointLimits;
@@ -189,7 +190,8 @@
                 false,
                 request.events(),
                 EndpointCall.MAX_RESPONSE_BYTES,
-                false);
+                false,
+                CallDeadline.NONE);
     }
 
     private void configure() {
--- a/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointCall.java
+++ b/gooseberryring-transport/src/main/java/org/gooseberryring/transport/endpoint/EndpointCall.java
@@ -41,21 +41,6 @@
             byte[] body,
             Kind kind,
             boolean idempotent) {
-        this(requestId, method, path, headers, body, kind, idempotent, null, MAX_RESPONSE_BYTES, false);
-    }
-
-    /** Creates a call without a deadline. */
-    public EndpointCall(
-            String requestId,
-            String method,
-            String path,
-            HeaderMap headers,
-            byte[] body,
-            Kind kind,
-            boolean idempotent,
-            EventCursor events,
-            long maxResponseBytes,
-            boolean eventStream) {
         this(
                 requestId,
                 method,
@@ -64,9 +49,9 @@
                 body,
                 kind,
                 idempotent,
-                events,
-                maxResponseBytes,
-                eventStream,
+                null,
+                MAX_RESPONSE_BYTES,
+                false,
                 CallDeadline.NONE);
     }
 
--- a/gooseberryring-transport/src/test/java/org/gooseberryring/transport/endpoint/SlowCallerTest.java
+++ b/gooseberryring-transport/src/test/java/org/gooseberryring/transport/endpoint/SlowCallerTest.java
@@ -67,7 +67,8 @@
                 false,
                 cursor,
                 EndpointCall.MAX_RESPONSE_BYTES,
-                false);
+                false,
+                CallDeadline.NONE);
     }
 
     private static AttemptListener listener(CountDownLatch ended) {
